Add the thin whole path: callers, pipelines, orders and stand-ins

A caller's request passes through one router to a two-stage pipeline of engine stand-ins and back as a stream; an order is claimed in the platform's key-value service before it is sent to the booking service.

--- /dev/null
+++ b/hibiscustiller/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line as ``python -m hibiscustiller``."""
+
+from hibiscustiller.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hibiscustiller/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The click program ``hibiscustiller``."""
+
+from hibiscustiller.cli._commands import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/hibiscustiller/cli/_commands.py
@@ -0,0 +1,46 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from hibiscustiller.exceptions import SettingsError
+from hibiscustiller.settings import Settings, load_settings
+
+_EXIT_BAD_SETTINGS = 2
+_SETTINGS_PATH = click.Path(path_type=Path)
+
+
+@click.group()
+def main() -> None:
+    """Router for language-model pipelines over mixed accelerators."""
+
+
+@main.command("check-settings")
+@click.argument("path", type=_SETTINGS_PATH)
+def check_settings(path: Path) -> None:
+    """Check a settings file without starting anything."""
+    settings = _load_or_exit(path)
+    click.echo(f"{path}: settings of router {settings.router.id} are valid")
+
+
+@main.command()
+def demo() -> None:
+    """Run stand-ins, a router and real requests in this process."""
+    import curio
+
+    from hibiscustiller.cli._demo import run_demo
+
+    sys.exit(0 if curio.run(run_demo) else 1)
+
+
+def _load_or_exit(path: Path) -> Settings:
+    try:
+        return load_settings(path)
+    except SettingsError as error:
+        for problem in error.problems:
+            click.echo(problem, err=True)
+        sys.exit(_EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/hibiscustiller/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control of engines by one lease holder."""
--- /dev/null
+++ b/hibiscustiller/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which routers and backend servers are live, leaving or suspected."""
--- /dev/null
+++ b/hibiscustiller/platform/__init__.py
@@ -0,0 +1,25 @@
+"""The platform's services: key-value store and list of hosts."""
+
+from hibiscustiller.platform._hosts import HostList, HostState, read_host_list
+from hibiscustiller.platform._store import (
+    NO_LEASE,
+    Entry,
+    EtcdStore,
+    KeyValueStore,
+    LeaseId,
+    SwapOutcome,
+    Watch,
+)
+
+__all__ = [
+    "NO_LEASE",
+    "Entry",
+    "EtcdStore",
+    "HostList",
+    "HostState",
+    "KeyValueStore",
+    "LeaseId",
+    "SwapOutcome",
+    "Watch",
+    "read_host_list",
+]
--- /dev/null
+++ b/hibiscustiller/standins/__init__.py
@@ -0,0 +1,31 @@
+"""Small stand-ins for the platform and the backend servers."""
+
+from hibiscustiller.standins._booking import BookingFaults, BookingStandin
+from hibiscustiller.standins._engine import EngineFaults, EngineOptions, EngineStandin
+from hibiscustiller.standins._fleet import (
+    MODEL,
+    MODEL_LAYERS,
+    ORGANISATION_KEYS_BY_ID,
+    TEAM_KEYS_BY_ID,
+    Fleet,
+    start_fleet,
+)
+from hibiscustiller.standins._model import compute_answer
+from hibiscustiller.standins._platform import PlatformStandin, StoreFaults
+
+__all__ = [
+    "MODEL",
+    "MODEL_LAYERS",
+    "ORGANISATION_KEYS_BY_ID",
+    "TEAM_KEYS_BY_ID",
+    "BookingFaults",
+    "BookingStandin",
+    "EngineFaults",
+    "EngineOptions",
+    "EngineStandin",
+    "Fleet",
+    "PlatformStandin",
+    "StoreFaults",
+    "compute_answer",
+    "start_fleet",
+]
--- /dev/null
+++ b/hibiscustiller/streams/_frames.py
@@ -0,0 +1,72 @@
+"""Frames that an engine sends on a stream."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+from hibiscustiller.exceptions import WireFormatError
+from hibiscustiller.utils import ServerId
+
+
+@dataclass(frozen=True)
+class LayerRun:
+    """A half-open range of layers that a backend server ran for a token."""
+
+    server: ServerId
+    first_layer: int
+    last_layer: int
+
+
+@dataclass(frozen=True)
+class TokenFrame:
+    """One token and what ran for it."""
+
+    attempt: int
+    position: int
+    token: str
+    layers: tuple[LayerRun, ...]
+
+
+@dataclass(frozen=True)
+class DoneFrame:
+    """The end of a complete answer."""
+
+    attempt: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class ErrorFrame:
+    """The end of an attempt that failed.
+
+    :param server: backend server that failed, if known.
+    """
+
+    attempt: int
+    error: str
+    server: ServerId | None
+
+
+Frame = TokenFrame | DoneFrame | ErrorFrame
+
+
+def parse_frame(line: bytes) -> Frame:
+    """Parse one line of a stream.
+
+    :raises WireFormatError: if the line is no frame.
+    """
+    try:
+        value = json.loads(line)
+        attempt = int(value["attempt"])
+        if "error" in value:
+            return ErrorFrame(attempt, str(value["error"]), value.get("server"))
+        if value.get("done"):
+            return DoneFrame(attempt, str(value.get("reason", "")))
+        layers = tuple(
+            LayerRun(server, int(first), int(last))
+            for server, first, last in value["layers"]
+        )
+        return TokenFrame(attempt, int(value["position"]), str(value["token"]), layers)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise WireFormatError(f"frame cannot be read: {error!r}") from error
--- /dev/null
+++ b/hibiscustiller/utils/__init__.py
@@ -0,0 +1,56 @@
+"""Ids, clocks, verdicts, logs, metrics and other parts used everywhere."""
+
+from hibiscustiller.utils._backoff import jittered_delays
+from hibiscustiller.utils._clock import Clock, ManualClock, SystemClock
+from hibiscustiller.utils._hashing import hash_secret, rank_by_rendezvous
+from hibiscustiller.utils._ids import (
+    ClassName,
+    DomainId,
+    Fence,
+    Fingerprint,
+    ModelName,
+    OrganisationId,
+    RegionId,
+    RequestId,
+    Revision,
+    RouterId,
+    ServerId,
+    ServiceName,
+    TeamId,
+)
+from hibiscustiller.utils._invariants import check_invariant, violations_by_name
+from hibiscustiller.utils._logging import configure_logging, format_fields, log_event
+from hibiscustiller.utils._metrics import Metrics, make_metrics
+from hibiscustiller.utils._verdicts import Refusal, RefusalReason, Verdict
+
+__all__ = [
+    "ClassName",
+    "Clock",
+    "DomainId",
+    "Fence",
+    "Fingerprint",
+    "ManualClock",
+    "Metrics",
+    "ModelName",
+    "OrganisationId",
+    "Refusal",
+    "RefusalReason",
+    "RegionId",
+    "RequestId",
+    "Revision",
+    "RouterId",
+    "ServerId",
+    "ServiceName",
+    "SystemClock",
+    "TeamId",
+    "Verdict",
+    "check_invariant",
+    "configure_logging",
+    "format_fields",
+    "hash_secret",
+    "jittered_delays",
+    "log_event",
+    "make_metrics",
+    "rank_by_rendezvous",
+    "violations_by_name",
+]
--- /dev/null
+++ b/hibiscustiller/utils/_ids.py
@@ -0,0 +1,17 @@
+"""Identifier types."""
+
+from typing import NewType
+
+RouterId = NewType("RouterId", str)
+ServerId = NewType("ServerId", str)
+OrganisationId = NewType("OrganisationId", str)
+TeamId = NewType("TeamId", str)
+ModelName = NewType("ModelName", str)
+ClassName = NewType("ClassName", str)
+ServiceName = NewType("ServiceName", str)
+DomainId = NewType("DomainId", str)
+RegionId = NewType("RegionId", str)
+RequestId = NewType("RequestId", str)
+Fingerprint = NewType("Fingerprint", str)
+Revision = NewType("Revision", int)
+Fence = NewType("Fence", int)
--- /dev/null
+++ b/hibiscustiller/wire/__init__.py
@@ -0,0 +1,27 @@
+"""HTTP/1.1 on both sides, and the framed messages between routers."""
+
+from hibiscustiller.wire._deadlines import wait_at_most
+from hibiscustiller.wire._http_client import AnswerStream, HttpAnswer, HttpClient
+from hibiscustiller.wire._http_server import (
+    Handler,
+    HttpLimits,
+    HttpRequest,
+    HttpServer,
+    Responder,
+    describe_refusal,
+    make_refusal_headers,
+)
+
+__all__ = [
+    "AnswerStream",
+    "Handler",
+    "HttpAnswer",
+    "HttpClient",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpServer",
+    "Responder",
+    "describe_refusal",
+    "make_refusal_headers",
+    "wait_at_most",
+]
--- /dev/null
+++ b/hibiscustiller/wire/_http_client.py
@@ -0,0 +1,340 @@
+"""HTTP/1.1 client: h11 over curio sockets, with a pool of idle connections.
+
+Each wait for bytes has a deadline, since a connection can go silent for good
+without an error. Every failure says whether the other side may have acted.
+"""
+
+from __future__ import annotations
+
+import json
+import select
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import curio
+import curio.socket
+import h11
+
+from hibiscustiller.exceptions import TransportError
+from hibiscustiller.settings import Address
+from hibiscustiller.utils import Clock, Verdict
+from hibiscustiller.wire._deadlines import wait_at_most
+
+_RECEIVE_BYTES = 65536
+# An answer larger than this is refused; a document of 1 MB grows by a third in base64.
+_MAX_ANSWER_BYTES = 8 << 20
+# Servers commonly close idle connections after a minute or less.
+_MAX_IDLE = timedelta(seconds=20)
+_MAX_IDLE_PER_ADDRESS = 32
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A complete answer."""
+
+    status: int
+    headers_by_name: Mapping[str, str]
+    body: bytes
+
+    def read_json(self) -> Any:
+        """Decode the body.
+
+        :raises ValueError: if it is no JSON.
+        """
+        return json.loads(self.body)
+
+
+@dataclass
+class _Connection:
+    sock: Any
+    state: h11.Connection
+    idle_since: timedelta = timedelta(0)
+
+    async def close(self) -> None:
+        await self.sock.close()
+
+
+class HttpClient:
+    """Sends requests and keeps idle connections by address.
+
+    :param clock: tells how long a connection has been idle.
+    :param connect_timeout: longest wait for a connection.
+    """
+
+    def __init__(
+        self, clock: Clock, connect_timeout: timedelta = timedelta(seconds=1)
+    ) -> None:
+        self._clock = clock
+        self._connect_timeout = connect_timeout
+        self._idle_by_address: dict[Address, deque[_Connection]] = {}
+
+    async def request(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        timeout: timedelta,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        is_fresh: bool = False,
+    ) -> HttpAnswer:
+        """Send a request and read the whole answer.
+
+        :param target: path with the query.
+        :param timeout: longest wait for the whole exchange after connecting.
+        :param is_fresh: use a new connection; a pooled one may have been closed by
+            the other side, which leaves the fate of the request unknown.
+        :raises TransportError: if there is no complete answer; its verdict says
+            whether the request may have been acted on.
+        """
+        connection = await self._take_connection(address, is_fresh)
+        is_reusable = False
+        try:
+            exchange = _exchange(
+                connection, address, method, target, body, headers or {}
+            )
+            answer = await wait_at_most(timeout, exchange)
+            is_reusable = connection.state.our_state is h11.DONE
+            return answer
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise TransportError(
+                f"{method} {address}: {error}", Verdict.MAY_HAVE_RUN
+            ) from error
+        finally:
+            await self._give_back(address, connection, is_reusable)
+
+    async def request_json(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        value: Any,
+        *,
+        timeout: timedelta,
+        headers: Mapping[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Send a value as JSON; see :meth:`request`."""
+        return await self.request(
+            address,
+            method,
+            target,
+            timeout=timeout,
+            body=json.dumps(value, separators=(",", ":")).encode(),
+            headers={"content-type": "application/json", **(headers or {})},
+        )
+
+    async def open_stream(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        *,
+        next_byte_timeout: timedelta,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> AnswerStream:
+        """Send a request and read the head of its answer.
+
+        :param next_byte_timeout: longest silence, now and while the body is read.
+        :returns: the answer, to be closed by the caller.
+        :raises TransportError: as for :meth:`request`.
+        """
+        connection = await self._take_connection(address, is_fresh=False)
+        stream = AnswerStream(connection, f"{method} {address}", next_byte_timeout)
+        try:
+            await _send_request(
+                connection, address, method, target, body, headers or {}
+            )
+            await stream.read_head()
+        except BaseException as error:
+            await connection.close()
+            if isinstance(error, (OSError, h11.RemoteProtocolError)):
+                raise TransportError(
+                    f"{method} {address}: {error}", Verdict.MAY_HAVE_RUN
+                ) from error
+            raise
+        return stream
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for connections in self._idle_by_address.values():
+            for connection in connections:
+                await connection.close()
+        self._idle_by_address.clear()
+
+    async def _take_connection(self, address: Address, is_fresh: bool) -> _Connection:
+        idle = self._idle_by_address.get(address)
+        while idle and not is_fresh:
+            connection = idle.pop()
+            age = self._clock.monotonic() - connection.idle_since
+            if age < _MAX_IDLE and not _is_readable(connection.sock):
+                return connection
+            await connection.close()
+        return await self._connect(address)
+
+    async def _connect(self, address: Address) -> _Connection:
+        try:
+            sock = await wait_at_most(
+                self._connect_timeout,
+                curio.open_connection(address.host, address.port),
+            )
+        except OSError as error:
+            raise TransportError(
+                f"cannot connect to {address}: {error}", Verdict.NOT_RUN
+            ) from error
+        sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        return _Connection(sock, h11.Connection(h11.CLIENT))
+
+    async def _give_back(
+        self, address: Address, connection: _Connection, is_reusable: bool
+    ) -> None:
+        idle = self._idle_by_address.setdefault(address, deque())
+        if not is_reusable or connection.state.their_state is not h11.DONE:
+            await connection.close()
+        elif len(idle) >= _MAX_IDLE_PER_ADDRESS:
+            await connection.close()
+        else:
+            connection.state.start_next_cycle()
+            connection.idle_since = self._clock.monotonic()
+            idle.append(connection)
+        if not idle:
+            del self._idle_by_address[address]
+
+
+class AnswerStream:
+    """An answer whose body is read line by line.
+
+    :param connection: the connection it arrives on; it is not used again.
+    :param label: method and address, for messages.
+    :param next_byte_timeout: longest silence.
+    """
+
+    def __init__(
+        self, connection: _Connection, label: str, next_byte_timeout: timedelta
+    ) -> None:
+        self._connection = connection
+        self._label = label
+        self._next_byte_timeout = next_byte_timeout
+        self.status = 0
+        self.headers_by_name: Mapping[str, str] = {}
+        self._lines: deque[bytes] = deque()
+        self._rest = b""
+        self._is_ended = False
+
+    async def __aenter__(self) -> AnswerStream:
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        await self.close()
+
+    async def read_head(self) -> None:
+        """Read status and headers."""
+        event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise h11.RemoteProtocolError(f"expected an answer, got {event!r}")
+        self.status = event.status_code
+        self.headers_by_name = _decode_headers(event)
+
+    async def read_line(self) -> bytes | None:
+        """Read one line of the body, without its end.
+
+        :returns: the line, perhaps empty; None at the end of the body.
+        :raises TransportError: if the connection fails, falls silent or ends early.
+        """
+        try:
+            while not self._lines and not self._is_ended:
+                await self._read_part()
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise TransportError(
+                f"{self._label}: {error}", Verdict.MAY_HAVE_RUN
+            ) from error
+        return self._lines.popleft() if self._lines else None
+
+    async def _read_part(self) -> None:
+        event = await self._next_event()
+        if isinstance(event, h11.EndOfMessage):
+            self._is_ended = True
+            if self._rest:
+                self._lines.append(self._rest)
+            return
+        *lines, self._rest = (self._rest + bytes(event.data)).split(b"\n")
+        self._lines.extend(lines)
+        if len(self._rest) > _MAX_ANSWER_BYTES:
+            raise h11.RemoteProtocolError("line too long")
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._connection.close()
+
+    async def _next_event(self) -> Any:
+        state = self._connection.state
+        while (event := state.next_event()) is h11.NEED_DATA:
+            data = await wait_at_most(
+                self._next_byte_timeout, self._connection.sock.recv(_RECEIVE_BYTES)
+            )
+            state.receive_data(data)
+        if isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError("connection closed before the answer")
+        return event
+
+
+async def _send_request(
+    connection: _Connection,
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes,
+    headers: Mapping[str, str],
+) -> None:
+    fields = {"host": str(address), **headers, "content-length": str(len(body))}
+    state = connection.state
+    request = h11.Request(method=method, target=target, headers=list(fields.items()))
+    data = state.send(request) + state.send(h11.Data(data=body))
+    data += state.send(h11.EndOfMessage())
+    await connection.sock.sendall(data)
+
+
+async def _exchange(
+    connection: _Connection,
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes,
+    headers: Mapping[str, str],
+) -> HttpAnswer:
+    await _send_request(connection, address, method, target, body, headers)
+    head: h11.Response | None = None
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = connection.state.next_event()
+        if event is h11.NEED_DATA:
+            connection.state.receive_data(await connection.sock.recv(_RECEIVE_BYTES))
+        elif isinstance(event, h11.Response):
+            head = event
+        elif isinstance(event, h11.Data):
+            size += len(event.data)
+            if size > _MAX_ANSWER_BYTES:
+                raise h11.RemoteProtocolError("answer too large")
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return HttpAnswer(head.status_code, _decode_headers(head), b"".join(parts))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError("connection closed before the answer")
+
+
+def _decode_headers(head: h11.Response) -> dict[str, str]:
+    return {
+        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
+    }
+
+
+def _is_readable(sock: Any) -> bool:
+    """Tell whether bytes or an end of stream wait on an idle connection."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/hibiscustiller/wire/_http_server.py
@@ -0,0 +1,409 @@
+"""HTTP/1.1 server: h11 over curio sockets, one task for each connection."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import curio
+import curio.socket
+import h11
+
+from hibiscustiller.exceptions import TransportError
+from hibiscustiller.settings import Address
+from hibiscustiller.utils import (
+    Refusal,
+    RefusalReason,
+    Verdict,
+    log_event,
+)
+from hibiscustiller.wire._deadlines import wait_at_most
+
+_RECEIVE_BYTES = 65536
+_LISTEN_BACKLOG = 512
+# Answers sent to a client that has already broken the protocol get a short wait.
+_CLOSING_TIMEOUT = timedelta(seconds=1)
+
+
+@dataclass(frozen=True)
+class HttpLimits:
+    """Bounds on one server's connections.
+
+    :param max_connections: connections open at once.
+    :param max_header_bytes: bytes of a request's line and headers.
+    :param max_body_bytes: bytes of a request's body.
+    :param read_timeout: time for a whole request to arrive once it has begun.
+    :param idle_timeout: time a connection may stay open between requests.
+    :param write_timeout: time for the client to take each part of an answer.
+    """
+
+    max_connections: int = 2000
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 1 << 20
+    read_timeout: timedelta = timedelta(seconds=10)
+    idle_timeout: timedelta = timedelta(seconds=60)
+    write_timeout: timedelta = timedelta(seconds=10)
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """One request, its body read in full.
+
+    :param path: path without the query, percent-decoded.
+    :param headers_by_name: headers by lower-case name; of a repeated one the last.
+    """
+
+    method: str
+    path: str
+    query_by_name: Mapping[str, str]
+    headers_by_name: Mapping[str, str]
+    body: bytes
+
+
+class Responder:
+    """Sends the answer to one request.
+
+    :param connection: h11's state of the connection.
+    :param sock: the client's socket.
+    :param write_timeout: time for the client to take each part.
+    """
+
+    def __init__(
+        self, connection: h11.Connection, sock: Any, write_timeout: timedelta
+    ) -> None:
+        self._connection = connection
+        self._sock = sock
+        self._write_timeout = write_timeout
+        self.is_started = False
+        self.is_finished = False
+
+    async def send(
+        self,
+        status: int,
+        body: bytes = b"",
+        content_type: str = "application/json",
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Send a complete answer.
+
+        :raises TransportError: if the client does not take it.
+        """
+        fields = {"content-type": content_type, **(headers or {})}
+        fields["content-length"] = str(len(body))
+        await self._write(
+            self._make_response(status, fields),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+        self.is_finished = True
+
+    async def send_json(
+        self, status: int, value: Any, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a value as JSON."""
+        body = json.dumps(value, separators=(",", ":")).encode()
+        await self.send(status, body, headers=headers)
+
+    async def send_refusal(self, refusal: Refusal) -> None:
+        """Send a refusal with its verdict in a header and in the body."""
+        await self.send_json(
+            refusal.reason.status,
+            describe_refusal(refusal),
+            headers=make_refusal_headers(refusal),
+        )
+
+    async def start(
+        self, status: int, content_type: str, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Start an answer that is sent in parts."""
+        fields = {"content-type": content_type, **(headers or {})}
+        fields["transfer-encoding"] = "chunked"
+        await self._write(self._make_response(status, fields))
+
+    async def send_part(self, data: bytes) -> None:
+        """Send one part of a started answer."""
+        await self._write(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End a started answer."""
+        await self._write(h11.EndOfMessage())
+        self.is_finished = True
+
+    def _make_response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
+        self.is_started = True
+        return h11.Response(status_code=status, headers=list(fields.items()))
+
+    async def _write(self, *events: Any) -> None:
+        data = b"".join(self._connection.send(event) or b"" for event in events)
+        try:
+            await wait_at_most(self._write_timeout, self._sock.sendall(data))
+        except OSError as error:
+            raise TransportError(
+                f"client does not take the answer: {error}", Verdict.MAY_HAVE_RUN
+            ) from error
+
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+def describe_refusal(refusal: Refusal) -> dict[str, Any]:
+    """Return the JSON body that states a refusal."""
+    return {
+        "error": {
+            "reason": refusal.reason.label,
+            "verdict": refusal.verdict.value,
+            "message": refusal.message,
+        }
+    }
+
+
+def make_refusal_headers(refusal: Refusal) -> dict[str, str]:
+    """Return the headers that state a refusal."""
+    headers = {"x-verdict": refusal.verdict.value}
+    if refusal.retry_after is not None:
+        # The header counts whole seconds; rounding down would invite early repeats.
+        seconds = -(-refusal.retry_after // timedelta(seconds=1))
+        headers["retry-after"] = str(max(1, seconds))
+    return headers
+
+
+@dataclass
+class HttpServer:
+    """A listening server.
+
+    :param address: where it listens; a port of 0 is replaced by the bound port.
+    """
+
+    address: Address
+    handle: Handler
+    limits: HttpLimits
+    name: str
+    _socket: Any = None
+    _accept_task: Any = None
+    _tasks: set[Any] = field(default_factory=set)
+    _busy_count: int = 0
+
+    async def start(self) -> None:
+        """Bind the address and start to accept connections.
+
+        :raises OSError: if the address cannot be bound.
+        """
+        self._socket = curio.tcp_server_socket(
+            self.address.host, self.address.port, backlog=_LISTEN_BACKLOG
+        )
+        self.address = Address(self.address.host, self._socket.getsockname()[1])
+        self._accept_task = await curio.spawn(self._accept, daemon=True)
+
+    @property
+    def busy_count(self) -> int:
+        """Requests being handled."""
+        return self._busy_count
+
+    async def stop_accepting(self) -> None:
+        """Close the listener; open connections go on."""
+        if self._accept_task is not None:
+            await self._accept_task.cancel()
+            self._accept_task = None
+            await self._socket.close()
+
+    async def close(self) -> None:
+        """Close the listener and every connection."""
+        await self.stop_accepting()
+        for task in list(self._tasks):
+            await task.cancel()
+
+    async def _accept(self) -> None:
+        while True:
+            try:
+                client, _ = await self._socket.accept()
+            except OSError as error:
+                # Out of file descriptors, for one; accepting goes on afterwards.
+                log_event("accept_failed", level="error", server=self.name, error=error)
+                await curio.sleep(0.1)
+                continue
+            task = await curio.spawn(self._serve, client, daemon=True)
+            self._tasks.add(task)
+
+    async def _serve(self, sock: Any) -> None:
+        task = await curio.current_task()
+        try:
+            async with sock:
+                if len(self._tasks) > self.limits.max_connections:
+                    await self._refuse_connection(sock)
+                else:
+                    await self._serve_connection(sock)
+        except OSError as error:
+            log_event("connection_closed", level="debug", server=self.name, error=error)
+        finally:
+            self._tasks.discard(task)
+
+    async def _refuse_connection(self, sock: Any) -> None:
+        connection = h11.Connection(h11.SERVER)
+        responder = Responder(connection, sock, _CLOSING_TIMEOUT)
+        refusal = Refusal(
+            RefusalReason.OVERLOADED,
+            Verdict.NOT_RUN,
+            "too many connections are open",
+            timedelta(seconds=1),
+        )
+        await responder.send_refusal(refusal)
+
+    async def _serve_connection(self, sock: Any) -> None:
+        sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
+        )
+        while True:
+            responder = Responder(connection, sock, self.limits.write_timeout)
+            try:
+                request = await self._read_request(connection, sock)
+            except h11.RemoteProtocolError as error:
+                await _answer_protocol_error(responder, error)
+                return
+            except _BodyTooLargeError as error:
+                await _refuse_and_close(responder, error.refusal)
+                return
+            except TimeoutError:
+                if (
+                    connection.their_state is not h11.IDLE
+                    or connection.trailing_data[0]
+                ):
+                    await _refuse_and_close(responder, _SLOW_REQUEST)
+                return
+            if request is None:
+                return
+            await self._handle_request(request, responder)
+            if not responder.is_finished or connection.our_state is h11.MUST_CLOSE:
+                return
+            try:
+                connection.start_next_cycle()
+            except h11.LocalProtocolError:
+                return
+
+    async def _handle_request(self, request: HttpRequest, responder: Responder) -> None:
+        self._busy_count += 1
+        try:
+            await self.handle(request, responder)
+        except TransportError as error:
+            log_event("answer_not_taken", level="debug", error=error)
+        except Exception as error:
+            log_event(
+                "request_failed",
+                level="error",
+                server=self.name,
+                path=request.path,
+                error=repr(error),
+            )
+            if not responder.is_started:
+                await responder.send_refusal(_INTERNAL_ERROR)
+        finally:
+            self._busy_count -= 1
+
+    async def _read_request(
+        self, connection: h11.Connection, sock: Any
+    ) -> HttpRequest | None:
+        """Read one request; None if the client closed between requests."""
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            data = await wait_at_most(
+                self.limits.idle_timeout, sock.recv(_RECEIVE_BYTES)
+            )
+            connection.receive_data(data)
+            event = connection.next_event()
+        return await wait_at_most(
+            self.limits.read_timeout, self._read_rest(connection, sock, event)
+        )
+
+    async def _read_rest(
+        self, connection: h11.Connection, sock: Any, event: Any
+    ) -> HttpRequest | None:
+        head: h11.Request | None = None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            if event is h11.NEED_DATA:
+                if head is not None and connection.they_are_waiting_for_100_continue:
+                    await sock.sendall(
+                        connection.send(
+                            h11.InformationalResponse(status_code=100, headers=[])
+                        )
+                    )
+                connection.receive_data(await sock.recv(_RECEIVE_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+                self._check_declared_length(head)
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self.limits.max_body_bytes:
+                    raise _BodyTooLargeError(self.limits.max_body_bytes)
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _make_request(head, b"".join(parts))
+            else:
+                return None
+            event = connection.next_event()
+
+    def _check_declared_length(self, head: h11.Request) -> None:
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > self.limits.max_body_bytes:
+                raise _BodyTooLargeError(self.limits.max_body_bytes)
+
+
+class _BodyTooLargeError(Exception):
+    """A request's body is over the limit."""
+
+    def __init__(self, limit: int) -> None:
+        super().__init__()
+        self.refusal = Refusal(
+            RefusalReason.TOO_LARGE,
+            Verdict.NOT_RUN,
+            f"the body is larger than {limit} bytes",
+        )
+
+
+_SLOW_REQUEST = Refusal(
+    RefusalReason.REQUEST_TIMEOUT,
+    Verdict.NOT_RUN,
+    "the request did not arrive in time",
+)
+_INTERNAL_ERROR = Refusal(
+    RefusalReason.INTERNAL,
+    Verdict.MAY_HAVE_RUN,
+    "the router failed to handle the request",
+)
+
+
+def _make_request(head: h11.Request, body: bytes) -> HttpRequest:
+    parts = urlsplit(head.target.decode("ascii", "replace"))
+    query = parse_qs(parts.query, keep_blank_values=True)
+    return HttpRequest(
+        method=head.method.decode("ascii"),
+        path=unquote(parts.path),
+        query_by_name={name: values[-1] for name, values in query.items()},
+        headers_by_name={
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in head.headers
+        },
+        body=body,
+    )
+
+
+async def _answer_protocol_error(
+    responder: Responder, error: h11.RemoteProtocolError
+) -> None:
+    is_large = error.error_status_hint == 431
+    reason = RefusalReason.HEADERS_TOO_LARGE if is_large else RefusalReason.BAD_REQUEST
+    message = f"malformed HTTP request: {error}"
+    await _refuse_and_close(responder, Refusal(reason, Verdict.NOT_RUN, message))
+
+
+async def _refuse_and_close(responder: Responder, refusal: Refusal) -> None:
+    try:
+        await responder.send_refusal(refusal)
+    except h11.LocalProtocolError:
+        # h11 is past the point where an answer may be sent.
+        return
--- /dev/null
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -0,0 +1,415 @@
+"""Messages between routers, generated from ``schema/messages.capnp``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from hibiscustiller.exceptions import WireFormatError
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
+
+
+@dataclass(frozen=True)
+class Hello:
+    """A ``Hello`` message."""
+
+    router_id: str
+    failure_domain: str
+    region: str
+    address: str
+    nonce: bytes
+
+
+def _write_Hello(builder: Any, message: Hello) -> None:
+    builder.routerId = message.router_id
+    builder.failureDomain = message.failure_domain
+    builder.region = message.region
+    builder.address = message.address
+    builder.nonce = message.nonce
+
+
+def _read_Hello(reader: Any) -> Hello:
+    return Hello(
+        router_id=reader.routerId,
+        failure_domain=reader.failureDomain,
+        region=reader.region,
+        address=reader.address,
+        nonce=bytes(reader.nonce),
+    )
+
+
+@dataclass(frozen=True)
+class HelloProof:
+    """A ``HelloProof`` message."""
+
+    proof: bytes
+
+
+def _write_HelloProof(builder: Any, message: HelloProof) -> None:
+    builder.proof = message.proof
+
+
+def _read_HelloProof(reader: Any) -> HelloProof:
+    return HelloProof(
+        proof=bytes(reader.proof),
+    )
+
+
+@dataclass(frozen=True)
+class MemberState:
+    """A ``MemberState`` message."""
+
+    router_id: str
+    failure_domain: str
+    region: str
+    address: str
+    incarnation: int
+    leaving: bool
+
+
+def _write_MemberState(builder: Any, message: MemberState) -> None:
+    builder.routerId = message.router_id
+    builder.failureDomain = message.failure_domain
+    builder.region = message.region
+    builder.address = message.address
+    builder.incarnation = message.incarnation
+    builder.leaving = message.leaving
+
+
+def _read_MemberState(reader: Any) -> MemberState:
+    return MemberState(
+        router_id=reader.routerId,
+        failure_domain=reader.failureDomain,
+        region=reader.region,
+        address=reader.address,
+        incarnation=reader.incarnation,
+        leaving=reader.leaving,
+    )
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """A ``Heartbeat`` message."""
+
+    revision: int
+    confirmed_age_ms: int
+    members_digest: bytes
+    members: tuple[MemberState, ...]
+
+
+def _write_Heartbeat(builder: Any, message: Heartbeat) -> None:
+    builder.revision = message.revision
+    builder.confirmedAgeMs = message.confirmed_age_ms
+    builder.membersDigest = message.members_digest
+    items = builder.init("members", len(message.members))
+    for index, item in enumerate(message.members):
+        _write_MemberState(items[index], item)
+
+
+def _read_Heartbeat(reader: Any) -> Heartbeat:
+    return Heartbeat(
+        revision=reader.revision,
+        confirmed_age_ms=reader.confirmedAgeMs,
+        members_digest=bytes(reader.membersDigest),
+        members=tuple(_read_MemberState(item) for item in reader.members),
+    )
+
+
+@dataclass(frozen=True)
+class ConfigEdit:
+    """A ``ConfigEdit`` message."""
+
+    section: str
+    key: str
+    value: str
+    deleted: bool
+
+
+def _write_ConfigEdit(builder: Any, message: ConfigEdit) -> None:
+    builder.section = message.section
+    builder.key = message.key
+    builder.value = message.value
+    builder.deleted = message.deleted
+
+
+def _read_ConfigEdit(reader: Any) -> ConfigEdit:
+    return ConfigEdit(
+        section=reader.section,
+        key=reader.key,
+        value=reader.value,
+        deleted=reader.deleted,
+    )
+
+
+@dataclass(frozen=True)
+class ConfigChange:
+    """A ``ConfigChange`` message."""
+
+    from_revision: int
+    to_revision: int
+    proposal_id: str
+    team: str
+    accepted_at_ms: int
+    edits: tuple[ConfigEdit, ...]
+
+
+def _write_ConfigChange(builder: Any, message: ConfigChange) -> None:
+    builder.fromRevision = message.from_revision
+    builder.toRevision = message.to_revision
+    builder.proposalId = message.proposal_id
+    builder.team = message.team
+    builder.acceptedAtMs = message.accepted_at_ms
+    items = builder.init("edits", len(message.edits))
+    for index, item in enumerate(message.edits):
+        _write_ConfigEdit(items[index], item)
+
+
+def _read_ConfigChange(reader: Any) -> ConfigChange:
+    return ConfigChange(
+        from_revision=reader.fromRevision,
+        to_revision=reader.toRevision,
+        proposal_id=reader.proposalId,
+        team=reader.team,
+        accepted_at_ms=reader.acceptedAtMs,
+        edits=tuple(_read_ConfigEdit(item) for item in reader.edits),
+    )
+
+
+@dataclass(frozen=True)
+class ConfigRequest:
+    """A ``ConfigRequest`` message."""
+
+    revision: int
+
+
+def _write_ConfigRequest(builder: Any, message: ConfigRequest) -> None:
+    builder.revision = message.revision
+
+
+def _read_ConfigRequest(reader: Any) -> ConfigRequest:
+    return ConfigRequest(
+        revision=reader.revision,
+    )
+
+
+@dataclass(frozen=True)
+class ConfigSnapshot:
+    """A ``ConfigSnapshot`` message."""
+
+    revision: int
+    document: str
+
+
+def _write_ConfigSnapshot(builder: Any, message: ConfigSnapshot) -> None:
+    builder.revision = message.revision
+    builder.document = message.document
+
+
+def _read_ConfigSnapshot(reader: Any) -> ConfigSnapshot:
+    return ConfigSnapshot(
+        revision=reader.revision,
+        document=reader.document,
+    )
+
+
+@dataclass(frozen=True)
+class UsageEntry:
+    """A ``UsageEntry`` message."""
+
+    organisation: str
+    class_name: str
+    tokens: int
+
+
+def _write_UsageEntry(builder: Any, message: UsageEntry) -> None:
+    builder.organisation = message.organisation
+    builder.className = message.class_name
+    builder.tokens = message.tokens
+
+
+def _read_UsageEntry(reader: Any) -> UsageEntry:
+    return UsageEntry(
+        organisation=reader.organisation,
+        class_name=reader.className,
+        tokens=reader.tokens,
+    )
+
+
+@dataclass(frozen=True)
+class UsageReport:
+    """A ``UsageReport`` message."""
+
+    entries: tuple[UsageEntry, ...]
+
+
+def _write_UsageReport(builder: Any, message: UsageReport) -> None:
+    items = builder.init("entries", len(message.entries))
+    for index, item in enumerate(message.entries):
+        _write_UsageEntry(items[index], item)
+
+
+def _read_UsageReport(reader: Any) -> UsageReport:
+    return UsageReport(
+        entries=tuple(_read_UsageEntry(item) for item in reader.entries),
+    )
+
+
+@dataclass(frozen=True)
+class UsageTotals:
+    """A ``UsageTotals`` message."""
+
+    entries: tuple[UsageEntry, ...]
+
+
+def _write_UsageTotals(builder: Any, message: UsageTotals) -> None:
+    items = builder.init("entries", len(message.entries))
+    for index, item in enumerate(message.entries):
+        _write_UsageEntry(items[index], item)
+
+
+def _read_UsageTotals(reader: Any) -> UsageTotals:
+    return UsageTotals(
+        entries=tuple(_read_UsageEntry(item) for item in reader.entries),
+    )
+
+
+@dataclass(frozen=True)
+class CrashReport:
+    """A ``CrashReport`` message."""
+
+    fingerprint: str
+    server_id: str
+    event: str
+    at_ms: int
+
+
+def _write_CrashReport(builder: Any, message: CrashReport) -> None:
+    builder.fingerprint = message.fingerprint
+    builder.serverId = message.server_id
+    builder.event = message.event
+    builder.atMs = message.at_ms
+
+
+def _read_CrashReport(reader: Any) -> CrashReport:
+    return CrashReport(
+        fingerprint=reader.fingerprint,
+        server_id=reader.serverId,
+        event=reader.event,
+        at_ms=reader.atMs,
+    )
+
+
+@dataclass(frozen=True)
+class BackendSignal:
+    """A ``BackendSignal`` message."""
+
+    server_id: str
+    state: str
+    at_ms: int
+
+
+def _write_BackendSignal(builder: Any, message: BackendSignal) -> None:
+    builder.serverId = message.server_id
+    builder.state = message.state
+    builder.atMs = message.at_ms
+
+
+def _read_BackendSignal(reader: Any) -> BackendSignal:
+    return BackendSignal(
+        server_id=reader.serverId,
+        state=reader.state,
+        at_ms=reader.atMs,
+    )
+
+
+@dataclass(frozen=True)
+class Leaving:
+    """A ``Leaving`` message."""
+
+    router_id: str
+
+
+def _write_Leaving(builder: Any, message: Leaving) -> None:
+    builder.routerId = message.router_id
+
+
+def _read_Leaving(reader: Any) -> Leaving:
+    return Leaving(
+        router_id=reader.routerId,
+    )
+
+
+Message = (
+    Hello
+    | HelloProof
+    | Heartbeat
+    | ConfigChange
+    | ConfigRequest
+    | ConfigSnapshot
+    | UsageReport
+    | UsageTotals
+    | CrashReport
+    | BackendSignal
+    | Leaving
+)
+
+_WRITERS: dict[type, tuple[str, Any]] = {
+    Hello: ("hello", _write_Hello),
+    HelloProof: ("helloProof", _write_HelloProof),
+    Heartbeat: ("heartbeat", _write_Heartbeat),
+    ConfigChange: ("configChange", _write_ConfigChange),
+    ConfigRequest: ("configRequest", _write_ConfigRequest),
+    ConfigSnapshot: ("configSnapshot", _write_ConfigSnapshot),
+    UsageReport: ("usageReport", _write_UsageReport),
+    UsageTotals: ("usageTotals", _write_UsageTotals),
+    CrashReport: ("crashReport", _write_CrashReport),
+    BackendSignal: ("backendSignal", _write_BackendSignal),
+    Leaving: ("leaving", _write_Leaving),
+}
+_READERS: dict[str, Any] = {
+    "hello": _read_Hello,
+    "helloProof": _read_HelloProof,
+    "heartbeat": _read_Heartbeat,
+    "configChange": _read_ConfigChange,
+    "configRequest": _read_ConfigRequest,
+    "configSnapshot": _read_ConfigSnapshot,
+    "usageReport": _read_UsageReport,
+    "usageTotals": _read_UsageTotals,
+    "crashReport": _read_CrashReport,
+    "backendSignal": _read_BackendSignal,
+    "leaving": _read_Leaving,
+}
+
+
+def encode_message(sender: str, message: Message) -> bytes:
+    """Encode a message.
+
+    :param sender: id of the sending router.
+    :param message: what is sent.
+    :returns: the encoded envelope.
+    """
+    envelope = _SCHEMA.Envelope.new_message()
+    envelope.sender = sender
+    name, write = _WRITERS[type(message)]
+    write(envelope.init(name), message)
+    return envelope.to_bytes_packed()
+
+
+def decode_message(data: bytes) -> tuple[str, Message]:
+    """Decode a message.
+
+    :param data: the encoded envelope.
+    :returns: id of the sending router, and the message.
+    :raises WireFormatError: if the bytes are no valid envelope.
+    """
+    try:
+        envelope = _SCHEMA.Envelope.from_bytes_packed(data)
+        return envelope.sender, _READERS[envelope.which()](
+            getattr(envelope, envelope.which())
+        )
+    except (capnp.KjException, KeyError, ValueError) as error:
+        raise WireFormatError(f"message cannot be decoded: {error}") from error
--- /dev/null
+++ b/schema/messages.capnp
@@ -0,0 +1,104 @@
+@0xb2f6c1a7d3e94508;
+# Messages between routers. tools/generate.py writes
+# hibiscustiller/wire/_messages_generated.py from this file.
+
+struct Envelope {
+  sender @0 :Text;
+  union {
+    hello @1 :Hello;
+    helloProof @2 :HelloProof;
+    heartbeat @3 :Heartbeat;
+    configChange @4 :ConfigChange;
+    configRequest @5 :ConfigRequest;
+    configSnapshot @6 :ConfigSnapshot;
+    usageReport @7 :UsageReport;
+    usageTotals @8 :UsageTotals;
+    crashReport @9 :CrashReport;
+    backendSignal @10 :BackendSignal;
+    leaving @11 :Leaving;
+  }
+}
+
+struct Hello {
+  routerId @0 :Text;
+  failureDomain @1 :Text;
+  region @2 :Text;
+  address @3 :Text;
+  nonce @4 :Data;
+}
+
+struct HelloProof {
+  proof @0 :Data;
+}
+
+struct MemberState {
+  routerId @0 :Text;
+  failureDomain @1 :Text;
+  region @2 :Text;
+  address @3 :Text;
+  incarnation @4 :UInt64;
+  leaving @5 :Bool;
+}
+
+struct Heartbeat {
+  revision @0 :UInt64;
+  confirmedAgeMs @1 :UInt32;
+  membersDigest @2 :Data;
+  members @3 :List(MemberState);
+}
+
+struct ConfigEdit {
+  section @0 :Text;
+  key @1 :Text;
+  value @2 :Text;
+  deleted @3 :Bool;
+}
+
+struct ConfigChange {
+  fromRevision @0 :UInt64;
+  toRevision @1 :UInt64;
+  proposalId @2 :Text;
+  team @3 :Text;
+  acceptedAtMs @4 :UInt64;
+  edits @5 :List(ConfigEdit);
+}
+
+struct ConfigRequest {
+  revision @0 :UInt64;
+}
+
+struct ConfigSnapshot {
+  revision @0 :UInt64;
+  document @1 :Text;
+}
+
+struct UsageEntry {
+  organisation @0 :Text;
+  className @1 :Text;
+  tokens @2 :UInt64;
+}
+
+struct UsageReport {
+  entries @0 :List(UsageEntry);
+}
+
+struct UsageTotals {
+  entries @0 :List(UsageEntry);
+}
+
+struct CrashReport {
+  fingerprint @0 :Text;
+  serverId @1 :Text;
+  event @2 :Text;
+  atMs @3 :UInt64;
+}
+
+struct BackendSignal {
+  serverId @0 :Text;
+  state @1 :Text;
+  atMs @2 :UInt64;
+}
+
+struct Leaving {
+  routerId @0 :Text;
+}
