--- a/hibiscustiller/routing/_loads.py
+++ b/hibiscustiller/routing/_loads.py
@@ -16,11 +16,20 @@
     def __init__(self) -> None:
         self.in_flight_by_server: Counter[ServerId] = Counter()
 
-    def note_started(self, route: Route) -> None:
+    def note_started(self, route: Route, cost: int) -> None:
         """Count a stream that starts on a route."""
         for server in route.servers:
             self.in_flight_by_server[server] += 1
 
+    def note_token(self, route: Route, delay: timedelta, is_first: bool) -> None:
+        """Ignore a token; delays are not learned yet."""
+
+    def note_refused(self, server: ServerId) -> None:
+        """Ignore a refusal."""
+
+    def note_failed(self, server: ServerId) -> None:
+        """Ignore a failure."""
+
     def note_finished(self, route: Route) -> None:
         """Count a stream that ended on a route."""
         for server in route.servers:
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -51,6 +51,7 @@
             settings.router.failure_domain,
             get_config,
             self._is_server_usable,
+            lambda server: True,
             self.loads,
             random_state,
         )
@@ -62,7 +63,7 @@
         self.runner = StreamRunner(
             self._client,
             self.admission,
-            self.loads,
+            [self.loads],
             settings.limits.next_byte_timeout,
         )
         self.forwarder = ServiceForwarder(self._client, self.store, random_state)
--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from enum import Enum
@@ -12,7 +12,7 @@
 
 from hibiscustiller.exceptions import TransportError, WireFormatError
 from hibiscustiller.limits import AdmissionController, AdmissionRequest, Grant
-from hibiscustiller.routing import Route, ServerLoads
+from hibiscustiller.routing import Route, StreamObserver
 from hibiscustiller.streams._frames import (
     DoneFrame,
     ErrorFrame,
@@ -100,7 +100,7 @@
 
     :param client: HTTP client.
     :param admission: decides when and on which route a stream runs.
-    :param loads: told of streams that start and end.
+    :param observers: told of what streams meet at the backend servers.
     :param next_byte_timeout: silence after which an engine's connection is given up.
     """
 
@@ -108,12 +108,12 @@
         self,
         client: HttpClient,
         admission: AdmissionController,
-        loads: ServerLoads,
+        observers: Sequence[StreamObserver],
         next_byte_timeout: timedelta,
     ) -> None:
         self._client = client
         self._admission = admission
-        self._loads = loads
+        self._observers = observers
         self._next_byte_timeout = next_byte_timeout
 
     async def run(
@@ -172,7 +172,8 @@
         progress: _Progress,
         deliver: Deliver,
     ) -> AttemptEnd:
-        self._loads.note_started(route)
+        for observer in self._observers:
+            observer.note_started(route, request.cost - len(progress.tokens))
         try:
             stream = await self._open_attempt(request, route, progress)
             if stream is None:
@@ -191,7 +192,8 @@
             )
             return AttemptEnd.FAILED
         finally:
-            self._loads.note_finished(route)
+            for observer in self._observers:
+                observer.note_finished(route)
 
     async def _open_attempt(
         self, request: StreamRequest, route: Route, progress: _Progress
