--- a/hibiscustiller/cli/_commands.py
+++ b/hibiscustiller/cli/_commands.py
@@ -6,11 +6,15 @@
 from pathlib import Path
 
 import click
+import curio
 
+from hibiscustiller.cli._daemon import run_router
+from hibiscustiller.cli._standins import standin
 from hibiscustiller.exceptions import SettingsError
 from hibiscustiller.settings import Settings, load_settings
 
 _EXIT_BAD_SETTINGS = 2
+_EXIT_CANNOT_START = 1
 _SETTINGS_PATH = click.Path(path_type=Path)
 
 
@@ -19,6 +23,9 @@
     """Router for language-model pipelines over mixed accelerators."""
 
 
+main.add_command(standin)
+
+
 @main.command("check-settings")
 @click.argument("path", type=_SETTINGS_PATH)
 def check_settings(path: Path) -> None:
@@ -27,11 +34,23 @@
     click.echo(f"{path}: settings of router {settings.router.id} are valid")
 
 
+@main.command()
+@click.option(
+    "--settings", "path", type=_SETTINGS_PATH, required=True, help="Settings file."
+)
+def router(path: Path) -> None:
+    """Run one router until SIGTERM."""
+    settings = _load_or_exit(path)
+    try:
+        curio.run(run_router, settings)
+    except OSError as error:
+        click.echo(f"{path}: the router cannot start: {error}", err=True)
+        sys.exit(_EXIT_CANNOT_START)
+
+
 @main.command()
 def demo() -> None:
     """Run stand-ins, a router and real requests in this process."""
-    import curio
-
     from hibiscustiller.cli._demo import run_demo
 
     sys.exit(0 if curio.run(run_demo) else 1)
--- a/hibiscustiller/standins/_fleet.py
+++ b/hibiscustiller/standins/_fleet.py
@@ -26,6 +26,7 @@
     "notes": "overnight",
 }
 _STAGES_PER_REPLICA = 2
+_ANY_PORT = Address("127.0.0.1", 0)
 
 
 @dataclass
@@ -54,24 +55,25 @@
     replicas: int = 3,
     token_time: timedelta = timedelta(milliseconds=2),
     streams: int = 16,
+    platform_address: Address = _ANY_PORT,
 ) -> Fleet:
     """Start a fleet: replicas of one model in two stages each, over three domains.
 
     :param replicas: replicas of the model.
     :param token_time: time a token at each stage.
     :param streams: streams that each stage runs at once.
+    :param platform_address: where the platform's stand-in listens.
     """
-    any_port = Address("127.0.0.1", 0)
-    platform = PlatformStandin(any_port, clock)
+    platform = PlatformStandin(platform_address, clock)
     await platform.start()
     engines = {}
     for replica in range(replicas):
         for stage in range(_STAGES_PER_REPLICA):
             options = _make_engine_options(replica, stage, token_time, streams)
-            engine = EngineStandin(options, any_port, clock)
+            engine = EngineStandin(options, _ANY_PORT, clock)
             await engine.start()
             engines[options.server_id] = engine
-    bookings = [BookingStandin(any_port, clock) for _ in range(2)]
+    bookings = [BookingStandin(_ANY_PORT, clock) for _ in range(2)]
     for booking in bookings:
         await booking.start()
     document = format_sections(_describe_fleet(engines, bookings))
--- /dev/null
+++ b/hibiscustiller/utils/tests/test_utils.py
@@ -0,0 +1,85 @@
+"""Parts used everywhere: hashing, back-off, logs, invariants."""
+
+import random
+import sys
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hibiscustiller.exceptions import InvariantError
+from hibiscustiller.utils import (
+    ManualClock,
+    Verdict,
+    check_invariant,
+    format_fields,
+    jittered_delays,
+    rank_by_rendezvous,
+    violations_by_name,
+)
+from hibiscustiller.utils._testing import collect_tests
+
+
+@settings(derandomize=True, max_examples=100)
+@given(st.sets(st.text(min_size=1, max_size=5), min_size=2, max_size=12), st.text())
+def test_removing_a_member_moves_only_its_keys(members, key):
+    """Guards against a hash that reassigns keys when an unrelated host leaves."""
+    ranked = rank_by_rendezvous(key, members)
+    assert set(ranked) == members
+    for gone in ranked[1:]:
+        assert rank_by_rendezvous(key, members - {gone})[0] == ranked[0]
+
+
+def test_delays_stay_within_their_growing_bounds():
+    """Guards against delays that exceed the limit or do not grow."""
+    first, limit = timedelta(seconds=1), timedelta(seconds=8)
+    for seed in range(20):
+        delays = jittered_delays(first, limit, random.Random(seed))
+        for bound in (1, 2, 4, 8, 8, 8):
+            assert timedelta(0) <= next(delays) <= timedelta(seconds=bound)
+
+
+def test_log_fields_stay_on_one_line():
+    """Guards against values that break the key=value format."""
+    cases = [
+        ({"a": 1, "b": "x-y"}, "a=1 b=x-y"),
+        ({"a": "two words"}, 'a="two words"'),
+        ({"a": "line\nbreak"}, 'a="line\\nbreak"'),
+        ({"a": 'quo"te'}, 'a="quo\\"te"'),
+        ({"a": ""}, 'a=""'),
+        ({"a": "k=v"}, 'a="k=v"'),
+        ({"a": timedelta(milliseconds=5)}, "a=0.005s"),
+        ({"a": Verdict.NOT_RUN}, "a=not-run"),
+    ]
+    for fields, expected in cases:
+        assert format_fields(fields) == expected
+
+
+def test_broken_invariant_raises_and_is_counted():
+    """Guards against a violation that passes unseen."""
+    before = violations_by_name["test_only"]
+    check_invariant(True, "test_only")
+    try:
+        check_invariant(False, "test_only", value=3)
+    except InvariantError as error:
+        assert "test_only" in str(error)
+    else:
+        raise AssertionError("no error was raised")
+    assert violations_by_name["test_only"] == before + 1
+    del violations_by_name["test_only"]
+
+
+def test_manual_clock_refuses_to_go_back():
+    """Guards against tests that move time backwards by mistake."""
+    clock = ManualClock()
+    clock.advance(timedelta(seconds=2))
+    assert clock.monotonic() == timedelta(seconds=2)
+    try:
+        clock.advance(timedelta(seconds=-1))
+    except ValueError:
+        return
+    raise AssertionError("no error was raised")
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
