--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -57,10 +57,10 @@
     for name, figures in figures_by_benchmark.items():
         for figure in figures:
             value = f"{_format(figure.get('value'))} {figure.get('unit', '')}".strip()
-            rows.append(
-                f"| {name} | {figure.get('figure')} | {value}"
-                f" | {_format(figure.get('baseline'))} | {_format(figure.get('ratio'))} |"
-            )
+            baseline = _format(figure.get("baseline"))
+            ratio = _format(figure.get("ratio"))
+            cells = (name, figure.get("figure"), value, baseline, ratio)
+            rows.append("| " + " | ".join(str(cell) for cell in cells) + " |")
     return "\n".join(rows)
 
 
