--- a/hibiscustiller/cli/_demo.py
+++ b/hibiscustiller/cli/_demo.py
@@ -27,7 +27,7 @@
 [router]
 id = demo
 failure_domain = domain-0
-shutdown_lag = 0s
+shutdown_lag = {shutdown_lag}
 [listen]
 callers = 127.0.0.1:0
 administration = 127.0.0.1:0
@@ -38,12 +38,14 @@
 """
 
 
-def make_demo_settings(platform: Address) -> Settings:
+def make_demo_settings(platform: Address, shutdown_lag: str = "0s") -> Settings:
     """Return settings of a router beside stand-ins.
 
     :param platform: address of the platform's stand-in.
+    :param shutdown_lag: as in the settings.
     """
-    return parse_settings(_SETTINGS.format(platform=platform), "demo")
+    text = _SETTINGS.format(platform=platform, shutdown_lag=shutdown_lag)
+    return parse_settings(text, "demo")
 
 
 async def run_demo() -> bool:
--- a/hibiscustiller/serving/tests/test_callers.py
+++ b/hibiscustiller/serving/tests/test_callers.py
@@ -1,74 +1,16 @@
 """The whole path from a caller to engines and services, over loopback."""
 
-import json
-import random
 import sys
-from datetime import timedelta
 
 import curio
 
-from hibiscustiller.cli._demo import make_demo_settings
-from hibiscustiller.serving import Router
-from hibiscustiller.standins import (
-    MODEL,
-    MODEL_LAYERS,
-    ORGANISATION_KEYS_BY_ID,
-    compute_answer,
-    start_fleet,
+from hibiscustiller.serving.tests.fixtures import (
+    read_error,
+    read_text,
+    start_bench,
 )
-from hibiscustiller.utils import Metrics, Revision, SystemClock
+from hibiscustiller.standins import MODEL, MODEL_LAYERS, compute_answer
 from hibiscustiller.utils._testing import collect_tests
-from hibiscustiller.wire import HttpClient
-
-TIMEOUT = timedelta(seconds=10)
-
-
-class _Bench:
-    def __init__(self, fleet, router, client):
-        self.fleet = fleet
-        self.router = router
-        self.client = client
-
-    async def complete(self, prompt="a b c", max_tokens=6, **options):
-        body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens}
-        return await self.post("/v1/completions", body, **options)
-
-    async def post(self, path, body, organisation="greens", headers=None):
-        key = ORGANISATION_KEYS_BY_ID.get(organisation, "wrong")
-        return await self.client.request_json(
-            self.router.caller_server.address,
-            "POST",
-            path,
-            body,
-            timeout=TIMEOUT,
-            headers={"authorization": f"Bearer {key}", **(headers or {})},
-        )
-
-
-async def start_bench():
-    clock = SystemClock()
-    fleet = await start_fleet(clock)
-    settings = make_demo_settings(fleet.platform.address)
-    router = Router(settings, clock, random.Random(7), Metrics())
-    router.install_document(fleet.document, Revision(1))
-    await router.start()
-    return _Bench(fleet, router, HttpClient(clock))
-
-
-async def stop_bench(bench):
-    await bench.client.close()
-    await bench.router.stop()
-    await bench.fleet.close()
-
-
-def read_text(answer):
-    return json.loads(answer.body)["choices"][0]["text"]
-
-
-def read_error(answer):
-    error = json.loads(answer.body)["error"]
-    assert answer.headers_by_name["x-verdict"] == error["verdict"]
-    return answer.status, error["reason"], error["verdict"]
 
 
 async def test_whole_answer_matches_the_reference():
@@ -78,7 +20,7 @@
     expected = compute_answer(MODEL, "1", MODEL_LAYERS, "load the lorry", 6)
     assert answer.status == 200, answer
     assert read_text(answer).split() == expected
-    await stop_bench(bench)
+    await bench.close()
 
 
 async def test_answer_survives_the_death_of_its_stages():
@@ -95,7 +37,7 @@
     assert answer.status == 200, answer
     expected = compute_answer(MODEL, "1", MODEL_LAYERS, prompt, 60)
     assert read_text(answer).split() == expected
-    await stop_bench(bench)
+    await bench.close()
 
 
 async def test_bad_requests_get_a_clear_error():
@@ -119,7 +61,7 @@
         assert read_error(answer) == (status, reason, "not-run"), (body, answer)
     started = [e.started_streams for e in bench.fleet.engines_by_id.values()]
     assert not any(started)
-    await stop_bench(bench)
+    await bench.close()
 
 
 async def test_repeated_order_is_booked_once():
@@ -135,7 +77,7 @@
     assert [answer.status for answer in answers] == [201] * 3
     assert len({answer.body for answer in answers}) == 1
     assert sum(len(b.bookings) for b in bench.fleet.bookings) == 1
-    await stop_bench(bench)
+    await bench.close()
 
 
 def load_tests(loader, tests, pattern):
--- /dev/null
+++ b/hibiscustiller/serving/tests/test_shutdown.py
@@ -0,0 +1,42 @@
+"""Graceful shutdown: nothing is cut off."""
+
+import sys
+
+import curio
+
+from hibiscustiller.exceptions import TransportError
+from hibiscustiller.serving.tests.fixtures import read_text, start_bench
+from hibiscustiller.standins import MODEL, MODEL_LAYERS, compute_answer
+from hibiscustiller.utils import Verdict
+from hibiscustiller.utils._testing import collect_tests
+
+
+async def test_shutdown_cuts_off_no_request():
+    """Guards against a host replacement that breaks running or late requests."""
+    bench = await start_bench(shutdown_lag="300ms")
+    running = await curio.spawn(bench.complete, "a long answer", 200)
+    await curio.sleep(0.1)
+    stopping = await curio.spawn(bench.router.stop)
+    await curio.sleep(0.1)
+    assert (await bench.get("/readyz")).status == 503
+    assert (await bench.get("/healthz")).status == 200
+    # The balancer has not noticed yet and sends one more request.
+    late = await bench.complete("sent after the signal", 4)
+    assert late.status == 200, late
+    await bench.router.stop()
+    answer = await running.join()
+    expected = compute_answer(MODEL, "1", MODEL_LAYERS, "a long answer", 200)
+    assert read_text(answer).split() == expected
+    await stopping.join()
+    await bench.client.close()
+    try:
+        await bench.complete()
+    except TransportError as error:
+        assert error.verdict is Verdict.NOT_RUN
+    else:
+        raise AssertionError("the listener is still open")
+    await bench.close()
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
