--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON = $(VENV)/bin/python
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test lint format generate check-generated bench
+.PHONY: demo test lint format generate check-generated bench sweep
 
 $(VENV)/installed: pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -32,3 +32,8 @@
 
 bench: $(VENV)/installed
 	$(PYTHON) benchmarks/run_all.py
+
+# Randomised fault runs over many seeds; make sweep SEEDS=100
+SEEDS ?= 20
+sweep: $(VENV)/installed
+	$(PYTHON) tools/sweep_faults.py --seeds $(SEEDS)
--- a/hibiscustiller/serving/_callers.py
+++ b/hibiscustiller/serving/_callers.py
@@ -77,6 +77,8 @@
         if request.path in ("/healthz", "/readyz"):
             await self._answer_health(request, responder)
             return
+        request_id = str(uuid.UUID(int=self._random_state.getrandbits(128)))
+        responder.extra_headers["x-request-id"] = request_id
         started = self._clock.monotonic()
         refusal = await self._route(request, responder)
         elapsed = self._clock.monotonic() - started
@@ -87,6 +89,7 @@
         self._metrics.count(f"requests.refused.{refusal.reason.label}")
         log_event(
             "request_refused",
+            request=request_id,
             path=request.path,
             reason=refusal.reason.label,
             verdict=refusal.verdict,
@@ -137,7 +140,7 @@
         organisation: OrganisationConfig,
         responder: Responder,
     ) -> Refusal | None:
-        request_id = RequestId(str(uuid.UUID(int=self._random_state.getrandbits(128))))
+        request_id = RequestId(responder.extra_headers["x-request-id"])
         checked = check_completion(
             self._get_config(), request, organisation, request_id
         )
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -80,6 +80,8 @@
         self._write_timeout = write_timeout
         self.is_started = False
         self.is_finished = False
+        # Sent with the head of the answer, whatever its kind.
+        self.extra_headers: dict[str, str] = {}
 
     async def send(
         self,
@@ -135,7 +137,8 @@
 
     def _make_response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
         self.is_started = True
-        return h11.Response(status_code=status, headers=list(fields.items()))
+        headers = [*fields.items(), *self.extra_headers.items()]
+        return h11.Response(status_code=status, headers=headers)
 
     async def _write(self, *events: Any) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
