--- a/tools/sweep_faults.py
+++ b/tools/sweep_faults.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from hibiscustiller.serving.tests.scenario import Scenario  # noqa: E402
+from hibiscustiller.serving.tests.scenario import Scenario
 
 
 @click.command()
