--- a/hibiscustiller/routing/__init__.py
+++ b/hibiscustiller/routing/__init__.py
@@ -1,23 +1,39 @@
 """Routes over backend servers, and this router's view of their loads."""
 
+from hibiscustiller.routing._cache_view import (
+    BLOCK_TOKENS,
+    CacheEvent,
+    CacheView,
+    hash_prefixes,
+)
 from hibiscustiller.routing._loads import ServerLoads
 from hibiscustiller.routing._observer import StreamObserver
 from hibiscustiller.routing._planner import RoutePlanner
-from hibiscustiller.routing._routes import (
-    Route,
-    Stage,
-    check_route,
+from hibiscustiller.routing._routes import Route, Stage, check_route, get_link_delay
+from hibiscustiller.routing._search import (
+    ModelIndex,
+    Option,
+    choose_cheapest,
     find_cheapest_route,
-    get_link_delay,
 )
+from hibiscustiller.routing._subset import DEFAULT_SUBSET_SIZE, choose_subset
 
 __all__ = [
+    "BLOCK_TOKENS",
+    "CacheEvent",
+    "CacheView",
+    "DEFAULT_SUBSET_SIZE",
+    "ModelIndex",
+    "Option",
     "Route",
     "RoutePlanner",
     "ServerLoads",
     "Stage",
     "StreamObserver",
     "check_route",
+    "choose_cheapest",
+    "choose_subset",
     "find_cheapest_route",
     "get_link_delay",
+    "hash_prefixes",
 ]
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -9,7 +9,7 @@
 from hibiscustiller.limits import AdmissionController
 from hibiscustiller.orders import ServiceForwarder
 from hibiscustiller.platform import EtcdStore
-from hibiscustiller.routing import RoutePlanner, ServerLoads
+from hibiscustiller.routing import CacheView, RoutePlanner, ServerLoads
 from hibiscustiller.serving._callers import CallerApi
 from hibiscustiller.settings import Settings
 from hibiscustiller.streams import StreamRunner
@@ -46,7 +46,8 @@
         )
         self.configuration = CurrentConfiguration({}, Revision(0))
         get_config = self.configuration.get_config
-        self.loads = ServerLoads()
+        self.loads = ServerLoads(clock)
+        self.cache_view = CacheView()
         self.planner = RoutePlanner(
             settings.router.failure_domain,
             get_config,
@@ -54,6 +55,8 @@
             lambda server: True,
             self.loads,
             random_state,
+            settings.router.id,
+            self.cache_view,
         )
         self.admission = AdmissionController(
             lambda request: self.planner.plan_route(
@@ -63,7 +66,7 @@
         self.runner = StreamRunner(
             self._client,
             self.admission,
-            [self.loads],
+            [self.loads, self.cache_view],
             settings.limits.next_byte_timeout,
         )
         self.forwarder = ServiceForwarder(self._client, self.store, random_state)
