Recover streams by replay and contain requests that crash servers

Attempts are cancelled at the engine when the caller goes away or the grant is preempted. A broken frame invariant is counted and the answer continues on another route. Suspects run apart from each other, one to a server; a suspect that gets four tokens past its server's death no longer counts as one, since a request that crashes servers does so at the same position.

--- a/hibiscustiller/limits/_admission.py
+++ b/hibiscustiller/limits/_admission.py
@@ -25,6 +25,7 @@
 
     :param cost: estimated tokens, prompt and answer.
     :param avoided: servers that the route must not use.
+    :param is_resumed: whether it continues a stream that was preempted or broke off.
     """
 
     request_id: RequestId
@@ -34,6 +35,7 @@
     prompt: str
     cost: int
     avoided: frozenset[ServerId] = frozenset()
+    is_resumed: bool = False
 
 
 @dataclass(eq=False)
--- a/hibiscustiller/routing/_cache_view.py
+++ b/hibiscustiller/routing/_cache_view.py
@@ -124,4 +124,6 @@
 
 
 def _hash_text(text: str) -> bytes:
-    return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
+    # JSON allows lone surrogates, which plain UTF-8 refuses.
+    data = text.encode(errors="surrogatepass")
+    return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest()
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -12,7 +12,7 @@
 from hibiscustiller.routing import CacheView, RoutePlanner, ServerLoads
 from hibiscustiller.serving._callers import CallerApi
 from hibiscustiller.settings import Settings
-from hibiscustiller.streams import StreamRunner
+from hibiscustiller.streams import CrashRegistry, ReplayEstimator, StreamRunner
 from hibiscustiller.utils import Clock, Metrics, Revision, ServerId, log_event
 from hibiscustiller.wire import HttpClient, HttpLimits, HttpServer
 
@@ -63,11 +63,16 @@
                 request.model, request.prompt, request.avoided
             )
         )
+        self.crash_registry = CrashRegistry(clock)
         self.runner = StreamRunner(
             self._client,
             self.admission,
             [self.loads, self.cache_view],
             settings.limits.next_byte_timeout,
+            clock,
+            random_state,
+            self.crash_registry,
+            replay_estimator=ReplayEstimator(get_config),
         )
         self.forwarder = ServiceForwarder(self._client, self.store, random_state)
         callers = CallerApi(
--- /dev/null
+++ b/hibiscustiller/streams/_attempts.py
@@ -0,0 +1,413 @@
+"""One attempt of a stream at the engines of one route."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from enum import Enum
+
+import curio
+
+from hibiscustiller.exceptions import InvariantError, TransportError, WireFormatError
+from hibiscustiller.limits import Grant
+from hibiscustiller.routing import Route, StreamObserver
+from hibiscustiller.streams._crashes import CrashRegistry, CrashRun
+from hibiscustiller.streams._frames import (
+    DoneFrame,
+    ErrorFrame,
+    Frame,
+    LayerRun,
+    TokenFrame,
+    parse_frame,
+)
+from hibiscustiller.streams._requests import Deliver, Progress, StreamRequest
+from hibiscustiller.utils import Clock, ServerId, Verdict, check_invariant, log_event
+from hibiscustiller.wire import AnswerStream, HttpClient
+
+_OK = 200
+# How long a server that failed or refused is avoided by the stream that met it. By
+# then membership knows its state.
+_AVOID_TIME = timedelta(seconds=10)
+# A caller's next attempt or departure waits for the cancellation this long at most.
+_CANCEL_TIMEOUT = timedelta(milliseconds=500)
+# Above this, the wait for the next token is due to a slow caller as well.
+_SLOW_DELIVERY = timedelta(milliseconds=5)
+# An engine that ended because it reached the asked length says so.
+_LENGTH_REASON = "length"
+_LOST_STAGE_ERROR = "stage-lost"
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    FAILED = "failed"
+    PREEMPTED = "preempted"
+
+
+class EngineFailedError(Exception):
+    """An attempt ended without its answer.
+
+    :param server: the backend server that is to be avoided.
+    :param is_death: whether the server died, instead of being silent or wrong.
+    :param is_open: whether the engine may still run the attempt.
+    """
+
+    def __init__(
+        self,
+        server: ServerId,
+        message: str,
+        is_death: bool = False,
+        is_open: bool = False,
+    ) -> None:
+        super().__init__(message)
+        self.server = server
+        self.is_death = is_death
+        self.is_open = is_open
+
+
+class AttemptRunner:
+    """Runs single attempts.
+
+    :param client: HTTP client.
+    :param observers: told of what attempts meet at the backend servers.
+    :param registry: told of deaths of servers and of what ran there.
+    :param clock: measures the time between tokens.
+    :param next_byte_timeout: silence after which an engine's connection is given up.
+    :param note_first_token: told of the time to an attempt's first token and of the
+        number of prompt and emitted tokens.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        observers: Sequence[StreamObserver],
+        registry: CrashRegistry,
+        clock: Clock,
+        next_byte_timeout: timedelta,
+        note_first_token: Callable[[timedelta, int], None] | None = None,
+    ) -> None:
+        self._client = client
+        self._note_first_token = note_first_token
+        self._observers = observers
+        self._registry = registry
+        self._clock = clock
+        self._next_byte_timeout = next_byte_timeout
+
+    async def run(
+        self,
+        request: StreamRequest,
+        grant: Grant,
+        progress: Progress,
+        crash_run: CrashRun,
+        deliver: Deliver,
+    ) -> AttemptEnd:
+        """Run the attempt ``progress.attempt``.
+
+        :returns: how it ended; ``progress`` tells what it brought.
+        :raises TransportError: if the caller no longer takes the answer.
+        """
+        route = grant.route
+        for observer in self._observers:
+            observer.note_started(route, request.cost - len(progress.tokens))
+        end = AttemptEnd.FAILED
+        try:
+            end = await self._run(request, grant, progress, crash_run, deliver)
+        except EngineFailedError as error:
+            self._note_failure(request, progress, crash_run, error)
+            if error.is_open:
+                # The next attempt does not wait for an engine that may be silent.
+                await curio.spawn(self._cancel, request, route, progress, daemon=True)
+        except BaseException:
+            await self._cancel(request, route, progress)
+            raise
+        finally:
+            for observer in self._observers:
+                observer.note_finished(route)
+            if end is AttemptEnd.DONE:
+                self._registry.note_finished(crash_run)
+            else:
+                self._registry.note_ended(crash_run)
+        return end
+
+    async def _run(
+        self,
+        request: StreamRequest,
+        grant: Grant,
+        progress: Progress,
+        crash_run: CrashRun,
+        deliver: Deliver,
+    ) -> AttemptEnd:
+        stream = await self._open(request, grant.route, progress)
+        if stream is None:
+            return AttemptEnd.REFUSED
+        async with stream:
+            end = await self._read_frames(
+                stream, request, grant, progress, crash_run, deliver
+            )
+        if end is AttemptEnd.PREEMPTED:
+            await self._cancel(request, grant.route, progress)
+        return end
+
+    async def _open(
+        self, request: StreamRequest, route: Route, progress: Progress
+    ) -> AnswerStream | None:
+        """Open the stream at the route's first stage; None if it is refused."""
+        head = route.stages[0]
+        try:
+            stream = await self._client.open_stream(
+                head.address,
+                "POST",
+                "/v1/streams",
+                next_byte_timeout=self._next_byte_timeout,
+                body=encode_attempt(request, route, progress),
+                headers={"content-type": "application/json"},
+            )
+        except TransportError as error:
+            has_sent = error.verdict is Verdict.MAY_HAVE_RUN
+            if has_sent:
+                progress.note_may_have_run()
+            is_silent = isinstance(error.__cause__, TimeoutError)
+            raise EngineFailedError(
+                head.server,
+                str(error),
+                is_death=has_sent and not is_silent,
+                is_open=has_sent and is_silent,
+            ) from error
+        if stream.status == _OK:
+            progress.note_may_have_run()
+            return stream
+        await stream.close()
+        if stream.headers_by_name.get("x-verdict") != Verdict.NOT_RUN.value:
+            progress.note_may_have_run()
+        self._avoid(progress, head.server)
+        for observer in self._observers:
+            observer.note_refused(head.server)
+        return None
+
+    async def _read_frames(
+        self,
+        stream: AnswerStream,
+        request: StreamRequest,
+        grant: Grant,
+        progress: Progress,
+        crash_run: CrashRun,
+        deliver: Deliver,
+    ) -> AttemptEnd:
+        route = grant.route
+        head = route.stages[0].server
+        pace = _Pace(self._clock)
+        while True:
+            # An empty line keeps the connection alive while a token is awaited. It
+            # is also the moment at which a preemption is noticed: engines send a
+            # line at least every 250 ms.
+            line = await _read_line(stream, head)
+            if line is None:
+                raise EngineFailedError(head, "the stream ended early")
+            if line:
+                frame = _parse(line, head)
+                if _is_end(frame, request, route, progress):
+                    return AttemptEnd.DONE
+                if isinstance(frame, TokenFrame) and _is_next(
+                    frame, request, route, progress
+                ):
+                    context = request.prompt_tokens + len(progress.tokens)
+                    self._note_token(route, pace, crash_run, context)
+                    progress.tokens.append(frame.token)
+                    await deliver(frame.token)
+                    pace.note_delivered()
+            # A request that must not run again is not interrupted.
+            if grant.preempted.is_set() and request.is_idempotent:
+                return AttemptEnd.PREEMPTED
+
+    def _note_token(
+        self, route: Route, pace: _Pace, crash_run: CrashRun, context: int
+    ) -> None:
+        is_first = pace.is_first
+        delay = pace.measure_delay()
+        if is_first and self._note_first_token is not None:
+            self._note_first_token(delay, context)
+        self._registry.note_token(crash_run)
+        for observer in self._observers:
+            observer.note_token(route, delay, is_first)
+
+    def _note_failure(
+        self,
+        request: StreamRequest,
+        progress: Progress,
+        crash_run: CrashRun,
+        error: EngineFailedError,
+    ) -> None:
+        self._avoid(progress, error.server)
+        if error.is_death:
+            self._registry.note_death(crash_run, error.server)
+        for observer in self._observers:
+            observer.note_failed(error.server)
+        log_event(
+            "attempt_failed",
+            level="warning",
+            request=request.request_id,
+            attempt=progress.attempt,
+            server=error.server,
+            is_death=error.is_death,
+            error=error,
+        )
+
+    def _avoid(self, progress: Progress, server: ServerId) -> None:
+        progress.avoided_until[server] = self._clock.monotonic() + _AVOID_TIME
+
+    async def _cancel(
+        self, request: StreamRequest, route: Route, progress: Progress
+    ) -> None:
+        """Cancel the attempt at the engine, so that it frees its place at once."""
+        head = route.stages[0]
+        target = f"/v1/streams/{request.request_id}?attempt={progress.attempt}"
+        try:
+            await self._client.request(
+                head.address, "DELETE", target, timeout=_CANCEL_TIMEOUT
+            )
+        except TransportError as error:
+            # Closing the connection also ends the attempt, only later.
+            log_event(
+                "cancel_failed",
+                request=request.request_id,
+                server=head.server,
+                error=error,
+            )
+
+
+class _Pace:
+    """Time between tokens, without the time that the caller takes."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._last_arrival = clock.monotonic()
+        self._last_delay = timedelta(0)
+        self._was_slow = False
+        self.is_first = True
+
+    def measure_delay(self) -> timedelta:
+        now = self._clock.monotonic()
+        # Frames pile up behind a slow caller and tell nothing of the engine.
+        if not self._was_slow or self.is_first:
+            self._last_delay = now - self._last_arrival
+        self._last_arrival = now
+        self.is_first = False
+        return self._last_delay
+
+    def note_delivered(self) -> None:
+        elapsed = self._clock.monotonic() - self._last_arrival
+        self._was_slow = elapsed > _SLOW_DELIVERY
+
+
+def encode_attempt(request: StreamRequest, route: Route, progress: Progress) -> bytes:
+    """Return the body that starts an attempt: prompt, emitted tokens and route."""
+    stages = [
+        {
+            "server": stage.server,
+            "address": str(stage.address),
+            "first_layer": stage.first_layer,
+            "last_layer": stage.last_layer,
+        }
+        for stage in route.stages
+    ]
+    value = {
+        "stream_id": request.request_id,
+        "attempt": progress.attempt,
+        "model": request.model,
+        "version": route.version,
+        "priority": request.rank,
+        "prompt": request.prompt,
+        "emitted": progress.tokens,
+        "max_tokens": request.max_tokens,
+        "route": stages,
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+async def _read_line(stream: AnswerStream, head: ServerId) -> bytes | None:
+    """Read a line; an engine's failure gets a class of its own, unlike a caller's."""
+    try:
+        return await stream.read_line()
+    except TransportError as error:
+        is_silent = isinstance(error.__cause__, TimeoutError)
+        raise EngineFailedError(
+            head, str(error), is_death=not is_silent, is_open=is_silent
+        ) from error
+
+
+def _parse(line: bytes, head: ServerId) -> Frame:
+    try:
+        return parse_frame(line)
+    except WireFormatError as error:
+        raise EngineFailedError(head, str(error), is_open=True) from error
+
+
+def _is_end(
+    frame: Frame, request: StreamRequest, route: Route, progress: Progress
+) -> bool:
+    """Tell whether a frame ends the answer.
+
+    :raises EngineFailedError: if it ends the attempt without the whole answer.
+    """
+    head = route.stages[0].server
+    if frame.attempt < progress.attempt or isinstance(frame, TokenFrame):
+        return False
+    if frame.attempt > progress.attempt:
+        message = f"attempt {frame.attempt} was never started"
+        raise EngineFailedError(head, message, is_open=True)
+    if isinstance(frame, ErrorFrame):
+        is_stage = frame.server in route.servers
+        server = frame.server if is_stage and frame.server else head
+        is_death = is_stage and frame.error == _LOST_STAGE_ERROR
+        raise EngineFailedError(server, frame.error, is_death=is_death)
+    is_whole = len(progress.tokens) == request.max_tokens
+    if frame.reason == _LENGTH_REASON and not is_whole:
+        message = f"the answer ended after {len(progress.tokens)} tokens"
+        raise EngineFailedError(head, message)
+    progress.finish_reason = frame.reason
+    return isinstance(frame, DoneFrame)
+
+
+def _is_next(
+    frame: TokenFrame, request: StreamRequest, route: Route, progress: Progress
+) -> bool:
+    """Tell whether a frame brings the next token; older and repeated ones do not.
+
+    :raises EngineFailedError: if an invariant of streams is broken. The violation is
+        counted; the caller's answer is continued elsewhere.
+    """
+    expected = len(progress.tokens)
+    if frame.attempt < progress.attempt:
+        return False
+    if frame.attempt == progress.attempt and frame.position < expected:
+        return False
+    try:
+        check_invariant(
+            frame.attempt == progress.attempt,
+            "attempt_was_started",
+            attempt=frame.attempt,
+            latest=progress.attempt,
+        )
+        check_invariant(
+            frame.position == expected < request.max_tokens,
+            "positions_rise_by_one",
+            position=frame.position,
+            expected=expected,
+        )
+        layers = tuple(
+            LayerRun(stage.server, stage.first_layer, stage.last_layer)
+            for stage in route.stages
+        )
+        check_invariant(
+            frame.layers == layers,
+            "layers_run_once_in_order",
+            ran=frame.layers,
+            expected=layers,
+        )
+    except InvariantError as error:
+        head = route.stages[0].server
+        raise EngineFailedError(head, str(error), is_open=True) from error
+    return True
--- /dev/null
+++ b/hibiscustiller/streams/_crashes.py
@@ -0,0 +1,339 @@
+"""Containment of requests that crash the backend servers that run them.
+
+The death of a server makes every request that ran there a suspect. Suspects run apart
+from each other, at most one to a server, until they finish or get past the position
+at which the server died. A suspect is quarantined if another server dies while it is
+the only suspect there.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict, deque
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from hibiscustiller.utils import (
+    Clock,
+    Fingerprint,
+    ModelName,
+    OrganisationId,
+    ServerId,
+    log_event,
+)
+from hibiscustiller.wire._messages_generated import CrashReport
+
+QUARANTINE_TIME = timedelta(minutes=10)
+# About 500 bytes each, so that all tables stay below 5 MB.
+_ENTRIES_KEPT = 4096
+_REPORTS_KEPT = 1024
+# Routers learn of one death within the next-byte timeout and a report's way; reports
+# of one server within this time are about the same death.
+_SAME_DEATH_WINDOW = timedelta(seconds=10)
+# A request that crashes servers does so again at the same position. The router's
+# position lags by the few tokens that are under way.
+_TOKENS_PAST_DEATH = 4
+# A request that is alone at this many deaths is quarantined even if it got past
+# each of them; two are met by chance when hosts fail one after the other.
+_MAX_PASSED_DEATHS = 2
+_MAX_TEXT = 128
+
+
+class CrashEvent(Enum):
+    """What a crash report says of a request."""
+
+    SUSPECTED = "suspected"
+    CLEARED = "cleared"
+    QUARANTINED = "quarantined"
+
+
+@dataclass(eq=False)
+class CrashRun:
+    """One attempt of a request on its servers.
+
+    :param position: tokens delivered so far.
+    :param is_counted: whether a death already made this attempt a suspect.
+    """
+
+    fingerprint: Fingerprint
+    servers: frozenset[ServerId]
+    position: int = 0
+    is_counted: bool = False
+
+
+@dataclass(eq=False)
+class _Death:
+    """A server's death and all requests known to have run there."""
+
+    at: timedelta
+    fingerprints: set[Fingerprint] = field(default_factory=set)
+
+
+@dataclass
+class _Suspect:
+    """Evidence against a request.
+
+    :param deaths_by_server: deaths that it has not got past.
+    :param passed: deaths that it got past.
+    :param position: where it was at the latest death; None if a peer reported it.
+    """
+
+    expires_at: timedelta
+    deaths_by_server: dict[ServerId, _Death] = field(default_factory=dict)
+    passed: int = 0
+    position: int | None = 0
+
+
+class CrashRegistry:
+    """Knows which requests are suspected of crashing servers, or quarantined.
+
+    :param clock: times suspicions and quarantines.
+    :param quarantine_time: how long a request is refused, and a suspicion lasts.
+    :param capacity: bound on each of the tables; the oldest entries go first.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        quarantine_time: timedelta = QUARANTINE_TIME,
+        capacity: int = _ENTRIES_KEPT,
+    ) -> None:
+        self._clock = clock
+        self._quarantine_time = quarantine_time
+        self._capacity = capacity
+        self._runs_by_server: dict[ServerId, set[CrashRun]] = {}
+        self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
+        self._quarantine_ends: OrderedDict[Fingerprint, timedelta] = OrderedDict()
+        self._deaths_by_server: OrderedDict[ServerId, _Death] = OrderedDict()
+        self._reports: deque[CrashReport] = deque(maxlen=_REPORTS_KEPT)
+
+    def get_quarantine(self, fingerprint: Fingerprint) -> timedelta | None:
+        """Return how much longer a request is refused; None if it may run."""
+        end = self._quarantine_ends.get(fingerprint)
+        if end is None:
+            return None
+        left = end - self._clock.monotonic()
+        if left > timedelta(0):
+            return left
+        del self._quarantine_ends[fingerprint]
+        return None
+
+    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether a request must run apart from other suspects."""
+        return self._get_suspect(fingerprint) is not None
+
+    def list_occupied_servers(self, fingerprint: Fingerprint) -> frozenset[ServerId]:
+        """Return servers that a request must not use: empty unless it is a suspect."""
+        if not self._suspects or not self._must_isolate(fingerprint, 0):
+            return frozenset()
+        return frozenset(
+            server
+            for server, runs in self._runs_by_server.items()
+            if any(self._must_isolate(run.fingerprint, run.position) for run in runs)
+        )
+
+    def try_start(
+        self, fingerprint: Fingerprint, servers: Collection[ServerId], position: int
+    ) -> CrashRun | None:
+        """Note an attempt, to be ended by one of the following methods.
+
+        :param position: tokens delivered before it.
+        :returns: the attempt; None if it is a suspect and another suspect runs at one
+            of the servers.
+        """
+        if not self.list_occupied_servers(fingerprint).isdisjoint(servers):
+            return None
+        run = CrashRun(fingerprint, frozenset(servers), position)
+        for server in run.servers:
+            self._runs_by_server.setdefault(server, set()).add(run)
+        return run
+
+    def note_token(self, run: CrashRun) -> None:
+        """Note a token; a suspect that gets past its deaths is no longer one."""
+        run.position += 1
+        if not self._suspects:
+            return
+        suspect = self._get_suspect(run.fingerprint)
+        if suspect is None or self._must_isolate(run.fingerprint, run.position):
+            return
+        suspect.passed += len(suspect.deaths_by_server)
+        suspect.deaths_by_server.clear()
+
+    def note_ended(self, run: CrashRun) -> None:
+        """Note the end of an attempt that shows nothing."""
+        for server in run.servers:
+            runs = self._runs_by_server.get(server, set())
+            runs.discard(run)
+            if not runs:
+                self._runs_by_server.pop(server, None)
+
+    def note_finished(self, run: CrashRun) -> None:
+        """Note a complete answer, which clears a suspect."""
+        self.note_ended(run)
+        if self._suspects.pop(run.fingerprint, None) is not None:
+            self._report(run.fingerprint, ServerId(""), CrashEvent.CLEARED)
+
+    def note_death(self, run: CrashRun, server: ServerId) -> None:
+        """Note that an attempt met the death of a server.
+
+        The first attempt that tells of a death counts for all that ran there, so
+        that those which learn of it later do not count as another death.
+        """
+        if run.is_counted:
+            return
+        runs = self._runs_by_server.get(server, set()) | {run}
+        met = {other for other in runs if not other.is_counted}
+        for other in met:
+            other.is_counted = True
+        self._judge(server, met)
+
+    def collect_reports(self) -> tuple[CrashReport, ...]:
+        """Take the reports for the peers that were made since the last call."""
+        reports = tuple(self._reports)
+        self._reports.clear()
+        return reports
+
+    def apply_report(self, report: CrashReport) -> None:
+        """Take over a peer's report; a late or malformed one is ignored."""
+        if not 0 < len(report.fingerprint) <= _MAX_TEXT:
+            return
+        if len(report.server_id) > _MAX_TEXT:
+            return
+        age = timedelta(milliseconds=self._read_ms() - report.at_ms)
+        # Clocks differ by less than the window within which deaths are merged.
+        if not -_SAME_DEATH_WINDOW <= age < self._quarantine_time:
+            return
+        fingerprint = Fingerprint(report.fingerprint)
+        if report.event == CrashEvent.QUARANTINED.value:
+            self._quarantine(fingerprint, self._quarantine_time - max(age, _ZERO))
+        elif report.event == CrashEvent.CLEARED.value:
+            self._suspects.pop(fingerprint, None)
+        elif report.event == CrashEvent.SUSPECTED.value:
+            self._apply_suspicion(fingerprint, ServerId(report.server_id), age)
+
+    def _apply_suspicion(
+        self, fingerprint: Fingerprint, server: ServerId, age: timedelta
+    ) -> None:
+        if self.get_quarantine(fingerprint) is not None:
+            return
+        death = self._get_death(server, self._clock.monotonic() - age)
+        self._suspect(fingerprint, server, death).position = None
+        alone = [
+            known
+            for known in self._suspects[fingerprint].deaths_by_server.values()
+            if known.fingerprints == {fingerprint}
+        ]
+        if len(alone) > 1:
+            self._quarantine(fingerprint, self._quarantine_time)
+            self._report(fingerprint, server, CrashEvent.QUARANTINED)
+
+    def _judge(self, server: ServerId, runs: Iterable[CrashRun]) -> None:
+        positions = {run.fingerprint: run.position for run in runs}
+        culprit = self._find_culprit(server, positions.keys())
+        if culprit is not None:
+            self._quarantine(culprit, self._quarantine_time)
+            self._report(culprit, server, CrashEvent.QUARANTINED)
+            log_event(
+                "request_quarantined",
+                level="warning",
+                fingerprint=culprit,
+                server=server,
+            )
+            return
+        death = self._get_death(server, self._clock.monotonic())
+        for fingerprint, position in positions.items():
+            self._suspect(fingerprint, server, death).position = position
+            self._report(fingerprint, server, CrashEvent.SUSPECTED)
+
+    def _find_culprit(
+        self, server: ServerId, fingerprints: Collection[Fingerprint]
+    ) -> Fingerprint | None:
+        suspects = {
+            fingerprint: suspect
+            for fingerprint in fingerprints
+            if (suspect := self._get_suspect(fingerprint)) is not None
+        }
+        if len(fingerprints) == 1:
+            for fingerprint, suspect in suspects.items():
+                if suspect.deaths_by_server or suspect.passed >= _MAX_PASSED_DEATHS:
+                    return fingerprint
+            return None
+        earlier = [
+            fingerprint
+            for fingerprint, suspect in suspects.items()
+            if suspect.deaths_by_server.keys() - {server}
+        ]
+        return earlier[0] if len(earlier) == 1 else None
+
+    def _get_suspect(self, fingerprint: Fingerprint) -> _Suspect | None:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.expires_at > self._clock.monotonic():
+            return suspect
+        del self._suspects[fingerprint]
+        return None
+
+    def _must_isolate(self, fingerprint: Fingerprint, position: int) -> bool:
+        suspect = self._get_suspect(fingerprint)
+        if suspect is None or not suspect.deaths_by_server:
+            return False
+        if suspect.position is None:
+            return True
+        return position < suspect.position + _TOKENS_PAST_DEATH
+
+    def _suspect(
+        self, fingerprint: Fingerprint, server: ServerId, death: _Death
+    ) -> _Suspect:
+        expires_at = self._clock.monotonic() + self._quarantine_time
+        suspect = self._suspects.setdefault(fingerprint, _Suspect(expires_at))
+        self._suspects.move_to_end(fingerprint)
+        suspect.expires_at = expires_at
+        suspect.deaths_by_server[server] = death
+        death.fingerprints.add(fingerprint)
+        _trim(self._suspects, self._capacity)
+        return suspect
+
+    def _get_death(self, server: ServerId, at: timedelta) -> _Death:
+        """Return the death of a server at about a time, new if it is not known."""
+        death = self._deaths_by_server.get(server)
+        if death is None or abs(death.at - at) > _SAME_DEATH_WINDOW:
+            death = self._deaths_by_server[server] = _Death(at)
+            self._deaths_by_server.move_to_end(server)
+            _trim(self._deaths_by_server, self._capacity)
+        return death
+
+    def _quarantine(self, fingerprint: Fingerprint, time: timedelta) -> None:
+        self._suspects.pop(fingerprint, None)
+        self._quarantine_ends[fingerprint] = self._clock.monotonic() + time
+        self._quarantine_ends.move_to_end(fingerprint)
+        _trim(self._quarantine_ends, self._capacity)
+
+    def _report(
+        self, fingerprint: Fingerprint, server: ServerId, event: CrashEvent
+    ) -> None:
+        report = CrashReport(fingerprint, server, event.value, self._read_ms())
+        self._reports.append(report)
+
+    def _read_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
+
+_ZERO = timedelta(0)
+
+
+def compute_fingerprint(
+    organisation: OrganisationId, model: ModelName, prompt: str
+) -> Fingerprint:
+    """Return the hash by which a request is recognised when it is sent again."""
+    digest = hashlib.sha256()
+    for part in (organisation, model, prompt):
+        # JSON allows lone surrogates, which plain UTF-8 refuses.
+        data = part.encode(errors="surrogatepass")
+        digest.update(len(data).to_bytes(8, "big") + data)
+    return Fingerprint(digest.hexdigest())
+
+
+def _trim(table: OrderedDict, capacity: int) -> None:
+    while len(table) > capacity:
+        table.popitem(last=False)
--- a/hibiscustiller/streams/_frames.py
+++ b/hibiscustiller/streams/_frames.py
@@ -58,15 +58,27 @@
     """
     try:
         value = json.loads(line)
-        attempt = int(value["attempt"])
+        attempt = _read_int(value["attempt"])
         if "error" in value:
-            return ErrorFrame(attempt, str(value["error"]), value.get("server"))
+            server = value.get("server")
+            known = server if isinstance(server, str) else None
+            return ErrorFrame(attempt, str(value["error"]), known)
         if value.get("done"):
             return DoneFrame(attempt, str(value.get("reason", "")))
         layers = tuple(
-            LayerRun(server, int(first), int(last))
+            LayerRun(str(server), _read_int(first), _read_int(last))
             for server, first, last in value["layers"]
         )
-        return TokenFrame(attempt, int(value["position"]), str(value["token"]), layers)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        position = _read_int(value["position"])
+        token = value["token"]
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         raise WireFormatError(f"frame cannot be read: {error!r}") from error
+    if not isinstance(token, str):
+        raise WireFormatError(f"token is {token!r}; a text is accepted")
+    return TokenFrame(attempt, position, token, layers)
+
+
+def _read_int(value: object) -> int:
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    raise ValueError(f"{value!r} is no integer")
--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -2,97 +2,75 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field, replace
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
 from datetime import timedelta
-from enum import Enum
+from typing import Protocol
 
 from result import Err, Ok, Result
 
-from hibiscustiller.exceptions import TransportError, WireFormatError
 from hibiscustiller.limits import AdmissionController, AdmissionRequest, Grant
-from hibiscustiller.routing import Route, StreamObserver
-from hibiscustiller.streams._frames import (
-    DoneFrame,
-    ErrorFrame,
-    Frame,
-    LayerRun,
-    parse_frame,
+from hibiscustiller.routing import StreamObserver
+from hibiscustiller.streams._attempts import AttemptEnd, AttemptRunner
+from hibiscustiller.streams._crashes import (
+    CrashRegistry,
+    CrashRun,
+    compute_fingerprint,
+)
+from hibiscustiller.streams._kv_caches import CacheMover, ReplayEstimator
+from hibiscustiller.streams._requests import (
+    Deliver,
+    Progress,
+    StreamRequest,
+    StreamSummary,
 )
 from hibiscustiller.utils import (
-    ClassName,
-    ModelName,
-    OrganisationId,
+    Clock,
+    Fingerprint,
     Refusal,
     RefusalReason,
-    RequestId,
     ServerId,
+    SystemClock,
     Verdict,
-    check_invariant,
+    jittered_delays,
     log_event,
 )
-from hibiscustiller.wire import AnswerStream, HttpClient
+from hibiscustiller.wire import HttpClient
 
-_OK = 200
-_MAX_ATTEMPTS = 5
+# Attempts in a row without a token. A stream that gets further each time may meet
+# any number of failures.
+_MAX_FAILURES = 5
 _RETRY_AFTER_FAILURE = timedelta(seconds=2)
+# After all servers of a model failed there is nothing to choose from; the delay lets
+# a restarted server come up without a rush of all its streams.
+_FIRST_RETRY_DELAY = timedelta(milliseconds=100)
+_LAST_RETRY_DELAY = timedelta(seconds=1)
+# A suspect waits for a server without another suspect. One replays and passes its
+# position in a few token times, so a place is free within a fraction of a second.
+_FIRST_ISOLATION_DELAY = timedelta(milliseconds=20)
+_LAST_ISOLATION_DELAY = timedelta(milliseconds=100)
+_ISOLATION_LIMIT = timedelta(seconds=30)
 
-Deliver = Callable[[str], Awaitable[None]]
-
-
-@dataclass(frozen=True)
-class StreamRequest:
-    """A request for a model's answer.
 
-    :param rank: rank of its priority class; 0 is the most urgent.
-    :param max_tokens: length of the answer, in tokens.
-    """
+class RetryBudget(Protocol):
+    """Bounds the retries to a part of the requests."""
 
-    request_id: RequestId
-    organisation: OrganisationId
-    class_name: ClassName
-    rank: int
-    model: ModelName
-    prompt: str
-    max_tokens: int
+    def note_request(self) -> None:
+        """Count a request."""
+        ...
 
-    @property
-    def cost(self) -> int:
-        """Estimated tokens, prompt and answer."""
-        return self.prompt.count(" ") + 1 + self.max_tokens
+    def try_spend(self) -> bool:
+        """Take leave for one retry; False if there is none."""
+        ...
 
 
 @dataclass(frozen=True)
-class StreamSummary:
-    """What a complete stream took.
-
-    :param tokens: the whole answer.
-    :param attempts: attempts that were started.
-    """
-
-    tokens: tuple[str, ...]
-    finish_reason: str
-    attempts: int
-
-
-class AttemptEnd(Enum):
-    """How an attempt ended."""
-
-    DONE = "done"
-    REFUSED = "refused"
-    FAILED = "failed"
+class _Start:
+    """Leave to run one attempt."""
 
-
-@dataclass
-class _Progress:
-    """State of one stream across its attempts."""
-
-    attempt: int = 0
-    tokens: list[str] = field(default_factory=list)
-    finish_reason: str = ""
-    may_have_run: bool = False
-    avoided: set[ServerId] = field(default_factory=set)
+    grant: Grant
+    crash_run: CrashRun
 
 
 class StreamRunner:
@@ -102,6 +80,12 @@
     :param admission: decides when and on which route a stream runs.
     :param observers: told of what streams meet at the backend servers.
     :param next_byte_timeout: silence after which an engine's connection is given up.
+    :param clock: source of time.
+    :param random_state: source of jitter.
+    :param registry: knows suspects and quarantined requests.
+    :param retry_budget: asked before each attempt that follows one without a token;
+        None for no bound.
+    :param replay_estimator: decides whether KV caches are moved; None never to.
     """
 
     def __init__(
@@ -110,11 +94,30 @@
         admission: AdmissionController,
         observers: Sequence[StreamObserver],
         next_byte_timeout: timedelta,
+        clock: Clock | None = None,
+        random_state: random.Random | None = None,
+        registry: CrashRegistry | None = None,
+        retry_budget: RetryBudget | None = None,
+        replay_estimator: ReplayEstimator | None = None,
     ) -> None:
-        self._client = client
         self._admission = admission
-        self._observers = observers
-        self._next_byte_timeout = next_byte_timeout
+        self._clock = clock or SystemClock()
+        self._random_state = random_state or random.Random()
+        self._registry = registry or CrashRegistry(self._clock)
+        self._retry_budget = retry_budget
+        self._mover: CacheMover | None = None
+        note_first_token = None
+        if replay_estimator is not None:
+            self._mover = CacheMover(client, replay_estimator.should_import)
+            note_first_token = replay_estimator.note_first_token
+        self._attempts = AttemptRunner(
+            client,
+            observers,
+            self._registry,
+            self._clock,
+            next_byte_timeout,
+            note_first_token,
+        )
 
     async def run(
         self, request: StreamRequest, deliver: Deliver
@@ -125,201 +128,171 @@
         :returns: a summary of the complete answer, or a refusal.
         :raises TransportError: if the caller no longer takes the answer.
         """
-        progress = _Progress()
-        while progress.attempt < _MAX_ATTEMPTS:
-            admitted = await self._admission.admit(self._describe(request, progress))
-            if isinstance(admitted, Err):
-                return Err(_adjust_verdict(admitted.err_value, progress))
-            grant = admitted.ok_value
-            progress.attempt += 1
-            try:
-                end = await self._run_attempt(request, grant.route, progress, deliver)
-            finally:
-                await self._release(grant, request, progress)
+        if self._retry_budget is not None:
+            self._retry_budget.note_request()
+        fingerprint = compute_fingerprint(
+            request.organisation, request.model, request.prompt
+        )
+        progress = Progress()
+        while True:
+            started = await self._start(request, progress, fingerprint)
+            if isinstance(started, Err):
+                return Err(_adjust_verdict(started.err_value, progress))
+            count = len(progress.tokens)
+            end = await self._run_attempt(request, started.ok_value, progress, deliver)
             if end is AttemptEnd.DONE:
-                return Ok(
-                    StreamSummary(
-                        tuple(progress.tokens),
-                        progress.finish_reason,
-                        progress.attempt,
-                    )
-                )
-        return Err(_make_failure(progress))
-
-    def _describe(
-        self, request: StreamRequest, progress: _Progress
-    ) -> AdmissionRequest:
-        return AdmissionRequest(
-            request_id=request.request_id,
-            organisation=request.organisation,
-            class_name=request.class_name,
-            model=request.model,
-            prompt=request.prompt,
-            cost=request.cost - len(progress.tokens),
-            avoided=frozenset(progress.avoided),
+                return Ok(_summarise(progress))
+            has_progress = len(progress.tokens) > count
+            refusal = self._find_refusal(request, progress, end, has_progress)
+            if refusal is not None:
+                return Err(refusal)
+
+    async def _start(
+        self, request: StreamRequest, progress: Progress, fingerprint: Fingerprint
+    ) -> Result[_Start, Refusal]:
+        """Wait for a grant on a route that the stream may use."""
+        retry_delays = jittered_delays(
+            _FIRST_RETRY_DELAY, _LAST_RETRY_DELAY, self._random_state
         )
-
-    async def _release(
-        self, grant: Grant, request: StreamRequest, progress: _Progress
-    ) -> None:
-        used = request.cost - request.max_tokens + len(progress.tokens)
-        await self._admission.release(grant, used)
+        isolation_delays = jittered_delays(
+            _FIRST_ISOLATION_DELAY, _LAST_ISOLATION_DELAY, self._random_state
+        )
+        limit = self._clock.monotonic() + _ISOLATION_LIMIT
+        while True:
+            quarantine = self._registry.get_quarantine(fingerprint)
+            if quarantine is not None:
+                return Err(_make_quarantine_refusal(quarantine))
+            avoided = progress.list_avoided(self._clock.monotonic())
+            occupied = self._registry.list_occupied_servers(fingerprint)
+            admitted = await self._admission.admit(
+                _describe(request, progress, avoided | occupied)
+            )
+            if isinstance(admitted, Ok):
+                grant = admitted.ok_value
+                crash_run = self._registry.try_start(
+                    fingerprint, grant.route.servers, len(progress.tokens)
+                )
+                if crash_run is not None:
+                    return Ok(_Start(grant, crash_run))
+                # Another suspect started there while this one was queued.
+                await self._admission.release(grant, 0)
+            elif admitted.err_value.reason is not RefusalReason.NO_ROUTE:
+                return admitted
+            elif not occupied:
+                progress.failures += 1
+                if not avoided or progress.failures >= _MAX_FAILURES:
+                    return admitted
+                progress.avoided_until.clear()
+                await self._clock.sleep(next(retry_delays))
+                continue
+            if self._clock.monotonic() > limit:
+                return Err(_make_failure(progress, "no server was free of suspects"))
+            await self._clock.sleep(next(isolation_delays))
 
     async def _run_attempt(
         self,
         request: StreamRequest,
-        route: Route,
-        progress: _Progress,
+        start: _Start,
+        progress: Progress,
         deliver: Deliver,
     ) -> AttemptEnd:
-        for observer in self._observers:
-            observer.note_started(route, request.cost - len(progress.tokens))
+        grant = start.grant
+        count = len(progress.tokens)
         try:
-            stream = await self._open_attempt(request, route, progress)
-            if stream is None:
-                return AttemptEnd.REFUSED
-            async with stream:
-                return await _read_frames(stream, route, progress, deliver)
-        except _EngineFailedError as error:
-            progress.avoided.add(error.server)
+            await self._move_caches(request, grant, progress)
+            progress.start_attempt(grant.route)
+            return await self._attempts.run(
+                request, grant, progress, start.crash_run, deliver
+            )
+        finally:
+            self._registry.note_ended(start.crash_run)
+            # Only what an engine ran is settled; a refused attempt used nothing.
+            used = len(progress.tokens) - count
+            if progress.has_attempt_run:
+                used += request.prompt_tokens
+            await self._admission.release(grant, used)
+
+    async def _move_caches(
+        self, request: StreamRequest, grant: Grant, progress: Progress
+    ) -> None:
+        if self._mover is None or progress.last_route is None:
+            return
+        await self._mover.move_caches(
+            request.request_id,
+            progress.last_route,
+            grant.route,
+            progress.list_avoided(self._clock.monotonic()),
+            request.prompt_tokens + len(progress.tokens),
+        )
+
+    def _find_refusal(
+        self,
+        request: StreamRequest,
+        progress: Progress,
+        end: AttemptEnd,
+        has_progress: bool,
+    ) -> Refusal | None:
+        """Return the refusal if no further attempt is allowed."""
+        if progress.may_have_run and not request.is_idempotent:
+            # A repeat by the caller is not advised either, so there is no time for it.
+            refusal = _make_failure(progress, "the request must not run twice")
+            return replace(refusal, retry_after=None)
+        if end is AttemptEnd.PREEMPTED:
+            return None
+        if has_progress:
+            progress.failures = 0
             log_event(
-                "attempt_failed",
-                level="warning",
+                "stream_recovers",
                 request=request.request_id,
                 attempt=progress.attempt,
-                server=error.server,
-                error=error,
-            )
-            return AttemptEnd.FAILED
-        finally:
-            for observer in self._observers:
-                observer.note_finished(route)
-
-    async def _open_attempt(
-        self, request: StreamRequest, route: Route, progress: _Progress
-    ) -> AnswerStream | None:
-        """Open the stream at the route's first stage; None if it is refused."""
-        head = route.stages[0]
-        try:
-            stream = await self._client.open_stream(
-                head.address,
-                "POST",
-                "/v1/streams",
-                next_byte_timeout=self._next_byte_timeout,
-                body=_encode_request(request, route, progress),
-                headers={"content-type": "application/json"},
+                position=len(progress.tokens),
             )
-        except TransportError as error:
-            progress.may_have_run |= error.verdict is Verdict.MAY_HAVE_RUN
-            raise _EngineFailedError(head.server, str(error)) from error
-        if stream.status == _OK:
-            progress.may_have_run = True
-            return stream
-        await stream.close()
-        is_not_run = stream.headers_by_name.get("x-verdict") == Verdict.NOT_RUN.value
-        progress.may_have_run |= not is_not_run
-        progress.avoided.add(head.server)
+            return None
+        progress.failures += 1
+        if progress.failures >= _MAX_FAILURES:
+            return _make_failure(progress, f"no answer in {progress.attempt} attempts")
+        if self._retry_budget is not None and not self._retry_budget.try_spend():
+            return _make_failure(progress, "the retry budget is spent")
         return None
 
 
-class _EngineFailedError(Exception):
-    """An attempt ended without its answer.
-
-    :param server: the backend server that is to be avoided.
-    """
-
-    def __init__(self, server: ServerId, message: str) -> None:
-        super().__init__(message)
-        self.server = server
+def _describe(
+    request: StreamRequest, progress: Progress, avoided: frozenset[ServerId]
+) -> AdmissionRequest:
+    return AdmissionRequest(
+        request_id=request.request_id,
+        organisation=request.organisation,
+        class_name=request.class_name,
+        model=request.model,
+        prompt=request.prompt,
+        cost=request.cost - len(progress.tokens),
+        avoided=avoided,
+        is_resumed=progress.may_have_run,
+    )
 
 
-async def _read_frames(
-    stream: AnswerStream, route: Route, progress: _Progress, deliver: Deliver
-) -> AttemptEnd:
-    expected = tuple(
-        LayerRun(stage.server, stage.first_layer, stage.last_layer)
-        for stage in route.stages
+def _summarise(progress: Progress) -> StreamSummary:
+    return StreamSummary(
+        tuple(progress.tokens), progress.finish_reason, progress.attempt
     )
-    head = route.stages[0].server
-    while (frame := await _read_frame(stream, head)) is not None:
-        if frame.attempt != progress.attempt:
-            # A frame of an older attempt that arrives late is dropped.
-            continue
-        if isinstance(frame, DoneFrame):
-            progress.finish_reason = frame.reason
-            return AttemptEnd.DONE
-        if isinstance(frame, ErrorFrame):
-            server = frame.server or head
-            raise _EngineFailedError(server, frame.error)
-        if frame.position < len(progress.tokens):
-            continue
-        check_invariant(
-            frame.position == len(progress.tokens),
-            "positions_rise_by_one",
-            position=frame.position,
-            expected=len(progress.tokens),
-        )
-        check_invariant(
-            frame.layers == expected,
-            "layers_run_once_in_order",
-            ran=frame.layers,
-            expected=expected,
-        )
-        progress.tokens.append(frame.token)
-        await deliver(frame.token)
-    raise _EngineFailedError(head, "the stream ended early")
-
 
-async def _read_frame(stream: AnswerStream, server: ServerId) -> Frame | None:
-    """Read an engine's next frame; None at the end of the stream.
 
-    Its failures get a class of their own, to be told from the caller's.
-    """
-    try:
-        # An empty line keeps the connection alive while a token is awaited.
-        while (line := await stream.read_line()) == b"":
-            pass
-        return None if line is None else parse_frame(line)
-    except (TransportError, WireFormatError) as error:
-        raise _EngineFailedError(server, str(error)) from error
-
-
-def _encode_request(request: StreamRequest, route: Route, progress: _Progress) -> bytes:
-    stages = [
-        {
-            "server": stage.server,
-            "address": str(stage.address),
-            "first_layer": stage.first_layer,
-            "last_layer": stage.last_layer,
-        }
-        for stage in route.stages
-    ]
-    value = {
-        "stream_id": request.request_id,
-        "attempt": progress.attempt,
-        "model": request.model,
-        "version": route.version,
-        "priority": request.rank,
-        "prompt": request.prompt,
-        "emitted": progress.tokens,
-        "max_tokens": request.max_tokens,
-        "route": stages,
-    }
-    return json.dumps(value, separators=(",", ":")).encode()
-
-
-def _adjust_verdict(refusal: Refusal, progress: _Progress) -> Refusal:
+def _adjust_verdict(refusal: Refusal, progress: Progress) -> Refusal:
     """A refusal after an attempt that may have run must not claim otherwise."""
     if progress.may_have_run:
         return replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
     return refusal
 
 
-def _make_failure(progress: _Progress) -> Refusal:
+def _make_failure(progress: Progress, message: str) -> Refusal:
     ran = Verdict.MAY_HAVE_RUN if progress.may_have_run else Verdict.NOT_RUN
+    return Refusal(RefusalReason.BACKEND_FAILED, ran, message, _RETRY_AFTER_FAILURE)
+
+
+def _make_quarantine_refusal(left: timedelta) -> Refusal:
     return Refusal(
-        RefusalReason.BACKEND_FAILED,
-        ran,
-        f"no answer after {progress.attempt} attempts",
-        _RETRY_AFTER_FAILURE,
+        RefusalReason.QUARANTINED,
+        Verdict.NOT_RUN,
+        "backend servers died while they ran this request; it is not run for a while",
+        left,
     )
