--- a/hibiscustiller/routing/_loads.py
+++ b/hibiscustiller/routing/_loads.py
@@ -120,11 +120,12 @@
         if not parts:
             return
         residual = min(delay.total_seconds(), _MAX_DELAY_S) - expected
-        # Which part of the route is slow cannot be told from one stream. All parts
-        # take an equal share; other streams, on other routes, correct the wrong ones.
-        change = _LEARNING_RATE * residual / len(parts)
+        # Which part of the route is slow cannot be told from one stream. Each part
+        # takes a share by its weight in the sum (normalised least mean squares);
+        # streams on other routes correct the wrong ones.
+        step = _LEARNING_RATE * residual / sum(scale * scale for _, _, scale in parts)
         for correction, least, scale in parts:
-            correction.learn(change / scale, least, now)
+            correction.learn(step * scale, least, now)
 
     def note_refused(self, server: ServerId) -> None:
         """Ignore a refusal; capacity is the limits' concern."""
--- a/hibiscustiller/routing/_planner.py
+++ b/hibiscustiller/routing/_planner.py
@@ -176,9 +176,8 @@
         random pair keeps most of them away from it.
         """
         good = _list_good(options, _GOOD_COST)
-        if len(good) > 2:
-            good = self._random_state.sample(good, 2)
-        return min(good, key=lambda option: option.total_seconds)
+        pair = self._random_state.sample(good, min(2, len(good)))
+        return min(pair, key=lambda option: option.total_seconds)
 
     def _rank_servers(
         self, prefix: bytes, index: ModelIndex, is_subset: bool
