--- a/benchmarks/bench_recovery.py
+++ b/benchmarks/bench_recovery.py
@@ -79,6 +79,11 @@
         engine.faults.is_silent = True
 
 
+async def silence_second(bench: Bench) -> None:
+    """Silence the last stage of the running stream; the first one goes on."""
+    bench.find_next_stage().faults.is_silent = True
+
+
 async def start_bench(**options: object) -> Bench:
     """Start two-stage replicas that take 39 ms a token."""
     return await Bench.start(
@@ -119,6 +124,7 @@
         ("first stage dies", kill_head),
         ("second stage dies", kill_second),
         ("first stage falls silent", silence_head),
+        ("second stage falls silent", silence_second),
     ):
         gaps = []
         for _ in range(TRIALS):
--- a/hibiscustiller/routing/__init__.py
+++ b/hibiscustiller/routing/__init__.py
@@ -9,6 +9,7 @@
 from hibiscustiller.routing._loads import ServerLoads
 from hibiscustiller.routing._observer import StreamObserver
 from hibiscustiller.routing._planner import RoutePlanner
+from hibiscustiller.routing._polling import CacheEventPoller
 from hibiscustiller.routing._routes import Route, Stage, check_route, get_link_delay
 from hibiscustiller.routing._search import (
     ModelIndex,
@@ -21,6 +22,7 @@
 __all__ = [
     "BLOCK_TOKENS",
     "CacheEvent",
+    "CacheEventPoller",
     "CacheView",
     "DEFAULT_SUBSET_SIZE",
     "ModelIndex",
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -5,11 +5,18 @@
 import random
 from datetime import timedelta
 
+import curio
+
 from hibiscustiller.configuration import CurrentConfiguration, parse_sections
 from hibiscustiller.limits import AdmissionController
 from hibiscustiller.orders import ServiceForwarder
 from hibiscustiller.platform import EtcdStore
-from hibiscustiller.routing import CacheView, RoutePlanner, ServerLoads
+from hibiscustiller.routing import (
+    CacheEventPoller,
+    CacheView,
+    RoutePlanner,
+    ServerLoads,
+)
 from hibiscustiller.serving._callers import CallerApi
 from hibiscustiller.settings import Settings
 from hibiscustiller.streams import CrashRegistry, ReplayEstimator, StreamRunner
@@ -58,6 +65,15 @@
             settings.router.id,
             self.cache_view,
         )
+        self._cache_poll_task: curio.Task | None = None
+        self._cache_poller = CacheEventPoller(
+            self._client,
+            get_config,
+            self.planner.get_subset,
+            self.cache_view,
+            clock,
+            random_state,
+        )
         self.admission = AdmissionController(
             lambda request: self.planner.plan_route(
                 request.model, request.prompt, request.avoided
@@ -98,6 +114,7 @@
     async def start(self) -> None:
         """Start to serve."""
         await self.caller_server.start()
+        self._cache_poll_task = await curio.spawn(self._cache_poller.run, daemon=True)
         self._is_ready = True
         log_event(
             "router_started",
@@ -118,6 +135,8 @@
         while self.caller_server.busy_count:
             await self._clock.sleep(_DRAIN_POLL)
         await self.caller_server.close()
+        if self._cache_poll_task is not None:
+            await self._cache_poll_task.cancel()
         await self._client.close()
         log_event("shutdown_finished", router=self.settings.router.id)
 
--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -51,6 +51,7 @@
     """An attempt ended without its answer.
 
     :param server: the backend server that is to be avoided.
+    :param others: further servers that may be the cause.
     :param is_death: whether the server died, instead of being silent or wrong.
     :param is_open: whether the engine may still run the attempt.
     """
@@ -61,9 +62,11 @@
         message: str,
         is_death: bool = False,
         is_open: bool = False,
+        others: frozenset[ServerId] = frozenset(),
     ) -> None:
         super().__init__(message)
         self.server = server
+        self.others = others
         self.is_death = is_death
         self.is_open = is_open
 
@@ -206,18 +209,19 @@
             line = await _read_line(stream, head)
             if line is None:
                 raise EngineFailedError(head, "the stream ended early")
-            if line:
-                frame = _parse(line, head)
-                if _is_end(frame, request, route, progress):
-                    return AttemptEnd.DONE
-                if isinstance(frame, TokenFrame) and _is_next(
-                    frame, request, route, progress
-                ):
-                    context = request.prompt_tokens + len(progress.tokens)
-                    self._note_token(route, pace, crash_run, context)
-                    progress.tokens.append(frame.token)
-                    await deliver(frame.token)
-                    pace.note_delivered()
+            frame = _parse(line, head) if line else None
+            if frame is not None and _is_end(frame, request, route, progress):
+                return AttemptEnd.DONE
+            if isinstance(frame, TokenFrame) and _is_next(
+                frame, request, route, progress
+            ):
+                context = request.prompt_tokens + len(progress.tokens)
+                self._note_token(route, pace, crash_run, context)
+                progress.tokens.append(frame.token)
+                await deliver(frame.token)
+                pace.note_delivered()
+            elif pace.has_stalled(self._next_byte_timeout):
+                raise _make_stall_error(route)
             # A request that must not run again is not interrupted.
             if grant.preempted.is_set() and request.is_idempotent:
                 return AttemptEnd.PREEMPTED
@@ -240,11 +244,14 @@
         crash_run: CrashRun,
         error: EngineFailedError,
     ) -> None:
-        self._avoid(progress, error.server)
+        failed = {error.server, *error.others}
+        for server in failed:
+            self._avoid(progress, server)
         if error.is_death:
             self._registry.note_death(crash_run, error.server)
         for observer in self._observers:
-            observer.note_failed(error.server)
+            for server in failed:
+                observer.note_failed(server)
         log_event(
             "attempt_failed",
             level="warning",
@@ -285,6 +292,7 @@
         self._clock = clock
         self._last_arrival = clock.monotonic()
         self._last_delay = timedelta(0)
+        self._waiting_since = self._last_arrival
         self._was_slow = False
         self.is_first = True
 
@@ -298,8 +306,13 @@
         return self._last_delay
 
     def note_delivered(self) -> None:
-        elapsed = self._clock.monotonic() - self._last_arrival
-        self._was_slow = elapsed > _SLOW_DELIVERY
+        self._waiting_since = self._clock.monotonic()
+        self._was_slow = self._waiting_since - self._last_arrival > _SLOW_DELIVERY
+
+    def has_stalled(self, limit: timedelta) -> bool:
+        """Tell whether a started answer has brought no token for too long."""
+        waited = self._clock.monotonic() - self._waiting_since
+        return not self.is_first and waited > limit
 
 
 def encode_attempt(request: StreamRequest, route: Route, progress: Progress) -> bytes:
@@ -327,6 +340,18 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def _make_stall_error(route: Route) -> EngineFailedError:
+    """Blame the later stages: the first one still sends lines.
+
+    It notices a silent stage by a timeout of its own, which may be longer than the
+    recovery target allows.
+    """
+    head, *later = [stage.server for stage in route.stages]
+    first, *rest = later or [head]
+    message = "lines arrive without tokens"
+    return EngineFailedError(first, message, is_open=True, others=frozenset(rest))
+
+
 async def _read_line(stream: AnswerStream, head: ServerId) -> bytes | None:
     """Read a line; an engine's failure gets a class of its own, unlike a caller's."""
     try:
--- a/hibiscustiller/streams/tests/test_frames.py
+++ b/hibiscustiller/streams/tests/test_frames.py
@@ -3,6 +3,7 @@
 import json
 import sys
 from collections import deque
+from datetime import timedelta
 
 import curio
 from hypothesis import given, settings
@@ -64,7 +65,8 @@
     """Run one attempt over lines; return its end, tokens and finish reason."""
     clock = ManualClock()
     registry = CrashRegistry(clock)
-    runner = AttemptRunner(_Client(lines), [], registry, clock, None)
+    second = timedelta(seconds=1)
+    runner = AttemptRunner(_Client(lines), [], registry, clock, second)
     request = make_request("a", LENGTH)
     progress = Progress(attempt=ATTEMPT)
     delivered = []
--- a/hibiscustiller/streams/tests/test_runner.py
+++ b/hibiscustiller/streams/tests/test_runner.py
@@ -37,6 +37,10 @@
         engine.faults.is_silent = True
 
 
+async def _silence_second(bench):
+    bench.find_next_stage().faults.is_silent = True
+
+
 def _set_everywhere(name, value=True):
     async def switch(bench):
         for engine in bench.engines.values():
@@ -72,6 +76,7 @@
         ("stages die twice", None, {5: _crash_head, 14: _crash_second}),
         ("dies again while it recovers", None, {5: _crash_head, 7: _crash_head}),
         ("connection falls silent", None, {5: _silence_head}),
+        ("second stage falls silent", None, {5: _silence_second}),
         ("frames are repeated", _set_everywhere("duplicates_frames"), {}),
         ("frames of older attempts", _set_everywhere("stale_frames"), {}),
         (
