--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -5,14 +5,21 @@
 import random
 from datetime import timedelta
 
+import curio
+
 from hibiscustiller.configuration import CurrentConfiguration, parse_sections
 from hibiscustiller.limits import AdmissionController
 from hibiscustiller.orders import ServiceForwarder
 from hibiscustiller.platform import EtcdStore
-from hibiscustiller.routing import RoutePlanner, ServerLoads
+from hibiscustiller.routing import (
+    CacheEventPoller,
+    CacheView,
+    RoutePlanner,
+    ServerLoads,
+)
 from hibiscustiller.serving._callers import CallerApi
 from hibiscustiller.settings import Settings
-from hibiscustiller.streams import StreamRunner
+from hibiscustiller.streams import CrashRegistry, ReplayEstimator, StreamRunner
 from hibiscustiller.utils import Clock, Metrics, Revision, ServerId, log_event
 from hibiscustiller.wire import HttpClient, HttpLimits, HttpServer
 
@@ -46,7 +53,8 @@
         )
         self.configuration = CurrentConfiguration({}, Revision(0))
         get_config = self.configuration.get_config
-        self.loads = ServerLoads()
+        self.loads = ServerLoads(clock)
+        self.cache_view = CacheView()
         self.planner = RoutePlanner(
             settings.router.failure_domain,
             get_config,
@@ -54,17 +62,33 @@
             lambda server: True,
             self.loads,
             random_state,
+            settings.router.id,
+            self.cache_view,
+        )
+        self._cache_poll_task: curio.Task | None = None
+        self._cache_poller = CacheEventPoller(
+            self._client,
+            get_config,
+            self.planner.get_subset,
+            self.cache_view,
+            clock,
+            random_state,
         )
         self.admission = AdmissionController(
             lambda request: self.planner.plan_route(
                 request.model, request.prompt, request.avoided
             )
         )
+        self.crash_registry = CrashRegistry(clock)
         self.runner = StreamRunner(
             self._client,
             self.admission,
-            [self.loads],
+            [self.loads, self.cache_view],
             settings.limits.next_byte_timeout,
+            clock,
+            random_state,
+            self.crash_registry,
+            replay_estimator=ReplayEstimator(get_config),
         )
         self.forwarder = ServiceForwarder(self._client, self.store, random_state)
         callers = CallerApi(
@@ -90,6 +114,7 @@
     async def start(self) -> None:
         """Start to serve."""
         await self.caller_server.start()
+        self._cache_poll_task = await curio.spawn(self._cache_poller.run, daemon=True)
         self._is_ready = True
         log_event(
             "router_started",
@@ -110,6 +135,8 @@
         while self.caller_server.busy_count:
             await self._clock.sleep(_DRAIN_POLL)
         await self.caller_server.close()
+        if self._cache_poll_task is not None:
+            await self._cache_poll_task.cancel()
         await self._client.close()
         log_event("shutdown_finished", router=self.settings.router.id)
 
