Check every answer of the store, count its calls and pause in outages

EtcdStore judges the shape of each answer, names expired leases, oversized values and a store that went back to an older revision, and counts calls by kind. The stand-in expires leases by its clock and has switches for late writes, broken answers and watches that end or fall silent.

--- a/hibiscustiller/platform/__init__.py
+++ b/hibiscustiller/platform/__init__.py
@@ -1,5 +1,10 @@
 """The platform's services: key-value store and list of hosts."""
 
+from hibiscustiller.platform._errors import (
+    LeaseExpiredError,
+    StoreRolledBackError,
+    ValueTooLargeError,
+)
 from hibiscustiller.platform._hosts import HostList, HostState, read_host_list
 from hibiscustiller.platform._store import (
     NO_LEASE,
@@ -18,8 +23,11 @@
     "HostList",
     "HostState",
     "KeyValueStore",
+    "LeaseExpiredError",
     "LeaseId",
+    "StoreRolledBackError",
     "SwapOutcome",
+    "ValueTooLargeError",
     "Watch",
     "read_host_list",
 ]
--- a/hibiscustiller/platform/_hosts.py
+++ b/hibiscustiller/platform/_hosts.py
@@ -11,6 +11,8 @@
 from hibiscustiller.utils import Verdict
 from hibiscustiller.wire import HttpClient
 
+_OK = 200
+
 
 class HostState(Enum):
     """What the platform says of a host."""
@@ -38,9 +40,11 @@
     """
     try:
         answer = await client.request(address, "GET", "/v1/hosts", timeout=timeout)
+        if answer.status != _OK:
+            raise ValueError(f"the answer has status {answer.status}")
         hosts = answer.read_json()["hosts"]
         states = {host["address"]: HostState(host["state"]) for host in hosts}
-    except (TransportError, ValueError, KeyError, TypeError) as error:
+    except (TransportError, ValueError, KeyError, TypeError, RecursionError) as error:
         raise StoreUnavailableError(
             f"no usable host list: {error}", Verdict.NOT_RUN
         ) from error
--- a/hibiscustiller/platform/_store.py
+++ b/hibiscustiller/platform/_store.py
@@ -8,20 +8,47 @@
 
 import base64
 import json
+import random
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any, NewType, Protocol
+from typing import Any, NewType, Protocol, TypeVar
 
 from hibiscustiller.exceptions import StoreUnavailableError, TransportError
+from hibiscustiller.platform._errors import (
+    LeaseExpiredError,
+    StoreRolledBackError,
+    ValueTooLargeError,
+)
+from hibiscustiller.platform._outage import OutageGate
 from hibiscustiller.settings import Address
-from hibiscustiller.utils import Verdict
+from hibiscustiller.utils import Clock, Metrics, SystemClock, Verdict
 from hibiscustiller.wire import AnswerStream, HttpClient
 
+Value = TypeVar("Value")
 LeaseId = NewType("LeaseId", int)
 NO_LEASE = LeaseId(0)
 _OK = 200
+_NOT_FOUND = 404
+_MAX_VALUE_BYTES = 1 << 20
+# Reading an answer of the wrong shape raises one of these.
+_SHAPE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    IndexError,
+    RecursionError,
+)
+_KINDS_BY_PATH = {
+    "/v3/kv/range": "range",
+    "/v3/kv/txn": "txn",
+    "/v3/lease/grant": "lease_grant",
+    "/v3/lease/keepalive": "lease_keepalive",
+    "/v3/lease/revoke": "lease_revoke",
+    "/v3/watch": "watch",
+}
 
 
 @dataclass(frozen=True)
@@ -117,6 +144,9 @@
     :param address: the service's address.
     :param timeout: longest wait for an answer.
     :param watch_silence: longest silence of a watch before it is opened again.
+    :param metrics: counts the calls by kind, since the service charges for each.
+    :param clock: measures the pauses between calls during an outage.
+    :param random_state: source of the jitter of these pauses.
     """
 
     def __init__(
@@ -125,59 +155,72 @@
         address: Address,
         timeout: timedelta,
         watch_silence: timedelta = timedelta(seconds=30),
+        *,
+        metrics: Metrics | None = None,
+        clock: Clock | None = None,
+        random_state: random.Random | None = None,
     ) -> None:
         self._client = client
         self._address = address
         self._timeout = timeout
         self._watch_silence = watch_silence
+        self._metrics = metrics or Metrics()
+        self._gate = OutageGate(clock or SystemClock(), random_state or random.Random())
 
     async def get(self, key: str) -> Entry | None:
-        answer = await self._call("/v3/kv/range", {"key": _encode(key)})
-        entries = _read_entries(answer)
-        return entries[0] if entries else None
+        def read(answer: dict[str, Any]) -> Entry | None:
+            return _read_one(answer, key)
+
+        return await self._call("/v3/kv/range", {"key": _encode(key)}, read)
 
     async def list_prefix(self, prefix: str) -> tuple[Entry, ...]:
         request = {"key": _encode(prefix), "range_end": _encode_prefix_end(prefix)}
-        return _read_entries(await self._call("/v3/kv/range", request))
+        return await self._call("/v3/kv/range", request, _read_entries)
 
     async def compare_and_swap(
         self, key: str, value: bytes, expected_revision: int, lease: LeaseId = NO_LEASE
     ) -> SwapOutcome:
+        if len(value) > _MAX_VALUE_BYTES:
+            raise ValueTooLargeError(len(value), _MAX_VALUE_BYTES)
         put = {"key": _encode(key), "value": _encode_bytes(value), "lease": str(lease)}
-        answer = await self._call(
-            "/v3/kv/txn",
-            {
-                "compare": [_compare_revision(key, expected_revision)],
-                "success": [{"requestPut": put}],
-                "failure": [{"requestRange": {"key": _encode(key)}}],
-            },
-        )
-        if answer.get("succeeded", False):
-            return SwapOutcome(True, revision=_read_revision(answer))
-        return SwapOutcome(False, current=_read_found(answer))
+        request = {
+            "compare": [_compare_revision(key, expected_revision)],
+            "success": [{"requestPut": put}],
+            "failure": [{"requestRange": {"key": _encode(key)}}],
+        }
+
+        def read(answer: dict[str, Any]) -> SwapOutcome:
+            if _read_succeeded(answer):
+                return SwapOutcome(True, revision=_read_revision(answer))
+            found = answer["responses"][0]["response_range"]
+            return SwapOutcome(False, current=_read_one(found, key))
+
+        return await self._call("/v3/kv/txn", request, read)
 
     async def delete(self, key: str, expected_revision: int) -> bool:
-        answer = await self._call(
-            "/v3/kv/txn",
-            {
-                "compare": [_compare_revision(key, expected_revision)],
-                "success": [{"requestDeleteRange": {"key": _encode(key)}}],
-                "failure": [],
-            },
-        )
-        return bool(answer.get("succeeded", False))
+        request = {
+            "compare": [_compare_revision(key, expected_revision)],
+            "success": [{"requestDeleteRange": {"key": _encode(key)}}],
+            "failure": [],
+        }
+        return await self._call("/v3/kv/txn", request, _read_succeeded)
 
     async def grant_lease(self, ttl: timedelta) -> LeaseId:
         seconds = max(1, round(ttl.total_seconds()))
-        answer = await self._call("/v3/lease/grant", {"TTL": str(seconds), "ID": "0"})
-        return LeaseId(int(answer["ID"]))
+        request = {"TTL": str(seconds), "ID": "0"}
+        return await self._call("/v3/lease/grant", request, _read_lease)
 
     async def keep_alive(self, lease: LeaseId) -> bool:
-        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
-        return int(answer.get("result", {}).get("TTL", "0")) > 0
+        def read(answer: dict[str, Any]) -> bool:
+            return int(answer["result"].get("TTL", "0")) > 0
+
+        return await self._call("/v3/lease/keepalive", {"ID": str(lease)}, read)
 
     async def revoke_lease(self, lease: LeaseId) -> None:
-        await self._call("/v3/lease/revoke", {"ID": str(lease)})
+        def read(answer: dict[str, Any]) -> None:
+            answer["header"]
+
+        await self._call("/v3/lease/revoke", {"ID": str(lease)}, read)
 
     async def open_watch(self, key: str, from_revision: int) -> Watch:
         request = {
@@ -186,6 +229,8 @@
                 "start_revision": str(from_revision),
             }
         }
+        self._gate.check_open()
+        self._count("/v3/watch")
         try:
             stream = await self._client.open_stream(
                 self._address,
@@ -195,25 +240,57 @@
                 body=json.dumps(request).encode(),
             )
         except TransportError as error:
+            self._gate.note_failure()
             raise StoreUnavailableError(str(error), Verdict.NOT_RUN) from error
         if stream.status != _OK:
             await stream.close()
+            self._gate.note_failure()
             _check_status(stream.status, Verdict.NOT_RUN)
-        return EtcdWatch(stream)
+        self._gate.note_success()
+        return EtcdWatch(stream, from_revision - 1)
 
-    async def _call(self, path: str, request: dict[str, Any]) -> dict[str, Any]:
+    async def _call(
+        self,
+        path: str,
+        request: dict[str, Any],
+        read: Callable[[dict[str, Any]], Value],
+    ) -> Value:
+        self._gate.check_open()
+        self._count(path)
+        try:
+            value = await self._exchange(path, request, read)
+        except LeaseExpiredError:
+            self._gate.note_success()
+            raise
+        except StoreUnavailableError:
+            self._gate.note_failure()
+            raise
+        self._gate.note_success()
+        return value
+
+    def _count(self, path: str) -> None:
+        self._metrics.count(f"store.calls.{_KINDS_BY_PATH[path]}")
+
+    async def _exchange(
+        self,
+        path: str,
+        request: dict[str, Any],
+        read: Callable[[dict[str, Any]], Value],
+    ) -> Value:
         try:
             answer = await self._client.request_json(
                 self._address, "POST", path, request, timeout=self._timeout
             )
         except TransportError as error:
             raise StoreUnavailableError(str(error), error.verdict) from error
+        if answer.status == _NOT_FOUND and b"lease not found" in answer.body:
+            raise LeaseExpiredError("the store does not know the lease")
         _check_status(answer.status, Verdict.MAY_HAVE_RUN)
         try:
-            return answer.read_json()
-        except ValueError as error:
+            return read(answer.read_json())
+        except _SHAPE_ERRORS as error:
             raise StoreUnavailableError(
-                f"the store's answer is no JSON: {error}", Verdict.MAY_HAVE_RUN
+                f"the store's answer cannot be read: {error!r}", Verdict.MAY_HAVE_RUN
             ) from error
 
 
@@ -221,10 +298,12 @@
     """Follows one key over HTTP.
 
     :param stream: the service's answer, one JSON value a line.
+    :param seen_revision: store revision that the caller has already seen.
     """
 
-    def __init__(self, stream: AnswerStream) -> None:
+    def __init__(self, stream: AnswerStream, seen_revision: int = 0) -> None:
         self._stream = stream
+        self._seen_revision = seen_revision
         self._events: deque[Entry | None] = deque()
 
     async def read_event(self) -> Entry | None:
@@ -235,12 +314,32 @@
                 raise StoreUnavailableError(str(error), Verdict.NOT_RUN) from error
             if line is None:
                 raise StoreUnavailableError("the watch ended", Verdict.NOT_RUN)
-            self._events.extend(_read_events(line))
+            try:
+                self._read_result(line)
+            except _SHAPE_ERRORS as error:
+                raise StoreUnavailableError(
+                    f"a watch event cannot be read: {error!r}", Verdict.NOT_RUN
+                ) from error
         return self._events.popleft()
 
     async def close(self) -> None:
         await self._stream.close()
 
+    def _read_result(self, line: bytes) -> None:
+        if not line.strip():
+            return
+        result = json.loads(line)["result"]
+        if result.get("canceled"):
+            message = "the store cancelled the watch"
+            raise StoreUnavailableError(message, Verdict.NOT_RUN)
+        revision = _read_revision(result)
+        if revision < self._seen_revision:
+            raise StoreRolledBackError(revision, self._seen_revision)
+        self._seen_revision = revision
+        for event in result.get("events", ()):
+            is_deletion = event.get("type") == "DELETE"
+            self._events.append(None if is_deletion else _read_entry(event["kv"]))
+
 
 def _check_status(status: int, verdict: Verdict) -> None:
     if status != _OK:
@@ -279,6 +378,8 @@
 
 
 def _read_entries(answer: dict[str, Any]) -> tuple[Entry, ...]:
+    # An empty object has no header: it must not read as "no such key".
+    _read_revision(answer)
     return tuple(_read_entry(pair) for pair in answer.get("kvs", ()))
 
 
@@ -286,20 +387,24 @@
     return int(answer["header"]["revision"])
 
 
-def _read_found(answer: dict[str, Any]) -> Entry | None:
-    responses: Sequence[dict[str, Any]] = answer.get("responses", ())
-    entries = _read_entries(responses[0]["response_range"]) if responses else ()
+def _read_one(answer: dict[str, Any], key: str) -> Entry | None:
+    """Return the entry of a range over one key.
+
+    :raises ValueError: if the answer belongs to another key.
+    """
+    entries = _read_entries(answer)
+    if any(entry.key != key for entry in entries) or len(entries) > 1:
+        raise ValueError(f"the answer is not about {key!r}")
     return entries[0] if entries else None
 
 
-def _read_events(line: bytes) -> list[Entry | None]:
-    if not line.strip():
-        return []
-    result = json.loads(line).get("result", {})
-    if result.get("canceled"):
-        raise StoreUnavailableError("the store cancelled the watch", Verdict.NOT_RUN)
-    events = []
-    for event in result.get("events", ()):
-        is_deletion = event.get("type") == "DELETE"
-        events.append(None if is_deletion else _read_entry(event["kv"]))
-    return events
+def _read_succeeded(answer: dict[str, Any]) -> bool:
+    _read_revision(answer)
+    return bool(answer.get("succeeded", False))
+
+
+def _read_lease(answer: dict[str, Any]) -> LeaseId:
+    lease = int(answer["ID"])
+    if lease <= 0:
+        raise ValueError(f"lease id is {lease}; accepted are positive numbers")
+    return LeaseId(lease)
--- a/hibiscustiller/standins/_booking.py
+++ b/hibiscustiller/standins/_booking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -20,11 +21,15 @@
     :param drops_before: the connection breaks before the order takes effect.
     :param drops_after: the connection breaks after the order took effect.
     :param delay: wait before an order takes effect.
+    :param is_leaving: every call is answered 503 without effect.
+    :param answer_bytes: size of padding in the answer to an order.
     """
 
     drops_before: bool = False
     drops_after: bool = False
     delay: timedelta = timedelta(0)
+    is_leaving: bool = False
+    answer_bytes: int = 0
 
 
 class BookingStandin:
@@ -38,6 +43,9 @@
     def __init__(self, address: Address, clock: Clock, stock: int = 1000) -> None:
         self.faults = BookingFaults()
         self.bookings: list[dict[str, Any]] = []
+        # The service does not recognise repeats; the counts show each booking.
+        self.bookings_by_key: Counter[str] = Counter()
+        self.calls = 0
         self.stock = stock
         self._clock = clock
         self.server = HttpServer(address, self._handle, HttpLimits(), "booking")
@@ -56,6 +64,11 @@
         await self.server.close()
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
+        self.calls += 1
+        if self.faults.is_leaving:
+            headers = {"x-verdict": Verdict.NOT_RUN.value}
+            await responder.send_json(503, {"error": "leaving"}, headers)
+            return
         match (request.method, request.path):
             case ("POST", "/bookings"):
                 await self._book(request, responder)
@@ -76,7 +89,11 @@
             return
         self.stock -= quantity
         self.bookings.append(order)
+        self.bookings_by_key[request.headers_by_name.get("idempotency-key", "")] += 1
         if self.faults.drops_after:
             raise TransportError("dropped on purpose", Verdict.MAY_HAVE_RUN)
         number = len(self.bookings)
-        await responder.send_json(201, {"booking": number, "quantity": quantity})
+        answer = {"booking": number, "quantity": quantity}
+        if self.faults.answer_bytes:
+            answer["padding"] = "x" * self.faults.answer_bytes
+        await responder.send_json(201, answer)
--- a/hibiscustiller/standins/_platform.py
+++ b/hibiscustiller/standins/_platform.py
@@ -18,6 +18,9 @@
 
 _LIMITS = HttpLimits(max_body_bytes=2 << 20, idle_timeout=timedelta(minutes=10))
 _MAX_VALUE_BYTES = 1 << 20
+# Leases end by the stand-in's clock, which a test may move at any moment.
+_EXPIRY_POLL_SECONDS = 0.02
+_TRANSACTION = "/v3/kv/txn"
 
 
 @dataclass
@@ -27,11 +30,32 @@
     :param is_down: connections are closed without an answer.
     :param delay: added before each answer.
     :param lost_answers: number of coming writes that take effect unanswered.
+    :param late_writes: number of coming transactions that stay unanswered and take
+        effect only after ``late_delay``.
+    :param truncated_answers: number of coming answers that break off half-way.
+    :param garbage_answers: number of coming answers that are no JSON.
+    :param wrong_statuses: number of coming answers with status 500.
+    :param is_watch_silent: watches stay open without events.
+    :param ends_watches: watches end at their next event.
     """
 
     is_down: bool = False
     delay: timedelta = timedelta(0)
     lost_answers: int = 0
+    late_writes: int = 0
+    late_delay: timedelta = timedelta(milliseconds=20)
+    truncated_answers: int = 0
+    garbage_answers: int = 0
+    wrong_statuses: int = 0
+    is_watch_silent: bool = False
+    ends_watches: bool = False
+
+    def take(self, name: str) -> bool:
+        """Use up one of a counted fault; False if none is left."""
+        count = getattr(self, name)
+        if count > 0:
+            setattr(self, name, count - 1)
+        return count > 0
 
 
 @dataclass
@@ -68,6 +92,7 @@
         self._next_lease = 1000
         self._history: list[tuple[int, str, _Pair | None]] = []
         self._changed = curio.Condition()
+        self._expiry_task: Any = None
         self.server = HttpServer(address, self._handle, _LIMITS, "platform")
 
     @property
@@ -78,9 +103,13 @@
     async def start(self) -> None:
         """Start to listen."""
         await self.server.start()
+        self._expiry_task = await curio.spawn(self._expire_forever, daemon=True)
 
     async def close(self) -> None:
         """Stop and close all connections."""
+        if self._expiry_task is not None:
+            await self._expiry_task.cancel()
+            self._expiry_task = None
         await self.server.close()
 
     def take_backup(self) -> tuple[int, dict[str, _Pair]]:
@@ -113,7 +142,6 @@
             await self._send_hosts(responder)
             return
         body = json.loads(request.body or b"{}")
-        self._expire_leases()
         if request.path == "/v3/watch":
             await self._serve_watch(body["create_request"], responder)
             return
@@ -121,15 +149,46 @@
         if operation is None:
             await responder.send_json(404, {"error": "not found"})
             return
+        if request.path == _TRANSACTION and self.faults.take("late_writes"):
+            await curio.spawn(self._apply_late, operation, body, daemon=True)
+            raise TransportError("write delayed", Verdict.MAY_HAVE_RUN)
+        status, answer, is_write = await self._apply_now(operation, body)
+        if is_write and self.faults.take("lost_answers"):
+            raise TransportError("answer lost", Verdict.MAY_HAVE_RUN)
+        await self._send_answer(responder, status, answer)
+
+    async def _apply_now(
+        self, operation: Any, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any], bool]:
+        await self._expire_leases()
         before = self._revision
         status, answer = operation(body)
-        if self._revision != before:
-            async with self._changed:
-                await self._changed.notify_all()
-            if self.faults.lost_answers > 0:
-                self.faults.lost_answers -= 1
-                raise TransportError("answer lost", Verdict.MAY_HAVE_RUN)
-        await responder.send_json(status, answer)
+        is_write = self._revision != before
+        if is_write:
+            await self._notify_watches()
+        return status, answer, is_write
+
+    async def _apply_late(self, operation: Any, body: dict[str, Any]) -> None:
+        await self._clock.sleep(self.faults.late_delay)
+        await self._apply_now(operation, body)
+
+    async def _notify_watches(self) -> None:
+        async with self._changed:
+            await self._changed.notify_all()
+
+    async def _send_answer(
+        self, responder: Responder, status: int, answer: dict[str, Any]
+    ) -> None:
+        if self.faults.take("garbage_answers"):
+            await responder.send(200, b"<html>not the store</html>")
+        elif self.faults.take("wrong_statuses"):
+            await responder.send_json(500, {"error": "internal"})
+        elif self.faults.take("truncated_answers"):
+            await responder.start(200, "application/json")
+            await responder.send_part(json.dumps(answer).encode()[:10])
+            raise TransportError("answer cut off", Verdict.MAY_HAVE_RUN)
+        else:
+            await responder.send_json(status, answer)
 
     def _operations(self) -> dict[str, Any]:
         return {
@@ -236,11 +295,19 @@
         self._end_lease(int(body["ID"]))
         return 200, {"header": self._header()}
 
-    def _expire_leases(self) -> None:
+    async def _expire_forever(self) -> None:
+        while True:
+            await curio.sleep(_EXPIRY_POLL_SECONDS)
+            await self._expire_leases()
+
+    async def _expire_leases(self) -> None:
         now = self._clock.now()
+        before = self._revision
         for lease_id, lease in list(self._leases_by_id.items()):
             if lease.expires_at <= now:
                 self._end_lease(lease_id)
+        if self._revision != before:
+            await self._notify_watches()
 
     def _end_lease(self, lease_id: int) -> None:
         lease = self._leases_by_id.pop(lease_id, None)
@@ -261,7 +328,10 @@
                 for item in self._history
                 if item[0] >= start and item[1] == body["key"]
             ]
-            if news:
+            if news and self.faults.ends_watches:
+                await responder.finish()
+                return
+            if news and not self.faults.is_watch_silent:
                 start = news[-1][0] + 1
                 events = [self._describe_event(*item) for item in news]
                 await self._send_result(responder, {"events": events})
