Refuse bad HTTP input clearly and notice clients that disconnect

The server checks methods, percent encoding and control characters, bounds the memory of bodies sent in tiny chunks, and lets a refused client read its answer before the connection closes. One poll every 250 ms over all waiting requests cancels the handlers of clients that are gone. The client reports the moment before the first byte, gives requests that cannot be encoded the verdict not-run, and no longer loses its pool entry when two tasks give connections back at once.

--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -9,7 +9,7 @@
 import json
 import select
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -81,6 +81,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         is_fresh: bool = False,
+        before_send: Callable[[], None] | None = None,
     ) -> HttpAnswer:
         """Send a request and read the whole answer.
 
@@ -88,18 +89,24 @@
         :param timeout: longest wait for the whole exchange after connecting.
         :param is_fresh: use a new connection; a pooled one may have been closed by
             the other side, which leaves the fate of the request unknown.
+        :param before_send: called before the first byte leaves; what it raises is
+            passed on, and nothing is sent.
         :raises TransportError: if there is no complete answer; its verdict says
             whether the request may have been acted on.
         """
         connection = await self._take_connection(address, is_fresh)
         is_reusable = False
         try:
-            exchange = _exchange(
+            data = _encode_request(
                 connection, address, method, target, body, headers or {}
             )
-            answer = await wait_at_most(timeout, exchange)
+            if before_send is not None:
+                before_send()
+            answer = await wait_at_most(timeout, _exchange(connection, data))
             is_reusable = connection.state.our_state is h11.DONE
             return answer
+        except TransportError:
+            raise
         except (OSError, h11.RemoteProtocolError) as error:
             raise TransportError(
                 f"{method} {address}: {error}", Verdict.MAY_HAVE_RUN
@@ -146,12 +153,15 @@
         connection = await self._take_connection(address, is_fresh=False)
         stream = AnswerStream(connection, f"{method} {address}", next_byte_timeout)
         try:
-            await _send_request(
+            data = _encode_request(
                 connection, address, method, target, body, headers or {}
             )
+            await wait_at_most(next_byte_timeout, connection.sock.sendall(data))
             await stream.read_head()
         except BaseException as error:
             await connection.close()
+            if isinstance(error, TransportError):
+                raise
             if isinstance(error, (OSError, h11.RemoteProtocolError)):
                 raise TransportError(
                     f"{method} {address}: {error}", Verdict.MAY_HAVE_RUN
@@ -170,6 +180,8 @@
         idle = self._idle_by_address.get(address)
         while idle and not is_fresh:
             connection = idle.pop()
+            if not idle:
+                del self._idle_by_address[address]
             age = self._clock.monotonic() - connection.idle_since
             if age < _MAX_IDLE and not _is_readable(connection.sock):
                 return connection
@@ -192,17 +204,14 @@
     async def _give_back(
         self, address: Address, connection: _Connection, is_reusable: bool
     ) -> None:
-        idle = self._idle_by_address.setdefault(address, deque())
-        if not is_reusable or connection.state.their_state is not h11.DONE:
-            await connection.close()
-        elif len(idle) >= _MAX_IDLE_PER_ADDRESS:
+        is_done = connection.state.their_state is h11.DONE
+        idle = self._idle_by_address.get(address, ())
+        if not (is_reusable and is_done and len(idle) < _MAX_IDLE_PER_ADDRESS):
             await connection.close()
-        else:
-            connection.state.start_next_cycle()
-            connection.idle_since = self._clock.monotonic()
-            idle.append(connection)
-        if not idle:
-            del self._idle_by_address[address]
+            return
+        connection.state.start_next_cycle()
+        connection.idle_since = self._clock.monotonic()
+        self._idle_by_address.setdefault(address, deque()).append(connection)
 
 
 class AnswerStream:
@@ -234,6 +243,8 @@
     async def read_head(self) -> None:
         """Read status and headers."""
         event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError(f"expected an answer, got {event!r}")
         self.status = event.status_code
@@ -282,31 +293,35 @@
         return event
 
 
-async def _send_request(
+def _encode_request(
     connection: _Connection,
     address: Address,
     method: str,
     target: str,
     body: bytes,
     headers: Mapping[str, str],
-) -> None:
+) -> bytes:
+    """Encode a request.
+
+    :raises TransportError: if it cannot be sent as HTTP; no byte has left.
+    """
     fields = {"host": str(address), **headers, "content-length": str(len(body))}
     state = connection.state
-    request = h11.Request(method=method, target=target, headers=list(fields.items()))
-    data = state.send(request) + state.send(h11.Data(data=body))
-    data += state.send(h11.EndOfMessage())
-    await connection.sock.sendall(data)
+    try:
+        request = h11.Request(
+            method=method, target=target, headers=list(fields.items())
+        )
+        data = state.send(request) or b""
+        data += state.send(h11.Data(data=body)) or b""
+        return data + (state.send(h11.EndOfMessage()) or b"")
+    except (h11.LocalProtocolError, UnicodeError) as error:
+        raise TransportError(
+            f"{method} {address}: request cannot be sent: {error}", Verdict.NOT_RUN
+        ) from error
 
 
-async def _exchange(
-    connection: _Connection,
-    address: Address,
-    method: str,
-    target: str,
-    body: bytes,
-    headers: Mapping[str, str],
-) -> HttpAnswer:
-    await _send_request(connection, address, method, target, body, headers)
+async def _exchange(connection: _Connection, data: bytes) -> HttpAnswer:
+    await connection.sock.sendall(data)
     head: h11.Response | None = None
     parts: list[bytes] = []
     size = 0
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable, Mapping
+import re
+import select
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any
@@ -27,6 +29,18 @@
 _LISTEN_BACKLOG = 512
 # Answers sent to a client that has already broken the protocol get a short wait.
 _CLOSING_TIMEOUT = timedelta(seconds=1)
+# An engine's stream for a caller that is gone holds capacity at most this much longer.
+_DISCONNECT_POLL_SECONDS = 0.25
+# Parsing this many parts takes a few milliseconds, after which other tasks get a turn.
+_PARTS_PER_TURN = 100
+# CONNECT and unknown methods have no meaning for the services behind the router.
+_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+# Answers with these statuses have no body, whatever the service behind them sent.
+_BODILESS_STATUSES = (204, 304)
+_MAX_LENGTH_DIGITS = 18
+_MAX_QUERY_FIELDS = 100
+_BAD_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
+_MAX_JSON_DEPTH_MESSAGE = "JSON is nested too deeply"
 
 
 @dataclass(frozen=True)
@@ -55,6 +69,7 @@
 
     :param path: path without the query, percent-decoded.
     :param headers_by_name: headers by lower-case name; of a repeated one the last.
+    :param query: the query as it was sent, still percent-encoded.
     """
 
     method: str
@@ -62,6 +77,17 @@
     query_by_name: Mapping[str, str]
     headers_by_name: Mapping[str, str]
     body: bytes
+    query: str = ""
+
+    def read_json(self) -> Any:
+        """Decode the body.
+
+        :raises ValueError: if it is no JSON, or nested too deeply to be read.
+        """
+        try:
+            return json.loads(self.body)
+        except RecursionError:
+            raise ValueError(_MAX_JSON_DEPTH_MESSAGE) from None
 
 
 class Responder:
@@ -78,6 +104,7 @@
         self._connection = connection
         self._sock = sock
         self._write_timeout = write_timeout
+        self.is_head = False
         self.is_started = False
         self.is_finished = False
 
@@ -94,9 +121,10 @@
         """
         fields = {"content-type": content_type, **(headers or {})}
         fields["content-length"] = str(len(body))
+        is_bodiless = self.is_head or status in _BODILESS_STATUSES
         await self._write(
             self._make_response(status, fields),
-            h11.Data(data=body),
+            h11.Data(data=b"" if is_bodiless else body),
             h11.EndOfMessage(),
         )
         self.is_finished = True
@@ -126,7 +154,8 @@
 
     async def send_part(self, data: bytes) -> None:
         """Send one part of a started answer."""
-        await self._write(h11.Data(data=data))
+        if not self.is_head:
+            await self._write(h11.Data(data=data))
 
     async def finish(self) -> None:
         """End a started answer."""
@@ -186,6 +215,8 @@
     _accept_task: Any = None
     _tasks: set[Any] = field(default_factory=set)
     _busy_count: int = 0
+    _watch_task: Any = None
+    _busy_tasks_by_fd: dict[int, Any] = field(default_factory=dict)
 
     async def start(self) -> None:
         """Bind the address and start to accept connections.
@@ -197,6 +228,7 @@
         )
         self.address = Address(self.address.host, self._socket.getsockname()[1])
         self._accept_task = await curio.spawn(self._accept, daemon=True)
+        self._watch_task = await curio.spawn(self._watch_clients, daemon=True)
 
     @property
     def busy_count(self) -> int:
@@ -213,6 +245,9 @@
     async def close(self) -> None:
         """Close the listener and every connection."""
         await self.stop_accepting()
+        if self._watch_task is not None:
+            await self._watch_task.cancel()
+            self._watch_task = None
         for task in list(self._tasks):
             await task.cancel()
 
@@ -228,19 +263,45 @@
             task = await curio.spawn(self._serve, client, daemon=True)
             self._tasks.add(task)
 
+    async def _watch_clients(self) -> None:
+        """Cancel the handlers of clients that have disconnected.
+
+        One poll over all waiting requests costs less than a reading task for each.
+        A client that closes only its sending side counts as disconnected too.
+        """
+        while True:
+            await curio.sleep(_DISCONNECT_POLL_SECONDS)
+            for fd in _find_closed(self._busy_tasks_by_fd):
+                task = self._busy_tasks_by_fd.pop(fd, None)
+                if task is not None:
+                    log_event("client_disconnected", level="debug", server=self.name)
+                    await task.cancel(blocking=False)
+
     async def _serve(self, sock: Any) -> None:
         task = await curio.current_task()
         try:
             async with sock:
-                if len(self._tasks) > self.limits.max_connections:
-                    await self._refuse_connection(sock)
-                else:
-                    await self._serve_connection(sock)
+                await self._serve_or_refuse(sock)
         except OSError as error:
             log_event("connection_closed", level="debug", server=self.name, error=error)
+        except Exception as error:
+            log_event(
+                "connection_failed",
+                level="error",
+                server=self.name,
+                error=repr(error),
+            )
         finally:
             self._tasks.discard(task)
 
+    async def _serve_or_refuse(self, sock: Any) -> None:
+        excess = len(self._tasks) - self.limits.max_connections
+        if excess <= 0:
+            await self._serve_connection(sock)
+        elif excess <= self.limits.max_connections:
+            await self._refuse_connection(sock)
+        # Beyond twice the limit even the refusals would cost too much memory.
+
     async def _refuse_connection(self, sock: Any) -> None:
         connection = h11.Connection(h11.SERVER)
         responder = Responder(connection, sock, _CLOSING_TIMEOUT)
@@ -250,7 +311,7 @@
             "too many connections are open",
             timedelta(seconds=1),
         )
-        await responder.send_refusal(refusal)
+        await _refuse_and_close(responder, sock, refusal)
 
     async def _serve_connection(self, sock: Any) -> None:
         sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
@@ -259,24 +320,11 @@
         )
         while True:
             responder = Responder(connection, sock, self.limits.write_timeout)
-            try:
-                request = await self._read_request(connection, sock)
-            except h11.RemoteProtocolError as error:
-                await _answer_protocol_error(responder, error)
-                return
-            except _BodyTooLargeError as error:
-                await _refuse_and_close(responder, error.refusal)
-                return
-            except TimeoutError:
-                if (
-                    connection.their_state is not h11.IDLE
-                    or connection.trailing_data[0]
-                ):
-                    await _refuse_and_close(responder, _SLOW_REQUEST)
-                return
+            request = await self._read_or_refuse(connection, sock, responder)
             if request is None:
                 return
-            await self._handle_request(request, responder)
+            responder.is_head = request.method == "HEAD"
+            await self._handle_request(request, responder, sock.fileno())
             if not responder.is_finished or connection.our_state is h11.MUST_CLOSE:
                 return
             try:
@@ -284,8 +332,29 @@
             except h11.LocalProtocolError:
                 return
 
-    async def _handle_request(self, request: HttpRequest, responder: Responder) -> None:
+    async def _read_or_refuse(
+        self, connection: h11.Connection, sock: Any, responder: Responder
+    ) -> HttpRequest | None:
+        """Read one request; None if the connection is to be closed."""
+        try:
+            return await self._read_request(connection, sock)
+        except h11.RemoteProtocolError as error:
+            refusal = _describe_protocol_error(error)
+        except _RequestRefusedError as error:
+            refusal = error.refusal
+        except TimeoutError:
+            is_begun = connection.their_state is not h11.IDLE
+            if not is_begun and not connection.trailing_data[0]:
+                return None
+            refusal = _SLOW_REQUEST
+        await _refuse_and_close(responder, sock, refusal)
+        return None
+
+    async def _handle_request(
+        self, request: HttpRequest, responder: Responder, fd: int
+    ) -> None:
         self._busy_count += 1
+        self._busy_tasks_by_fd[fd] = await curio.current_task()
         try:
             await self.handle(request, responder)
         except TransportError as error:
@@ -301,6 +370,7 @@
             if not responder.is_started:
                 await responder.send_refusal(_INTERNAL_ERROR)
         finally:
+            self._busy_tasks_by_fd.pop(fd, None)
             self._busy_count -= 1
 
     async def _read_request(
@@ -322,8 +392,9 @@
         self, connection: h11.Connection, sock: Any, event: Any
     ) -> HttpRequest | None:
         head: h11.Request | None = None
-        parts: list[bytes] = []
-        size = 0
+        # Separate objects for very small parts would multiply the memory used.
+        body = bytearray()
+        parts = 0
         while True:
             if event is h11.NEED_DATA:
                 if head is not None and connection.they_are_waiting_for_100_continue:
@@ -335,34 +406,55 @@
                 connection.receive_data(await sock.recv(_RECEIVE_BYTES))
             elif isinstance(event, h11.Request):
                 head = event
-                self._check_declared_length(head)
+                _check_head(head, self.limits.max_body_bytes)
             elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self.limits.max_body_bytes:
-                    raise _BodyTooLargeError(self.limits.max_body_bytes)
-                parts.append(bytes(event.data))
+                body += event.data
+                if len(body) > self.limits.max_body_bytes:
+                    raise _make_too_large_error(self.limits.max_body_bytes)
+                parts += 1
+                if parts % _PARTS_PER_TURN == 0:
+                    await curio.sleep(0)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _make_request(head, b"".join(parts))
+                return _make_request(head, bytes(body))
             else:
                 return None
             event = connection.next_event()
 
-    def _check_declared_length(self, head: h11.Request) -> None:
-        for name, value in head.headers:
-            if name == b"content-length" and int(value) > self.limits.max_body_bytes:
-                raise _BodyTooLargeError(self.limits.max_body_bytes)
 
+class _RequestRefusedError(Exception):
+    """A request is refused before it reaches a handler."""
 
-class _BodyTooLargeError(Exception):
-    """A request's body is over the limit."""
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
 
-    def __init__(self, limit: int) -> None:
-        super().__init__()
-        self.refusal = Refusal(
-            RefusalReason.TOO_LARGE,
-            Verdict.NOT_RUN,
-            f"the body is larger than {limit} bytes",
+
+def _make_too_large_error(limit: int) -> _RequestRefusedError:
+    message = f"the body is larger than {limit} bytes"
+    return _RequestRefusedError(
+        Refusal(RefusalReason.TOO_LARGE, Verdict.NOT_RUN, message)
+    )
+
+
+def _make_bad_request_error(message: str) -> _RequestRefusedError:
+    return _RequestRefusedError(
+        Refusal(RefusalReason.BAD_REQUEST, Verdict.NOT_RUN, message)
+    )
+
+
+def _check_head(head: h11.Request, max_body_bytes: int) -> None:
+    method = head.method.decode("ascii", "replace")
+    if method not in _METHODS:
+        raise _make_bad_request_error(
+            f"unknown method {method[:20]!r};"
+            f" accepted are {', '.join(sorted(_METHODS))}"
         )
+    for name, value in head.headers:
+        # Python refuses to convert very long numbers, so the length is checked first.
+        if name == b"content-length" and (
+            len(value) > _MAX_LENGTH_DIGITS or int(value) > max_body_bytes
+        ):
+            raise _make_too_large_error(max_body_bytes)
 
 
 _SLOW_REQUEST = Refusal(
@@ -378,32 +470,81 @@
 
 
 def _make_request(head: h11.Request, body: bytes) -> HttpRequest:
-    parts = urlsplit(head.target.decode("ascii", "replace"))
-    query = parse_qs(parts.query, keep_blank_values=True)
+    path, query = _split_target(head.target)
     return HttpRequest(
         method=head.method.decode("ascii"),
-        path=unquote(parts.path),
-        query_by_name={name: values[-1] for name, values in query.items()},
+        path=path,
+        query_by_name=_parse_query(query),
         headers_by_name={
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
         },
         body=body,
+        query=query,
     )
 
 
-async def _answer_protocol_error(
-    responder: Responder, error: h11.RemoteProtocolError
-) -> None:
+def _split_target(target: bytes) -> tuple[str, str]:
+    """Return the decoded path and the query as sent.
+
+    :raises _RequestRefusedError: if the target is no path in valid percent encoding.
+    """
+    try:
+        parts = urlsplit(target.decode("ascii"))
+        path = unquote(parts.path, errors="strict")
+    except ValueError:
+        raise _make_bad_request_error("the path is not valid UTF-8") from None
+    if _BAD_ESCAPE.search(parts.path) or _BAD_ESCAPE.search(parts.query):
+        raise _make_bad_request_error("the target has a bad percent encoding")
+    if not path.isprintable():
+        raise _make_bad_request_error("the path has control characters")
+    return path, parts.query
+
+
+def _parse_query(query: str) -> dict[str, str]:
+    if not query:
+        return {}
+    try:
+        values_by_name = parse_qs(
+            query, keep_blank_values=True, max_num_fields=_MAX_QUERY_FIELDS
+        )
+    except ValueError:
+        raise _make_bad_request_error(
+            f"the query has more than {_MAX_QUERY_FIELDS} fields"
+        ) from None
+    return {name: values[-1] for name, values in values_by_name.items()}
+
+
+def _describe_protocol_error(error: h11.RemoteProtocolError) -> Refusal:
     is_large = error.error_status_hint == 431
     reason = RefusalReason.HEADERS_TOO_LARGE if is_large else RefusalReason.BAD_REQUEST
     message = f"malformed HTTP request: {error}"
-    await _refuse_and_close(responder, Refusal(reason, Verdict.NOT_RUN, message))
+    return Refusal(reason, Verdict.NOT_RUN, message)
 
 
-async def _refuse_and_close(responder: Responder, refusal: Refusal) -> None:
+async def _refuse_and_close(responder: Responder, sock: Any, refusal: Refusal) -> None:
+    """Send a refusal and let the client read it before the connection closes."""
     try:
         await responder.send_refusal(refusal)
-    except h11.LocalProtocolError:
-        # h11 is past the point where an answer may be sent.
+        await sock.shutdown(curio.socket.SHUT_WR)
+        await wait_at_most(_CLOSING_TIMEOUT, _discard_input(sock))
+    except (h11.LocalProtocolError, OSError):
+        # h11 is past the point where an answer may be sent, or the client is gone.
         return
+
+
+async def _discard_input(sock: Any) -> None:
+    """Read until the client closes.
+
+    Closing with unread bytes would reset the connection and destroy the answer.
+    """
+    while await sock.recv(_RECEIVE_BYTES):
+        pass
+
+
+def _find_closed(fds: Iterable[int]) -> list[int]:
+    """Return the sockets whose other side has closed."""
+    poll = select.poll()
+    for fd in fds:
+        poll.register(fd, select.POLLRDHUP)
+    return [fd for fd, _ in poll.poll(0)]
