Resolve every failure of the store around an order

Claims are never deleted by a router. A released claim stays in the store, so that a late copy of its first write cannot create it again. A claim whose write has no answer is read back and, if absent, written again with the same token; if that fails too the order is refused as not-run and the claim is withdrawn in the background. A claim older than 5 s is read again before the first byte. Outcomes are retried in the background for 10 minutes within 16 MB. Claims use leases of 25 h that are shared for 55 minutes, and a token bucket bounds them. Idempotent calls are retried on other replicas within the retry budget, and their verdict covers all attempts.

--- a/hibiscustiller/orders/_claims.py
+++ b/hibiscustiller/orders/_claims.py
@@ -9,27 +9,40 @@
 import base64
 import hashlib
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
+from typing import Any
 
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.utils import OrganisationId
 
+# The store refuses values over 1 MB; the rest is room for the other fields.
+_MAX_CLAIM_BYTES = 900_000
+
 
 class ClaimState(Enum):
-    """How far a claimed order has come."""
+    """How far a claimed order has come.
+
+    A released claim was never sent. It stays in the store, because a late copy of its
+    first write, which expects the key to be absent, must not create it again.
+    """
 
     CLAIMED = "claimed"
     DONE = "done"
+    RELEASED = "released"
 
 
 @dataclass(frozen=True)
 class OrderOutcome:
-    """The answer of the backend server, kept for repeats."""
+    """The answer of the backend server, kept for repeats.
+
+    :param is_note: whether the body stands for an answer too large to be kept.
+    """
 
     status: int
     content_type: str
     body: bytes
+    is_note: bool = False
 
 
 @dataclass(frozen=True)
@@ -74,10 +87,31 @@
             "status": claim.outcome.status,
             "content_type": claim.outcome.content_type,
             "body": base64.b64encode(claim.outcome.body).decode("ascii"),
+            "is_note": claim.outcome.is_note,
         }
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def encode_done_claim(claim: Claim, outcome: OrderOutcome) -> bytes:
+    """Encode a claim with its outcome; a large answer is replaced by a note."""
+    done = replace(claim, state=ClaimState.DONE, outcome=outcome)
+    data = encode_claim(done)
+    if len(data) <= _MAX_CLAIM_BYTES:
+        return data
+    return encode_claim(replace(done, outcome=_shorten_outcome(outcome)))
+
+
+def _shorten_outcome(outcome: OrderOutcome) -> OrderOutcome:
+    note = {
+        "note": "the order ran once; its answer was too large to be kept",
+        "status": outcome.status,
+        "bytes": len(outcome.body),
+    }
+    return OrderOutcome(
+        outcome.status, "application/json", json.dumps(note).encode(), is_note=True
+    )
+
+
 def decode_claim(data: bytes) -> Claim:
     """Decode a claim.
 
@@ -86,19 +120,31 @@
     try:
         value = json.loads(data)
         outcome = value.get("outcome")
-        return Claim(
-            token=value["token"],
-            fingerprint=value["fingerprint"],
-            state=ClaimState(value["state"]),
+        state = ClaimState(value["state"])
+        claim = Claim(
+            token=_read_text(value, "token"),
+            fingerprint=_read_text(value, "fingerprint"),
+            state=state,
             outcome=None if outcome is None else _decode_outcome(outcome),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         raise WireFormatError(f"claim cannot be read: {error!r}") from error
+    if (claim.outcome is not None) != (state is ClaimState.DONE):
+        raise WireFormatError(f"claim in state {state.value} has a wrong outcome")
+    return claim
+
+
+def _read_text(value: dict[str, Any], name: str) -> str:
+    text = value[name]
+    if not isinstance(text, str):
+        raise TypeError(f"{name} is no text")
+    return text
 
 
-def _decode_outcome(value: dict[str, str | int]) -> OrderOutcome:
+def _decode_outcome(value: dict[str, Any]) -> OrderOutcome:
     return OrderOutcome(
         status=int(value["status"]),
-        content_type=str(value["content_type"]),
-        body=base64.b64decode(str(value["body"])),
+        content_type=_read_text(value, "content_type"),
+        body=base64.b64decode(_read_text(value, "body"), validate=True),
+        is_note=bool(value.get("is_note", False)),
     )
--- a/hibiscustiller/serving/_callers.py
+++ b/hibiscustiller/serving/_callers.py
@@ -9,11 +9,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote
 
 from result import Err, Ok, Result
 
 from hibiscustiller.configuration import FleetConfig, ModelConfig, OrganisationConfig
-from hibiscustiller.orders import ServiceCall, ServiceForwarder
+from hibiscustiller.orders import ServiceCall, ServiceForwarder, make_repeat_headers
 from hibiscustiller.streams import StreamRequest, StreamRunner, StreamSummary
 from hibiscustiller.utils import (
     ClassName,
@@ -199,7 +200,10 @@
         if isinstance(sent, Err):
             return sent.err_value
         outcome = sent.ok_value
-        await responder.send(outcome.status, outcome.body, outcome.content_type)
+        headers = make_repeat_headers(service, call)
+        await responder.send(
+            outcome.status, outcome.body, outcome.content_type, headers
+        )
         return None
 
 
@@ -286,13 +290,25 @@
             f"Idempotency-Key has {len(key)} characters;"
             f" accepted are 1 to {_MAX_KEY_LENGTH}"
         )
+    mark = request.headers_by_name.get("x-idempotent", "true").lower()
+    if mark not in ("true", "false"):
+        return _refuse_bad_request(
+            f"x-idempotent is {mark!r}; accepted are true and false"
+        )
+    # Services may fold such segments, and the path would match other patterns there.
+    if any(segment in ("", ".", "..") for segment in rest.split("/")[:-1]) or (
+        rest.rpartition("/")[2] in (".", "..")
+    ):
+        return _refuse_bad_request("the path has an empty, '.' or '..' segment")
+    path = quote(f"/{rest}")
     call = ServiceCall(
         organisation=organisation.name,
         method=request.method,
-        path=f"/{rest}",
+        path=path if not request.query else f"{path}?{request.query}",
         body=request.body,
         content_type=request.headers_by_name.get("content-type", "application/json"),
         idempotency_key=key,
+        is_marked_non_idempotent=mark == "false",
     )
     return Ok((service, call))
 
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -42,7 +42,12 @@
         self._is_stopping = False
         self._client = HttpClient(clock)
         self.store = EtcdStore(
-            self._client, settings.platform.store, settings.platform.timeout
+            self._client,
+            settings.platform.store,
+            settings.platform.timeout,
+            metrics=metrics,
+            clock=clock,
+            random_state=random_state,
         )
         self.configuration = CurrentConfiguration({}, Revision(0))
         get_config = self.configuration.get_config
@@ -66,7 +71,9 @@
             [self.loads],
             settings.limits.next_byte_timeout,
         )
-        self.forwarder = ServiceForwarder(self._client, self.store, random_state)
+        self.forwarder = ServiceForwarder(
+            self._client, self.store, random_state, clock, metrics
+        )
         callers = CallerApi(
             get_config,
             self.runner,
@@ -110,6 +117,7 @@
         while self.caller_server.busy_count:
             await self._clock.sleep(_DRAIN_POLL)
         await self.caller_server.close()
+        await self.forwarder.drain()
         await self._client.close()
         log_event("shutdown_finished", router=self.settings.router.id)
 
