--- /dev/null
+++ b/hibiscustiller/orders/tests/_bench.py
@@ -0,0 +1,126 @@
+"""Forwarders, a store and a booking service for the tests of orders."""
+
+import json
+import random
+from datetime import timedelta
+
+from result import Err
+
+from hibiscustiller.configuration import ServiceConfig
+from hibiscustiller.orders import ServiceCall, ServiceForwarder
+from hibiscustiller.platform import EtcdStore
+from hibiscustiller.settings import Address
+from hibiscustiller.standins import BookingStandin, PlatformStandin
+from hibiscustiller.utils import Metrics, SystemClock
+from hibiscustiller.wire import HttpClient
+
+ANY_PORT = Address("127.0.0.1", 0)
+STORE_TIMEOUT = timedelta(milliseconds=150)
+SERVICE_TIMEOUT = timedelta(milliseconds=400)
+
+
+class ShiftedClock(SystemClock):
+    """The system's clock with a shift that stands for a pause."""
+
+    def __init__(self):
+        self.shift = timedelta(0)
+
+    def now(self):
+        return super().now() + self.shift
+
+    def monotonic(self):
+        return super().monotonic() + self.shift
+
+
+class Bench:
+    """Several routers' forwarders over one store stand-in and two replicas."""
+
+    def __init__(self, seed=1):
+        self.clock = ShiftedClock()
+        self.store_clock = ShiftedClock()
+        self.random_state = random.Random(seed)
+        self.platform = PlatformStandin(ANY_PORT, self.store_clock)
+        self.bookings = [BookingStandin(ANY_PORT, SystemClock()) for _ in range(2)]
+        self.clients = []
+        self.forwarders = []
+
+    async def __aenter__(self):
+        await self.platform.start()
+        for booking in self.bookings:
+            await booking.start()
+        return self
+
+    async def __aexit__(self, *args):
+        for forwarder in self.forwarders:
+            await forwarder._ledger.cancel()
+        for client in self.clients:
+            await client.close()
+        for booking in self.bookings:
+            await booking.close()
+        await self.platform.close()
+
+    @property
+    def service(self):
+        return ServiceConfig(
+            name="booking",
+            addresses=tuple(booking.address for booking in self.bookings),
+            non_idempotent=("POST *",),
+            timeout=SERVICE_TIMEOUT,
+        )
+
+    @property
+    def booked(self):
+        return sum(len(booking.bookings) for booking in self.bookings)
+
+    def count_booked(self, key):
+        return sum(booking.bookings_by_key[key] for booking in self.bookings)
+
+    def set_booking_faults(self, **faults):
+        for booking in self.bookings:
+            for name, value in faults.items():
+                setattr(booking.faults, name, value)
+
+    def set_store_faults(self, **faults):
+        for name, value in faults.items():
+            setattr(self.platform.faults, name, value)
+
+    def add_router(self, wrap_store=None, client=None, **options):
+        client = client or HttpClient(self.clock)
+        self.clients.append(client)
+        store = EtcdStore(
+            client,
+            self.platform.address,
+            STORE_TIMEOUT,
+            clock=self.clock,
+            random_state=self.random_state,
+        )
+        forwarder = ServiceForwarder(
+            client,
+            store if wrap_store is None else wrap_store(store),
+            self.random_state,
+            self.clock,
+            Metrics(),
+            **options,
+        )
+        self.forwarders.append(forwarder)
+        return forwarder
+
+
+def make_call(
+    key="k1",
+    quantity=1,
+    method="POST",
+    path="/bookings",
+    content_type="application/json",
+    **options,
+):
+    body = json.dumps({"quantity": quantity}).encode()
+    return ServiceCall("greens", method, path, body, content_type, key, **options)
+
+
+def describe(sent):
+    """Return the status of an answer, or reason and verdict of a refusal."""
+    if isinstance(sent, Err):
+        refusal = sent.err_value
+        return refusal.reason.label, refusal.verdict.value
+    return sent.ok_value.status
--- a/hibiscustiller/standins/_booking.py
+++ b/hibiscustiller/standins/_booking.py
@@ -45,6 +45,8 @@
         self.bookings: list[dict[str, Any]] = []
         # The service does not recognise repeats; the counts show each booking.
         self.bookings_by_key: Counter[str] = Counter()
+        # A test tells calls of one order apart by their content types.
+        self.booked_content_types: list[str] = []
         self.calls = 0
         self.stock = stock
         self._clock = clock
@@ -90,6 +92,8 @@
         self.stock -= quantity
         self.bookings.append(order)
         self.bookings_by_key[request.headers_by_name.get("idempotency-key", "")] += 1
+        content_type = request.headers_by_name.get("content-type", "")
+        self.booked_content_types.append(content_type)
         if self.faults.drops_after:
             raise TransportError("dropped on purpose", Verdict.MAY_HAVE_RUN)
         number = len(self.bookings)
