--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -204,7 +204,11 @@
     async def _give_back(
         self, address: Address, connection: _Connection, is_reusable: bool
     ) -> None:
-        is_done = connection.state.their_state is h11.DONE
+        # Bytes after the answer would be taken for the answer to the next request.
+        is_done = (
+            connection.state.their_state is h11.DONE
+            and not connection.state.trailing_data[0]
+        )
         idle = self._idle_by_address.get(address, ())
         if not (is_reusable and is_done and len(idle) < _MAX_IDLE_PER_ADDRESS):
             await connection.close()
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -37,7 +37,6 @@
 _METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 # Answers with these statuses have no body, whatever the service behind them sent.
 _BODILESS_STATUSES = (204, 304)
-_MAX_LENGTH_DIGITS = 18
 _MAX_QUERY_FIELDS = 100
 _BAD_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
 _MAX_JSON_DEPTH_MESSAGE = "JSON is nested too deeply"
@@ -406,7 +405,7 @@
                 connection.receive_data(await sock.recv(_RECEIVE_BYTES))
             elif isinstance(event, h11.Request):
                 head = event
-                _check_head(head, self.limits.max_body_bytes)
+                _check_head(head, self.limits)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self.limits.max_body_bytes:
@@ -442,7 +441,18 @@
     )
 
 
-def _check_head(head: h11.Request, max_body_bytes: int) -> None:
+def _check_head(head: h11.Request, limits: HttpLimits) -> None:
+    # h11 applies its limit only to a head that arrives in several pieces.
+    size = len(head.target)
+    size += sum(len(name) + len(value) for name, value in head.headers)
+    if size > limits.max_header_bytes:
+        raise _RequestRefusedError(
+            Refusal(
+                RefusalReason.HEADERS_TOO_LARGE,
+                Verdict.NOT_RUN,
+                f"line and headers are larger than {limits.max_header_bytes} bytes",
+            )
+        )
     method = head.method.decode("ascii", "replace")
     if method not in _METHODS:
         raise _make_bad_request_error(
@@ -450,11 +460,9 @@
             f" accepted are {', '.join(sorted(_METHODS))}"
         )
     for name, value in head.headers:
-        # Python refuses to convert very long numbers, so the length is checked first.
-        if name == b"content-length" and (
-            len(value) > _MAX_LENGTH_DIGITS or int(value) > max_body_bytes
-        ):
-            raise _make_too_large_error(max_body_bytes)
+        # h11 has refused numbers of more than 20 digits.
+        if name == b"content-length" and int(value) > limits.max_body_bytes:
+            raise _make_too_large_error(limits.max_body_bytes)
 
 
 _SLOW_REQUEST = Refusal(
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -9,7 +9,9 @@
 import capnp
 
 from hibiscustiller.exceptions import WireFormatError
+from hibiscustiller.wire._packing import unpack_message
 
+_MIN_TRAVERSED_WORDS = 64
 _SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
 
 
@@ -399,6 +401,15 @@
     return envelope.to_bytes_packed()
 
 
+def _get_traversal_limit(words: bytes) -> int:
+    """Return how many words a reader may visit.
+
+    A valid message is visited a few times over; a crafted one could point to the same
+    or to empty elements millions of times.
+    """
+    return _MIN_TRAVERSED_WORDS + len(words)
+
+
 def decode_message(data: bytes) -> tuple[str, Message]:
     """Decode a message.
 
@@ -406,10 +417,14 @@
     :returns: id of the sending router, and the message.
     :raises WireFormatError: if the bytes are no valid envelope.
     """
+    words = unpack_message(data)
     try:
-        envelope = _SCHEMA.Envelope.from_bytes_packed(data)
-        return envelope.sender, _READERS[envelope.which()](
-            getattr(envelope, envelope.which())
-        )
-    except (capnp.KjException, KeyError, ValueError) as error:
-        raise WireFormatError(f"message cannot be decoded: {error}") from error
+        with _SCHEMA.Envelope.from_bytes(
+            words, traversal_limit_in_words=_get_traversal_limit(words)
+        ) as envelope:
+            name = envelope.which()
+            return envelope.sender, _READERS[name](getattr(envelope, name))
+    except (capnp.KjException, LookupError, ValueError, RecursionError) as error:
+        # pycapnp adds a stack trace of its own after the first line.
+        reason = (str(error).splitlines() or [type(error).__name__])[0]
+        raise WireFormatError(f"message cannot be decoded: {reason}") from error
