--- a/hibiscustiller/standins/_platform.py
+++ b/hibiscustiller/standins/_platform.py
@@ -299,6 +299,9 @@
         while True:
             await curio.sleep(_EXPIRY_POLL_SECONDS)
             await self._expire_leases()
+            if self.faults.is_down:
+                # Open watches break as well.
+                await self._notify_watches()
 
     async def _expire_leases(self) -> None:
         now = self._clock.now()
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -324,15 +324,18 @@
         ) from error
 
 
-async def _exchange(connection: _Connection, data: bytes) -> HttpAnswer:
-    await connection.sock.sendall(data)
+async def _exchange(connection: _Connection, request: bytes) -> HttpAnswer:
+    await connection.sock.sendall(request)
     head: h11.Response | None = None
     parts: list[bytes] = []
     size = 0
     while True:
         event = connection.state.next_event()
         if event is h11.NEED_DATA:
-            connection.state.receive_data(await connection.sock.recv(_RECEIVE_BYTES))
+            data = await connection.sock.recv(_RECEIVE_BYTES)
+            if not data and head is None:
+                raise h11.RemoteProtocolError("connection closed before the answer")
+            connection.state.receive_data(data)
         elif isinstance(event, h11.Response):
             head = event
         elif isinstance(event, h11.Data):
