--- a/hibiscustiller/limits/__init__.py
+++ b/hibiscustiller/limits/__init__.py
@@ -6,5 +6,17 @@
     Grant,
     PlanRoute,
 )
+from hibiscustiller.limits._retries import RetryBudget
+from hibiscustiller.limits._servers import ServerLimits
+from hibiscustiller.limits._usage import UsageAggregator, UsageLedger
 
-__all__ = ["AdmissionController", "AdmissionRequest", "Grant", "PlanRoute"]
+__all__ = [
+    "AdmissionController",
+    "AdmissionRequest",
+    "Grant",
+    "PlanRoute",
+    "RetryBudget",
+    "ServerLimits",
+    "UsageAggregator",
+    "UsageLedger",
+]
--- a/hibiscustiller/limits/_admission.py
+++ b/hibiscustiller/limits/_admission.py
@@ -2,22 +2,61 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 import curio
 from result import Err, Ok, Result
 
+from hibiscustiller.configuration import ClassConfig, FleetConfig, build_config
+from hibiscustiller.exceptions import InvariantError
+from hibiscustiller.limits._queues import Choice, ClassQueue, ModelQueues, Waiter
+from hibiscustiller.limits._servers import ServerLimits
+from hibiscustiller.limits._service import ModelService, RunningStream
+from hibiscustiller.limits._usage import UsageLedger
+from hibiscustiller.limits._waits import (
+    estimate_wait,
+    make_deadline_refusal,
+    make_queue_refusal,
+)
 from hibiscustiller.routing import Route
 from hibiscustiller.utils import (
     ClassName,
+    Clock,
+    Metrics,
     ModelName,
     OrganisationId,
     Refusal,
+    RefusalReason,
     RequestId,
     ServerId,
+    SystemClock,
+    Verdict,
+    check_invariant,
+    log_event,
 )
 
+_DEFAULT_QUEUE_LIMIT = 1000
+# Deadlines and raised limits are looked at this often while requests are queued.
+_SWEEP_PERIOD = timedelta(milliseconds=20)
+# A route can become free without a release at this router: a server joins or returns.
+_REPLAN_PERIOD = timedelta(milliseconds=250)
+# Waiters whose expected wait is computed again in one sweep. At 50 sweeps a second,
+# 5,000 waiters are looked at within a second.
+_ESTIMATES_PER_SWEEP = 100
+# Requests that avoid servers may be blocked while others are not. This many are passed
+# over in one dispatch.
+_MAX_PASSED_OVER = 8
+# Preemption counts of requests that never came back are dropped, oldest first.
+_MAX_PREEMPTION_COUNTS = 4096
+# A request whose expected wait exceeds what is left of its deadline by this factor is
+# refused. Measured rates fluctuate, and a request that was queued should not be refused
+# for noise.
+_HOPELESS_FACTOR = 1.5
+
 
 @dataclass(frozen=True)
 class AdmissionRequest:
@@ -25,6 +64,8 @@
 
     :param cost: estimated tokens, prompt and answer.
     :param avoided: servers that the route must not use.
+    :param is_resumed: whether its answer has begun and it was interrupted. It goes
+        before new requests of its class, and no queue bound or deadline refuses it.
     """
 
     request_id: RequestId
@@ -34,6 +75,7 @@
     prompt: str
     cost: int
     avoided: frozenset[ServerId] = frozenset()
+    is_resumed: bool = False
 
 
 @dataclass(eq=False)
@@ -52,31 +94,441 @@
 PlanRoute = Callable[[AdmissionRequest], Result[Route, Refusal]]
 
 
+class _Model:
+    """State of one model."""
+
+    def __init__(self) -> None:
+        self.queues = ModelQueues()
+        self.service = ModelService()
+        # No capacity is left; no plan is tried until some may have returned.
+        self.is_blocked = False
+        self.reserved = 0
+
+
 class AdmissionController:
-    """Decides which requests run now.
+    """Decides which requests run now, which wait and which are refused.
 
     :param plan_route: finds a route with free capacity.
+    :param get_config: returns the configuration in force. A class that it does not
+        name has rank 0 and the defaults of the document.
+    :param clock: source of time.
+    :param ledger: attained service of organisations.
+    :param server_limits: told of the routes of granted requests.
+    :param metrics: where metrics go.
+    :param queue_limit: requests that may wait in all queues together.
     """
 
-    def __init__(self, plan_route: PlanRoute) -> None:
+    def __init__(
+        self,
+        plan_route: PlanRoute,
+        get_config: Callable[[], FleetConfig] | None = None,
+        clock: Clock | None = None,
+        ledger: UsageLedger | None = None,
+        server_limits: ServerLimits | None = None,
+        metrics: Metrics | None = None,
+        queue_limit: int = _DEFAULT_QUEUE_LIMIT,
+    ) -> None:
         self._plan_route = plan_route
-        self._grants: set[Grant] = set()
+        self._get_config = get_config or _make_empty_source()
+        self._clock = clock or SystemClock()
+        self._ledger = ledger or UsageLedger(self._clock)
+        self._server_limits = server_limits
+        self._metrics = metrics or Metrics()
+        self._queue_limit = queue_limit
+        self._models_by_name: dict[ModelName, _Model] = {}
+        self._running_by_grant: dict[Grant, RunningStream] = {}
+        self._grants_by_request: dict[RequestId, Grant] = {}
+        self._preemptions: OrderedDict[RequestId, int] = OrderedDict()
+        self._deadlines: list[tuple[timedelta, int, Waiter]] = []
+        self._sequence = 0
+        self._queued_count = 0
+        self._to_wake: list[curio.Event] = []
+        self._has_backlog = curio.Event()
+        self._may_have_capacity = False
+        self._replanned_at = self._clock.monotonic()
+        self._estimates: Iterator[tuple[_Model, ClassQueue, Waiter, int]] = iter(())
+        self._maintenance: curio.Task | None = None
+        if server_limits is not None:
+            server_limits.subscribe(self.note_capacity)
+
+    async def start(self) -> None:
+        """Start to look at deadlines and raised limits in the background."""
+        self._maintenance = await curio.spawn(self._maintain, daemon=True)
+
+    async def stop(self) -> None:
+        """Stop what :meth:`start` started."""
+        if self._maintenance is not None:
+            await self._maintenance.cancel()
+            self._maintenance = None
 
     async def admit(self, request: AdmissionRequest) -> Result[Grant, Refusal]:
         """Wait for leave to run a request.
 
         :returns: a grant, which must be released, or a refusal as not run.
         """
-        planned = self._plan_route(request)
-        if isinstance(planned, Err):
-            return planned
-        grant = Grant(request, planned.ok_value)
-        self._grants.add(grant)
-        return Ok(grant)
+        model = self._models_by_name.setdefault(request.model, _Model())
+        waiter = self._enqueue(model, request)
+        self._dispatch(model)
+        if waiter.outcome is None:
+            self._limit_backlog(model, waiter)
+        try:
+            await self._wake()
+            if waiter.outcome is None:
+                await self._has_backlog.set()
+                await waiter.event.wait()
+        except BaseException:
+            await self._abandon(model, waiter)
+            raise
+        assert waiter.outcome is not None
+        return waiter.outcome
 
     async def release(self, grant: Grant, used_tokens: int) -> None:
         """Give back a grant.
 
-        :param used_tokens: tokens really used, to settle the estimate.
+        :param used_tokens: tokens really used under this grant, to settle the
+            estimate.
         """
-        self._grants.discard(grant)
+        stream = self._running_by_grant.pop(grant, None)
+        check_invariant(
+            stream is not None,
+            "grant_released_once",
+            request=grant.request.request_id,
+        )
+        assert stream is not None
+        model = self._models_by_name[grant.request.model]
+        self._settle(model, stream, max(0, used_tokens))
+        model.is_blocked = False
+        self._dispatch(model)
+        await self._wake()
+
+    def note_capacity(self) -> None:
+        """Note that a limit rose; queued requests are planned at the next sweep."""
+        self._may_have_capacity = True
+
+    async def sweep(self) -> None:
+        """Refuse requests that can no longer be in time, and use new capacity."""
+        now = self._clock.monotonic()
+        self._refuse_expired(now)
+        self._refuse_hopeless(now)
+        is_due = now - self._replanned_at >= _REPLAN_PERIOD
+        for model in self._models_by_name.values():
+            if self._may_have_capacity or is_due:
+                model.is_blocked = False
+            self._dispatch(model)
+        if is_due:
+            self._replanned_at = now
+            self._report_queues()
+        self._may_have_capacity = False
+        await self._wake()
+
+    def count_queued(self) -> dict[ClassName, int]:
+        """Return the number of queued requests by class."""
+        counts: dict[ClassName, int] = {}
+        for model in self._models_by_name.values():
+            for name, queue in model.queues.queues_by_class.items():
+                counts[name] = counts.get(name, 0) + len(queue)
+        return counts
+
+    async def _maintain(self) -> None:
+        while True:
+            await self._has_backlog.wait()
+            await self._clock.sleep(_SWEEP_PERIOD)
+            try:
+                await self.sweep()
+            except InvariantError:
+                # It is logged and counted; the deadlines of others still hold.
+                pass
+            if not any(len(m.queues) for m in self._models_by_name.values()):
+                self._has_backlog.clear()
+
+    def _enqueue(self, model: _Model, request: AdmissionRequest) -> Waiter:
+        config = self._get_config()
+        class_config = config.classes_by_name.get(request.class_name)
+        if class_config is None:
+            class_config = _make_default_class(request.class_name)
+        organisation = config.organisations_by_id.get(request.organisation)
+        now = self._clock.monotonic()
+        self._sequence += 1
+        waiter = Waiter(
+            request=request,
+            sequence=self._sequence,
+            config=class_config,
+            weight=organisation.weight if organisation is not None else 1.0,
+            arrived_at=now,
+            deadline_at=None if request.is_resumed else now + class_config.deadline,
+        )
+        model.queues.get_queue(class_config).add(waiter, self._ledger)
+        self._queued_count += not request.is_resumed
+        return waiter
+
+    def _remove(self, model: _Model, waiter: Waiter) -> None:
+        model.queues.queues_by_class[waiter.config.name].remove(waiter)
+        self._queued_count -= not waiter.request.is_resumed
+
+    def _dispatch(self, model: _Model) -> None:
+        """Grant what capacity allows, in the order of the policy."""
+        passed_over: list[Waiter] = []
+        while not model.is_blocked:
+            choice = model.queues.choose(self._ledger)
+            if choice is None:
+                break
+            planned = self._plan(choice.waiter.request)
+            if isinstance(planned, Ok):
+                self._grant(model, choice, planned.ok_value)
+            elif planned.err_value.reason is not RefusalReason.OVERLOADED:
+                self._refuse(model, choice.waiter, planned.err_value)
+            elif choice.waiter.request.avoided and len(passed_over) < _MAX_PASSED_OVER:
+                choice.queue.remove(choice.waiter)
+                passed_over.append(choice.waiter)
+            else:
+                model.is_blocked = True
+        for waiter in reversed(passed_over):
+            queue = model.queues.queues_by_class[waiter.config.name]
+            queue.put_back(waiter, self._ledger)
+        self._preempt(model)
+
+    def _plan(self, request: AdmissionRequest) -> Result[Route, Refusal]:
+        models = self._get_config().models_by_name
+        # An empty document names no model at all; the planner decides then.
+        if models and request.model not in models:
+            message = f"model {request.model} was removed"
+            return Err(Refusal(RefusalReason.UNKNOWN_MODEL, Verdict.NOT_RUN, message))
+        return self._plan_route(request)
+
+    def _grant(self, model: _Model, choice: Choice, route: Route) -> None:
+        waiter = choice.waiter
+        request = waiter.request
+        is_running = request.request_id in self._grants_by_request
+        check_invariant(
+            waiter.outcome is None and not is_running,
+            "request_granted_once",
+            request=request.request_id,
+            outcome=waiter.outcome,
+        )
+        model.queues.account_service(choice.queue, request.cost)
+        self._remove(model, waiter)
+        grant = Grant(request, route)
+        charge = self._ledger.charge(
+            request.organisation, request.class_name, request.cost
+        )
+        now = self._clock.monotonic()
+        stream = RunningStream(grant, waiter.config, charge, now, choice.is_floor)
+        self._running_by_grant[grant] = stream
+        self._grants_by_request[request.request_id] = grant
+        model.service.add(stream)
+        model.reserved += request.cost
+        if self._server_limits is not None:
+            self._server_limits.reserve_route(route)
+        self._metrics.timing("admission.wait", now - waiter.arrived_at)
+        self._finish(waiter, Ok(grant))
+
+    def _refuse(self, model: _Model, waiter: Waiter, refusal: Refusal) -> None:
+        check_invariant(
+            waiter.outcome is None,
+            "refused_request_not_decided",
+            request=waiter.request.request_id,
+            outcome=waiter.outcome,
+        )
+        self._remove(model, waiter)
+        self._metrics.count(f"admission.refused.{refusal.reason.label}")
+        self._finish(waiter, Err(refusal))
+
+    def _finish(self, waiter: Waiter, outcome: Result[Grant, Refusal]) -> None:
+        waiter.outcome = outcome
+        self._to_wake.append(waiter.event)
+
+    def _settle(self, model: _Model, stream: RunningStream, used_tokens: int) -> None:
+        request = stream.grant.request
+        del self._grants_by_request[request.request_id]
+        if not stream.is_preempted:
+            self._preemptions.pop(request.request_id, None)
+        model.service.remove(stream)
+        model.reserved -= request.cost
+        check_invariant(
+            model.reserved >= 0 and model.service.pending_preemptions >= 0,
+            "reserved_cost_not_negative",
+            model=request.model,
+            reserved=model.reserved,
+        )
+        if self._server_limits is not None:
+            self._server_limits.free_route(stream.grant.route)
+        duration = self._clock.monotonic() - stream.granted_at
+        model.service.meter.note_ended(used_tokens, duration)
+        self._ledger.settle(stream.charge, used_tokens)
+        unused = request.cost - used_tokens
+        if unused <= 0:
+            return
+        for other in self._models_by_name.values():
+            queue = other.queues.queues_by_class.get(stream.config.name)
+            if queue is not None:
+                queue.note_rank_fell(request.organisation, self._ledger)
+        queue = model.queues.queues_by_class[stream.config.name]
+        if stream.is_floor and len(queue):
+            queue.credit += unused
+
+    def _limit_backlog(self, model: _Model, waiter: Waiter) -> None:
+        """Keep the bounds of the queues, and refuse what cannot be in time."""
+        if waiter.request.is_resumed:
+            return
+        queue = model.queues.queues_by_class[waiter.config.name]
+        organisation = queue.organisations[waiter.request.organisation]
+        ahead = organisation.cost - waiter.request.cost
+        wait = estimate_wait(model.queues, queue, waiter, ahead, model.service)
+        if self._count_class(waiter.config.name) > waiter.config.queue_limit:
+            self._refuse(model, waiter, make_queue_refusal(waiter, wait))
+        elif wait is not None and wait > waiter.config.deadline:
+            self._refuse(model, waiter, make_deadline_refusal(waiter, wait))
+        elif self._queued_count > self._queue_limit:
+            self._evict_newest()
+        if waiter.outcome is None:
+            self._push_deadline(waiter)
+        check_invariant(
+            self._queued_count <= self._queue_limit,
+            "queued_requests_bounded",
+            queued=self._queued_count,
+            limit=self._queue_limit,
+        )
+
+    def _count_class(self, class_name: ClassName) -> int:
+        return sum(
+            len(model.queues.queues_by_class[class_name].by_arrival)
+            for model in self._models_by_name.values()
+            if class_name in model.queues.queues_by_class
+        )
+
+    def _evict_newest(self) -> None:
+        """Refuse the newest request of the least urgent class with a queue."""
+        _, _, model, queue = max(
+            (queue.config.rank, next(reversed(queue.by_arrival)), model, queue)
+            for model in self._models_by_name.values()
+            for queue in model.queues.queues_by_class.values()
+            if queue.by_arrival
+        )
+        waiter = next(reversed(queue.by_arrival.values()))
+        organisation = queue.organisations[waiter.request.organisation]
+        ahead = organisation.cost - waiter.request.cost
+        wait = estimate_wait(model.queues, queue, waiter, ahead, model.service)
+        self._metrics.count("admission.evicted")
+        self._refuse(model, waiter, make_queue_refusal(waiter, wait))
+
+    def _push_deadline(self, waiter: Waiter) -> None:
+        assert waiter.deadline_at is not None
+        heapq.heappush(self._deadlines, (waiter.deadline_at, waiter.sequence, waiter))
+        if len(self._deadlines) > 2 * self._queued_count + 64:
+            self._deadlines = [
+                entry for entry in self._deadlines if entry[2].outcome is None
+            ]
+            heapq.heapify(self._deadlines)
+
+    def _refuse_expired(self, now: timedelta) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, _, waiter = heapq.heappop(self._deadlines)
+            if waiter.outcome is not None:
+                continue
+            model = self._models_by_name[waiter.request.model]
+            queue = model.queues.queues_by_class[waiter.config.name]
+            if waiter.sequence not in queue.by_arrival:
+                continue
+            wait = estimate_wait(model.queues, queue, waiter, 0, model.service)
+            late = None if wait is None else wait + waiter.config.deadline
+            self._refuse(model, waiter, make_deadline_refusal(waiter, late))
+
+    def _refuse_hopeless(self, now: timedelta) -> None:
+        """Look at some waiters again, all of them in turn."""
+        for _ in range(min(_ESTIMATES_PER_SWEEP, self._queued_count)):
+            entry = next(self._estimates, None)
+            if entry is None:
+                self._estimates = self._list_estimates()
+                entry = next(self._estimates, None)
+            if entry is None:
+                return
+            model, queue, waiter, ahead = entry
+            if waiter.outcome is not None or waiter.sequence not in queue.by_arrival:
+                continue
+            wait = estimate_wait(model.queues, queue, waiter, ahead, model.service)
+            assert waiter.deadline_at is not None
+            left = waiter.deadline_at - now
+            if wait is not None and wait > left * _HOPELESS_FACTOR:
+                late = wait + waiter.config.deadline - left
+                self._refuse(model, waiter, make_deadline_refusal(waiter, late))
+
+    def _list_estimates(self) -> Iterator[tuple[_Model, ClassQueue, Waiter, int]]:
+        """Yield all waiters with the cost queued before them by their organisation."""
+        for model in list(self._models_by_name.values()):
+            for queue in list(model.queues.queues_by_class.values()):
+                for organisation in list(queue.organisations.values()):
+                    ahead = 0
+                    for waiter in list(organisation.waiters.values()):
+                        if waiter.outcome is None:
+                            yield model, queue, waiter, ahead
+                        if waiter.outcome is None:
+                            ahead += waiter.request.cost
+
+    def _preempt(self, model: _Model) -> None:
+        """Stop streams of less urgent classes for urgent work without capacity."""
+        if not model.is_blocked:
+            return
+        now = self._clock.monotonic()
+        backlogged = list(model.queues.iterate_backlogged())
+        running = [
+            next(iter(streams.values())).config
+            for streams in model.service.running_by_class.values()
+            if streams
+        ]
+        for config in sorted(running, key=lambda config: config.rank, reverse=True):
+            if not config.preemptible:
+                continue
+            needed = model.service.count_needed_preemptions(
+                backlogged, config.rank, now
+            )
+            if not needed:
+                continue
+            for stream in model.service.choose_victims(
+                config, needed, now, self._preemptions
+            ):
+                self._stop(model, stream)
+
+    def _stop(self, model: _Model, stream: RunningStream) -> None:
+        request_id = stream.grant.request.request_id
+        stream.is_preempted = True
+        model.service.pending_preemptions += 1
+        self._preemptions[request_id] = self._preemptions.get(request_id, 0) + 1
+        self._preemptions.move_to_end(request_id)
+        if len(self._preemptions) > _MAX_PREEMPTION_COUNTS:
+            self._preemptions.popitem(last=False)
+        self._to_wake.append(stream.grant.preempted)
+        self._metrics.count("admission.preempted")
+        log_event("stream_preempted", level="debug", request=request_id)
+
+    async def _abandon(self, model: _Model, waiter: Waiter) -> None:
+        """Take back a request whose task was cancelled while it waited."""
+        if waiter.outcome is None:
+            self._remove(model, waiter)
+            waiter.outcome = Err(_make_cancelled_refusal())
+        elif isinstance(waiter.outcome, Ok):
+            await self.release(waiter.outcome.ok_value, 0)
+
+    async def _wake(self) -> None:
+        """Wake the tasks that were decided on; decisions themselves never wait."""
+        while self._to_wake:
+            await self._to_wake.pop().set()
+
+    def _report_queues(self) -> None:
+        for class_name, count in self.count_queued().items():
+            self._metrics.gauge(f"admission.queued.{class_name}", count)
+
+
+def _make_empty_source() -> Callable[[], FleetConfig]:
+    empty = build_config({})
+    return lambda: empty
+
+
+def _make_default_class(name: ClassName) -> ClassConfig:
+    config = build_config({f"class {name}": {"rank": "0"}})
+    return config.classes_by_name[name]
+
+
+def _make_cancelled_refusal() -> Refusal:
+    return Refusal(
+        RefusalReason.REQUEST_TIMEOUT, Verdict.NOT_RUN, "the caller gave the request up"
+    )
--- /dev/null
+++ b/hibiscustiller/limits/_retries.py
@@ -0,0 +1,71 @@
+"""Budget for further attempts, so that retries cannot multiply an overload."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hibiscustiller.utils import Clock, check_invariant
+
+_WINDOW = timedelta(seconds=10)
+_BUCKETS = 10
+# Share of the window's requests that may be tried again.
+_RETRY_SHARE = 0.1
+# Retries a window that are allowed at any rate; a router with little traffic would
+# otherwise never retry.
+_RESERVE = 10
+
+
+@dataclass
+class _Bucket:
+    number: int
+    requests: int = 0
+    retries: int = 0
+
+
+class RetryBudget:
+    """Limits retries to a share of the requests of a sliding window.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._buckets: deque[_Bucket] = deque()
+        self._requests = 0
+        self._retries = 0
+
+    def note_request(self) -> None:
+        """Count a request's first attempt."""
+        self._get_bucket().requests += 1
+        self._requests += 1
+
+    def try_spend(self) -> bool:
+        """Ask for one further attempt.
+
+        :returns: whether it may be made; if so, it is counted.
+        """
+        bucket = self._get_bucket()
+        if self._retries + 1 > _RETRY_SHARE * self._requests + _RESERVE:
+            return False
+        bucket.retries += 1
+        self._retries += 1
+        return True
+
+    def _get_bucket(self) -> _Bucket:
+        """Return the current bucket and forget those that left the window."""
+        number = self._clock.monotonic() // (_WINDOW / _BUCKETS)
+        while self._buckets and self._buckets[0].number <= number - _BUCKETS:
+            old = self._buckets.popleft()
+            self._requests -= old.requests
+            self._retries -= old.retries
+        check_invariant(
+            self._requests >= 0 and self._retries >= 0,
+            "retry_window_not_negative",
+            requests=self._requests,
+            retries=self._retries,
+        )
+        if not self._buckets or self._buckets[-1].number != number:
+            self._buckets.append(_Bucket(number))
+        return self._buckets[-1]
--- /dev/null
+++ b/hibiscustiller/limits/_servers.py
@@ -0,0 +1,193 @@
+"""Adaptive limits on the streams that this router runs at each backend server."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from hibiscustiller.configuration import FleetConfig
+from hibiscustiller.routing import Route
+from hibiscustiller.utils import Clock, ServerId, check_invariant
+
+# A limit is adjusted at most once a window, so that one burst of slow tokens or
+# refusals counts once and the effect of a change is seen before the next.
+_WINDOW = timedelta(milliseconds=250)
+# Fewer samples say more about scheduling noise than about the server.
+_MIN_SAMPLES = 8
+_MAX_SAMPLES = 128
+# The smallest delay is kept for one to two of these periods.
+_BASELINE_PERIOD = timedelta(seconds=30)
+_TOLERATED_SLOWDOWN = 2.0
+_DECREASE = 0.75
+_INCREASE = 1.0
+_MIN_LIMIT = 1.0
+
+
+@dataclass
+class _Delays:
+    """Delays of one window, and the smallest median of recent windows."""
+
+    samples: list[float] = field(default_factory=list)
+    smallest: float | None = None
+    previous_smallest: float | None = None
+    period_started: timedelta = timedelta(0)
+
+    def add(self, delay: timedelta) -> None:
+        if len(self.samples) < _MAX_SAMPLES:
+            self.samples.append(delay.total_seconds())
+
+    def is_slow(self, now: timedelta) -> bool:
+        """End the window and tell whether it was slower than is tolerated.
+
+        Medians are compared, since frames that arrive together have no delay between
+        them and would make the smallest single delay zero.
+        """
+        if not self.samples:
+            return False
+        median = statistics.median(self.samples)
+        self.samples.clear()
+        if now - self.period_started > _BASELINE_PERIOD:
+            self.previous_smallest, self.smallest = self.smallest, None
+            self.period_started = now
+        known = [s for s in (self.smallest, self.previous_smallest) if s is not None]
+        self.smallest = median if self.smallest is None else min(self.smallest, median)
+        return bool(known) and median > _TOLERATED_SLOWDOWN * min(known)
+
+
+@dataclass
+class _ServerState:
+    limit: float
+    window_started: timedelta
+    in_use: int = 0
+    was_limited: bool = False
+    token_delays: _Delays = field(default_factory=_Delays)
+    first_delays: _Delays = field(default_factory=_Delays)
+
+
+class ServerLimits:
+    """Limits by additive increase and multiplicative decrease.
+
+    A limit starts from this router's share of the streams that the document names.
+    It may rise above the share, up to the document's number, while the server shows
+    no sign of a queue. Slow first tokens are such a sign and take the limit back to
+    the share; slow further tokens and refusals may take it down to one stream.
+
+    :param get_config: returns the configuration in force.
+    :param clock: source of time.
+    :param count_sharers: counts the routers that use a server, this one included.
+    """
+
+    def __init__(
+        self,
+        get_config: Callable[[], FleetConfig],
+        clock: Clock,
+        count_sharers: Callable[[ServerId], int] = lambda server: 1,
+    ) -> None:
+        self._get_config = get_config
+        self._clock = clock
+        self._count_sharers = count_sharers
+        self._states_by_server: dict[ServerId, _ServerState] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after a limit rose."""
+        self._listeners.append(listener)
+
+    def has_capacity(self, server: ServerId) -> bool:
+        """Tell whether the limit leaves room for one more stream."""
+        state = self._get_state(server)
+        if state.in_use + 1 <= state.limit:
+            return True
+        state.was_limited = True
+        return False
+
+    def get_limit(self, server: ServerId) -> float:
+        """Return the limit, in streams."""
+        return self._get_state(server).limit
+
+    def reserve_route(self, route: Route) -> None:
+        """Count a granted stream, before its first attempt is started."""
+        for server in route.servers:
+            self._get_state(server).in_use += 1
+
+    def free_route(self, route: Route) -> None:
+        """Give back what :meth:`reserve_route` counted."""
+        for server in route.servers:
+            state = self._get_state(server)
+            state.in_use -= 1
+            check_invariant(
+                state.in_use >= 0, "reserved_streams_not_negative", server=server
+            )
+
+    def note_started(self, route: Route, cost: int) -> None:
+        """Ignore a start; streams are counted from their grant on."""
+
+    def note_token(self, route: Route, delay: timedelta, is_first: bool) -> None:
+        """Learn from a token's delay."""
+        now = self._clock.monotonic()
+        for server in route.servers:
+            state = self._get_state(server)
+            delays = state.first_delays if is_first else state.token_delays
+            delays.add(delay)
+            is_due = now - state.window_started >= _WINDOW
+            if is_due and len(state.token_delays.samples) >= _MIN_SAMPLES:
+                self._end_window(server, state, now)
+
+    def note_refused(self, server: ServerId) -> None:
+        """Lower the limit after a refusal."""
+        state = self._get_state(server)
+        now = self._clock.monotonic()
+        if now - state.window_started >= _WINDOW:
+            state.limit = max(_MIN_LIMIT, state.limit * _DECREASE)
+            self._start_window(state, now)
+
+    def note_failed(self, server: ServerId) -> None:
+        """Ignore a failure; it says nothing about load."""
+
+    def note_finished(self, route: Route) -> None:
+        """Ignore an end; streams are counted until their grant is released."""
+
+    def _end_window(
+        self, server: ServerId, state: _ServerState, now: timedelta
+    ) -> None:
+        are_tokens_slow = state.token_delays.is_slow(now)
+        are_firsts_slow = state.first_delays.is_slow(now)
+        share = self._get_share(server)
+        before = state.limit
+        if are_tokens_slow:
+            state.limit = max(_MIN_LIMIT, state.limit * _DECREASE)
+        elif are_firsts_slow and state.limit > share:
+            state.limit = max(share, state.limit * _DECREASE)
+        elif state.was_limited and not are_firsts_slow:
+            bound = max(_MIN_LIMIT, float(self._get_streams(server)))
+            state.limit = min(bound, state.limit + _INCREASE)
+        self._start_window(state, now)
+        if state.limit > before:
+            for listener in self._listeners:
+                listener()
+
+    def _start_window(self, state: _ServerState, now: timedelta) -> None:
+        state.window_started = now
+        state.was_limited = False
+        state.token_delays.samples.clear()
+        state.first_delays.samples.clear()
+
+    def _get_state(self, server: ServerId) -> _ServerState:
+        state = self._states_by_server.get(server)
+        if state is None:
+            # The first window is due at once, so that an early refusal counts.
+            started = self._clock.monotonic() - _WINDOW
+            state = _ServerState(self._get_share(server), started)
+            self._states_by_server[server] = state
+        return state
+
+    def _get_share(self, server: ServerId) -> float:
+        sharers = max(1, self._count_sharers(server))
+        return max(_MIN_LIMIT, self._get_streams(server) / sharers)
+
+    def _get_streams(self, server: ServerId) -> int:
+        config = self._get_config().servers_by_id.get(server)
+        # A server that left the document may still have streams that end.
+        return config.streams if config is not None else 1
--- /dev/null
+++ b/hibiscustiller/limits/_usage.py
@@ -0,0 +1,285 @@
+"""Attained service of organisations, shared between routers.
+
+Usage is kept as decayed token sums. Reports carry these sums and not increments:
+messages have no sequence numbers, and a sum may be lost, repeated or sent to an
+aggregator that was reset without being counted twice.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import NamedTuple
+
+from hibiscustiller.utils import ClassName, Clock, OrganisationId, RouterId
+from hibiscustiller.wire._messages_generated import UsageEntry
+
+# An organisation that returns after a pause is served alone until its decayed usage
+# has caught up, for at most one half-life. That must stay near the shortest deadlines.
+USAGE_HALF_LIFE = timedelta(seconds=10)
+# An entry takes about 56 bytes. 48 entries a second in each direction use 5.4 KB/s of
+# the 7 KB/s that a router may spend on control.
+MAX_ENTRIES_PER_MESSAGE = 48
+# Part of each message that repeats entries in turn, for a lost message or a reset
+# aggregator.
+_REFRESHED_ENTRIES = 12
+# Weights grow as 2^(age / half-life); they are rescaled long before floats overflow.
+_MAX_EXPONENT = 256.0
+# Decayed sums below this no longer influence any choice.
+_NEGLIGIBLE_TOKENS = 0.5
+# With one report a second from each router, a router's sums are cleaned about every
+# half minute, at a cost that does not grow with the number of routers.
+_REPORTS_PER_CLEANING = 32
+
+
+class UsageKey(NamedTuple):
+    """What usage is counted for."""
+
+    organisation: OrganisationId
+    class_name: ClassName
+
+
+class _DecayScale:
+    """Weight of a token now, in units in which past sums need no decay.
+
+    :param clock: source of time.
+    :param rescale: multiplies all sums by a factor.
+    """
+
+    def __init__(self, clock: Clock, rescale: Callable[[float], None]) -> None:
+        self._clock = clock
+        self._rescale = rescale
+        self._origin = clock.monotonic()
+        self.epoch = 0
+
+    def get_weight(self) -> float:
+        exponent = (self._clock.monotonic() - self._origin) / USAGE_HALF_LIFE
+        while exponent > _MAX_EXPONENT:
+            self._rescale(2.0**-_MAX_EXPONENT)
+            self._origin += USAGE_HALF_LIFE * _MAX_EXPONENT
+            self.epoch += 1
+            exponent -= _MAX_EXPONENT
+        return 2.0**exponent
+
+    def convert_weight(self, weight: float, epoch: int) -> float:
+        """Convert a weight of an earlier epoch."""
+        return weight * 2.0 ** (-_MAX_EXPONENT * (self.epoch - epoch))
+
+
+@dataclass(frozen=True)
+class Charge:
+    """Tokens charged in advance.
+
+    :param weight: weight of a token at the time of the charge.
+    :param epoch: epoch of the scale that the weight belongs to.
+    """
+
+    key: UsageKey
+    tokens: int
+    weight: float
+    epoch: int
+
+
+class UsageLedger:
+    """Decayed usage of each organisation and class, own and from other routers.
+
+    Decay changes no order and costs nothing between charges; see ``_DecayScale``.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._scale = _DecayScale(clock, self._rescale)
+        self._own_by_key: dict[UsageKey, float] = {}
+        self._others_by_key: dict[UsageKey, float] = {}
+        self._reported_by_key: dict[UsageKey, int] = {}
+        self._refresh_queue: list[UsageKey] = []
+        self.generation = 0
+
+    def charge(
+        self, organisation: OrganisationId, class_name: ClassName, tokens: int
+    ) -> Charge:
+        """Count tokens as used.
+
+        :returns: what :meth:`settle` needs to correct the charge.
+        """
+        weight = self._scale.get_weight()
+        key = UsageKey(organisation, class_name)
+        self._own_by_key[key] = self._own_by_key.get(key, 0.0) + tokens * weight
+        return Charge(key, tokens, weight, self._scale.epoch)
+
+    def settle(self, charge: Charge, used_tokens: int) -> None:
+        """Replace the tokens of a charge by those really used."""
+        self._scale.get_weight()
+        weight = self._scale.convert_weight(charge.weight, charge.epoch)
+        change = (used_tokens - charge.tokens) * weight
+        own = self._own_by_key.get(charge.key, 0.0) + change
+        # Rounding may leave a sum just below zero.
+        self._own_by_key[charge.key] = max(0.0, own)
+
+    def get_rank(self, organisation: OrganisationId, class_name: ClassName) -> float:
+        """Return a value that orders organisations by attained service.
+
+        It is comparable with values of the same ``generation`` only.
+        """
+        key = UsageKey(organisation, class_name)
+        return self._own_by_key.get(key, 0.0) + self._others_by_key.get(key, 0.0)
+
+    def get_attained(
+        self, organisation: OrganisationId, class_name: ClassName
+    ) -> float:
+        """Return the decayed tokens that an organisation used in a class."""
+        weight = self._scale.get_weight()
+        return self.get_rank(organisation, class_name) / weight
+
+    def collect_deltas(self) -> tuple[UsageEntry, ...]:
+        """Return own usage to report: what changed most, then the others in turn."""
+        weight = self._scale.get_weight()
+        self._forget_negligible(weight)
+        tokens_by_key = {
+            key: round(own / weight) for key, own in self._own_by_key.items()
+        }
+        chosen = _choose_entries(
+            tokens_by_key, self._reported_by_key, self._refresh_queue
+        )
+        self._reported_by_key.update((key, tokens_by_key[key]) for key in chosen)
+        return tuple(_make_entry(key, tokens_by_key[key]) for key in chosen)
+
+    def apply_totals(self, entries: tuple[UsageEntry, ...]) -> None:
+        """Take over what other routers used; a key that is not named keeps its sum."""
+        weight = self._scale.get_weight()
+        for entry in entries:
+            self._others_by_key[_get_key(entry)] = entry.tokens * weight
+        self.generation += 1
+
+    def _rescale(self, factor: float) -> None:
+        for sums in (self._own_by_key, self._others_by_key):
+            for key in sums:
+                sums[key] *= factor
+        self.generation += 1
+
+    def _forget_negligible(self, weight: float) -> None:
+        limit = _NEGLIGIBLE_TOKENS * weight
+        for sums in (self._own_by_key, self._others_by_key):
+            for key in [key for key, value in sums.items() if value < limit]:
+                del sums[key]
+        for key in self._reported_by_key.keys() - self._own_by_key.keys():
+            del self._reported_by_key[key]
+
+
+@dataclass
+class _Sender:
+    """What one router reported, in units of the scale."""
+
+    sums_by_key: dict[UsageKey, float] = field(default_factory=dict)
+    latest_keys: tuple[UsageKey, ...] = ()
+
+
+class UsageAggregator:
+    """Sums up the usage that routers report.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._scale = _DecayScale(clock, self._rescale)
+        self._totals_by_key: dict[UsageKey, float] = {}
+        self._senders_by_id: dict[RouterId, _Sender] = {}
+        self._report_count = 0
+        self._clean_queue: list[RouterId] = []
+
+    def add_report(self, sender: RouterId, entries: tuple[UsageEntry, ...]) -> None:
+        """Take over a router's sums; they replace its earlier ones."""
+        weight = self._scale.get_weight()
+        known = self._senders_by_id.setdefault(sender, _Sender())
+        for entry in entries:
+            self._replace_sum(known, _get_key(entry), entry.tokens * weight)
+        known.latest_keys = tuple(_get_key(entry) for entry in entries)
+        self._report_count += 1
+        if self._report_count % _REPORTS_PER_CLEANING == 0:
+            self._forget_negligible(weight)
+
+    def list_totals(self, sender: RouterId) -> tuple[UsageEntry, ...]:
+        """List what all other routers used, for the keys of a router's last report.
+
+        A key that no other router reported is left out: after this aggregator was
+        reset, the router keeps what it knew.
+        """
+        known = self._senders_by_id.get(sender)
+        if known is None:
+            return ()
+        weight = self._scale.get_weight()
+        entries = []
+        for key in known.latest_keys:
+            others = self._totals_by_key[key] - known.sums_by_key[key]
+            if others >= _NEGLIGIBLE_TOKENS * weight:
+                entries.append(_make_entry(key, round(others / weight)))
+        return tuple(entries)
+
+    def _replace_sum(self, known: _Sender, key: UsageKey, value: float) -> None:
+        change = value - known.sums_by_key.get(key, 0.0)
+        # Rounding may leave a sum just below zero.
+        total = self._totals_by_key.get(key, 0.0) + change
+        self._totals_by_key[key] = max(0.0, total)
+        known.sums_by_key[key] = value
+
+    def _rescale(self, factor: float) -> None:
+        sums = [known.sums_by_key for known in self._senders_by_id.values()]
+        for values in (self._totals_by_key, *sums):
+            for key in values:
+                values[key] *= factor
+
+    def _forget_negligible(self, weight: float) -> None:
+        """Forget decayed sums of one router, of each in turn."""
+        if not self._clean_queue:
+            self._clean_queue = list(self._senders_by_id)
+        sender = self._clean_queue.pop()
+        known = self._senders_by_id[sender]
+        limit = _NEGLIGIBLE_TOKENS * weight
+        latest = frozenset(known.latest_keys)
+        for key in [k for k, value in known.sums_by_key.items() if value < limit]:
+            if key in latest:
+                continue
+            self._replace_sum(known, key, 0.0)
+            del known.sums_by_key[key]
+            if self._totals_by_key[key] < limit:
+                self._forget_total(key)
+        if not known.sums_by_key:
+            del self._senders_by_id[sender]
+
+    def _forget_total(self, key: UsageKey) -> None:
+        if not any(key in known.sums_by_key for known in self._senders_by_id.values()):
+            del self._totals_by_key[key]
+
+
+def _choose_entries(
+    tokens_by_key: dict[UsageKey, int],
+    sent_by_key: dict[UsageKey, int],
+    refresh_queue: list[UsageKey],
+) -> list[UsageKey]:
+    """Choose the keys of one message and advance the queue of refreshed keys."""
+
+    def get_change(key: UsageKey) -> int:
+        return abs(tokens_by_key[key] - sent_by_key.get(key, 0))
+
+    if len(tokens_by_key) <= MAX_ENTRIES_PER_MESSAGE:
+        return list(tokens_by_key)
+    changed_count = MAX_ENTRIES_PER_MESSAGE - _REFRESHED_ENTRIES
+    chosen = dict.fromkeys(heapq.nlargest(changed_count, tokens_by_key, get_change))
+    while len(chosen) < MAX_ENTRIES_PER_MESSAGE:
+        if not refresh_queue:
+            refresh_queue.extend(key for key in tokens_by_key if key not in chosen)
+        key = refresh_queue.pop()
+        if key in tokens_by_key:
+            chosen[key] = None
+    return list(chosen)
+
+
+def _get_key(entry: UsageEntry) -> UsageKey:
+    return UsageKey(OrganisationId(entry.organisation), ClassName(entry.class_name))
+
+
+def _make_entry(key: UsageKey, tokens: int) -> UsageEntry:
+    return UsageEntry(key.organisation, key.class_name, tokens)
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from hibiscustiller.configuration import CurrentConfiguration, parse_sections
-from hibiscustiller.limits import AdmissionController
+from hibiscustiller.limits import AdmissionController, ServerLimits, UsageLedger
 from hibiscustiller.orders import ServiceForwarder
 from hibiscustiller.platform import EtcdStore
 from hibiscustiller.routing import RoutePlanner, ServerLoads
@@ -47,23 +47,33 @@
         self.configuration = CurrentConfiguration({}, Revision(0))
         get_config = self.configuration.get_config
         self.loads = ServerLoads()
+        self.server_limits = ServerLimits(get_config, clock)
+        self.usage = UsageLedger(clock)
         self.planner = RoutePlanner(
             settings.router.failure_domain,
             get_config,
             self._is_server_usable,
-            lambda server: True,
+            self.server_limits.has_capacity,
             self.loads,
             random_state,
         )
         self.admission = AdmissionController(
             lambda request: self.planner.plan_route(
                 request.model, request.prompt, request.avoided
-            )
+            ),
+            get_config,
+            clock,
+            self.usage,
+            self.server_limits,
+            metrics,
+            # Each queued request holds a caller's connection; the other half is for
+            # streams that run and for more urgent arrivals.
+            queue_limit=max(1, settings.limits.max_connections // 2),
         )
         self.runner = StreamRunner(
             self._client,
             self.admission,
-            [self.loads],
+            [self.loads, self.server_limits],
             settings.limits.next_byte_timeout,
         )
         self.forwarder = ServiceForwarder(self._client, self.store, random_state)
@@ -89,6 +99,7 @@
 
     async def start(self) -> None:
         """Start to serve."""
+        await self.admission.start()
         await self.caller_server.start()
         self._is_ready = True
         log_event(
@@ -110,6 +121,7 @@
         while self.caller_server.busy_count:
             await self._clock.sleep(_DRAIN_POLL)
         await self.caller_server.close()
+        await self.admission.stop()
         await self._client.close()
         log_event("shutdown_finished", router=self.settings.router.id)
 
