--- a/hibiscustiller/limits/_admission.py
+++ b/hibiscustiller/limits/_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -137,12 +137,13 @@
         self._queue_limit = queue_limit
         self._models_by_name: dict[ModelName, _Model] = {}
         self._running_by_grant: dict[Grant, RunningStream] = {}
-        self._grants_by_request: dict[RequestId, Grant] = {}
+        # Requests that are queued or granted.
+        self._active_requests: set[RequestId] = set()
         self._preemptions: OrderedDict[RequestId, int] = OrderedDict()
         self._deadlines: list[tuple[timedelta, int, Waiter]] = []
         self._sequence = 0
         self._queued_count = 0
-        self._to_wake: list[curio.Event] = []
+        self._to_wake: deque[curio.Event] = deque()
         self._has_backlog = curio.Event()
         self._may_have_capacity = False
         self._replanned_at = self._clock.monotonic()
@@ -166,12 +167,17 @@
 
         :returns: a grant, which must be released, or a refusal as not run.
         """
+        check_invariant(
+            request.request_id not in self._active_requests,
+            "request_admitted_once",
+            request=request.request_id,
+        )
         model = self._models_by_name.setdefault(request.model, _Model())
         waiter = self._enqueue(model, request)
-        self._dispatch(model)
-        if waiter.outcome is None:
-            self._limit_backlog(model, waiter)
         try:
+            self._dispatch(model)
+            if waiter.outcome is None:
+                self._limit_backlog(model, waiter)
             await self._wake()
             if waiter.outcome is None:
                 await self._has_backlog.set()
@@ -259,6 +265,7 @@
         )
         model.queues.get_queue(class_config).add(waiter, self._ledger)
         self._queued_count += not request.is_resumed
+        self._active_requests.add(request.request_id)
         return waiter
 
     def _remove(self, model: _Model, waiter: Waiter) -> None:
@@ -298,9 +305,8 @@
     def _grant(self, model: _Model, choice: Choice, route: Route) -> None:
         waiter = choice.waiter
         request = waiter.request
-        is_running = request.request_id in self._grants_by_request
         check_invariant(
-            waiter.outcome is None and not is_running,
+            waiter.outcome is None,
             "request_granted_once",
             request=request.request_id,
             outcome=waiter.outcome,
@@ -314,7 +320,6 @@
         now = self._clock.monotonic()
         stream = RunningStream(grant, waiter.config, charge, now, choice.is_floor)
         self._running_by_grant[grant] = stream
-        self._grants_by_request[request.request_id] = grant
         model.service.add(stream)
         model.reserved += request.cost
         if self._server_limits is not None:
@@ -330,6 +335,7 @@
             outcome=waiter.outcome,
         )
         self._remove(model, waiter)
+        self._active_requests.remove(waiter.request.request_id)
         self._metrics.count(f"admission.refused.{refusal.reason.label}")
         self._finish(waiter, Err(refusal))
 
@@ -339,7 +345,7 @@
 
     def _settle(self, model: _Model, stream: RunningStream, used_tokens: int) -> None:
         request = stream.grant.request
-        del self._grants_by_request[request.request_id]
+        self._active_requests.remove(request.request_id)
         if not stream.is_preempted:
             self._preemptions.pop(request.request_id, None)
         model.service.remove(stream)
@@ -504,6 +510,7 @@
         """Take back a request whose task was cancelled while it waited."""
         if waiter.outcome is None:
             self._remove(model, waiter)
+            self._active_requests.remove(waiter.request.request_id)
             waiter.outcome = Err(_make_cancelled_refusal())
         elif isinstance(waiter.outcome, Ok):
             await self.release(waiter.outcome.ok_value, 0)
@@ -511,7 +518,7 @@
     async def _wake(self) -> None:
         """Wake the tasks that were decided on; decisions themselves never wait."""
         while self._to_wake:
-            await self._to_wake.pop().set()
+            await self._to_wake.popleft().set()
 
     def _report_queues(self) -> None:
         for class_name, count in self.count_queued().items():
--- /dev/null
+++ b/hibiscustiller/limits/tests/test_admission.py
@@ -0,0 +1,287 @@
+"""Decisions of the admission controller, in tables."""
+
+import sys
+from datetime import timedelta
+
+from hibiscustiller.exceptions import InvariantError
+from hibiscustiller.limits import AdmissionController
+from hibiscustiller.limits.tests.fixtures import (
+    LOW,
+    MIDDLE,
+    URGENT,
+    Harness,
+    make_config,
+)
+from hibiscustiller.utils import RefusalReason, SystemClock, Verdict
+from hibiscustiller.utils._testing import collect_tests
+
+
+async def release_all(harness):
+    """Release grants one by one until nothing waits."""
+    while harness.grants:
+        await harness.release(next(iter(harness.grants)))
+
+
+async def test_order_within_and_between_classes():
+    """Guards against work that overtakes more urgent or less served work."""
+    cases = [
+        # Arrivals of class and organisation behind one running stream of o0 in LOW,
+        # and the order in which they are granted.
+        ([(LOW, "o1"), (URGENT, "o1"), (MIDDLE, "o1")], [1, 2, 0]),
+        ([(LOW, "o0"), (LOW, "o1")], [1, 0]),
+        ([(LOW, "o0"), (LOW, "o0"), (LOW, "o1"), (LOW, "o1")], [2, 0, 3, 1]),
+        # o2 has twice the weight of o1, o3 half of it. Of equals, the one that was
+        # served longer ago is next.
+        ([(LOW, "o1")] * 2 + [(LOW, "o2")] * 4, [0, 2, 3, 1, 4, 5]),
+        ([(LOW, "o3")] * 2 + [(LOW, "o1")] * 4, [0, 2, 3, 1, 4, 5]),
+    ]
+    for arrivals, expected in cases:
+        harness = Harness()
+        await harness.arrive()
+        names = [await harness.arrive(*arrival) for arrival in arrivals]
+        await release_all(harness)
+        order = [names.index(name) for name in harness.order[1:]]
+        # The running stream is preempted by an urgent arrival but ends by itself.
+        assert order == expected, (arrivals, order)
+
+
+async def test_blocked_model_does_not_block_another():
+    """Guards against one queue for all models."""
+    harness = Harness()
+    first = await harness.arrive(model="m0")
+    second = await harness.arrive(URGENT, model="m0")
+    third = await harness.arrive(model="m1")
+    assert list(harness.grants) == [first, third]
+    assert second in harness.tasks
+
+
+async def test_no_route_is_refused_at_once():
+    """Guards against a wait for a route that does not come back by a release."""
+    harness = Harness()
+    harness.fleet.limits["m0"] = 0
+    harness.fleet.reason = RefusalReason.NO_ROUTE
+    refused = await harness.arrive()
+    assert harness.refusals[refused].reason is RefusalReason.NO_ROUTE
+    assert harness.controller.count_queued() == {LOW: 0}
+
+
+async def test_request_that_avoids_servers_blocks_no_other():
+    """Guards against a retry without a route that holds up its whole class."""
+    harness = Harness()
+    running = await harness.arrive()
+    retried = await harness.arrive(avoided=frozenset({"s"}))
+    other = await harness.arrive(organisation="o0")
+    await harness.release(running)
+    assert list(harness.grants) == [other]
+    assert retried in harness.tasks
+
+
+async def test_full_queues():
+    """Guards against unbounded queues, and against eviction of the wrong request."""
+    cases = [
+        # Bounds of one class and of all, arrivals, and the numbers refused.
+        (2, 30, [LOW] * 4, [2, 3]),
+        (2, 30, [LOW, LOW, LOW, MIDDLE, MIDDLE, MIDDLE], [2, 5]),
+        (9, 3, [LOW, LOW, LOW, LOW], [3]),
+        (9, 3, [LOW, LOW, LOW, URGENT], [2]),
+        (9, 3, [LOW, MIDDLE, LOW, URGENT, URGENT], [2, 0]),
+        (9, 3, [URGENT, MIDDLE, MIDDLE, LOW], [3]),
+        (9, 3, [URGENT, URGENT, URGENT, MIDDLE, LOW], [3, 4]),
+    ]
+    for class_limit, limit, arrivals, expected in cases:
+        harness = Harness(queue_limit=limit)
+        harness.config = make_config(queue_limit=class_limit)
+        await harness.arrive(URGENT, "o3")
+        names = [await harness.arrive(name) for name in arrivals]
+        refused = [names.index(name) for name in harness.refusals]
+        assert refused == expected, (arrivals, refused)
+        for refusal in harness.refusals.values():
+            assert refusal.verdict is Verdict.NOT_RUN
+            assert refusal.retry_after >= timedelta(seconds=1)
+        await release_all(harness)
+        assert not set(harness.order) & set(harness.refusals)
+
+
+async def test_deadline_refusals():
+    """Guards against requests that are held although they cannot be in time."""
+    harness = Harness()
+    # One stream of 10 tokens takes 1 s: the service rate is 10 tokens a second.
+    first = await harness.arrive(URGENT)
+    harness.clock.advance(timedelta(seconds=1))
+    await harness.release(first)
+    await harness.arrive(URGENT)
+    names = [await harness.arrive(URGENT) for _ in range(8)]
+    refused = [names.index(name) for name in harness.refusals]
+    # The deadline is 5 s, so that the sixth and later cannot start in time.
+    assert refused == [6, 7], refused
+    for refusal in harness.refusals.values():
+        assert refusal.reason is RefusalReason.DEADLINE
+        assert refusal.retry_after == timedelta(seconds=1)
+    await harness.advance(4.9)
+    assert harness.tasks
+    await harness.advance(0.2)
+    assert not harness.tasks
+    assert len(harness.refusals) == 8
+
+
+async def test_queued_request_is_refused_when_the_rate_falls():
+    """Guards against answers that are held back until the deadline has passed."""
+    harness = Harness(limit=4)
+    first = [await harness.arrive(MIDDLE) for _ in range(4)]
+    harness.clock.advance(timedelta(seconds=1))
+    for name in first:
+        await harness.release(name)
+    running = [await harness.arrive(MIDDLE) for _ in range(4)]
+    queued = [await harness.arrive(MIDDLE) for _ in range(12)]
+    assert not harness.refusals
+    # Three of four streams are lost; their capacity does not come back.
+    harness.fleet.limits["m0"] = 1
+    harness.clock.advance(timedelta(seconds=6))
+    for name in running[:3]:
+        await harness.release(name)
+    await harness.advance(0.02)
+    assert harness.refusals, "no request was refused early"
+    assert queued[0] in harness.tasks
+    for refusal in harness.refusals.values():
+        assert refusal.reason is RefusalReason.DEADLINE
+
+
+async def test_preemption():
+    """Guards against more, other or repeated interruptions than are needed."""
+    harness = Harness(limit=3)
+    short = await harness.arrive(LOW, cost=10)
+    longest = await harness.arrive(LOW, cost=50)
+    middle = await harness.arrive(MIDDLE, cost=90)
+    await harness.arrive(URGENT)
+    assert harness.grants[longest].preempted.is_set()
+    assert not harness.grants[short].preempted.is_set()
+    assert not harness.grants[middle].preempted.is_set()
+    await harness.resume(longest, 20)
+    assert harness.order[-1] == "r4"
+    # It resumes before older requests of its class that have not begun.
+    older = await harness.arrive(LOW, "o1")
+    await harness.release("r4")
+    assert longest in harness.grants and older in harness.tasks
+    await harness.arrive(URGENT)
+    assert harness.grants[longest].preempted.is_set()
+    await harness.resume(longest, 10)
+    await harness.release(harness.order[-1])
+    assert longest in harness.grants
+    # Its interruptions are used up, and the class keeps its floor with one stream.
+    await harness.arrive(URGENT)
+    assert not harness.grants[longest].preempted.is_set()
+
+
+async def test_urgent_work_awaits_streams_that_end_soon():
+    """Guards against a second prefill where waiting costs less."""
+    harness = Harness(limit=8)
+    for _ in range(2):
+        names = [await harness.arrive(LOW) for _ in range(8)]
+        harness.clock.advance(timedelta(milliseconds=400))
+        if len(harness.order) == 8:
+            for name in names:
+                await harness.release(name)
+    # Streams last 0.4 s and 8 run: in a quarter of 0.85 s about 4 end.
+    for _ in range(4):
+        await harness.arrive(URGENT)
+    assert not any(g.preempted.is_set() for g in harness.grants.values())
+    for _ in range(2):
+        await harness.arrive(URGENT)
+    assert sum(g.preempted.is_set() for g in harness.grants.values()) == 2
+
+
+async def test_resumed_request_is_never_refused():
+    """Guards against an answer that breaks off because of a queue's bound."""
+    harness = Harness(limit=1, queue_limit=1)
+    await harness.arrive(URGENT)
+    await harness.arrive(URGENT)
+    resumed = await harness.arrive(LOW, is_resumed=True)
+    await harness.arrive(URGENT)
+    await harness.advance(3600)
+    assert resumed in harness.tasks
+    await release_all(harness)
+    assert harness.order[-1] == resumed
+
+
+async def test_cancelled_waiters():
+    """Guards against capacity that is granted to a caller who has left."""
+    harness = Harness()
+    running = await harness.arrive()
+    first = await harness.arrive(organisation="o1")
+    second = await harness.arrive(organisation="o2")
+    await harness.cancel(first)
+    await harness.release(running)
+    assert list(harness.grants) == [second]
+    # The grant is made, and the waiter is cancelled before it is woken.
+    third = await harness.arrive()
+    harness.fleet.limits["m0"] = 2
+    harness.controller.note_capacity()
+    model = harness.controller._models_by_name["m0"]
+    model.is_blocked = False
+    harness.controller._dispatch(model)
+    assert harness.fleet.in_use["m0"] == 2
+    await harness.cancel(third)
+    assert harness.fleet.in_use["m0"] == 1
+    assert harness.controller.count_queued()[LOW] == 0
+
+
+async def test_second_release_breaks_an_invariant():
+    """Guards against capacity that is given back twice."""
+    harness = Harness()
+    grant = harness.grants[await harness.arrive()]
+    await harness.controller.release(grant, 10)
+    try:
+        await harness.controller.release(grant, 10)
+    except InvariantError:
+        pass
+    else:
+        raise AssertionError("a second release was accepted")
+    assert harness.fleet.in_use["m0"] == 0
+
+
+async def test_request_is_granted_once():
+    """Guards against two runs of one request at the same time."""
+    harness = Harness(limit=2)
+    grant = harness.grants[await harness.arrive()]
+    try:
+        await harness.controller.admit(grant.request)
+    except InvariantError:
+        pass
+    else:
+        raise AssertionError("a running request was granted again")
+
+
+async def test_background_sweep_refuses_at_the_deadline():
+    """Guards against queued requests that nothing wakes."""
+    harness = Harness(deadlines=("30ms", "15s", "60s"))
+    controller = AdmissionController(
+        harness.fleet.plan, lambda: harness.config, SystemClock(), None, harness.fleet
+    )
+    harness.controller = controller
+    await controller.start()
+    await harness.arrive(URGENT)
+    waiting = await harness.arrive(URGENT)
+    task = harness.tasks[waiting]
+    await task.join()
+    assert isinstance(harness.refusals[waiting].retry_after, timedelta)
+    # A raised limit is used without a release.
+    waiting = await harness.arrive(LOW)
+    task = harness.tasks[waiting]
+    harness.fleet.limits["m0"] = 2
+    harness.fleet.listeners[-1]()
+    await task.join()
+    assert waiting in harness.grants
+    await controller.stop()
+
+
+async def test_unknown_class_and_removed_model():
+    """Guards against a document change that breaks requests on their way."""
+    harness = Harness()
+    name = await harness.arrive("removed-class")
+    assert name in harness.grants
+    gone = await harness.arrive(model="m9")
+    assert harness.refusals[gone].reason is RefusalReason.UNKNOWN_MODEL
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
