--- a/hibiscustiller/limits/tests/fixtures.py
+++ b/hibiscustiller/limits/tests/fixtures.py
@@ -75,7 +75,7 @@
 class Harness:
     """Requests against a controller, with what became of each."""
 
-    def __init__(self, limit=1, queue_limit=30, **options):
+    def __init__(self, limit=1, total_limit=30, **options):
         self.clock = ManualClock()
         self.config = make_config(**options)
         self.fleet = FakeFleet(limit)
@@ -88,7 +88,7 @@
             self.ledger,
             self.fleet,
             self.metrics,
-            queue_limit,
+            total_limit,
         )
         self.tasks = {}
         self.grants = {}
--- a/hibiscustiller/limits/tests/test_admission.py
+++ b/hibiscustiller/limits/tests/test_admission.py
@@ -89,7 +89,7 @@
         (9, 3, [URGENT, URGENT, URGENT, MIDDLE, LOW], [3, 4]),
     ]
     for class_limit, limit, arrivals, expected in cases:
-        harness = Harness(queue_limit=limit)
+        harness = Harness(total_limit=limit)
         harness.config = make_config(queue_limit=class_limit)
         await harness.arrive(URGENT, "o3")
         names = [await harness.arrive(name) for name in arrivals]
@@ -192,7 +192,7 @@
 
 async def test_resumed_request_is_never_refused():
     """Guards against an answer that breaks off because of a queue's bound."""
-    harness = Harness(limit=1, queue_limit=1)
+    harness = Harness(total_limit=1)
     await harness.arrive(URGENT)
     await harness.arrive(URGENT)
     resumed = await harness.arrive(LOW, is_resumed=True)
--- /dev/null
+++ b/hibiscustiller/limits/tests/test_usage.py
@@ -0,0 +1,188 @@
+"""Usage that decays and is shared, and the retry budget."""
+
+import sys
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hibiscustiller.limits import RetryBudget, UsageAggregator, UsageLedger
+from hibiscustiller.limits._usage import MAX_ENTRIES_PER_MESSAGE, USAGE_HALF_LIFE
+from hibiscustiller.utils import ManualClock
+from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire._messages_generated import (
+    UsageReport,
+    decode_message,
+    encode_message,
+)
+
+
+def exchange(ledgers, aggregator):
+    for name, ledger in ledgers.items():
+        aggregator.add_report(name, ledger.collect_deltas())
+    for name, ledger in ledgers.items():
+        ledger.apply_totals(aggregator.list_totals(name))
+
+
+def test_charges_are_settled_at_their_own_time():
+    """Guards against a refund that exceeds what is left of an old charge."""
+    clock = ManualClock()
+    ledger = UsageLedger(clock)
+    charge = ledger.charge("o", "c", 100)
+    clock.advance(USAGE_HALF_LIFE)
+    assert round(ledger.get_attained("o", "c")) == 50
+    ledger.settle(charge, 20)
+    assert round(ledger.get_attained("o", "c")) == 10
+    other = ledger.charge("o", "c", 10)
+    ledger.settle(other, 0)
+    assert round(ledger.get_attained("o", "c")) == 10
+
+
+def test_order_survives_rescaling():
+    """Guards against floats that overflow after days of decay."""
+    clock = ManualClock()
+    ledger = UsageLedger(clock)
+    aggregator = UsageAggregator(clock)
+    for _ in range(40):
+        early = ledger.charge("early", "c", 50)
+        aggregator.add_report("a", ledger.collect_deltas())
+        clock.advance(USAGE_HALF_LIFE * 100)
+        ledger.charge("late", "c", 60)
+        ledger.charge("small", "c", 10)
+        assert ledger.get_rank("late", "c") > ledger.get_rank("small", "c")
+        ledger.settle(early, 0)
+        assert ledger.get_attained("early", "c") < 1e-3
+    assert round(ledger.get_attained("late", "c")) == 60
+    aggregator.add_report("b", ledger.collect_deltas())
+    aggregator.add_report("a", ledger.collect_deltas())
+    by_name = {e.organisation: e.tokens for e in aggregator.list_totals("a")}
+    assert by_name == {"late": 60, "small": 10}
+
+
+def test_idle_usage_is_forgotten():
+    """Guards against state of every organisation that was ever seen."""
+    clock = ManualClock()
+    ledger = UsageLedger(clock)
+    aggregator = UsageAggregator(clock)
+    for number in range(500):
+        ledger.charge(f"o{number}", "c", 100)
+    for _ in range(60):
+        aggregator.add_report("a", ledger.collect_deltas())
+    assert len(aggregator._totals_by_key) == 500
+    clock.advance(USAGE_HALF_LIFE * 20)
+    for _ in range(70):
+        assert ledger.collect_deltas() == ()
+        aggregator.add_report("a", ())
+    assert not aggregator._totals_by_key
+    assert not aggregator._senders_by_id["a"].sums_by_key
+
+
+def test_reports_are_bounded_and_complete():
+    """Guards against messages over the budget, and keys that are never sent."""
+    clock = ManualClock()
+    ledger = UsageLedger(clock)
+    for number in range(1400):
+        ledger.charge(f"organisation-{number}", "confirmations", 1000 + number)
+    seen = set()
+    for _ in range(1400 // 12 + 40):
+        entries = ledger.collect_deltas()
+        assert len(entries) <= MAX_ENTRIES_PER_MESSAGE
+        size = len(encode_message("router-1", UsageReport(entries)))
+        assert size <= 3500, size
+        seen |= {entry.organisation for entry in entries}
+    assert len(seen) == 1400
+    # What changes is sent at once.
+    ledger.charge("organisation-7", "confirmations", 50_000)
+    assert "organisation-7" in {e.organisation for e in ledger.collect_deltas()}
+    message = UsageReport(ledger.collect_deltas())
+    assert decode_message(encode_message("a", message)) == ("a", message)
+
+
+charges = st.tuples(
+    st.sampled_from(["a", "b", "c"]),
+    st.sampled_from(["o0", "o1"]),
+    st.integers(1, 1000),
+    st.booleans(),
+    st.booleans(),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.lists(charges, max_size=30))
+def check_faulty_messages(steps):
+    """Compare shared usage with the sum of all charges after lost messages."""
+    clock = ManualClock()
+    ledgers = {name: UsageLedger(clock) for name in ("a", "b", "c")}
+    aggregator = UsageAggregator(clock)
+    expected = {"o0": 0, "o1": 0}
+    for name, organisation, tokens, is_lost, is_reset in steps:
+        ledgers[name].charge(organisation, "c", tokens)
+        expected[organisation] += tokens
+        if is_reset:
+            aggregator = UsageAggregator(clock)
+        report = ledgers[name].collect_deltas()
+        if not is_lost:
+            aggregator.add_report(name, report)
+            aggregator.add_report(name, report)
+        totals = aggregator.list_totals(name)
+        ledgers[name].apply_totals(totals)
+        ledgers[name].apply_totals(totals)
+    for ledger in ledgers.values():
+        for organisation, total in expected.items():
+            assert ledger.get_attained(organisation, "c") <= total + 1
+    for _ in range(2):
+        exchange(ledgers, aggregator)
+    for name, ledger in ledgers.items():
+        for organisation, total in expected.items():
+            if any(organisation == s[1] and name == s[0] for s in steps):
+                attained = ledger.get_attained(organisation, "c")
+                assert abs(attained - total) <= 1, (name, organisation, attained)
+
+
+def test_lost_and_repeated_messages_are_not_counted_twice():
+    """Guards against usage that is lost or doubled by the messages between routers."""
+    check_faulty_messages()
+
+
+def test_dead_and_restarted_routers():
+    """Guards against usage of a router that is gone, or is counted from before."""
+    clock = ManualClock()
+    ledgers = {name: UsageLedger(clock) for name in ("a", "b")}
+    aggregator = UsageAggregator(clock)
+    for ledger in ledgers.values():
+        ledger.charge("o", "c", 1000)
+    exchange(ledgers, aggregator)
+    assert round(ledgers["a"].get_attained("o", "c")) == 2000
+    ledgers["b"] = UsageLedger(clock)
+    ledgers["b"].charge("o", "c", 1)
+    exchange(ledgers, aggregator)
+    assert round(ledgers["a"].get_attained("o", "c")) == 1001
+    assert round(ledgers["b"].get_attained("o", "c")) == 1001
+    clock.advance(USAGE_HALF_LIFE * 12)
+    ledgers["a"].charge("o", "c", 10)
+    aggregator.add_report("a", ledgers["a"].collect_deltas())
+    assert aggregator.list_totals("a") == ()
+
+
+def test_retry_budget():
+    """Guards against retries that multiply an overload, and against none at all."""
+    cases = [
+        # Requests, then the retries that are allowed of 200 asked for.
+        (0, 10),
+        (100, 20),
+        (1000, 110),
+    ]
+    for requests, expected in cases:
+        clock = ManualClock()
+        budget = RetryBudget(clock)
+        for _ in range(requests):
+            budget.note_request()
+        assert sum(budget.try_spend() for _ in range(200)) == expected, requests
+        clock.advance(timedelta(seconds=9))
+        assert not budget.try_spend()
+        clock.advance(timedelta(seconds=1))
+        assert sum(budget.try_spend() for _ in range(200)) == 10
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
