--- a/hibiscustiller/limits/tests/test_admission_runs.py
+++ b/hibiscustiller/limits/tests/test_admission_runs.py
@@ -47,10 +47,13 @@
         self.kernel = curio.Kernel()
         self.harness = Harness(2, QUEUE_LIMIT, queue_limit=CLASS_LIMIT)
         self.harness.fleet.on_plan = self.check_grant
-        # Tokens granted at a model, and to a class ahead of more urgent ones, since
-        # the class last had no backlog.
+        # Since a class last had no backlog at a model: tokens granted there, to the
+        # class itself, ahead of more urgent ones, and what of the last was not used.
         self.granted = Counter()
+        self.served = Counter()
         self.out_of_turn = Counter()
+        self.refunds = Counter()
+        self.early_requests = set()
         self.preemptions = Counter()
         self.arrived = 0
         self.ended = set()
@@ -71,10 +74,13 @@
         assert request.request_id not in self.harness.grants
         queues = self.list_queues(request.model)
         own = next(q for q in queues if q.config.name == request.class_name)
+        self.served[request.model, request.class_name] += request.cost
         for queue in queues:
             self.granted[request.model, queue.config.name] += request.cost
         if any(queue.config.rank < own.config.rank for queue in queues):
             self.check_floor(request)
+        if len(own) == 1:
+            self.forget(request.model, request.class_name)
         if request.is_resumed:
             return
         assert not own.resumed
@@ -90,7 +96,8 @@
         """Check that a class goes before more urgent work only under its floor."""
         key = request.model, request.class_name
         self.out_of_turn[key] += request.cost
-        owed = FLOORS[request.class_name] * self.granted[key]
+        self.early_requests.add(request.request_id)
+        owed = FLOORS[request.class_name] * self.granted[key] + self.refunds[key]
         assert self.out_of_turn[key] <= owed + 1e-6, (key, self.out_of_turn, owed)
 
     @rule(model=models, name=classes, organisation=organisations, cost=costs)
@@ -107,10 +114,16 @@
     def release(self, data):
         if self.harness.grants:
             name = data.draw(st.sampled_from(sorted(self.harness.grants)))
-            # Full use keeps the oracle of the floors free of refunds; early ends are
-            # covered by ``resume``.
+            used = data.draw(st.integers(0, self.harness.grants[name].request.cost))
+            self.note_refund(name, used)
             self.ended.add(name)
-            self.run(self.harness.release, name)
+            self.run(self.harness.release, name, used)
+
+    def note_refund(self, name, used):
+        request = self.harness.grants[name].request
+        if name in self.early_requests:
+            self.early_requests.remove(name)
+            self.refunds[request.model, request.class_name] += request.cost - used
 
     @rule(data=st.data())
     def resume(self, data):
@@ -120,6 +133,7 @@
             self.preemptions[name] += 1
             cost = self.harness.grants[name].request.cost
             used = data.draw(st.integers(0, cost))
+            self.note_refund(name, used)
             self.run(self.harness.resume, name, used)
 
     @rule(data=st.data())
@@ -168,12 +182,18 @@
         assert all(n <= MAX_PREEMPTIONS for n in self.preemptions.values())
 
     @invariant()
-    def forget_idle_classes(self):
+    def floors_are_kept(self):
+        """A backlogged class gets its floor, but for the two requests in turn."""
         for key in list(self.granted):
             model = self.harness.controller._models_by_name[key[0]]
             if not len(model.queues.queues_by_class[key[1]]):
-                del self.granted[key]
-                self.out_of_turn.pop(key, None)
+                self.forget(*key)
+            owed = FLOORS[key[1]] * self.granted[key]
+            assert self.served[key] >= owed - 2 * MAX_COST, (key, owed)
+
+    def forget(self, *key):
+        for counter in (self.granted, self.served, self.out_of_turn, self.refunds):
+            counter.pop(key, None)
 
     def teardown(self):
         self.run(self.harness.controller.stop)
