--- /dev/null
+++ b/benchmarks/_load.py
@@ -0,0 +1,248 @@
+"""Load on in-process routers in front of real loopback engines."""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import curio
+
+from benchmarks._baselines import FirstComeFirstServed, NoAdmission
+from hibiscustiller.cli._demo import make_demo_settings
+from hibiscustiller.configuration import format_sections, parse_sections
+from hibiscustiller.exceptions import TransportError
+from hibiscustiller.serving import Router
+from hibiscustiller.standins import MODEL, Fleet, start_fleet
+from hibiscustiller.utils import (
+    Metrics,
+    Revision,
+    SystemClock,
+    configure_logging,
+    hash_secret,
+)
+from hibiscustiller.wire import HttpClient
+
+STAGES = 2
+TIMEOUT = timedelta(seconds=90)
+URGENT, MIDDLE, LOW = "confirmations", "quotes", "overnight"
+_POLICY = {
+    URGENT: {"rank": "0", "deadline": "5s", "floor": "0.1"},
+    MIDDLE: {"rank": "1", "deadline": "15s", "floor": "0.1"},
+    LOW: {"rank": "2", "deadline": "20s", "floor": "0.05", "preemptible": "true"},
+}
+TARGET = timedelta(milliseconds=850)
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One request to send.
+
+    :param at: seconds after the start of the load.
+    """
+
+    at: float
+    organisation: str
+    tokens: int
+    router: int = 0
+
+
+@dataclass
+class Outcome:
+    """What became of one request.
+
+    :param times: seconds after the start of the load at which tokens arrived.
+    """
+
+    arrival: Arrival
+    started: float
+    times: list[float]
+    status: int = 0
+    is_complete: bool = False
+    retry_after: str | None = None
+
+    @property
+    def first_token(self) -> float:
+        """Seconds to the first token; infinite if there was none."""
+        return self.times[0] - self.started if self.times else math.inf
+
+    @property
+    def duration(self) -> float:
+        """Seconds to the whole answer; infinite if it is not complete."""
+        return self.times[-1] - self.started if self.is_complete else math.inf
+
+
+@dataclass
+class Bench:
+    """A fleet of stand-ins and routers in this process."""
+
+    fleet: Fleet
+    routers: list[Router]
+    client: HttpClient
+    streams: int
+
+    async def close(self) -> None:
+        """Stop everything."""
+        await self.client.close()
+        for router in self.routers:
+            await router.stop()
+        await self.fleet.close()
+
+    async def send(self, arrival: Arrival, started: float) -> Outcome:
+        """Send one request and read its answer."""
+        body = {
+            "model": MODEL,
+            "prompt": f"{arrival.organisation} asks at {arrival.at:.4f}",
+            "max_tokens": arrival.tokens,
+            "stream": True,
+        }
+        outcome = Outcome(arrival, time.monotonic() - started, [])
+        try:
+            stream = await self.client.open_stream(
+                self.routers[arrival.router].caller_server.address,
+                "POST",
+                "/v1/completions",
+                next_byte_timeout=TIMEOUT,
+                body=json.dumps(body).encode(),
+                headers={"authorization": f"Bearer {arrival.organisation}"},
+            )
+            async with stream:
+                outcome.status = stream.status
+                outcome.retry_after = stream.headers_by_name.get("retry-after")
+                while (line := await stream.read_line()) is not None:
+                    if line == b"data: [DONE]":
+                        outcome.is_complete = True
+                    elif b'"finish_reason":null' in line:
+                        outcome.times.append(time.monotonic() - started)
+        except TransportError:
+            outcome.status = outcome.status or 599
+        return outcome
+
+    async def run(self, arrivals: list[Arrival], stop_at: float) -> list[Outcome]:
+        """Send requests at their times; answers after ``stop_at`` are cut off."""
+        started = time.monotonic()
+        outcomes: list[Outcome] = []
+
+        async def send(arrival: Arrival) -> None:
+            outcomes.append(await self.send(arrival, started))
+
+        async with curio.TaskGroup(wait=all) as group:
+            for arrival in arrivals:
+                await curio.sleep(max(0, arrival.at - time.monotonic() + started))
+                await group.spawn(send, arrival)
+            await curio.sleep(max(0, stop_at - time.monotonic() + started))
+            await group.cancel_remaining()
+        return outcomes
+
+
+async def start_bench(
+    organisations: dict[str, str],
+    policy: str = "admission",
+    routers: int = 1,
+    replicas: int = 2,
+    streams: int = 4,
+    token_time: timedelta = timedelta(milliseconds=20),
+    overrides: dict[str, dict[str, str]] | None = None,
+) -> Bench:
+    """Start a fleet and its routers.
+
+    :param organisations: class by organisation; the name is also the key.
+    :param policy: ``admission``, ``fcfs`` or ``none``.
+    :param overrides: keys that replace those of the document's sections.
+    """
+    configure_logging("error")
+    clock = SystemClock()
+    fleet = await start_fleet(clock, replicas, token_time, streams)
+    sections = parse_sections(fleet.document, "fleet")
+    for name, keys in _POLICY.items():
+        sections[f"class {name}"] = {**keys, **(overrides or {}).get(name, {})}
+    for name, class_name in organisations.items():
+        keys = {"key_sha256": hash_secret(name), "priority_class": class_name}
+        sections[f"organisation {name}"] = keys
+    document = format_sections(sections)
+    started = []
+    for number in range(routers):
+        settings = make_demo_settings(fleet.platform.address)
+        router = Router(settings, clock, random.Random(number), Metrics())
+        # The router counts itself only, until membership tells it of others.
+        router.server_limits._count_sharers = lambda server: routers
+        router.install_document(document, Revision(1))
+        _use_policy(router, policy)
+        await router.start()
+        started.append(router)
+    return Bench(fleet, started, HttpClient(clock), replicas * streams)
+
+
+def _use_policy(router: Router, policy: str) -> None:
+    def plan(request):
+        return router.planner.plan_route(
+            request.model, request.prompt, request.avoided
+        )
+
+    if policy == "fcfs":
+        router.runner._admission = FirstComeFirstServed(plan, router.server_limits)
+    elif policy == "none":
+        router.runner._admission = NoAdmission(plan)
+
+
+async def measure_bound(
+    bench: Bench, seconds: float, organisation: str, tokens: int
+) -> float:
+    """Measure the fleet's bound: all streams in use all the time, without a queue.
+
+    :returns: tokens a second.
+    """
+    started = time.monotonic()
+    outcomes: list[Outcome] = []
+
+    async def repeat() -> None:
+        while time.monotonic() - started < seconds:
+            now = time.monotonic() - started
+            arrival = Arrival(now, organisation, tokens)
+            outcomes.append(await bench.send(arrival, started))
+
+    async with curio.TaskGroup(wait=all) as group:
+        for _ in range(bench.streams):
+            await group.spawn(repeat)
+    # The first second fills the connection pools.
+    return count_tokens(outcomes, 1, seconds) / (seconds - 1)
+
+
+def make_poisson(
+    random_state: random.Random,
+    start: float,
+    end: float,
+    requests_per_second: float,
+    make: Callable[[float], Arrival],
+) -> list[Arrival]:
+    """Return arrivals of a Poisson process."""
+    arrivals = []
+    at = start + random_state.expovariate(requests_per_second)
+    while at < end:
+        arrivals.append(make(at))
+        at += random_state.expovariate(requests_per_second)
+    return arrivals
+
+
+def count_tokens(outcomes: list[Outcome], start: float, end: float) -> int:
+    """Count the tokens that arrived in a period."""
+    return sum(start <= at < end for o in outcomes for at in o.times)
+
+
+def compute_quantile(values: list[float], share: float) -> float:
+    """Return a quantile by the nearest rank."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def print_figure(figure: str, value: float, unit: str, **fields: object) -> None:
+    """Print one JSON line; ``baseline`` gives a ratio unless one is given."""
+    baseline = fields.get("baseline")
+    if isinstance(baseline, (int, float)) and baseline and "ratio" not in fields:
+        fields["ratio"] = round(value / baseline, 4)
+    line = {"figure": figure, "value": round(value, 4), "unit": unit, **fields}
+    print(json.dumps(line), flush=True)
