--- a/hibiscustiller/configuration/_document.py
+++ b/hibiscustiller/configuration/_document.py
@@ -6,6 +6,7 @@
 import io
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from hibiscustiller.configuration._generated import (
     SECTION_SPECS,
@@ -18,7 +19,7 @@
     TeamConfig,
 )
 from hibiscustiller.exceptions import SettingsError
-from hibiscustiller.settings import make_ini_parser, parse_section
+from hibiscustiller.settings import KeySpec, make_ini_parser, parse_section
 from hibiscustiller.utils import (
     ClassName,
     DomainId,
@@ -74,14 +75,40 @@
     return buffer.getvalue()
 
 
+@dataclass(frozen=True)
+class TypedSection:
+    """One section with the text values that it was built from."""
+
+    kind: str
+    values: Mapping[str, str]
+    typed: Any
+
+
 def build_config(sections: Sections) -> FleetConfig:
     """Check each section and build the typed document.
 
     :raises SettingsError: with one line for each problem.
     """
-    typed_by_kind: dict[str, list] = {spec.name: [] for spec in SECTION_SPECS}
+    return assemble_config(parse_headings(sections, {}))
+
+
+def parse_headings(
+    sections: Sections, previous: Mapping[str, TypedSection]
+) -> Mapping[str, TypedSection]:
+    """Check each section and give it its type.
+
+    :param previous: typed sections of an earlier document. Those whose values are the
+        same object are taken over, so that a change costs only what it touches.
+    :returns: typed sections by heading.
+    :raises SettingsError: with one line for each problem.
+    """
+    typed_by_heading: dict[str, TypedSection] = {}
     problems: list[str] = []
     for heading, values in sections.items():
+        known = previous.get(heading)
+        if known is not None and known.values is values:
+            typed_by_heading[heading] = known
+            continue
         kind, _, name = heading.partition(" ")
         spec = _SPECS_BY_NAME.get(kind)
         if spec is None or not name.strip():
@@ -90,13 +117,19 @@
                 f" {', '.join(f'[{kind} NAME]' for kind in sorted(_SPECS_BY_NAME))}"
             )
             continue
-        section, found = parse_section(spec, heading, values)
+        typed, found = parse_section(spec, heading, values)
         problems += found
-        if section is not None:
-            typed_by_kind[kind].append(section)
+        if typed is not None:
+            typed_by_heading[heading] = TypedSection(kind, values, typed)
     if problems:
         raise SettingsError(tuple(problems))
-    return _assemble(typed_by_kind)
+    return typed_by_heading
+
+
+def list_key_specs(heading: str) -> Mapping[str, KeySpec]:
+    """Return the keys that a section accepts, by name; none for an unknown kind."""
+    spec = _SPECS_BY_NAME.get(heading.partition(" ")[0])
+    return {} if spec is None else {key.name: key for key in spec.keys}
 
 
 def parse_document(text: str, source: str) -> FleetConfig:
@@ -107,7 +140,12 @@
     return build_config(parse_sections(text, source))
 
 
-def _assemble(typed_by_kind: dict[str, list]) -> FleetConfig:
+def assemble_config(typed_by_heading: Mapping[str, TypedSection]) -> FleetConfig:
+    """Index typed sections by their names and key hashes."""
+    typed_by_kind: dict[str, list] = {spec.name: [] for spec in SECTION_SPECS}
+    for section in typed_by_heading.values():
+        typed_by_kind[section.kind].append(section.typed)
+
     def index(kind: str) -> dict:
         return {section.name: section for section in typed_by_kind[kind]}
 
--- a/hibiscustiller/settings/_specification.py
+++ b/hibiscustiller/settings/_specification.py
@@ -92,8 +92,10 @@
         try:
             parsed[key.name] = parse_value(key, text)
         except ValueError as error:
+            # A wrong digest may be the plain key, which must not be shown or logged.
+            shown = "(not shown)" if key.kind == "digest" else repr(text)
             problems.append(
-                f"section [{heading}] key {key.name}: value {text!r}: {error}"
+                f"section [{heading}] key {key.name}: value {shown}: {error}"
             )
     if problems:
         return None, problems
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -155,6 +155,11 @@
     team: str
     accepted_at_ms: int
     edits: tuple[ConfigEdit, ...]
+    fingerprint: str
+    previous_digest: str
+    digest: str
+    republished: bool
+    trimmed: bool
 
 
 def _write_ConfigChange(builder: Any, message: ConfigChange) -> None:
@@ -166,6 +171,11 @@
     items = builder.init("edits", len(message.edits))
     for index, item in enumerate(message.edits):
         _write_ConfigEdit(items[index], item)
+    builder.fingerprint = message.fingerprint
+    builder.previousDigest = message.previous_digest
+    builder.digest = message.digest
+    builder.republished = message.republished
+    builder.trimmed = message.trimmed
 
 
 def _read_ConfigChange(reader: Any) -> ConfigChange:
@@ -176,6 +186,11 @@
         team=reader.team,
         accepted_at_ms=reader.acceptedAtMs,
         edits=tuple(_read_ConfigEdit(item) for item in reader.edits),
+        fingerprint=reader.fingerprint,
+        previous_digest=reader.previousDigest,
+        digest=reader.digest,
+        republished=reader.republished,
+        trimmed=reader.trimmed,
     )
 
 
@@ -184,15 +199,47 @@
     """A ``ConfigRequest`` message."""
 
     revision: int
+    digest: str
 
 
 def _write_ConfigRequest(builder: Any, message: ConfigRequest) -> None:
     builder.revision = message.revision
+    builder.digest = message.digest
 
 
 def _read_ConfigRequest(reader: Any) -> ConfigRequest:
     return ConfigRequest(
         revision=reader.revision,
+        digest=reader.digest,
+    )
+
+
+@dataclass(frozen=True)
+class ConfigPoint:
+    """A ``ConfigPoint`` message."""
+
+    revision: int
+    digest: str
+    proposal_id: str
+    fingerprint: str
+    republished: bool
+
+
+def _write_ConfigPoint(builder: Any, message: ConfigPoint) -> None:
+    builder.revision = message.revision
+    builder.digest = message.digest
+    builder.proposalId = message.proposal_id
+    builder.fingerprint = message.fingerprint
+    builder.republished = message.republished
+
+
+def _read_ConfigPoint(reader: Any) -> ConfigPoint:
+    return ConfigPoint(
+        revision=reader.revision,
+        digest=reader.digest,
+        proposal_id=reader.proposalId,
+        fingerprint=reader.fingerprint,
+        republished=reader.republished,
     )
 
 
@@ -201,18 +248,26 @@
     """A ``ConfigSnapshot`` message."""
 
     revision: int
-    document: str
+    document: bytes
+    digest: str
+    history: tuple[ConfigPoint, ...]
 
 
 def _write_ConfigSnapshot(builder: Any, message: ConfigSnapshot) -> None:
     builder.revision = message.revision
     builder.document = message.document
+    builder.digest = message.digest
+    items = builder.init("history", len(message.history))
+    for index, item in enumerate(message.history):
+        _write_ConfigPoint(items[index], item)
 
 
 def _read_ConfigSnapshot(reader: Any) -> ConfigSnapshot:
     return ConfigSnapshot(
         revision=reader.revision,
-        document=reader.document,
+        document=bytes(reader.document),
+        digest=reader.digest,
+        history=tuple(_read_ConfigPoint(item) for item in reader.history),
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -61,15 +61,35 @@
   team @3 :Text;
   acceptedAtMs @4 :UInt64;
   edits @5 :List(ConfigEdit);
+  fingerprint @6 :Text;
+  previousDigest @7 :Text;
+  digest @8 :Text;
+  # Written over a store that had lost data; the edits are empty.
+  republished @9 :Bool;
+  # The edits name only sections, because the change is too large for a message.
+  trimmed @10 :Bool;
 }
 
 struct ConfigRequest {
   revision @0 :UInt64;
+  digest @1 :Text;
+}
+
+# One change of the history that led to a snapshot.
+struct ConfigPoint {
+  revision @0 :UInt64;
+  digest @1 :Text;
+  proposalId @2 :Text;
+  fingerprint @3 :Text;
+  republished @4 :Bool;
 }
 
 struct ConfigSnapshot {
   revision @0 :UInt64;
-  document @1 :Text;
+  # INI text, compressed with zlib.
+  document @1 :Data;
+  digest @2 :Text;
+  history @3 :List(ConfigPoint);
 }
 
 struct UsageEntry {
