--- a/hibiscustiller/configuration/_sync.py
+++ b/hibiscustiller/configuration/_sync.py
@@ -50,7 +50,7 @@
     StoreUnavailableError,
 )
 from hibiscustiller.membership import PeerTransport
-from hibiscustiller.platform import KeyValueStore, Watch
+from hibiscustiller.platform import Entry, KeyValueStore, Watch
 from hibiscustiller.utils import (
     Clock,
     Metrics,
@@ -76,6 +76,8 @@
 _WATCHERS_PER_DOMAIN = 2
 # Changes announced one by one; peers that miss more ask for them.
 _MAX_ANNOUNCED = 4
+# Changes kept that arrived before the one they follow.
+_MAX_EARLY = MAX_CHAIN_CHANGES
 _MAX_AGE_MS = (1 << 32) - 1
 # Leaves room in the chain for the change that republishes the document.
 _MAX_RECENT_CHANGES = MAX_CHAIN_CHANGES - 1
@@ -155,6 +157,7 @@
         self._points: deque[HistoryPoint] = deque(maxlen=_MAX_POINTS)
         self._recent: deque[Change] = deque()
         self._recent_bytes = 0
+        self._early_changes: dict[tuple[Revision, str], Change] = {}
         self._packed: tuple[str, bytes] = ("", b"")
         self._peer_states: dict[RouterId, tuple[Revision, timedelta]] = {}
         self._confirmed_at: timedelta | None = None
@@ -163,6 +166,7 @@
         self._head_read_due = timedelta(0)
         self._store_revision = 0
         self._is_watch_open = False
+        self._watch_error: Exception | None = None
         self._is_store_up = False
         self._tasks: list[Any] = []
 
@@ -300,12 +304,15 @@
         self._note_peer(sender, change.to_revision)
         if change.to_revision <= self.revision:
             return
-        if change.is_trimmed or not self._extends_own(change):
+        if change.is_trimmed:
             await self._request_from(sender)
             return
         check_change_digest(change)
-        sections = apply_difference(self._current.sections, change.difference)
-        await self._install(sections, [change])
+        if not self._extends_own(change):
+            self._keep_early(change)
+            await self._request_from(sender)
+            return
+        await self._install_in_order(change)
 
     async def handle_request(self, sender: RouterId, message: ConfigRequest) -> None:
         """Send a peer the changes that it lacks, or the whole document."""
@@ -388,6 +395,30 @@
         if self._put_in_force(sections, head.revision, head.digest):
             await self._announce(pending)
 
+    def _keep_early(self, change: Change) -> None:
+        """Keep a change that overtook an earlier one until that one arrives."""
+        self._early_changes = {
+            key: item
+            for key, item in self._early_changes.items()
+            if item.to_revision > self.revision
+        }
+        if len(self._early_changes) < _MAX_EARLY:
+            key = (change.from_revision, change.previous_digest)
+            self._early_changes[key] = change
+
+    async def _install_in_order(self, change: Change) -> None:
+        """Put a change in force, and those kept that follow it."""
+        changes = [change]
+        sections = apply_difference(self._current.sections, change.difference)
+        while True:
+            last = changes[-1]
+            after = self._early_changes.pop((last.to_revision, last.digest), None)
+            if after is None:
+                break
+            sections = apply_difference(sections, after.difference)
+            changes.append(after)
+        await self._install(sections, changes)
+
     async def _install(self, sections: Sections, changes: list[Change]) -> None:
         """Put the document after changes to the one in force in force."""
         last = changes[-1]
@@ -615,25 +646,29 @@
             self._is_watch_open = False
             await reader.cancel()
             await watch.close()
-        if reader.exception is not None and not isinstance(
-            reader.exception, curio.TaskCancelled
-        ):
-            raise reader.exception
+        if self._watch_error is not None:
+            raise self._watch_error
 
     async def _read_events(self, watch: Watch) -> None:
+        """Follow a watch until it fails; the error is kept for the waiting task."""
+        self._watch_error = None
         try:
             while True:
-                event = await watch.read_event()
-                if event is None:
-                    await self._read_head()
-                    continue
-                self._store_revision = max(self._store_revision, event.revision)
-                stored = StoredHead(decode_head(event.value), event.revision)
-                if await self.adopt(stored) is HeadRelation.LOST:
-                    await self._read_head()
+                await self._handle_event(await watch.read_event())
+        except (StoreUnavailableError, InvariantError) as error:
+            self._watch_error = error
         finally:
             self._is_watch_open = False
 
+    async def _handle_event(self, event: Entry | None) -> None:
+        if event is None:
+            await self._read_head()
+            return
+        self._store_revision = max(self._store_revision, event.revision)
+        stored = StoredHead(decode_head(event.value), event.revision)
+        if await self.adopt(stored) is HeadRelation.LOST:
+            await self._read_head()
+
     async def _read_head(self) -> None:
         stored = await self.refresh()
         self._store_revision = stored.store_revision
--- a/hibiscustiller/configuration/tests/_harness.py
+++ b/hibiscustiller/configuration/tests/_harness.py
@@ -224,14 +224,42 @@
         self.history = [item for item in self.history if item[0] <= self.revision]
 
 
+class StoreView:
+    """One router's access to the store, which a test can cut."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut = False
+
+    def __getattr__(self, name):
+        async def call(*args):
+            if self.is_cut:
+                await self.store.clock.sleep(self.store.delay)
+                raise StoreUnavailableError("no route", Verdict.NOT_RUN)
+            answer = await getattr(self.store, name)(*args)
+            if name == "open_watch":
+                answer.view = self
+            return answer
+
+        return call
+
+    async def cut(self):
+        """Cut the access; open watches end."""
+        self.is_cut = True
+        for event in self.store._changed:
+            await event.set()
+        self.store._changed.clear()
+
+
 class _MemoryWatch:
     def __init__(self, store, key, start):
         self._store, self._key, self._next = store, key, start
         self._events = deque()
+        self.view = None
 
     async def read_event(self):
         while True:
-            if self._store.is_down:
+            if self._store.is_down or (self.view is not None and self.view.is_cut):
                 raise StoreUnavailableError("the watch ended", Verdict.NOT_RUN)
             for revision, key, entry in self._store.history:
                 if revision >= self._next and key == self._key:
@@ -358,6 +386,7 @@
     def __init__(self, name, domain, store, clock, network, seed, seen, options=None):
         self.name = name
         self.clock = clock
+        self.store = store = StoreView(store)
         self.metrics = Metrics()
         self.current = CurrentConfiguration({}, Revision(0))
         self.seen = seen
