--- a/hibiscustiller/cli/_commands.py
+++ b/hibiscustiller/cli/_commands.py
@@ -7,6 +7,7 @@
 
 import click
 
+from hibiscustiller.cli._operators import OPERATOR_COMMANDS
 from hibiscustiller.exceptions import SettingsError
 from hibiscustiller.settings import Settings, load_settings
 
@@ -37,6 +38,10 @@
     sys.exit(0 if curio.run(run_demo) else 1)
 
 
+for _command in OPERATOR_COMMANDS:
+    main.add_command(_command)
+
+
 def _load_or_exit(path: Path) -> Settings:
     try:
         return load_settings(path)
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from datetime import timedelta
 
 from hibiscustiller.configuration import CurrentConfiguration, parse_sections
 from hibiscustiller.limits import AdmissionController
+from hibiscustiller.membership import PeerTransport
 from hibiscustiller.orders import ServiceForwarder
 from hibiscustiller.platform import EtcdStore
 from hibiscustiller.routing import RoutePlanner, ServerLoads
+from hibiscustiller.serving._administration import ReportSection
 from hibiscustiller.serving._callers import CallerApi
+from hibiscustiller.serving._configuration import ConfigurationParts
 from hibiscustiller.settings import Settings
 from hibiscustiller.streams import StreamRunner
 from hibiscustiller.utils import Clock, Metrics, Revision, ServerId, log_event
@@ -26,6 +30,8 @@
     :param clock: source of time.
     :param random_state: source of randomness.
     :param metrics: where metrics go.
+    :param transport: connections to other routers; None for a single router.
+    :param report_sections_by_name: further parts of the operators' report.
     """
 
     def __init__(
@@ -34,6 +40,8 @@
         clock: Clock,
         random_state: random.Random,
         metrics: Metrics,
+        transport: PeerTransport | None = None,
+        report_sections_by_name: Mapping[str, ReportSection] | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = metrics
@@ -45,6 +53,16 @@
             self._client, settings.platform.store, settings.platform.timeout
         )
         self.configuration = CurrentConfiguration({}, Revision(0))
+        self.configuration_parts = ConfigurationParts(
+            settings,
+            self.configuration,
+            self.store,
+            transport,
+            clock,
+            random_state,
+            metrics,
+            report_sections_by_name or {},
+        )
         get_config = self.configuration.get_config
         self.loads = ServerLoads()
         self.planner = RoutePlanner(
@@ -71,7 +89,7 @@
             get_config,
             self.runner,
             self.forwarder,
-            lambda: self._is_ready,
+            lambda: self._is_ready and self.configuration_parts.sync.is_ready(),
             clock,
             metrics,
             random_state,
@@ -89,6 +107,7 @@
 
     async def start(self) -> None:
         """Start to serve."""
+        await self.configuration_parts.start()
         await self.caller_server.start()
         self._is_ready = True
         log_event(
@@ -110,6 +129,7 @@
         while self.caller_server.busy_count:
             await self._clock.sleep(_DRAIN_POLL)
         await self.caller_server.close()
+        await self.configuration_parts.stop()
         await self._client.close()
         log_event("shutdown_finished", router=self.settings.router.id)
 
