--- a/hibiscustiller/cli/_commands.py
+++ b/hibiscustiller/cli/_commands.py
@@ -10,6 +10,7 @@
 
 from hibiscustiller.cli._daemon import run_router
 from hibiscustiller.cli._standins import standin
+from hibiscustiller.cli._operators import OPERATOR_COMMANDS
 from hibiscustiller.exceptions import SettingsError
 from hibiscustiller.settings import Settings, load_settings
 
@@ -56,6 +57,10 @@
     sys.exit(0 if curio.run(run_demo) else 1)
 
 
+for _command in OPERATOR_COMMANDS:
+    main.add_command(_command)
+
+
 def _load_or_exit(path: Path) -> Settings:
     try:
         return load_settings(path)
