--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -22,6 +22,7 @@
     region: str
     address: str
     nonce: bytes
+    incarnation: int
 
 
 def _write_Hello(builder: Any, message: Hello) -> None:
@@ -30,6 +31,7 @@
     builder.region = message.region
     builder.address = message.address
     builder.nonce = message.nonce
+    builder.incarnation = message.incarnation
 
 
 def _read_Hello(reader: Any) -> Hello:
@@ -39,6 +41,7 @@
         region=reader.region,
         address=reader.address,
         nonce=bytes(reader.nonce),
+        incarnation=reader.incarnation,
     )
 
 
@@ -68,7 +71,7 @@
     region: str
     address: str
     incarnation: int
-    leaving: bool
+    status: int
 
 
 def _write_MemberState(builder: Any, message: MemberState) -> None:
@@ -77,7 +80,7 @@
     builder.region = message.region
     builder.address = message.address
     builder.incarnation = message.incarnation
-    builder.leaving = message.leaving
+    builder.status = message.status
 
 
 def _read_MemberState(reader: Any) -> MemberState:
@@ -87,7 +90,7 @@
         region=reader.region,
         address=reader.address,
         incarnation=reader.incarnation,
-        leaving=reader.leaving,
+        status=reader.status,
     )
 
 
@@ -99,6 +102,7 @@
     confirmed_age_ms: int
     members_digest: bytes
     members: tuple[MemberState, ...]
+    is_neighbour: bool
 
 
 def _write_Heartbeat(builder: Any, message: Heartbeat) -> None:
@@ -108,6 +112,7 @@
     items = builder.init("members", len(message.members))
     for index, item in enumerate(message.members):
         _write_MemberState(items[index], item)
+    builder.isNeighbour = message.is_neighbour
 
 
 def _read_Heartbeat(reader: Any) -> Heartbeat:
@@ -116,6 +121,49 @@
         confirmed_age_ms=reader.confirmedAgeMs,
         members_digest=bytes(reader.membersDigest),
         members=tuple(_read_MemberState(item) for item in reader.members),
+        is_neighbour=reader.isNeighbour,
+    )
+
+
+@dataclass(frozen=True)
+class MemberDigests:
+    """A ``MemberDigests`` message."""
+
+    digests: tuple[int, ...]
+
+
+def _write_MemberDigests(builder: Any, message: MemberDigests) -> None:
+    builder.digests = list(message.digests)
+
+
+def _read_MemberDigests(reader: Any) -> MemberDigests:
+    return MemberDigests(
+        digests=tuple(reader.digests),
+    )
+
+
+@dataclass(frozen=True)
+class MemberEntries:
+    """A ``MemberEntries`` message."""
+
+    buckets: int
+    wants_answer: bool
+    members: tuple[MemberState, ...]
+
+
+def _write_MemberEntries(builder: Any, message: MemberEntries) -> None:
+    builder.buckets = message.buckets
+    builder.wantsAnswer = message.wants_answer
+    items = builder.init("members", len(message.members))
+    for index, item in enumerate(message.members):
+        _write_MemberState(items[index], item)
+
+
+def _read_MemberEntries(reader: Any) -> MemberEntries:
+    return MemberEntries(
+        buckets=reader.buckets,
+        wants_answer=reader.wantsAnswer,
+        members=tuple(_read_MemberState(item) for item in reader.members),
     )
 
 
@@ -331,15 +379,18 @@
     """A ``Leaving`` message."""
 
     router_id: str
+    incarnation: int
 
 
 def _write_Leaving(builder: Any, message: Leaving) -> None:
     builder.routerId = message.router_id
+    builder.incarnation = message.incarnation
 
 
 def _read_Leaving(reader: Any) -> Leaving:
     return Leaving(
         router_id=reader.routerId,
+        incarnation=reader.incarnation,
     )
 
 
@@ -355,6 +406,8 @@
     | CrashReport
     | BackendSignal
     | Leaving
+    | MemberDigests
+    | MemberEntries
 )
 
 _WRITERS: dict[type, tuple[str, Any]] = {
@@ -369,6 +422,8 @@
     CrashReport: ("crashReport", _write_CrashReport),
     BackendSignal: ("backendSignal", _write_BackendSignal),
     Leaving: ("leaving", _write_Leaving),
+    MemberDigests: ("memberDigests", _write_MemberDigests),
+    MemberEntries: ("memberEntries", _write_MemberEntries),
 }
 _READERS: dict[str, Any] = {
     "hello": _read_Hello,
@@ -382,6 +437,8 @@
     "crashReport": _read_CrashReport,
     "backendSignal": _read_BackendSignal,
     "leaving": _read_Leaving,
+    "memberDigests": _read_MemberDigests,
+    "memberEntries": _read_MemberEntries,
 }
 
 
--- a/hibiscustiller/wire/messages.capnp
+++ b/hibiscustiller/wire/messages.capnp
@@ -16,6 +16,8 @@
     crashReport @9 :CrashReport;
     backendSignal @10 :BackendSignal;
     leaving @11 :Leaving;
+    memberDigests @12 :MemberDigests;
+    memberEntries @13 :MemberEntries;
   }
 }
 
@@ -25,6 +27,7 @@
   region @2 :Text;
   address @3 :Text;
   nonce @4 :Data;
+  incarnation @5 :UInt64;
 }
 
 struct HelloProof {
@@ -37,7 +40,8 @@
   region @2 :Text;
   address @3 :Text;
   incarnation @4 :UInt64;
-  leaving @5 :Bool;
+  # 0 live, 1 suspected, 2 leaving.
+  status @5 :UInt8;
 }
 
 struct Heartbeat {
@@ -45,6 +49,21 @@
   confirmedAgeMs @1 :UInt32;
   membersDigest @2 :Data;
   members @3 :List(MemberState);
+  # Whether the sender counts the receiver among its neighbours.
+  isNeighbour @4 :Bool;
+}
+
+# Digests of the sender's live members, one for each bucket of router ids.
+struct MemberDigests {
+  digests @0 :List(UInt64);
+}
+
+# All the sender knows of the buckets in a bit set. The receiver sends back what it
+# knows better if an answer is wanted.
+struct MemberEntries {
+  buckets @0 :UInt32;
+  wantsAnswer @1 :Bool;
+  members @2 :List(MemberState);
 }
 
 struct ConfigEdit {
@@ -101,4 +120,5 @@
 
 struct Leaving {
   routerId @0 :Text;
+  incarnation @1 :UInt64;
 }
