--- a/hibiscustiller/membership/__init__.py
+++ b/hibiscustiller/membership/__init__.py
@@ -1,7 +1,32 @@
 """Which routers and backend servers are live, leaving or suspected."""
 
+from hibiscustiller.membership._backends import (
+    BackendState,
+    BackendTable,
+    LoadReport,
+    StateChange,
+)
 from hibiscustiller.membership._connection import PeerTraffic
+from hibiscustiller.membership._crash_sharing import CrashSharing
 from hibiscustiller.membership._mesh import MeshTimings, PeerMesh
+from hibiscustiller.membership._polling import BackendPoller, parse_load_report
+from hibiscustiller.membership._signal_sharing import SignalSharing
 from hibiscustiller.membership._transport import Member, PeerTransport
+from hibiscustiller.membership._usage_sharing import UsageSharing
 
-__all__ = ["Member", "MeshTimings", "PeerMesh", "PeerTraffic", "PeerTransport"]
+__all__ = [
+    "BackendPoller",
+    "BackendState",
+    "BackendTable",
+    "CrashSharing",
+    "LoadReport",
+    "Member",
+    "MeshTimings",
+    "PeerMesh",
+    "PeerTraffic",
+    "PeerTransport",
+    "SignalSharing",
+    "StateChange",
+    "UsageSharing",
+    "parse_load_report",
+]
--- a/hibiscustiller/membership/_mesh.py
+++ b/hibiscustiller/membership/_mesh.py
@@ -337,9 +337,13 @@
                 await sock.close()
                 raise
         except (OSError, WireFormatError) as error:
-            log_event("peer_unreachable", level="debug", address=address, reason=error)
-            if isinstance(error, WireFormatError):
-                log_event("peer_rejected", level="warning", source=address, reason=error)
+            is_breach = isinstance(error, WireFormatError)
+            log_event(
+                "peer_rejected" if is_breach else "peer_unreachable",
+                level="warning" if is_breach else "debug",
+                source=address,
+                reason=error,
+            )
             dial.next_at = self._clock.monotonic() + next(dial.delays)
             await self._finish_dial(dial)
             return
--- /dev/null
+++ b/hibiscustiller/membership/_usage_sharing.py
@@ -0,0 +1,146 @@
+"""Sharing of the organisations' usage between routers.
+
+Each organisation belongs to one of 16 shards, and each shard to the router that ranks
+first for it. A router reports its deltas to the shards' owners, which answer with
+totals, so each owner has the totals of its organisations over the whole fleet.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Protocol
+
+from hibiscustiller.membership._transport import PeerTransport
+from hibiscustiller.utils import Clock, RouterId, log_event, rank_by_rendezvous
+from hibiscustiller.wire._messages_generated import (
+    UsageEntry,
+    UsageReport,
+    UsageTotals,
+)
+
+SHARD_COUNT = 16
+_PERIOD = timedelta(seconds=1)
+# Up to this many routers report each second. Above it the period grows with the fleet,
+# so that an owner's share of messages stays the same.
+_REPORTS_PER_SECOND = 40
+# Deltas that could not be delivered are kept for a later report, up to this many.
+_MAX_KEPT = 4096
+
+
+class UsageLedger(Protocol):
+    """This router's own usage, as ``limits.UsageLedger`` offers it."""
+
+    def collect_deltas(self) -> tuple[UsageEntry, ...]:
+        """Return the tokens used since the last call."""
+        ...
+
+    def apply_totals(self, entries: tuple[UsageEntry, ...]) -> None:
+        """Take over the fleet's totals."""
+        ...
+
+
+class UsageAggregator(Protocol):
+    """Totals over routers, as ``limits.UsageAggregator`` offers them."""
+
+    def add_report(self, sender: RouterId, entries: tuple[UsageEntry, ...]) -> None:
+        """Add a router's deltas."""
+        ...
+
+    def list_totals(self, sender: RouterId) -> tuple[UsageEntry, ...]:
+        """Return the totals that a router needs."""
+        ...
+
+
+class UsageSharing:
+    """Reports usage to the owners and answers those who report to this router.
+
+    :param mesh: connections to the other routers.
+    :param ledger: this router's usage.
+    :param aggregator: totals of the shards that this router owns.
+    :param clock: source of time.
+    :param random_state: source of jitter.
+    """
+
+    def __init__(
+        self,
+        mesh: PeerTransport,
+        ledger: UsageLedger,
+        aggregator: UsageAggregator,
+        clock: Clock,
+        random_state: random.Random,
+    ) -> None:
+        self._mesh = mesh
+        self._ledger = ledger
+        self._aggregator = aggregator
+        self._clock = clock
+        self._random_state = random_state
+        self._kept: list[UsageEntry] = []
+        mesh.register(UsageReport, self._take_report)
+        mesh.register(UsageTotals, self._take_totals)
+
+    async def run(self) -> None:
+        """Report each second until cancelled."""
+        while True:
+            period = find_period(len(self._mesh.list_members()))
+            await self._clock.sleep(period * (0.75 + 0.5 * self._random_state.random()))
+            await self.report_once()
+
+    async def report_once(self) -> None:
+        """Send the deltas since the last report to the shards' owners."""
+        entries = [*self._kept, *self._ledger.collect_deltas()]
+        self._kept = []
+        members = [member.router_id for member in self._mesh.list_members()]
+        for owner, owned in group_by_owner(entries, members).items():
+            if not await self._mesh.send(owner, UsageReport(tuple(owned))):
+                self._keep(owned)
+
+    def _keep(self, entries: list[UsageEntry]) -> None:
+        merged: dict[tuple[str, str], int] = defaultdict(int)
+        for entry in [*self._kept, *entries]:
+            merged[(entry.organisation, entry.class_name)] += entry.tokens
+        kept = [UsageEntry(*key, tokens) for key, tokens in merged.items()]
+        if len(kept) > _MAX_KEPT:
+            log_event("usage_deltas_lost", level="warning", count=len(kept) - _MAX_KEPT)
+        self._kept = kept[:_MAX_KEPT]
+
+    async def _take_report(self, sender: RouterId, report: UsageReport) -> None:
+        self._aggregator.add_report(sender, report.entries)
+        totals = self._aggregator.list_totals(sender)
+        await self._mesh.send(sender, UsageTotals(totals))
+
+    async def _take_totals(self, sender: RouterId, totals: UsageTotals) -> None:
+        self._ledger.apply_totals(totals.entries)
+
+
+def find_period(router_count: int) -> timedelta:
+    """Return the time between two reports of a router."""
+    return max(_PERIOD, _PERIOD * router_count / _REPORTS_PER_SECOND)
+
+
+def find_shard(organisation: str) -> int:
+    """Return the shard of an organisation."""
+    digest = hashlib.blake2b(organisation.encode(), digest_size=1).digest()
+    return digest[0] % SHARD_COUNT
+
+
+def find_owner(shard: int, members: Iterable[RouterId]) -> RouterId:
+    """Return the router that adds up a shard's usage."""
+    return rank_by_rendezvous(f"usage/{shard}", members)[0]
+
+
+def group_by_owner(
+    entries: Iterable[UsageEntry], members: list[RouterId]
+) -> dict[RouterId, list[UsageEntry]]:
+    """Group usage by the router that adds it up."""
+    owners_by_shard: dict[int, RouterId] = {}
+    grouped: dict[RouterId, list[UsageEntry]] = defaultdict(list)
+    for entry in entries:
+        shard = find_shard(entry.organisation)
+        if shard not in owners_by_shard:
+            owners_by_shard[shard] = find_owner(shard, members)
+        grouped[owners_by_shard[shard]].append(entry)
+    return grouped
