--- a/hibiscustiller/configuration/_generated.py
+++ b/hibiscustiller/configuration/_generated.py
@@ -45,6 +45,7 @@
     :param adapters: adapters that the engines load.
     :param max_tokens: longest answer, in tokens.
     :param kv_bytes_per_token: size of the KV cache of all layers, in bytes a token.
+    :param load_time: time the weight store needs to deliver one server's weights.
     """
 
     name: ModelName
@@ -53,6 +54,7 @@
     adapters: tuple[str, ...]
     max_tokens: int
     kv_bytes_per_token: int
+    load_time: timedelta
 
 
 @dataclass(frozen=True)
@@ -237,6 +239,15 @@
                 choices=(),
                 doc="size of the KV cache of all layers, in bytes a token",
             ),
+            KeySpec(
+                name="load_time",
+                kind="duration",
+                default="30s",
+                minimum="0s",
+                maximum="24h",
+                choices=(),
+                doc="time the weight store needs to deliver one server's weights",
+            ),
         ),
     ),
     SectionSpec(
--- a/hibiscustiller/control/__init__.py
+++ b/hibiscustiller/control/__init__.py
@@ -1,1 +1,24 @@
-"""Control of engines by one lease holder."""
+"""One router at a time controls what the engines hold."""
+
+from hibiscustiller.control._commands import (
+    EngineState,
+    LoadCommand,
+    RoleCommand,
+    list_commands,
+    order_loads,
+    parse_engine_state,
+)
+from hibiscustiller.control._holder import ControlHolder
+from hibiscustiller.control._lease import ControlLease, Term
+
+__all__ = [
+    "ControlHolder",
+    "ControlLease",
+    "EngineState",
+    "LoadCommand",
+    "RoleCommand",
+    "Term",
+    "list_commands",
+    "order_loads",
+    "parse_engine_state",
+]
--- /dev/null
+++ b/hibiscustiller/control/_holder.py
@@ -0,0 +1,285 @@
+"""The router that tells the engines what to load."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+
+import curio
+
+from hibiscustiller.configuration import FleetConfig, ServerConfig
+from hibiscustiller.control._commands import (
+    Command,
+    EngineState,
+    LoadCommand,
+    list_commands,
+    order_loads,
+    parse_engine_state,
+)
+from hibiscustiller.control._lease import HOLDER_KEY, ControlLease, Term
+from hibiscustiller.exceptions import StoreUnavailableError, TransportError
+from hibiscustiller.platform import KeyValueStore
+from hibiscustiller.utils import (
+    Clock,
+    Fence,
+    RouterId,
+    ServerId,
+    check_invariant,
+    jittered_delays,
+    log_event,
+    rank_by_rendezvous,
+)
+from hibiscustiller.wire import HttpClient
+
+_RENEW_PERIOD = timedelta(seconds=3)
+_RETRY_PERIOD = timedelta(seconds=1)
+_RECONCILE_PERIOD = timedelta(seconds=5)
+_CALL_TIMEOUT = timedelta(seconds=1)
+# Of the live routers, the first few stand by, since each look at the key costs the
+# store a call.
+_CANDIDATE_COUNT = 3
+_MAX_CONCURRENT_READS = 16
+# A command that fails this often is left until the document asks for something else.
+_MAX_ATTEMPTS = 8
+_FIRST_RETRY = timedelta(seconds=5)
+_LAST_RETRY = timedelta(minutes=2)
+_OK = 200
+_CONFLICT = 409
+
+
+@dataclass
+class _Attempts:
+    """What was last sent to a server to reach one wanted state."""
+
+    command: Command
+    delays: Iterator[timedelta]
+    count: int = 0
+    next_at: timedelta = timedelta(0)
+
+
+class ControlHolder:
+    """Stands by for the control lease, and reconciles the engines while it holds it.
+
+    :param router_id: this router.
+    :param store: the platform's key-value service.
+    :param client: HTTP client for the engines.
+    :param get_config: returns the document in force.
+    :param list_routers: returns the live routers.
+    :param clock: source of time.
+    :param random_state: source of tokens and jitter.
+    """
+
+    def __init__(
+        self,
+        router_id: RouterId,
+        store: KeyValueStore,
+        client: HttpClient,
+        get_config: Callable[[], FleetConfig],
+        list_routers: Callable[[], Iterable[RouterId]],
+        clock: Clock,
+        random_state: random.Random,
+    ) -> None:
+        self.lease = ControlLease(router_id, store, clock, random_state)
+        self._router_id = router_id
+        self._client = client
+        self._get_config = get_config
+        self._list_routers = list_routers
+        self._clock = clock
+        self._random_state = random_state
+        self._attempts: dict[tuple[ServerId, type], _Attempts] = {}
+        self._next_load_at = timedelta(0)
+        self._tasks: list[curio.Task] = []
+
+    @property
+    def fence(self) -> Fence | None:
+        """The fence of this router's term; None if it does not hold the lease."""
+        return None if self.lease.term is None else self.lease.term.fence
+
+    async def start(self) -> None:
+        """Stand by for the lease."""
+        for run in (self._run_lease, self._run_reconcile):
+            self._tasks.append(await curio.spawn(run, daemon=True))
+
+    async def stop(self) -> None:
+        """Send nothing more, and hand the lease over by revoking it."""
+        for task in reversed(self._tasks):
+            await task.cancel()
+        self._tasks.clear()
+        await self.lease.release()
+
+    async def step_lease(self) -> timedelta:
+        """Acquire or renew the lease.
+
+        :returns: time until the next step.
+        """
+        term = self.lease.term
+        try:
+            if term is not None:
+                await self.lease.renew()
+            elif self._is_candidate():
+                await self.lease.acquire()
+        except StoreUnavailableError as error:
+            log_event("control_store_unavailable", level="warning", reason=error)
+            if term is not None and not self.lease.has_margin(term):
+                self.lease.drop("not renewed in time")
+            return _RETRY_PERIOD
+        return _RENEW_PERIOD
+
+    async def reconcile(self) -> None:
+        """Compare all engines with the document and send what is missing.
+
+        :raises StoreUnavailableError: if the store cannot confirm the lease.
+        """
+        term = self.lease.term
+        if term is None or not await self.lease.confirm():
+            return
+        config = self._get_config()
+        states = await self._read_states(config)
+        loads: dict[ServerId, LoadCommand] = {}
+        for server, state in states.items():
+            commands = list_commands(config, config.servers_by_id[server], state)
+            self._forget_reached(server, commands)
+            for command in commands:
+                if isinstance(command, LoadCommand):
+                    loads[server] = command
+                else:
+                    await self._send_if_due(term, config.servers_by_id[server], command)
+        for server in order_loads(config, states, loads):
+            await self._send_load_if_due(term, config, server, loads[server])
+
+    async def _run_lease(self) -> None:
+        while True:
+            try:
+                delay = await self.step_lease()
+            except Exception as error:
+                log_event("control_failed", level="error", error=repr(error))
+                await self.lease.release()
+                delay = _RENEW_PERIOD
+            jitter = 0.75 + 0.25 * self._random_state.random()
+            await self._clock.sleep(delay * jitter)
+
+    async def _run_reconcile(self) -> None:
+        while True:
+            try:
+                await self.reconcile()
+            except StoreUnavailableError as error:
+                log_event("control_store_unavailable", level="warning", reason=error)
+            except Exception as error:
+                log_event("control_failed", level="error", error=repr(error))
+                await self.lease.release()
+            await self._clock.sleep(_RECONCILE_PERIOD)
+
+    def _is_candidate(self) -> bool:
+        ranked = rank_by_rendezvous(HOLDER_KEY, self._list_routers())
+        return self._router_id in ranked[:_CANDIDATE_COUNT]
+
+    async def _read_states(self, config: FleetConfig) -> dict[ServerId, EngineState]:
+        states: dict[ServerId, EngineState] = {}
+        servers = iter(list(config.servers_by_id.values()))
+
+        async def read_some() -> None:
+            for server in servers:
+                state = await self._read_state(server)
+                if state is not None:
+                    states[server.name] = state
+
+        async with curio.TaskGroup() as group:
+            for _ in range(min(_MAX_CONCURRENT_READS, len(config.servers_by_id))):
+                await group.spawn(read_some)
+        return dict(sorted(states.items()))
+
+    async def _read_state(self, server: ServerConfig) -> EngineState | None:
+        try:
+            answer = await self._client.request(
+                server.address, "GET", "/v1/state", timeout=_CALL_TIMEOUT
+            )
+            if answer.status != _OK:
+                raise ValueError(f"status {answer.status}")
+            return parse_engine_state(answer.read_json())
+        except (TransportError, ValueError) as error:
+            log_event("state_read_failed", level="debug", server=server.name, error=error)
+            return None
+
+    def _forget_reached(self, server: ServerId, commands: list[Command]) -> None:
+        wanted = {type(command): command for command in commands}
+        for key in [key for key in self._attempts if key[0] == server]:
+            if wanted.get(key[1]) != self._attempts[key].command:
+                del self._attempts[key]
+
+    async def _send_load_if_due(
+        self, term: Term, config: FleetConfig, server: ServerId, command: LoadCommand
+    ) -> None:
+        """Send a load if the weight store can take another one."""
+        now = self._clock.monotonic()
+        if now < self._next_load_at:
+            return
+        load_time = config.models_by_name[command.model].load_time
+        if await self._send_if_due(
+            term, config.servers_by_id[server], command, load_time
+        ):
+            self._next_load_at = now + load_time
+
+    async def _send_if_due(
+        self,
+        term: Term,
+        server: ServerConfig,
+        command: Command,
+        duration: timedelta = timedelta(0),
+    ) -> bool:
+        """Send a command unless it was sent recently or too often.
+
+        :param duration: time that the engine takes to carry it out.
+        :returns: whether the engine accepted it.
+        """
+        attempts = self._attempts.setdefault(
+            (server.name, type(command)), self._make_attempts(command)
+        )
+        now = self._clock.monotonic()
+        if attempts.count >= _MAX_ATTEMPTS or now < attempts.next_at:
+            return False
+        # A pause may have happened anywhere before this line, even in the last read.
+        if not self.lease.has_margin(term):
+            return False
+        attempts.count += 1
+        attempts.next_at = now + duration + _FIRST_RETRY / 2 + next(attempts.delays)
+        is_accepted = await self._send_command(term, server, command)
+        if attempts.count == _MAX_ATTEMPTS and not is_accepted:
+            log_event("command_abandoned", level="error", server=server.name)
+        return is_accepted
+
+    async def _send_command(
+        self, term: Term, server: ServerConfig, command: Command
+    ) -> bool:
+        check_invariant(
+            self.lease.has_margin(term),
+            "command_within_lease_margin",
+            server=server.name,
+            fence=term.fence,
+        )
+        try:
+            answer = await self._client.request_json(
+                server.address,
+                "POST",
+                "/v1/orders",
+                command.describe(term.fence),
+                timeout=_CALL_TIMEOUT,
+            )
+        except TransportError as error:
+            log_event("command_failed", level="warning", server=server.name, error=error)
+            return False
+        if answer.status == _CONFLICT:
+            self.lease.drop(f"{server.name} has seen a newer fence")
+        log_event(
+            "command_sent",
+            server=server.name,
+            action=type(command).__name__,
+            fence=term.fence,
+            status=answer.status,
+        )
+        return answer.status == _OK
+
+    def _make_attempts(self, command: Command) -> _Attempts:
+        delays = jittered_delays(_FIRST_RETRY, _LAST_RETRY, self._random_state)
+        return _Attempts(command, delays)
--- /dev/null
+++ b/hibiscustiller/control/_lease.py
@@ -0,0 +1,185 @@
+"""The lease of the router that controls the engines."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from hibiscustiller.exceptions import StoreUnavailableError
+from hibiscustiller.platform import KeyValueStore, LeaseId
+from hibiscustiller.utils import (
+    Clock,
+    Fence,
+    RouterId,
+    Verdict,
+    check_invariant,
+    log_event,
+)
+
+HOLDER_KEY = "control/holder"
+LEASE_TTL = timedelta(seconds=10)
+# A command leaves within a second of the check, or its connection is given up; the
+# other second covers the clocks' drift and scheduling.
+LEASE_MARGIN = timedelta(seconds=2)
+
+
+@dataclass
+class Term:
+    """One uninterrupted time of holding the lease.
+
+    :param fence: store revision of the acquired key.
+    :param token: unique value by which the key is recognised as this term's.
+    :param valid_until: monotonic time of the lease's earliest possible end.
+    :param valid_until_wall: the same by the wall clock. A suspended machine stops
+        the monotonic clock; the wall clock then shows the pause.
+    """
+
+    lease: LeaseId
+    fence: Fence
+    token: str
+    valid_until: timedelta
+    valid_until_wall: datetime
+
+
+class ControlLease:
+    """Acquires, renews and hands over the lease.
+
+    :param router_id: this router.
+    :param store: the platform's key-value service.
+    :param clock: source of time.
+    :param random_state: source of tokens.
+    """
+
+    def __init__(
+        self,
+        router_id: RouterId,
+        store: KeyValueStore,
+        clock: Clock,
+        random_state: random.Random,
+    ) -> None:
+        self._router_id = router_id
+        self._store = store
+        self._clock = clock
+        self._random_state = random_state
+        self._last_fence = Fence(0)
+        self.term: Term | None = None
+
+    def has_margin(self, term: Term) -> bool:
+        """Tell whether a term is current and its lease lasts for the margin."""
+        left = min(
+            term.valid_until - self._clock.monotonic(),
+            term.valid_until_wall - self._clock.now(),
+        )
+        return term is self.term and left >= LEASE_MARGIN
+
+    async def acquire(self) -> bool:
+        """Try to begin a term.
+
+        :returns: whether this router holds the lease now.
+        :raises StoreUnavailableError: if the store gives no usable answer.
+        """
+        if await self._store.get(HOLDER_KEY) is not None:
+            return False
+        asked_at, asked_at_wall = self._clock.monotonic(), self._clock.now()
+        lease = await self._store.grant_lease(LEASE_TTL)
+        token = f"{self._random_state.getrandbits(128):032x}"
+        fence = await self._swap_holder(lease, token)
+        if fence is None:
+            await self._store.revoke_lease(lease)
+            return False
+        check_invariant(
+            fence > self._last_fence,
+            "control_fence_rises",
+            fence=fence,
+            last_fence=self._last_fence,
+        )
+        self._last_fence = fence
+        self.term = Term(
+            lease, fence, token, asked_at + LEASE_TTL, asked_at_wall + LEASE_TTL
+        )
+        log_event("control_acquired", router=self._router_id, fence=fence)
+        return True
+
+    async def renew(self) -> bool:
+        """Extend the term; it ends if the lease has expired.
+
+        :returns: whether this router still holds the lease.
+        :raises StoreUnavailableError: if the store gives no usable answer.
+        """
+        term = self.term
+        if term is None:
+            return False
+        # The lease lasts from when the store saw the request, which is later.
+        asked_at, asked_at_wall = self._clock.monotonic(), self._clock.now()
+        if not await self._store.keep_alive(term.lease):
+            self.drop("lease expired")
+            return False
+        term.valid_until = asked_at + LEASE_TTL
+        term.valid_until_wall = asked_at_wall + LEASE_TTL
+        return True
+
+    async def confirm(self) -> bool:
+        """Read the key; a store that lost data may have forgotten it.
+
+        :returns: whether the key still belongs to this term.
+        :raises StoreUnavailableError: if the store gives no usable answer.
+        """
+        term = self.term
+        if term is None:
+            return False
+        entry = await self._store.get(HOLDER_KEY)
+        if entry is None or _read_token(entry.value) != term.token:
+            self.drop("key is not this term's")
+            return False
+        return True
+
+    def drop(self, reason: str) -> None:
+        """End the term at this router."""
+        if self.term is not None:
+            log_event(
+                "control_lost",
+                level="warning",
+                router=self._router_id,
+                fence=self.term.fence,
+                reason=reason,
+            )
+            self.term = None
+
+    async def release(self) -> None:
+        """End the term and let another router begin at once."""
+        term, self.term = self.term, None
+        if term is None:
+            return
+        try:
+            await self._store.revoke_lease(term.lease)
+            log_event("control_released", router=self._router_id, fence=term.fence)
+        except StoreUnavailableError as error:
+            # The lease then ends by itself.
+            log_event("control_release_failed", level="warning", reason=error)
+
+    async def _swap_holder(self, lease: LeaseId, token: str) -> Fence | None:
+        value = json.dumps({"router": self._router_id, "token": token}).encode()
+        try:
+            outcome = await self._store.compare_and_swap(HOLDER_KEY, value, 0, lease)
+        except StoreUnavailableError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                raise
+            return await self._read_back(token)
+        return Fence(outcome.revision) if outcome.is_swapped else None
+
+    async def _read_back(self, token: str) -> Fence | None:
+        """Find out whether a write whose answer was lost took effect."""
+        entry = await self._store.get(HOLDER_KEY)
+        if entry is None or _read_token(entry.value) != token:
+            return None
+        log_event("control_acquire_read_back", router=self._router_id)
+        return Fence(entry.revision)
+
+
+def _read_token(value: bytes) -> str | None:
+    try:
+        return json.loads(value)["token"]
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/hibiscustiller/membership/_backends.py
+++ b/hibiscustiller/membership/_backends.py
@@ -300,6 +300,7 @@
         state = BackendState.LEAVING if is_draining else BackendState.SERVING
         self._set_state(server, SignalSource.DOCUMENT, state)
         if self._clock.monotonic() >= backend.relayed_until:
+            backend.relayed_at = None
             self._set_state(server, SignalSource.RELAYED, BackendState.SERVING)
         return backend
 
