--- a/hibiscustiller/control/_holder.py
+++ b/hibiscustiller/control/_holder.py
@@ -41,8 +41,10 @@
 # store a call.
 _CANDIDATE_COUNT = 3
 _MAX_CONCURRENT_READS = 16
-# A command that fails this often is left until the document asks for something else.
+# A command that does not take effect this often is left alone for a longer time, in
+# which the engine may be replaced, or until the document asks for something else.
 _MAX_ATTEMPTS = 8
+_PAUSE_AFTER_ATTEMPTS = timedelta(minutes=10)
 _FIRST_RETRY = timedelta(seconds=5)
 _LAST_RETRY = timedelta(minutes=2)
 _OK = 200
@@ -199,7 +201,9 @@
                 raise ValueError(f"status {answer.status}")
             return parse_engine_state(answer.read_json())
         except (TransportError, ValueError) as error:
-            log_event("state_read_failed", level="debug", server=server.name, error=error)
+            log_event(
+                "state_read_failed", level="debug", server=server.name, error=error
+            )
             return None
 
     def _forget_reached(self, server: ServerId, commands: list[Command]) -> None:
@@ -237,17 +241,18 @@
             (server.name, type(command)), self._make_attempts(command)
         )
         now = self._clock.monotonic()
-        if attempts.count >= _MAX_ATTEMPTS or now < attempts.next_at:
+        if now < attempts.next_at:
             return False
         # A pause may have happened anywhere before this line, even in the last read.
         if not self.lease.has_margin(term):
             return False
         attempts.count += 1
         attempts.next_at = now + duration + _FIRST_RETRY / 2 + next(attempts.delays)
-        is_accepted = await self._send_command(term, server, command)
-        if attempts.count == _MAX_ATTEMPTS and not is_accepted:
-            log_event("command_abandoned", level="error", server=server.name)
-        return is_accepted
+        if attempts.count >= _MAX_ATTEMPTS:
+            attempts.count = 0
+            attempts.next_at = now + _PAUSE_AFTER_ATTEMPTS
+            log_event("command_without_effect", level="error", server=server.name)
+        return await self._send_command(term, server, command)
 
     async def _send_command(
         self, term: Term, server: ServerConfig, command: Command
@@ -267,7 +272,9 @@
                 timeout=_CALL_TIMEOUT,
             )
         except TransportError as error:
-            log_event("command_failed", level="warning", server=server.name, error=error)
+            log_event(
+                "command_failed", level="warning", server=server.name, error=error
+            )
             return False
         if answer.status == _CONFLICT:
             self.lease.drop(f"{server.name} has seen a newer fence")
--- a/hibiscustiller/membership/__init__.py
+++ b/hibiscustiller/membership/__init__.py
@@ -11,6 +11,7 @@
 from hibiscustiller.membership._mesh import MeshTimings, PeerMesh
 from hibiscustiller.membership._polling import BackendPoller, parse_load_report
 from hibiscustiller.membership._signal_sharing import SignalSharing
+from hibiscustiller.membership._solo import SoloTransport
 from hibiscustiller.membership._transport import Member, PeerTransport
 from hibiscustiller.membership._usage_sharing import UsageSharing
 
@@ -26,6 +27,7 @@
     "PeerTraffic",
     "PeerTransport",
     "SignalSharing",
+    "SoloTransport",
     "StateChange",
     "UsageSharing",
     "parse_load_report",
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -11,9 +11,10 @@
 from hibiscustiller.platform import EtcdStore
 from hibiscustiller.routing import RoutePlanner, ServerLoads
 from hibiscustiller.serving._callers import CallerApi
+from hibiscustiller.serving._control_plane import ControlPlane
 from hibiscustiller.settings import Settings
 from hibiscustiller.streams import StreamRunner
-from hibiscustiller.utils import Clock, Metrics, Revision, ServerId, log_event
+from hibiscustiller.utils import Clock, Metrics, Revision, log_event
 from hibiscustiller.wire import HttpClient, HttpLimits, HttpServer
 
 _DRAIN_POLL = timedelta(milliseconds=50)
@@ -46,11 +47,19 @@
         )
         self.configuration = CurrentConfiguration({}, Revision(0))
         get_config = self.configuration.get_config
+        self.control_plane = ControlPlane(
+            settings,
+            self.store,
+            self._client,
+            self.configuration,
+            clock,
+            random_state,
+        )
         self.loads = ServerLoads()
         self.planner = RoutePlanner(
             settings.router.failure_domain,
             get_config,
-            self._is_server_usable,
+            self.control_plane.backends.is_usable,
             lambda server: True,
             self.loads,
             random_state,
@@ -63,7 +72,7 @@
         self.runner = StreamRunner(
             self._client,
             self.admission,
-            [self.loads],
+            [self.loads, self.control_plane.backends],
             settings.limits.next_byte_timeout,
         )
         self.forwarder = ServiceForwarder(self._client, self.store, random_state)
@@ -89,6 +98,7 @@
 
     async def start(self) -> None:
         """Start to serve."""
+        await self.control_plane.start()
         await self.caller_server.start()
         self._is_ready = True
         log_event(
@@ -110,12 +120,10 @@
         while self.caller_server.busy_count:
             await self._clock.sleep(_DRAIN_POLL)
         await self.caller_server.close()
+        await self.control_plane.stop()
         await self._client.close()
         log_event("shutdown_finished", router=self.settings.router.id)
 
-    def _is_server_usable(self, server: ServerId) -> bool:
-        return self.configuration.config.servers_by_id[server].state == "serving"
-
 
 def make_http_limits(settings: Settings) -> HttpLimits:
     """Return the HTTP limits that the settings ask for."""
