--- a/hibiscustiller/membership/_mesh.py
+++ b/hibiscustiller/membership/_mesh.py
@@ -717,7 +717,11 @@
             self._heard_by_id[router] = now
         for router in self._heard_by_id.keys() - chosen:
             del self._heard_by_id[router]
+        former = self._neighbours - chosen
         self._neighbours = chosen
+        for router in former & self._connections_by_id.keys():
+            # The peer learns that it need not send heartbeats any more.
+            await self._send_heartbeat(self._connections_by_id[router])
         for member in members:
             router = member.router_id
             if router in chosen and router not in self._connections_by_id:
