--- a/hibiscustiller/membership/_mesh.py
+++ b/hibiscustiller/membership/_mesh.py
@@ -259,9 +259,11 @@
     async def broadcast(self, message: Message) -> None:
         """Send to all neighbours. A receiver passes on what is new to it."""
         frame = self._encode(message)
-        for connection in list(self._connections_by_id.values()):
-            if self._exchanges_heartbeats(connection):
-                await self._send_frame(connection, frame)
+        connections = list(self._connections_by_id.values())
+        chosen = [c for c in connections if self._exchanges_heartbeats(c)]
+        # Just after a join, the neighbours are not chosen or connected yet.
+        for connection in chosen or connections:
+            await self._send_frame(connection, frame)
 
     def _make_table(self) -> MemberTable:
         member = self._self_member
--- a/hibiscustiller/membership/tests/_meshes.py
+++ b/hibiscustiller/membership/tests/_meshes.py
@@ -76,3 +76,15 @@
         lambda: all(list_ids(mesh) == expected for mesh in meshes),
         lambda: [list_ids(mesh) for mesh in meshes],
     )
+
+
+async def wait_for_links(meshes):
+    """Wait until all know each other and are connected to their neighbours."""
+    await wait_for_agreement(meshes)
+    ids = [mesh.self_member.router_id for mesh in meshes]
+
+    def is_linked(mesh):
+        chosen = choose_neighbours(mesh.self_member.router_id, ids)
+        return mesh.neighbours == chosen and chosen <= mesh.connected
+
+    await wait_until(lambda: all(is_linked(mesh) for mesh in meshes))
