--- a/hibiscustiller/membership/tests/_meshes.py
+++ b/hibiscustiller/membership/tests/_meshes.py
@@ -7,6 +7,7 @@
 import curio
 
 from hibiscustiller.membership import Member, MeshTimings, PeerMesh
+from hibiscustiller.membership._neighbours import choose_neighbours
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import SystemClock
 
