--- a/hibiscustiller/cli/tests/test_operators.py
+++ b/hibiscustiller/cli/tests/test_operators.py
@@ -11,8 +11,13 @@
 from hibiscustiller.cli import _operators as operators
 from hibiscustiller.cli import main
 from hibiscustiller.serving._administration import read_proposal
-from hibiscustiller.serving.tests.test_administration import start_bench, stop_bench
+from hibiscustiller.serving.tests.test_administration import (
+    make_router,
+    start_bench,
+    stop_bench,
+)
 from hibiscustiller.standins import TEAM_KEYS_BY_ID
+from hibiscustiller.utils import SystemClock
 from hibiscustiller.utils._testing import collect_tests
 
 
@@ -74,6 +79,27 @@
     await stop_bench(bench)
 
 
+async def test_first_document_is_set_up_by_command():
+    """Guards against a new fleet that cannot be given its first document."""
+    bench = await start_bench()
+    document = (await invoke(bench, "document")).output
+    await bench.router.stop()
+    platform = bench.fleet.platform
+    platform.restore_backup((1, {}))
+    bench.router = make_router(bench.fleet, SystemClock())
+    await bench.router.start()
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / "document.ini"
+        path.write_text(document)
+        words = ("propose", "--file", str(path), "--whole", "--base-revision", "0")
+        foreign = await invoke(bench, *words, team="tizas")
+        assert foreign.exit_code == operators.EXIT_REFUSED, foreign.output
+        done = await invoke(bench, *words, team="carnbeg")
+        assert done.exit_code == 0 and "revision 1" in done.output, done.output
+    assert (await invoke(bench, "document")).output == document
+    await stop_bench(bench)
+
+
 async def test_refusals_have_an_exit_code_and_name_the_cause():
     """Guards against automation that takes a refusal for success."""
     bench = await start_bench()
--- a/hibiscustiller/configuration/tests/test_sync.py
+++ b/hibiscustiller/configuration/tests/test_sync.py
@@ -4,20 +4,29 @@
 import zlib
 from datetime import timedelta
 
-from hibiscustiller.configuration import apply_difference, compute_difference
+from hibiscustiller.configuration import (
+    SyncOptions,
+    apply_difference,
+    compute_difference,
+)
 from hibiscustiller.configuration._changes import (
     make_change_message,
     read_change_message,
 )
 from hibiscustiller.configuration._head import HEAD_KEY, decode_head
 from hibiscustiller.configuration.tests._harness import (
+    Node,
     SimulatedFleet,
     edit,
     make_sections,
 )
 from hibiscustiller.exceptions import InvariantError
-from hibiscustiller.utils import violations_by_name
+from hibiscustiller.platform import EtcdStore
+from hibiscustiller.settings import Address
+from hibiscustiller.standins import PlatformStandin
+from hibiscustiller.utils import SystemClock, violations_by_name
 from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire import HttpClient
 from hibiscustiller.wire._messages_generated import (
     ConfigRequest,
     ConfigSnapshot,
@@ -218,6 +227,35 @@
         await fleet.stop()
 
 
+async def test_store_restored_behind_open_watches_is_repaired_over_http():
+    """Guards against a watch that hides the loss, with the real client."""
+    clock = SystemClock()
+    platform = PlatformStandin(Address("127.0.0.1", 0), clock)
+    await platform.start()
+    client = HttpClient(clock)
+    store = EtcdStore(client, platform.address, timedelta(seconds=2))
+    quick = SyncOptions(
+        watch_period=timedelta(milliseconds=50),
+        head_period=timedelta(milliseconds=100),
+        tick=timedelta(milliseconds=10),
+    )
+    node = Node("r0", "d0", store, clock, None, 1, {}, quick)
+    await node.start()
+    await node.propose("first", 0, make_sections())
+    backup = platform.take_backup()
+    await node.propose("second", 1, edit(9), "sales")
+    platform.restore_backup(backup)
+    for _ in range(1000):
+        if node.sync.revision == 3:
+            break
+        await clock.sleep(timedelta(milliseconds=10))
+    assert node.sync.revision == 3
+    assert node.current.sections["organisation greens"]["weight"] == "9"
+    await node.stop()
+    await client.close()
+    await platform.close()
+
+
 async def test_two_histories_end_in_one():
     """Guards against two groups that replace each other's document without end."""
     fleet = await start_fleet(3)
--- a/hibiscustiller/serving/tests/test_administration.py
+++ b/hibiscustiller/serving/tests/test_administration.py
@@ -217,6 +217,19 @@
     await stop_bench(bench)
 
 
+async def test_lost_answer_of_the_store_is_read_back():
+    """Guards against an unknown outcome where the store can still be asked."""
+    bench = await start_bench()
+    base = await bench.read_revision()
+    bench.fleet.platform.faults.lost_answers = 1
+    status, answer = await bench.propose(
+        "p", base, {"organisation greens": {"weight": "2"}}
+    )
+    assert (status, answer["revision"], answer["repeated"]) == (200, base + 1, False)
+    assert bench.fleet.platform.faults.lost_answers == 0
+    await stop_bench(bench)
+
+
 async def test_two_routers_share_one_store():
     """Guards against routers whose proposals overwrite each other."""
     bench = await start_bench()
