--- a/hibiscustiller/configuration/_proposals.py
+++ b/hibiscustiller/configuration/_proposals.py
@@ -64,6 +64,9 @@
 # because reading it back spares the team an unknown outcome.
 _MAX_FAILURES = 2
 _MAX_DOUBTFUL_FAILURES = 4
+# Proposals of one router that wait for their turn. During an outage each takes two
+# timeouts of the store, and the last one must be answered within 30 s or so.
+_MAX_WAITING = 8
 _FIRST_DELAY = timedelta(milliseconds=20)
 _LONGEST_DELAY = timedelta(milliseconds=500)
 _RETRY_AFTER = timedelta(seconds=1)
@@ -140,6 +143,7 @@
         self._random_state = random_state
         self._metrics = metrics
         self._lock = curio.Lock()
+        self._waiting_count = 0
 
     def find_team(self, key: str) -> TeamConfig | None:
         """Return the team that a bearer key belongs to."""
@@ -157,15 +161,31 @@
             message = "the Authorization header carries no known team key"
             self._metrics.count("configuration.unauthenticated")
             return Err(self._refuse(RefusalReason.UNAUTHENTICATED, message))
-        # One proposal at a time here; otherwise they would lose swaps to each other.
-        async with self._lock:
-            answer = await self._decide(team, proposal)
+        answer = await self._decide_in_turn(team, proposal)
         if isinstance(answer, Err):
             self._note_refused(team, proposal, answer.err_value)
         else:
             self._metrics.count("configuration.proposals_accepted")
         return answer
 
+    async def _decide_in_turn(
+        self, team: TeamConfig, proposal: Proposal
+    ) -> Result[Acceptance, ProposalRefusal]:
+        """Decide one proposal at a time; otherwise they lose swaps to each other."""
+        if self._waiting_count >= _MAX_WAITING:
+            message = f"{_MAX_WAITING} proposals are waiting here; {_REPEAT_ADVICE}"
+            return Err(
+                self._refuse(
+                    RefusalReason.OVERLOADED, message, retry_after=_RETRY_AFTER
+                )
+            )
+        self._waiting_count += 1
+        try:
+            async with self._lock:
+                return await self._decide(team, proposal)
+        finally:
+            self._waiting_count -= 1
+
     async def _decide(
         self, team: TeamConfig, proposal: Proposal
     ) -> Result[Acceptance, ProposalRefusal]:
--- a/hibiscustiller/configuration/_sync.py
+++ b/hibiscustiller/configuration/_sync.py
@@ -603,6 +603,8 @@
         if self._is_store_up:
             log_event("configuration_store_lost", level="warning", error=error)
         self._is_store_up = False
+        # The store may come back with older data, which only a read shows.
+        self._head_read_due = timedelta(0)
         self._metrics.count("configuration.store_failures")
 
     async def _follow_store(self) -> None:
@@ -624,18 +626,15 @@
                 await self._clock.sleep(max(self.options.tick, next(delays)))
 
     async def _poll(self) -> None:
-        await self._read_head()
-        due = self._clock.monotonic() + self._jitter(self.options.poll_period)
+        if self._clock.monotonic() >= self._head_read_due:
+            await self._read_head()
         tick = min(self.options.tick * 4, self.options.poll_period)
-        while self._clock.monotonic() < due and not self.is_watcher():
+        while self._clock.monotonic() < self._head_read_due and not self.is_watcher():
             await self._clock.sleep(tick)
 
     async def _watch_for_a_while(self) -> None:
         if self._clock.monotonic() >= self._head_read_due:
             await self._read_head()
-            self._head_read_due = self._clock.monotonic() + self._jitter(
-                self.options.head_period
-            )
         watch = await wait_at_most(
             self.options.call_timeout,
             self._store.open_watch(HEAD_KEY, self._store_revision + 1),
@@ -680,7 +679,11 @@
     async def _read_head(self) -> None:
         stored = await self.refresh()
         self._store_revision = stored.store_revision
-        if self._compare(stored.head) is HeadRelation.LOST and self.is_watcher():
+        is_watcher = self.is_watcher()
+        options = self.options
+        period = options.head_period if is_watcher else options.poll_period
+        self._head_read_due = self._clock.monotonic() + self._jitter(period)
+        if is_watcher and self._compare(stored.head) is HeadRelation.LOST:
             await self._republish()
 
     async def _republish(self) -> None:
--- a/hibiscustiller/configuration/tests/test_proposals.py
+++ b/hibiscustiller/configuration/tests/test_proposals.py
@@ -224,6 +224,22 @@
     await fleet.stop()
 
 
+async def test_waiting_proposals_are_bounded():
+    """Guards against proposals that pile up during an outage of the store."""
+    fleet = await start_fleet(1)
+    node = fleet.nodes[0]
+    await fleet.store.fail()
+    tasks = [
+        await curio.spawn(node.propose(f"p{number}", 1, edit(2), "sales"))
+        for number in range(40)
+    ]
+    await fleet.run(60)
+    reasons = [read_reason(await task.join()) for task in tasks]
+    assert reasons.count((RefusalReason.STORE_UNAVAILABLE, Verdict.NOT_RUN)) == 8
+    assert reasons.count((RefusalReason.OVERLOADED, Verdict.NOT_RUN)) == 32
+    await fleet.stop()
+
+
 async def test_used_proposal_id_with_other_content_is_refused():
     """Guards against an answer of "applied" for a change that was not."""
     fleet = await start_fleet(2)
--- a/hibiscustiller/configuration/tests/test_randomised.py
+++ b/hibiscustiller/configuration/tests/test_randomised.py
@@ -258,7 +258,8 @@
 @given(SCRIPTS, st.integers(1, 4), st.integers(0, 3))
 def test_routers_agree_after_the_store_lost_data(script, changes, seed):
     """Guards against changes that revert with the store's data."""
-    calm = [step for step in script if step[0] in ("propose", "wait", "repeat")]
+    # A restarted router would know nothing of the lost data; see the known limits.
+    calm = [step for step in script if step[0] not in ("restart", "split")]
     script = [*script, ("restore", changes), *calm, ("wait", 40), ("restore", changes)]
     run_script(script, seed)
 
