--- a/hibiscustiller/serving/_administration.py
+++ b/hibiscustiller/serving/_administration.py
@@ -122,7 +122,8 @@
         if request.method != method:
             return _refuse(f"{request.method} is not accepted here; use {method}")
         # A first document has no team yet; the proposal service checks its key.
-        if method == "GET" and self._proposals.find_team(read_key(request)) is None:
+        is_first = method == "POST" and self._current.revision == 0
+        if not is_first and self._proposals.find_team(read_key(request)) is None:
             return Err(_UNAUTHENTICATED)
         return Ok(handler)
 
