--- a/hibiscustiller/configuration/_sync.py
+++ b/hibiscustiller/configuration/_sync.py
@@ -4,7 +4,6 @@
 
 import random
 import zlib
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -20,7 +19,6 @@
     can_replace,
     check_change_digest,
     make_change_message,
-    make_point,
     read_change_message,
     to_milliseconds,
 )
@@ -32,17 +30,14 @@
 )
 from hibiscustiller.configuration._head import (
     HEAD_KEY,
-    MAX_CHAIN_BYTES,
-    MAX_CHAIN_CHANGES,
-    MAX_FOLDED,
     Head,
     HeadStore,
     SnapshotReference,
     StoredHead,
     decode_head,
     make_republished_head,
-    measure_change,
 )
+from hibiscustiller.configuration._history import History
 from hibiscustiller.configuration._validation import MAX_DOCUMENT_BYTES
 from hibiscustiller.exceptions import (
     InvariantError,
@@ -76,13 +71,9 @@
 _WATCHERS_PER_DOMAIN = 2
 # Changes announced one by one; peers that miss more ask for them.
 _MAX_ANNOUNCED = 4
-# Changes kept that arrived before the one they follow.
-_MAX_EARLY = MAX_CHAIN_CHANGES
 _MAX_AGE_MS = (1 << 32) - 1
-# Leaves room in the chain for the change that republishes the document.
-_MAX_RECENT_CHANGES = MAX_CHAIN_CHANGES - 1
-_MAX_RECENT_BYTES = MAX_CHAIN_BYTES - 1024
-_MAX_POINTS = MAX_FOLDED + MAX_CHAIN_CHANGES
+# Peers remembered before the silent ones are forgotten.
+_MAX_PEERS = 256
 
 
 @dataclass(frozen=True)
@@ -158,10 +149,7 @@
         self._clock = clock
         self._random_state = random_state
         self._metrics = metrics
-        self._points: deque[HistoryPoint] = deque(maxlen=_MAX_POINTS)
-        self._recent: deque[Change] = deque()
-        self._recent_bytes = 0
-        self._early_changes: dict[tuple[Revision, str], Change] = {}
+        self._history = History()
         self._packed: tuple[str, bytes] = ("", b"")
         self._peer_states: dict[RouterId, tuple[Revision, timedelta]] = {}
         self._confirmed_at: timedelta | None = None
@@ -313,7 +301,7 @@
             return
         check_change_digest(change)
         if not self._extends_own(change):
-            self._keep_early(change)
+            self._history.keep_early(change, self.revision)
             await self._request_from(sender)
             return
         await self._install_in_order(change)
@@ -326,11 +314,11 @@
             await self._request_from(sender)
         if held >= self.revision:
             return
-        changes = self._list_recent_after(held, message.digest)
+        changes = self._history.list_after(held, message.digest)
         if changes:
             for change in changes:
                 await self._send(sender, make_change_message(change))
-        elif not self._points or can_replace(self._points, held, message.digest):
+        elif self._history.may_replace(held, message.digest):
             await self._send(sender, self._make_snapshot())
 
     async def handle_snapshot(self, sender: RouterId, message: ConfigSnapshot) -> None:
@@ -355,7 +343,7 @@
             log_event("configuration_snapshot_unreadable", peer=sender, error=error)
             return
         if self._put_in_force(sections, own.revision, own.digest):
-            self._replace_history(points or [own], ())
+            self._history.replace(points or [own], ())
             await self._announce(())
 
     async def announce_accepted(self, change: Change) -> None:
@@ -400,27 +388,16 @@
             await self._install(sections, pending)
             return
         if self._put_in_force(sections, head.revision, head.digest):
-            self._replace_history(head.list_points(), pending)
+            self._history.replace(head.list_points(), pending)
             await self._announce(pending)
 
-    def _keep_early(self, change: Change) -> None:
-        """Keep a change that overtook an earlier one until that one arrives."""
-        self._early_changes = {
-            key: item
-            for key, item in self._early_changes.items()
-            if item.to_revision > self.revision
-        }
-        if len(self._early_changes) < _MAX_EARLY:
-            key = (change.from_revision, change.previous_digest)
-            self._early_changes[key] = change
-
     async def _install_in_order(self, change: Change) -> None:
         """Put a change in force, and those kept that follow it."""
         changes = [change]
         sections = apply_difference(self._current.sections, change.difference)
         while True:
             last = changes[-1]
-            after = self._early_changes.pop((last.to_revision, last.digest), None)
+            after = self._history.take_early(last.to_revision, last.digest)
             if after is None:
                 break
             sections = apply_difference(sections, after.difference)
@@ -433,8 +410,7 @@
         if not self._put_in_force(sections, last.to_revision, last.digest):
             return
         for change in changes:
-            self._points.append(make_point(change))
-            self._add_recent(change)
+            self._history.add(change)
         await self._announce(changes)
 
     def _put_in_force(
@@ -463,42 +439,6 @@
             and change.previous_digest == self.digest
         )
 
-    def _replace_history(
-        self, points: Iterable[HistoryPoint], changes: Iterable[Change]
-    ) -> None:
-        self._points = deque(points, maxlen=_MAX_POINTS)
-        self._recent.clear()
-        self._recent_bytes = 0
-        for change in changes:
-            self._add_recent(change)
-
-    def _add_recent(self, change: Change) -> None:
-        self._recent.append(change)
-        self._recent_bytes += measure_change(change)
-        while self._recent and (
-            len(self._recent) > _MAX_RECENT_CHANGES
-            or self._recent_bytes > _MAX_RECENT_BYTES
-        ):
-            self._recent_bytes -= measure_change(self._recent.popleft())
-
-    def _list_recent_after(self, revision: Revision, digest: str) -> list[Change]:
-        """Return the changes from a held state on; none if they are not all known."""
-        changes = list(self._recent)
-        for index, change in enumerate(changes):
-            if (change.from_revision, change.previous_digest) == (revision, digest):
-                found = changes[index:]
-                return [] if any(item.is_trimmed for item in found) else found
-        return []
-
-    def _list_whole_recent(self) -> tuple[Change, ...]:
-        """Return the last changes without a gap; a trimmed one is a gap."""
-        whole: list[Change] = []
-        for change in reversed(self._recent):
-            if change.is_trimmed:
-                break
-            whole.append(change)
-        return tuple(reversed(whole))
-
     def _make_snapshot(self) -> ConfigSnapshot:
         if self._packed[0] != self.digest:
             text = format_sections(self._current.sections)
@@ -515,7 +455,7 @@
                     point.fingerprint,
                     point.is_republished,
                 )
-                for point in self._points
+                for point in self._history.points
             ),
         )
 
@@ -586,7 +526,7 @@
         self._contact_at = now
         oldest = now - self.options.peer_memory
         self._peer_states[sender] = (revision, now)
-        if len(self._peer_states) > _MAX_POINTS:
+        if len(self._peer_states) > _MAX_PEERS:
             self._peer_states = {
                 router: state
                 for router, state in self._peer_states.items()
@@ -688,12 +628,12 @@
 
     async def _republish(self) -> None:
         """Write the document in force over a store that has lost it."""
-        if not self._points:
+        if not self._history.points:
             # There is no document, or one that was never accepted by the store.
             return
         held = SnapshotReference(self.revision, self.digest)
-        sections, history = self._current.sections, tuple(self._points)
-        recent = self._list_whole_recent()
+        sections, history = self._current.sections, self._history.points
+        recent = self._history.list_whole()
         # An answer that was under way while a change came in force looks like a loss;
         # a read that began afterwards does not.
         stored = await self._head_store.read_head()
--- a/hibiscustiller/configuration/tests/test_sync.py
+++ b/hibiscustiller/configuration/tests/test_sync.py
@@ -353,7 +353,7 @@
     for number in range(2, 6):
         await change(fleet, fleet.nodes[0], number)
     sync = fleet.nodes[0].sync
-    digests = {point.revision: point.digest for point in sync._points}
+    digests = {point.revision: point.digest for point in sync._history.points}
     rows = [
         (ConfigRequest(3, digests[3]), {"ConfigChange": 2}),
         (ConfigRequest(0, ""), {"ConfigChange": 5}),
