--- a/hibiscustiller/configuration/_validation.py
+++ b/hibiscustiller/configuration/_validation.py
@@ -29,7 +29,11 @@
 MAX_HEADING_LENGTH = 200
 _KINDS = tuple(spec.name for spec in SECTION_SPECS)
 _WORD = r"[A-Za-z0-9][A-Za-z0-9._:-]*"
-_HEADING = re.compile(rf"link {_WORD} {_WORD}|(?!link )[a-z]+ {_WORD}")
+# Names of models are often given as PUBLISHER/NAME.
+_MODEL_NAME = rf"{_WORD}(?:/{_WORD})*"
+_HEADING = re.compile(
+    rf"link {_WORD} {_WORD}|model {_MODEL_NAME}|(?!link )[a-z]+ {_WORD}"
+)
 _WILDCARDS = frozenset("*?[")
 _FLOOR_TOLERANCE = 1e-9
 
@@ -298,5 +302,6 @@
     return (
         f"section [{heading[:MAX_HEADING_LENGTH]!r}]: accepted is a kind"
         f" ({', '.join(_KINDS)}) and a name of letters, digits and ._:- ;"
-        f" two names for a link; at most {MAX_HEADING_LENGTH} characters"
+        " a model's name may also have /; two names for a link;"
+        f" at most {MAX_HEADING_LENGTH} characters"
     )
--- a/hibiscustiller/configuration/tests/test_validation.py
+++ b/hibiscustiller/configuration/tests/test_validation.py
@@ -84,6 +84,8 @@
         {" model x": {}},
         {"model  x": {}},
         {"link a": {}},
+        {"organisation a/b": {}},
+        {"model /a": {}},
         {"model turf": {"a = b": "1"}},
     ]
     for difference in cases:
@@ -94,6 +96,12 @@
         raise AssertionError(f"accepted: {difference}")
 
 
+def test_names_in_use_are_accepted():
+    """Guards against checks that refuse common names of models and servers."""
+    for heading in ("model chalk/turf-70b", "server eu-1.rack_2:0", "link d0 d1"):
+        check_difference({heading: {}})
+
+
 def test_accepted_text_reads_back_unchanged():
     """Guards against values that the INI form alters, such as comment signs."""
     sections = make_sections()
--- a/hibiscustiller/serving/_configuration.py
+++ b/hibiscustiller/serving/_configuration.py
@@ -46,6 +46,9 @@
         report_sections_by_name: Mapping[str, ReportSection],
     ) -> None:
         router_id = settings.router.id
+        # Background tasks draw at any time; a generator of their own keeps the
+        # sequence of the router's other parts reproducible.
+        random_state = random.Random(random_state.getrandbits(64))
         self.audit = AuditTrail(store, clock, router_id, metrics)
         self.sync = ConfigurationSync(
             current,
