--- a/hibiscustiller/membership/_backends.py
+++ b/hibiscustiller/membership/_backends.py
@@ -131,7 +131,7 @@
         self._clock = clock
         self._random_state = random_state
         self._backends_by_id: dict[ServerId, _Backend] = {}
-        self._absences_by_host: dict[str, int] = {}
+        self._absences_by_server: dict[ServerId, int] = {}
         self._listeners: list[Callable[[StateChange], None]] = []
         self._refusal_listeners: list[Callable[[ServerId], None]] = []
 
@@ -158,8 +158,21 @@
             and self._clock.monotonic() >= backend.unusable_until
         )
 
+    def list_states(self) -> dict[ServerId, BackendState]:
+        """Return the state of each server of the document, for the report."""
+        servers = self._get_config().servers_by_id
+        return {server: self.get_state(server) for server in servers}
+
     # Signals.
 
+    def note_document(self, config: FleetConfig) -> None:
+        """Take over a new document at once, since its signals start the limit."""
+        for server in self._backends_by_id.keys() - config.servers_by_id.keys():
+            del self._backends_by_id[server]
+            self._absences_by_server.pop(server, None)
+        for server in config.servers_by_id:
+            self._refresh(server)
+
     def note_host_list(self, hosts: HostList) -> None:
         """Take over the platform's list.
 
@@ -280,14 +293,14 @@
             known = self._refresh(server).states_by_source.get(SignalSource.HOST_LIST)
             if host in hosts.states_by_host or known is None:
                 continue
-            absences = self._absences_by_host.get(server, 0) + 1
-            self._absences_by_host[server] = absences
+            absences = self._absences_by_server.get(server, 0) + 1
+            self._absences_by_server[server] = absences
             was_leaving = known is not BackendState.SERVING
             if was_leaving or absences >= _ABSENCES_BEFORE_GONE:
                 self._set_state(server, SignalSource.HOST_LIST, BackendState.GONE)
         for server, config in self._get_config().servers_by_id.items():
             if config.address.host in hosts.states_by_host:
-                self._absences_by_host.pop(server, None)
+                self._absences_by_server.pop(server, None)
 
     def _refresh(self, server: ServerId) -> _Backend | None:
         """Return a server's entry with the signals that need no message."""
--- a/hibiscustiller/membership/_mesh.py
+++ b/hibiscustiller/membership/_mesh.py
@@ -57,11 +57,14 @@
 NeighbourChoice = Callable[[RouterId, list[RouterId]], frozenset[RouterId]]
 
 _LISTEN_BACKLOG = 128
+_UNSPECIFIED_HOSTS = ("", "0.0.0.0", "::")
 # Connections that have not proved the shared key yet.
 _MAX_GREETINGS = 64
 _CONNECT_TIMEOUT = timedelta(seconds=1)
 _GREETING_TIMEOUT = timedelta(seconds=2)
 _DRAIN_TIMEOUT = timedelta(seconds=1)
+# An address that nobody asks for any more is forgotten after this time.
+_DIAL_MEMORY = timedelta(minutes=1)
 _MAX_AGE_MS = (1 << 32) - 1
 # Two neighbours differ for a moment after each change; a second heartbeat with a
 # difference shows that something was missed.
@@ -136,6 +139,11 @@
     ) -> None:
         if not shared_key:
             raise ValueError("shared_key is empty; accepted is any other text")
+        if self_member.address.host in _UNSPECIFIED_HOSTS:
+            raise ValueError(
+                f"address is {self_member.address}; accepted is one that the other"
+                " routers can connect to"
+            )
         self.traffic = PeerTraffic()
         self._self_member = self_member
         self._seeds = tuple(seeds)
@@ -193,7 +201,10 @@
     def register(
         self, kind: type[Kind], handle: Callable[[RouterId, Kind], Awaitable[None]]
     ) -> None:
-        """Call ``handle`` with the sender for each message of a type."""
+        """Call ``handle`` with the sender for each message of a type.
+
+        The peer's later messages wait until it returns, so it must not wait for long.
+        """
         if kind is Heartbeat:
             self._extra_heartbeat_handler = handle
             return
@@ -239,6 +250,8 @@
         self._is_stopping = True
         for task in list(self._tasks):
             await task.cancel()
+        for dial in self._dials_by_address.values():
+            await self._finish_dial(dial)
         if self._listener is not None:
             await self._listener.close()
         self._connections_by_id.clear()
@@ -308,7 +321,7 @@
                 sock, reader, self._make_hello(), self._key, self._check_greeting
             )
             peer = await wait_at_most(_GREETING_TIMEOUT, greeting)
-        except (OSError, WireFormatError) as error:
+        except Exception as error:
             log_event("peer_rejected", level="warning", source=source, reason=error)
             await sock.close()
             return
@@ -338,8 +351,8 @@
             except BaseException:
                 await sock.close()
                 raise
-        except (OSError, WireFormatError) as error:
-            is_breach = isinstance(error, WireFormatError)
+        except Exception as error:
+            is_breach = not isinstance(error, OSError)
             log_event(
                 "peer_rejected" if is_breach else "peer_unreachable",
                 level="warning" if is_breach else "debug",
@@ -741,6 +754,9 @@
             return
         jitter = 0.5 + self._random_state.random()
         self._next_rejoin = now + self._timings.rejoin * jitter
+        for address, dial in list(self._dials_by_address.items()):
+            if dial.done is None and now - dial.next_at >= _DIAL_MEMORY:
+                del self._dials_by_address[address]
         known = {member.address for member in self.list_members()}
         lost = {member.address for member in self._table.list_dropped()}
         candidates = sorted((lost | set(self._seeds)) - known, key=str)
--- a/hibiscustiller/membership/tests/test_backends.py
+++ b/hibiscustiller/membership/tests/test_backends.py
@@ -84,7 +84,7 @@
 
 def leave_by_document(bench):
     bench.set_document("draining")
-    bench.is_usable()
+    bench.table.note_document(bench.config)
 
 
 def leave_by_relay(bench):
@@ -255,6 +255,12 @@
     bench.table.note_refused("x")
     bench.table.note_poll_missed("x")
     assert "x" not in bench.table._backends_by_id
+    bench.list_hosts("live", "leaving")
+    assert bench.table.list_states() == {"s": SERVING, "t": LEAVING}
+    del bench.sections["server t"]
+    bench.set_document("serving")
+    bench.table.note_document(bench.config)
+    assert set(bench.table._backends_by_id) == {"s"}
 
 
 def test_only_own_signals_are_passed_on():
--- a/hibiscustiller/serving/_control_plane.py
+++ b/hibiscustiller/serving/_control_plane.py
@@ -69,6 +69,7 @@
             _make_self_member(settings)
         )
         self.backends = BackendTable(configuration.get_config, clock, random_state)
+        configuration.subscribe(self.backends.note_document)
         signals = SignalSharing(self.transport, self.backends, clock)
         self._runs.append(signals.run)
         self.poller = BackendPoller(
--- a/hibiscustiller/wire/tests/test_framing.py
+++ b/hibiscustiller/wire/tests/test_framing.py
@@ -9,6 +9,11 @@
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire._framing import MAX_FRAME_BYTES, FrameReader, make_frame
+from hibiscustiller.wire._messages_generated import (
+    Hello,
+    decode_message,
+    encode_message,
+)
 
 
 class _Chunks:
@@ -65,6 +70,18 @@
             raise AssertionError(name)
 
 
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.binary(max_size=200), st.integers(0, 60), st.booleans())
+def test_malformed_messages_give_one_kind_of_error(noise, cut, is_damaged):
+    """Guards against bytes from a stranger that end a task with another error (R9)."""
+    hello = encode_message("a", Hello("a", "d", "r", "127.0.0.1:1", b"n" * 16, 3))
+    data = hello[:cut] + noise + hello[cut + len(noise) :] if is_damaged else noise
+    try:
+        decode_message(data)
+    except WireFormatError:
+        pass
+
+
 def test_too_long_messages_are_not_sent():
     """Guards against a frame that every receiver would refuse."""
     assert len(make_frame(b"x" * MAX_FRAME_BYTES)) == MAX_FRAME_BYTES + 4
