--- a/hibiscustiller/membership/tests/test_mesh.py
+++ b/hibiscustiller/membership/tests/test_mesh.py
@@ -8,8 +8,8 @@
 import curio
 import curio.socket
 
+from hibiscustiller.membership import MeshTimings
 from hibiscustiller.membership._handshake import make_proof
-from hibiscustiller.membership._mesh import MeshTimings
 from hibiscustiller.membership.tests._meshes import (
     TIMINGS,
     Cuts,
@@ -233,7 +233,7 @@
     await wait_for_agreement(meshes)
     for mesh in meshes[:2]:
         other = cuts[mesh.self_member.router_id]
-        mesh._is_cut = partial(lambda broken, router: router == broken, other)
+        mesh._links.is_cut = partial(lambda broken, router: router == broken, other)
     before = [mesh.incarnation for mesh in meshes[:2]]
     # Each refutation stands for one suspicion that would have become a drop.
     await wait_until(
@@ -250,17 +250,17 @@
         router = mine
         first, first_reader = await dial_and_greet(mesh, router)
         await wait_until(lambda mesh=mesh, r=router: r in mesh.connected)
-        held = mesh._connections_by_id[router]
+        held = mesh._links.connections_by_id[router]
         # Of two from the same side the newer is kept.
         second, second_reader = await dial_and_greet(mesh, router)
         assert await is_closed(first_reader)
         await wait_until(
             lambda mesh=mesh, r=router, old=held: (
-                mesh._connections_by_id.get(r) not in (None, old)
+                mesh._links.connections_by_id.get(r) not in (None, old)
             )
         )
         # Of two from different sides both keep the one from the smaller id.
-        held = mesh._connections_by_id[router]
+        held = mesh._links.connections_by_id[router]
         held.is_dialler = not held.is_dialler
         third, third_reader = await dial_and_greet(mesh, router)
         loser = third_reader if not expects_old else second_reader
@@ -299,7 +299,7 @@
     text = "x" * 500_000
     sent = [await mesh.send("slow", ConfigSnapshot(n, text)) for n in range(20)]
     assert not all(sent)
-    assert mesh._connections_by_id["slow"]._queued_bytes <= 2 << 20
+    assert mesh._links.connections_by_id["slow"]._queued_bytes <= 2 << 20
     assert mesh.traffic.dropped_messages > 0
     assert await mesh.send("c", ConfigSnapshot(99, text))
     await wait_until(lambda: received == [99])
@@ -378,7 +378,7 @@
     }
 
     def list_exchanging():
-        connections = source._connections_by_id.values()
+        connections = source._links.connections_by_id.values()
         return {c.router_id for c in connections if source._exchanges_heartbeats(c)}
 
     await wait_until(lambda: list_exchanging() == wanted)
