--- a/hibiscustiller/membership/tests/test_mesh.py
+++ b/hibiscustiller/membership/tests/test_mesh.py
@@ -2,6 +2,7 @@
 
 import struct
 import sys
+from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 
@@ -20,6 +21,7 @@
     wait_for_agreement,
     wait_until,
 )
+from hibiscustiller.settings import Address
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire._framing import FrameReader, make_frame
 from hibiscustiller.wire._messages_generated import (
@@ -210,6 +212,39 @@
     await stop_all(meshes)
 
 
+async def test_restart_with_an_earlier_clock_goes_above_its_old_entry():
+    """Guards against a restarted router that stays hidden behind its old entry."""
+    meshes = await start_meshes(3)
+    await wait_for_agreement(meshes)
+    old = meshes.pop()
+    claim = replace(old._gossip.table.self_state, incarnation=1 << 60)
+    old._gossip.table.replace_self(claim, timedelta(0))
+    await old._gossip.spread(claim, None)
+    tables = [mesh._gossip.table for mesh in meshes]
+    await wait_until(lambda: all(t.find("r02") == claim for t in tables))
+    await old.abort()
+    new = await start_mesh("r02", [meshes[0].self_member.address])
+    meshes.append(new)
+    await wait_until(lambda: new.incarnation > claim.incarnation)
+    address = new.self_member.address
+    await wait_until(
+        lambda: all(m.list_members()[-1].address == address for m in meshes)
+    )
+    await wait_for_agreement(meshes)
+    await stop_all(meshes)
+
+
+async def test_unusable_settings_are_refused():
+    """Guards against an open mesh, or an address that no other router can reach."""
+    for key, host in (("", "127.0.0.1"), ("secret", "0.0.0.0"), ("secret", "::")):
+        try:
+            await start_mesh("a", key=key, address=Address(host, 0))
+        except ValueError as error:
+            assert "accepted is" in str(error)
+        else:
+            raise AssertionError((key, host))
+
+
 async def test_parted_groups_meet_again():
     """Guards against regions that stay apart, or flap, after they meet again."""
     cuts = Cuts()
