--- a/hibiscustiller/membership/tests/test_mesh.py
+++ b/hibiscustiller/membership/tests/test_mesh.py
@@ -2,14 +2,15 @@
 
 import struct
 import sys
+from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 
 import curio
 import curio.socket
 
+from hibiscustiller.membership import MeshTimings
 from hibiscustiller.membership._handshake import make_proof
-from hibiscustiller.membership._mesh import MeshTimings
 from hibiscustiller.membership.tests._meshes import (
     TIMINGS,
     Cuts,
@@ -20,6 +21,7 @@
     wait_for_agreement,
     wait_until,
 )
+from hibiscustiller.settings import Address
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire._framing import FrameReader, make_frame
 from hibiscustiller.wire._messages_generated import (
@@ -210,6 +212,39 @@
     await stop_all(meshes)
 
 
+async def test_restart_with_an_earlier_clock_goes_above_its_old_entry():
+    """Guards against a restarted router that stays hidden behind its old entry."""
+    meshes = await start_meshes(3)
+    await wait_for_agreement(meshes)
+    old = meshes.pop()
+    claim = replace(old._gossip.table.self_state, incarnation=1 << 60)
+    old._gossip.table.replace_self(claim, timedelta(0))
+    await old._gossip.spread(claim, None)
+    tables = [mesh._gossip.table for mesh in meshes]
+    await wait_until(lambda: all(t.find("r02") == claim for t in tables))
+    await old.abort()
+    new = await start_mesh("r02", [meshes[0].self_member.address])
+    meshes.append(new)
+    await wait_until(lambda: new.incarnation > claim.incarnation)
+    address = new.self_member.address
+    await wait_until(
+        lambda: all(m.list_members()[-1].address == address for m in meshes)
+    )
+    await wait_for_agreement(meshes)
+    await stop_all(meshes)
+
+
+async def test_unusable_settings_are_refused():
+    """Guards against an open mesh, or an address that no other router can reach."""
+    for key, host in (("", "127.0.0.1"), ("secret", "0.0.0.0"), ("secret", "::")):
+        try:
+            await start_mesh("a", key=key, address=Address(host, 0))
+        except ValueError as error:
+            assert "accepted is" in str(error)
+        else:
+            raise AssertionError((key, host))
+
+
 async def test_parted_groups_meet_again():
     """Guards against regions that stay apart, or flap, after they meet again."""
     cuts = Cuts()
@@ -233,7 +268,7 @@
     await wait_for_agreement(meshes)
     for mesh in meshes[:2]:
         other = cuts[mesh.self_member.router_id]
-        mesh._is_cut = partial(lambda broken, router: router == broken, other)
+        mesh._links.is_cut = partial(lambda broken, router: router == broken, other)
     before = [mesh.incarnation for mesh in meshes[:2]]
     # Each refutation stands for one suspicion that would have become a drop.
     await wait_until(
@@ -250,17 +285,17 @@
         router = mine
         first, first_reader = await dial_and_greet(mesh, router)
         await wait_until(lambda mesh=mesh, r=router: r in mesh.connected)
-        held = mesh._connections_by_id[router]
+        held = mesh._links.connections_by_id[router]
         # Of two from the same side the newer is kept.
         second, second_reader = await dial_and_greet(mesh, router)
         assert await is_closed(first_reader)
         await wait_until(
             lambda mesh=mesh, r=router, old=held: (
-                mesh._connections_by_id.get(r) not in (None, old)
+                mesh._links.connections_by_id.get(r) not in (None, old)
             )
         )
         # Of two from different sides both keep the one from the smaller id.
-        held = mesh._connections_by_id[router]
+        held = mesh._links.connections_by_id[router]
         held.is_dialler = not held.is_dialler
         third, third_reader = await dial_and_greet(mesh, router)
         loser = third_reader if not expects_old else second_reader
@@ -299,7 +334,7 @@
     text = "x" * 500_000
     sent = [await mesh.send("slow", ConfigSnapshot(n, text, "", ())) for n in range(20)]
     assert not all(sent)
-    assert mesh._connections_by_id["slow"]._queued_bytes <= 2 << 20
+    assert mesh._links.connections_by_id["slow"]._queued_bytes <= 2 << 20
     assert mesh.traffic.dropped_messages > 0
     assert await mesh.send("c", ConfigSnapshot(99, text, "", ()))
     await wait_until(lambda: received == [99])
@@ -378,7 +413,7 @@
     }
 
     def list_exchanging():
-        connections = source._connections_by_id.values()
+        connections = source._links.connections_by_id.values()
         return {c.router_id for c in connections if source._exchanges_heartbeats(c)}
 
     await wait_until(lambda: list_exchanging() == wanted)
