--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -25,7 +25,7 @@
     configure_logging,
     hash_secret,
 )
-from hibiscustiller.wire import HttpClient
+from hibiscustiller.wire import AnswerStream, HttpClient
 
 STAGES = 2
 TIMEOUT = timedelta(seconds=90)
@@ -86,14 +86,21 @@
     streams: int
 
     async def close(self) -> None:
-        """Stop everything."""
+        """Stop everything, without waiting for queued requests."""
         await self.client.close()
         for router in self.routers:
-            await router.stop()
+            await router.caller_server.close()
+            await router.admission.stop()
         await self.fleet.close()
 
-    async def send(self, arrival: Arrival, started: float) -> Outcome:
-        """Send one request and read its answer."""
+    async def send(
+        self, arrival: Arrival, started: float, outcomes: list[Outcome]
+    ) -> Outcome:
+        """Send one request and read its answer.
+
+        :param outcomes: gets the outcome at once, so that a request that is cut off
+            counts as well.
+        """
         body = {
             "model": MODEL,
             "prompt": f"{arrival.organisation} asks at {arrival.at:.4f}",
@@ -101,6 +108,7 @@
             "stream": True,
         }
         outcome = Outcome(arrival, time.monotonic() - started, [])
+        outcomes.append(outcome)
         try:
             stream = await self.client.open_stream(
                 self.routers[arrival.router].caller_server.address,
@@ -127,13 +135,10 @@
         started = time.monotonic()
         outcomes: list[Outcome] = []
 
-        async def send(arrival: Arrival) -> None:
-            outcomes.append(await self.send(arrival, started))
-
         async with curio.TaskGroup(wait=all) as group:
             for arrival in arrivals:
                 await curio.sleep(max(0, arrival.at - time.monotonic() + started))
-                await group.spawn(send, arrival)
+                await group.spawn(self.send, arrival, started, outcomes)
             await curio.sleep(max(0, stop_at - time.monotonic() + started))
             await group.cancel_remaining()
         return outcomes
@@ -179,9 +184,7 @@
 
 def _use_policy(router: Router, policy: str) -> None:
     def plan(request):
-        return router.planner.plan_route(
-            request.model, request.prompt, request.avoided
-        )
+        return router.planner.plan_route(request.model, request.prompt, request.avoided)
 
     if policy == "fcfs":
         router.runner._admission = FirstComeFirstServed(plan, router.server_limits)
@@ -189,27 +192,64 @@
         router.runner._admission = NoAdmission(plan)
 
 
-async def measure_bound(
-    bench: Bench, seconds: float, organisation: str, tokens: int
-) -> float:
-    """Measure the fleet's bound: all streams in use all the time, without a queue.
+async def measure_bound(bench: Bench, seconds: float) -> float:
+    """Measure the fleet's bound: all streams run at each replica, without routers.
 
     :returns: tokens a second.
     """
     started = time.monotonic()
-    outcomes: list[Outcome] = []
+    times: list[float] = []
 
-    async def repeat() -> None:
-        while time.monotonic() - started < seconds:
-            now = time.monotonic() - started
-            arrival = Arrival(now, organisation, tokens)
-            outcomes.append(await bench.send(arrival, started))
+    async def read_tokens(replica: int, number: int) -> None:
+        stream = await _open_engine_stream(bench, replica, number)
+        async with stream:
+            while (line := await stream.read_line()) is not None:
+                if b'"token"' in line:
+                    times.append(time.monotonic() - started)
 
     async with curio.TaskGroup(wait=all) as group:
-        for _ in range(bench.streams):
-            await group.spawn(repeat)
+        replicas = len(bench.fleet.engines_by_id) // STAGES
+        for replica in range(replicas):
+            for number in range(bench.streams // replicas):
+                await group.spawn(read_tokens, replica, number)
+        await curio.sleep(seconds)
+        await group.cancel_remaining()
     # The first second fills the connection pools.
-    return count_tokens(outcomes, 1, seconds) / (seconds - 1)
+    return sum(1 <= at < seconds for at in times) / (seconds - 1)
+
+
+async def _open_engine_stream(bench: Bench, replica: int, number: int) -> AnswerStream:
+    engines = [
+        bench.fleet.engines_by_id[f"engine-{replica}-{stage}"]
+        for stage in range(STAGES)
+    ]
+    route = [
+        {
+            "server": engine.options.server_id,
+            "address": str(engine.address),
+            "first_layer": engine.options.first_layer,
+            "last_layer": engine.options.last_layer,
+        }
+        for engine in engines
+    ]
+    body = {
+        "stream_id": f"bound-{replica}-{number}",
+        "attempt": 1,
+        "model": MODEL,
+        "version": "1",
+        "priority": 0,
+        "prompt": f"bound {replica} {number}",
+        "emitted": [],
+        "max_tokens": 4000,
+        "route": route,
+    }
+    return await bench.client.open_stream(
+        engines[0].address,
+        "POST",
+        "/v1/streams",
+        next_byte_timeout=TIMEOUT,
+        body=json.dumps(body).encode(),
+    )
 
 
 def make_poisson(
--- a/benchmarks/bench_overload.py
+++ b/benchmarks/bench_overload.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from benchmarks._load import (  # noqa: E402
+from benchmarks._load import (
     MIDDLE,
     Arrival,
     Outcome,
@@ -57,7 +57,7 @@
 
 async def main() -> None:
     bench = await start_bench(ORGANISATIONS, "none")
-    bound = await measure_bound(bench, 7.0, "club-0", TOKENS)
+    bound = await measure_bound(bench, 6.0)
     await bench.close()
     print_figure("fleet bound", bound, "tokens/s")
     rate = 2 * bound / TOKENS
--- a/benchmarks/bench_surge.py
+++ b/benchmarks/bench_surge.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from benchmarks._load import (  # noqa: E402
+from benchmarks._load import (
     LOW,
     MIDDLE,
     TARGET,
@@ -63,9 +63,7 @@
 
 async def run_policy(policy: str, end: float) -> list[Outcome]:
     """Run the surges under one policy."""
-    bench = await start_bench(
-        ORGANISATIONS, policy, replicas=REPLICAS, streams=STREAMS
-    )
+    bench = await start_bench(ORGANISATIONS, policy, replicas=REPLICAS, streams=STREAMS)
     outcomes = await bench.run(make_arrivals(end), end)
     if policy == "admission":
         print_figure(
