--- a/hibiscustiller/limits/_admission.py
+++ b/hibiscustiller/limits/_admission.py
@@ -14,6 +14,7 @@
 from hibiscustiller.configuration import ClassConfig, FleetConfig, build_config
 from hibiscustiller.exceptions import InvariantError
 from hibiscustiller.limits._queues import Choice, ClassQueue, ModelQueues, Waiter
+from hibiscustiller.limits._reserve import ShareReserve
 from hibiscustiller.limits._servers import ServerLimits
 from hibiscustiller.limits._service import ModelService, RunningStream
 from hibiscustiller.limits._usage import UsageLedger
@@ -44,6 +45,9 @@
 _SWEEP_PERIOD = timedelta(milliseconds=20)
 # A route can become free without a release at this router: a server joins or returns.
 _REPLAN_PERIOD = timedelta(milliseconds=250)
+# The number of streams that a model runs is learned anew this often, since servers
+# come and go. While it is not known, nothing is kept for small organisations.
+_CAPACITY_PERIOD = timedelta(seconds=5)
 # Waiters whose expected wait is computed again in one sweep. At 50 sweeps a second,
 # 5,000 waiters are looked at within a second.
 _ESTIMATES_PER_SWEEP = 100
@@ -102,7 +106,14 @@
         self.service = ModelService()
         # No capacity is left; no plan is tried until some may have returned.
         self.is_blocked = False
+        # Streams that ran when no capacity was left; 0 while that is not known.
+        self.capacity = 0
         self.reserved = 0
+        self.reserves_by_class: dict[ClassName, ShareReserve] = {}
+
+    def get_reserve(self, class_name: ClassName) -> ShareReserve:
+        """Return the reserve of a class."""
+        return self.reserves_by_class.setdefault(class_name, ShareReserve())
 
 
 class AdmissionController:
@@ -147,6 +158,7 @@
         self._has_backlog = curio.Event()
         self._may_have_capacity = False
         self._replanned_at = self._clock.monotonic()
+        self._capacity_reset_at = self._clock.monotonic()
         self._estimates: Iterator[tuple[_Model, ClassQueue, Waiter, int]] = iter(())
         self._maintenance: curio.Task | None = None
         if server_limits is not None:
@@ -217,9 +229,14 @@
         self._refuse_expired(now)
         self._refuse_hopeless(now)
         is_due = now - self._replanned_at >= _REPLAN_PERIOD
+        is_reset = now - self._capacity_reset_at >= _CAPACITY_PERIOD
+        if is_reset:
+            self._capacity_reset_at = now
         for model in self._models_by_name.values():
             if self._may_have_capacity or is_due:
                 model.is_blocked = False
+            if self._may_have_capacity or is_reset:
+                model.capacity = 0
             self._dispatch(model)
         if is_due:
             self._replanned_at = now
@@ -264,6 +281,9 @@
             deadline_at=None if request.is_resumed else now + class_config.deadline,
         )
         model.queues.get_queue(class_config).add(waiter, self._ledger)
+        model.get_reserve(class_config.name).note_arrival(
+            request.organisation, waiter.weight, now
+        )
         self._queued_count += not request.is_resumed
         self._active_requests.add(request.request_id)
         return waiter
@@ -277,7 +297,7 @@
         passed_over: list[Waiter] = []
         while not model.is_blocked:
             choice = model.queues.choose(self._ledger)
-            if choice is None:
+            if choice is None or self._must_wait(model, choice):
                 break
             planned = self._plan(choice.waiter.request)
             if isinstance(planned, Ok):
@@ -289,11 +309,25 @@
                 passed_over.append(choice.waiter)
             else:
                 model.is_blocked = True
+                model.capacity = model.service.running_count
         for waiter in reversed(passed_over):
             queue = model.queues.queues_by_class[waiter.config.name]
             queue.put_back(waiter, self._ledger)
         self._preempt(model)
 
+    def _must_wait(self, model: _Model, choice: Choice) -> bool:
+        """Tell whether the free capacity is kept for other organisations."""
+        request = choice.waiter.request
+        if not model.capacity or choice.is_floor or request.is_resumed:
+            return False
+        return model.get_reserve(request.class_name).must_wait(
+            request.organisation,
+            len(choice.queue.organisations),
+            model.service.running_count,
+            model.capacity,
+            self._clock.monotonic(),
+        )
+
     def _plan(self, request: AdmissionRequest) -> Result[Route, Refusal]:
         models = self._get_config().models_by_name
         # An empty document names no model at all; the planner decides then.
@@ -321,6 +355,8 @@
         stream = RunningStream(grant, waiter.config, charge, now, choice.is_floor)
         self._running_by_grant[grant] = stream
         model.service.add(stream)
+        model.capacity = max(model.capacity, model.service.running_count)
+        model.get_reserve(request.class_name).note_started(request.organisation)
         model.reserved += request.cost
         if self._server_limits is not None:
             self._server_limits.reserve_route(route)
@@ -349,6 +385,7 @@
         if not stream.is_preempted:
             self._preemptions.pop(request.request_id, None)
         model.service.remove(stream)
+        model.get_reserve(request.class_name).note_ended(request.organisation)
         model.reserved -= request.cost
         check_invariant(
             model.reserved >= 0 and model.service.pending_preemptions >= 0,
--- a/hibiscustiller/limits/tests/test_admission.py
+++ b/hibiscustiller/limits/tests/test_admission.py
@@ -203,6 +203,26 @@
     assert harness.order[-1] == resumed
 
 
+async def test_capacity_is_kept_for_small_organisations():
+    """Guards against a large organisation that takes each stream as it gets free."""
+    harness = Harness(limit=25)
+    small = await harness.arrive(MIDDLE, "o1")
+    await harness.release(small)
+    large = [await harness.arrive(MIDDLE, "o0") for _ in range(26)]
+    assert len(harness.grants) == 25
+    await harness.release(large[0])
+    # One of 25 streams is kept, since o1 was active and o0 is above its share.
+    assert len(harness.grants) == 24 and large[25] in harness.tasks
+    small = await harness.arrive(MIDDLE, "o1")
+    assert small in harness.grants
+    await harness.release(small)
+    # It is used after o1 has sent nothing for a while.
+    await harness.advance(4)
+    assert large[25] in harness.tasks or len(harness.grants) == 25
+    await harness.advance(7)
+    assert large[25] in harness.grants
+
+
 async def test_cancelled_waiters():
     """Guards against capacity that is granted to a caller who has left."""
     harness = Harness()
