Count prompts as service in the fairness benchmark; record the decisions

Cause: the index counted answer tokens only, while cost is prompt and answer, so organisations with short answers looked less served than they were. Change: the benchmark counts prompts too.

--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -103,7 +103,7 @@
         """
         body = {
             "model": MODEL,
-            "prompt": f"{arrival.organisation} asks at {arrival.at:.4f}",
+            "prompt": make_prompt(arrival),
             "max_tokens": arrival.tokens,
             "stream": True,
         }
@@ -273,6 +273,16 @@
     return sum(start <= at < end for o in outcomes for at in o.times)
 
 
+def make_prompt(arrival: Arrival) -> str:
+    """Return a prompt that no other request has."""
+    return f"{arrival.organisation} asks at {arrival.at:.4f}"
+
+
+def count_prompt_tokens(arrival: Arrival) -> int:
+    """Count a prompt's tokens, as the stand-in engines do."""
+    return make_prompt(arrival).count(" ") + 1
+
+
 def compute_quantile(values: list[float], share: float) -> float:
     """Return a quantile by the nearest rank."""
     ordered = sorted(values)
--- a/benchmarks/bench_fairness.py
+++ b/benchmarks/bench_fairness.py
@@ -19,6 +19,7 @@
     Bench,
     Outcome,
     compute_quantile,
+    count_prompt_tokens,
     count_tokens,
     make_poisson,
     print_figure,
@@ -121,7 +122,9 @@
     service = []
     for name in DEMANDS:
         own = [o for o in outcomes if o.arrival.organisation == name]
-        service.append(count_tokens(own, 0, seconds))
+        # Service is counted as admission counts it: prompts and answers.
+        prompts = sum(count_prompt_tokens(o.arrival) for o in own if o.times)
+        service.append(count_tokens(own, 0, seconds) + prompts)
     print(service, file=sys.stderr)
     return compute_jain(service)
 
