--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -97,6 +97,7 @@
         self.loads = ServerLoads(self._clock)
         self.cache_view = CacheView()
         self.server_limits = ServerLimits(get_config, self._clock)
+        self.configuration.subscribe(self.server_limits.forget_removed)
         self.planner = RoutePlanner(
             self.settings.router.failure_domain,
             get_config,
