Tell refused store calls from outages, and orders of two services apart

A 4xx answer shows that the store is there, so it no longer pauses the calls of other modules. The fingerprint of an order includes the service, so that one key with the same path and body at two services does not replay a wrong answer.

--- a/hibiscustiller/orders/_claims.py
+++ b/hibiscustiller/orders/_claims.py
@@ -67,7 +67,10 @@
 
 
 def fingerprint_order(method: str, path: str, body: bytes) -> str:
-    """Return the digest that tells a repeat from a different order."""
+    """Return the digest that tells a repeat from a different order.
+
+    :param path: the service's name and the path at the service.
+    """
     digest = hashlib.sha256()
     for part in (method.encode(), path.encode(), body):
         digest.update(len(part).to_bytes(8, "big"))
--- a/hibiscustiller/orders/_forwarder.py
+++ b/hibiscustiller/orders/_forwarder.py
@@ -42,7 +42,8 @@
 _FIRST_RETRY_DELAY = timedelta(milliseconds=20)
 _LONGEST_RETRY_DELAY = timedelta(milliseconds=500)
 # A claim older than this is read again before the order is sent. Claims live for 24 h,
-# so that only a lost lease or a restored store can take one away sooner.
+# so that only a lost lease or a restored store can take one away sooner. The check runs
+# just before the first byte; a pause between the two would have to outlast the lease.
 _CLAIM_CHECK_BOUND = timedelta(seconds=5)
 _MAX_CLAIM_CHECKS = 2
 _UNAVAILABLE = 503
@@ -204,7 +205,9 @@
             if call.idempotency_key is None:
                 return await self._send_once(service, call, _SendRecord(True))
             key = make_claim_key(call.organisation, call.idempotency_key)
-            fingerprint = fingerprint_order(call.method, call.path, call.body)
+            # One key may come with the same path and body for two services.
+            path = f"{service.name}{call.path}"
+            fingerprint = fingerprint_order(call.method, path, call.body)
             claimed = await self._ledger.claim(key, fingerprint)
             if isinstance(claimed, Err):
                 return claimed
--- a/hibiscustiller/orders/tests/test_forwarder.py
+++ b/hibiscustiller/orders/tests/test_forwarder.py
@@ -1,6 +1,7 @@
 """Calls to plain services: orders at most once, other calls with retries."""
 
 import sys
+from dataclasses import replace
 from datetime import timedelta
 
 import curio
@@ -158,6 +159,9 @@
         await forwarder.forward(bench.service, make_call())
         sent = await forwarder.forward(bench.service, make_call(quantity=2))
         assert describe(sent) == ("idempotency-key-reused", "not-run")
+        other = replace(bench.service, name="another")
+        sent = await forwarder.forward(other, make_call())
+        assert describe(sent) == ("idempotency-key-reused", "not-run")
         assert bench.booked == 1
 
 
--- a/hibiscustiller/platform/__init__.py
+++ b/hibiscustiller/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from hibiscustiller.platform._errors import (
     LeaseExpiredError,
+    StoreRefusedError,
     StoreRolledBackError,
     ValueTooLargeError,
 )
@@ -25,6 +26,7 @@
     "KeyValueStore",
     "LeaseExpiredError",
     "LeaseId",
+    "StoreRefusedError",
     "StoreRolledBackError",
     "SwapOutcome",
     "ValueTooLargeError",
--- a/hibiscustiller/platform/_errors.py
+++ b/hibiscustiller/platform/_errors.py
@@ -11,6 +11,16 @@
         super().__init__(message, Verdict.NOT_RUN)
 
 
+class StoreRefusedError(StoreUnavailableError):
+    """The service refused a call as wrong; it is available for others.
+
+    :param status: HTTP status of the answer.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"the store answered status {status}", Verdict.MAY_HAVE_RUN)
+
+
 class ValueTooLargeError(StoreUnavailableError):
     """A value is over the service's limit; nothing was sent."""
 
--- a/hibiscustiller/platform/_store.py
+++ b/hibiscustiller/platform/_store.py
@@ -18,6 +18,7 @@
 from hibiscustiller.exceptions import StoreUnavailableError, TransportError
 from hibiscustiller.platform._errors import (
     LeaseExpiredError,
+    StoreRefusedError,
     StoreRolledBackError,
     ValueTooLargeError,
 )
@@ -31,6 +32,8 @@
 NO_LEASE = LeaseId(0)
 _OK = 200
 _NOT_FOUND = 404
+# 408 and 429 are signs of overload, during which calls must pause.
+_REFUSED_STATUSES = frozenset(range(400, 500)) - {408, 429}
 _MAX_VALUE_BYTES = 1 << 20
 # Reading an answer of the wrong shape raises one of these.
 _SHAPE_ERRORS = (
@@ -259,7 +262,7 @@
         self._count(path)
         try:
             value = await self._exchange(path, request, read)
-        except LeaseExpiredError:
+        except (LeaseExpiredError, StoreRefusedError):
             self._gate.note_success()
             raise
         except StoreUnavailableError:
@@ -285,6 +288,8 @@
             raise StoreUnavailableError(str(error), error.verdict) from error
         if answer.status == _NOT_FOUND and b"lease not found" in answer.body:
             raise LeaseExpiredError("the store does not know the lease")
+        if answer.status in _REFUSED_STATUSES:
+            raise StoreRefusedError(answer.status)
         _check_status(answer.status, Verdict.MAY_HAVE_RUN)
         try:
             return read(answer.read_json())
--- a/hibiscustiller/platform/tests/test_store.py
+++ b/hibiscustiller/platform/tests/test_store.py
@@ -148,6 +148,22 @@
             await get_error(bench.make_store().compare_and_swap("k", b"v", 0))
 
 
+async def test_refused_calls_do_not_pause_the_others():
+    """Guards against one wrong call that keeps a router away from a sound store."""
+    for status, is_paused in ((400, False), (404, False), (429, True), (500, True)):
+        async with Bench() as bench:
+            handle = bench.platform.server.handle
+            bench.platform.server.handle = _FixedServer(b"{}", status).handle
+            for _ in range(5):
+                await get_error(bench.store.get("k"))
+            bench.platform.server.handle = handle
+            if is_paused:
+                error = await get_error(bench.store.get("k"))
+                assert error.verdict is NOT_RUN
+            else:
+                assert await bench.store.get("k") is None
+
+
 async def test_swaps_compare_revisions():
     """Guards against a write over somebody else's value."""
     async with Bench() as bench:
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -330,6 +330,9 @@
                 connection.start_next_cycle()
             except h11.LocalProtocolError:
                 return
+            if connection.trailing_data[0]:
+                # A client that sends requests ahead must not keep others waiting.
+                await curio.sleep(0)
 
     async def _read_or_refuse(
         self, connection: h11.Connection, sock: Any, responder: Responder
