--- a/hibiscustiller/routing/_loads.py
+++ b/hibiscustiller/routing/_loads.py
@@ -16,8 +16,9 @@
 from hibiscustiller.routing._routes import Route
 from hibiscustiller.utils import Clock, DomainId, ServerId, SystemClock, check_invariant
 
-# Reports are seconds apart; after several missed ones nothing can be said.
-_REPORT_LIFETIME_S = 10.0
+# A server's reports are many seconds apart, as polls share 7 KB/s of control traffic.
+# A report loses weight evenly over this time.
+_REPORT_LIFETIME_S = 30.0
 _CHANGES_KEPT = 512
 # A residual moves the estimate by this part, so that about ten tokens (0.4 s at a
 # 39 ms pace) show a change and single outliers do not.
