--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -23,7 +23,7 @@
 )
 from hibiscustiller.streams._requests import Deliver, Progress, StreamRequest
 from hibiscustiller.utils import Clock, ServerId, Verdict, check_invariant, log_event
-from hibiscustiller.wire import AnswerStream, HttpClient
+from hibiscustiller.wire import AnswerStream, HttpClient, wait_at_most
 
 _OK = 200
 # How long a server that failed or refused is avoided by the stream that met it. By
@@ -31,6 +31,9 @@
 _AVOID_TIME = timedelta(seconds=10)
 # A caller's next attempt or departure waits for the cancellation this long at most.
 _CANCEL_TIMEOUT = timedelta(milliseconds=500)
+# Recovery waits for this check, which takes one round trip (1 ms between failure
+# domains). A server that is too far to answer in time counts as dead.
+_PROBE_TIMEOUT = timedelta(milliseconds=20)
 # Above this, the wait for the next token is due to a slow caller as well.
 _SLOW_DELIVERY = timedelta(milliseconds=5)
 # An engine that ended because it reached the asked length says so.
@@ -119,6 +122,8 @@
         try:
             end = await self._run(request, grant, progress, crash_run, deliver)
         except EngineFailedError as error:
+            if error.is_death:
+                error.is_death = await _has_died(route, error.server)
             self._note_failure(request, progress, crash_run, error)
             if error.is_open:
                 # The next attempt does not wait for an engine that may be silent.
@@ -340,6 +345,25 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+async def _has_died(route: Route, server: ServerId) -> bool:
+    """Tell whether a server that is taken for dead really died.
+
+    A first stage reports a silent stage and a broken link in the same way as a death.
+    A server that still accepts connections has not died; engines take far longer to
+    start again than this check.
+    """
+    if server == route.stages[0].server:
+        return True
+    [address] = [stage.address for stage in route.stages if stage.server == server]
+    try:
+        connection = curio.open_connection(address.host, address.port)
+        sock = await wait_at_most(_PROBE_TIMEOUT, connection)
+    except OSError:
+        return True
+    await sock.close()
+    return False
+
+
 def _make_stall_error(route: Route) -> EngineFailedError:
     """Blame the later stages: the first one still sends lines.
 
--- a/hibiscustiller/streams/tests/test_runner.py
+++ b/hibiscustiller/streams/tests/test_runner.py
@@ -255,6 +255,18 @@
     await bench.close()
 
 
+async def test_silent_stage_is_no_death():
+    """Guards against streams that are suspected because a stage was silent."""
+    bench = await Bench.start()
+    for replica in (0, 1):
+        bench.engines[f"engine-{replica}-1"].faults.is_silent = True
+    for number in range(4):
+        assert (await bench.run("a", 3, request_id=f"r{number}")).is_ok()
+    assert "failed" in " ".join(bench.observer.events)
+    assert bench.registry.collect_reports() == ()
+    await bench.close()
+
+
 async def test_killer_is_contained_and_innocents_complete():
     """Guards against a request that takes down one server after the other."""
     bench = await Bench.start(replicas=6, token_ms=4)
