Refuse a second attempt of completions marked as non-idempotent; learn first links

The link to a first stage is learned from the time until it accepts a stream, since no time between tokens shows it.

--- a/hibiscustiller/routing/_loads.py
+++ b/hibiscustiller/routing/_loads.py
@@ -121,6 +121,18 @@
         for correction, least, scale in parts:
             correction.learn(step * scale, least, now)
 
+    def note_link_delay(
+        self, start: DomainId, end: DomainId, excess: timedelta
+    ) -> None:
+        """Learn a link's delay from a direct measurement.
+
+        :param excess: one-way delay above the documented one.
+        """
+        now = self._read_seconds()
+        link = self._get_link(start, end)
+        measured = min(excess.total_seconds(), _MAX_DELAY_S)
+        link.learn(_LEARNING_RATE * (measured - link.read(now)), 0.0, now)
+
     def note_refused(self, server: ServerId) -> None:
         """Ignore a refusal; capacity is the limits' concern."""
 
--- a/hibiscustiller/routing/_planner.py
+++ b/hibiscustiller/routing/_planner.py
@@ -12,7 +12,7 @@
 from hibiscustiller.configuration import FleetConfig
 from hibiscustiller.routing._cache_view import CacheView, hash_prefixes
 from hibiscustiller.routing._loads import ServerLoads
-from hibiscustiller.routing._routes import Route
+from hibiscustiller.routing._routes import Route, get_link_delay
 from hibiscustiller.routing._search import ModelIndex, Option
 from hibiscustiller.routing._subset import DEFAULT_SUBSET_SIZE, choose_subset
 from hibiscustiller.utils import (
@@ -83,6 +83,16 @@
         self._refresh()
         return self._subset
 
+    def note_answer_delay(self, route: Route, delay: timedelta) -> None:
+        """Learn the link to a first stage from the time to the head of its answer.
+
+        The time between tokens does not show that link. An engine answers as soon as
+        it accepts a stream, so the time is a round trip.
+        """
+        start, end = self._origin, route.stages[0].failure_domain
+        documented = get_link_delay(self._get_config(), start, end)
+        self._loads.note_link_delay(start, end, delay / 2 - documented)
+
     def plan_route(
         self,
         model_name: ModelName,
--- a/hibiscustiller/routing/tests/test_planner.py
+++ b/hibiscustiller/routing/tests/test_planner.py
@@ -131,6 +131,18 @@
     assert {fleet.plan().ok_value.servers for _ in range(40)} == {frozenset("ac")}
 
 
+def test_degraded_link_to_the_first_stage_is_avoided():
+    """Guards against a slow link to callers' first stages, which no pace shows."""
+    fleet = _Fleet([(name, f"d-{name}", 0, 8) for name in "ab"])
+    for _ in range(40):
+        route = fleet.plan().ok_value
+        is_slow = "a" in route.servers
+        delay = timedelta(milliseconds=100 if is_slow else 1)
+        fleet.planners[0].note_answer_delay(route, delay)
+    assert {fleet.plan().ok_value.servers for _ in range(40)} == {frozenset("b")}
+    assert fleet.plan(avoided=frozenset("b")).is_ok()
+
+
 def test_prefix_returns_to_its_servers_within_the_load_bound():
     """Guards against lost prefix hits, and against a hot prefix on one server."""
     fleet = _Fleet(make_replicas(6))
--- a/hibiscustiller/serving/_callers.py
+++ b/hibiscustiller/serving/_callers.py
@@ -242,6 +242,11 @@
     class_name = choose_class(config, request, organisation)
     if isinstance(class_name, Err):
         return class_name
+    mark = request.headers_by_name.get("x-idempotent", "true").lower()
+    if mark not in ("true", "false"):
+        return _refuse_bad_request(
+            f"x-idempotent is {mark!r}; accepted are true and false"
+        )
     stream = StreamRequest(
         request_id=request_id,
         organisation=organisation.name,
@@ -250,6 +255,7 @@
         model=model.name,
         prompt=body["prompt"],
         max_tokens=body.get("max_tokens", _default_length(model)),
+        is_idempotent=mark == "true",
     )
     return Ok(_Completion(stream, body.get("stream", False)))
 
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -89,6 +89,7 @@
             random_state,
             self.crash_registry,
             replay_estimator=ReplayEstimator(get_config),
+            note_answer_delay=self.planner.note_answer_delay,
         )
         self.forwarder = ServiceForwarder(self._client, self.store, random_state)
         callers = CallerApi(
--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -84,6 +84,7 @@
     :param next_byte_timeout: silence after which an engine's connection is given up.
     :param note_first_token: told of the time to an attempt's first token and of the
         number of prompt and emitted tokens.
+    :param note_answer_delay: told of the time until the first stage accepted.
     """
 
     def __init__(
@@ -94,7 +95,9 @@
         clock: Clock,
         next_byte_timeout: timedelta,
         note_first_token: Callable[[timedelta, int], None] | None = None,
+        note_answer_delay: Callable[[Route, timedelta], None] | None = None,
     ) -> None:
+        self._note_answer_delay = note_answer_delay
         self._client = client
         self._note_first_token = note_first_token
         self._observers = observers
@@ -164,6 +167,7 @@
     ) -> AnswerStream | None:
         """Open the stream at the route's first stage; None if it is refused."""
         head = route.stages[0]
+        sent_at = self._clock.monotonic()
         try:
             stream = await self._client.open_stream(
                 head.address,
@@ -186,6 +190,8 @@
             ) from error
         if stream.status == _OK:
             progress.note_may_have_run()
+            if self._note_answer_delay is not None:
+                self._note_answer_delay(route, self._clock.monotonic() - sent_at)
             return stream
         await stream.close()
         if stream.headers_by_name.get("x-verdict") != Verdict.NOT_RUN.value:
--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Protocol
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from hibiscustiller.limits import AdmissionController, AdmissionRequest, Grant
-from hibiscustiller.routing import StreamObserver
+from hibiscustiller.routing import Route, StreamObserver
 from hibiscustiller.streams._attempts import AttemptEnd, AttemptRunner
 from hibiscustiller.streams._crashes import (
     CrashRegistry,
@@ -88,6 +88,7 @@
     :param retry_budget: asked before each attempt that follows one without a token;
         None for no bound.
     :param replay_estimator: decides whether KV caches are moved; None never to.
+    :param note_answer_delay: told of the time until a route's first stage accepted.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         registry: CrashRegistry | None = None,
         retry_budget: RetryBudget | None = None,
         replay_estimator: ReplayEstimator | None = None,
+        note_answer_delay: Callable[[Route, timedelta], None] | None = None,
     ) -> None:
         self._admission = admission
         self._clock = clock or SystemClock()
@@ -119,6 +121,7 @@
             self._clock,
             next_byte_timeout,
             note_first_token,
+            note_answer_delay,
         )
 
     async def run(
