--- a/hibiscustiller/streams/tests/fixtures.py
+++ b/hibiscustiller/streams/tests/fixtures.py
@@ -1,6 +1,5 @@
 """A fleet of engine stand-ins with a stream runner beside it."""
 
-import contextlib
 import random
 from datetime import timedelta
 
@@ -14,21 +13,10 @@
     start_fleet,
 )
 from hibiscustiller.streams import CrashRegistry, StreamRequest, StreamRunner
-from hibiscustiller.utils import SystemClock, violations_by_name
+from hibiscustiller.utils import SystemClock
 from hibiscustiller.wire import HttpClient
 
 
-@contextlib.contextmanager
-def forget_violations():
-    """Undo the count of violations that a test causes; other tests look at it."""
-    before = dict(violations_by_name)
-    try:
-        yield
-    finally:
-        violations_by_name.clear()
-        violations_by_name.update(before)
-
-
 class FixedBudget:
     """A retry budget of a fixed size."""
 
--- a/hibiscustiller/streams/tests/test_frames.py
+++ b/hibiscustiller/streams/tests/test_frames.py
@@ -19,7 +19,7 @@
     Progress,
     parse_frame,
 )
-from hibiscustiller.streams.tests.fixtures import forget_violations, make_request
+from hibiscustiller.streams.tests.fixtures import make_request
 from hibiscustiller.utils import ManualClock, Verdict
 from hibiscustiller.utils._testing import collect_tests
 
@@ -81,8 +81,7 @@
             request, Grant(admission, ROUTE), progress, crash_run, deliver
         )
 
-    with forget_violations():
-        end = curio.run(run)
+    end = curio.run(run)
     assert delivered == progress.tokens
     assert not registry._runs_by_server
     return end, delivered, progress.finish_reason
--- a/hibiscustiller/streams/tests/test_runner.py
+++ b/hibiscustiller/streams/tests/test_runner.py
@@ -11,7 +11,6 @@
     Bench,
     FixedBudget,
     compute_expected,
-    forget_violations,
 )
 from hibiscustiller.utils import RefusalReason, Verdict
 from hibiscustiller.utils._testing import collect_tests
@@ -317,8 +316,7 @@
                 spoiled.extend(bench.find_heads())
                 _spoil_frames(spoiled[0], spoil)
 
-        with forget_violations():
-            ran = await bench.run("a", 8, spoil_head)
+        ran = await bench.run("a", 8, spoil_head)
         assert list(ran.ok_value.tokens) == compute_expected("a", 8), number
         assert bench.delivered == compute_expected("a", 8), number
         failed = f"failed {spoiled[0].options.server_id}"
