--- a/hibiscustiller/serving/tests/test_disconnects.py
+++ b/hibiscustiller/serving/tests/test_disconnects.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from hibiscustiller.serving.tests.test_callers import start_bench, stop_bench
+from hibiscustiller.serving.tests.fixtures import start_bench
 from hibiscustiller.standins import MODEL, ORGANISATION_KEYS_BY_ID
 from hibiscustiller.utils import violations_by_name
 from hibiscustiller.utils._testing import collect_tests
@@ -52,7 +52,7 @@
         assert not violations_by_name, violations_by_name
         answer = await bench.complete("a b", 3)
         assert answer.status == 200
-        await stop_bench(bench)
+        await bench.close()
 
 
 def load_tests(loader, tests, pattern):
--- a/hibiscustiller/serving/tests/test_service_calls.py
+++ b/hibiscustiller/serving/tests/test_service_calls.py
@@ -5,10 +5,9 @@
 
 import curio
 
-from hibiscustiller.serving.tests.test_callers import (
+from hibiscustiller.serving.tests.fixtures import (
     read_error,
     start_bench,
-    stop_bench,
 )
 from hibiscustiller.standins import ORGANISATION_KEYS_BY_ID
 from hibiscustiller.utils._testing import collect_tests
@@ -33,7 +32,7 @@
         answer = await bench.post(path, {"quantity": 1})
         assert read_error(answer) == (400, "bad-request", "not-run"), path
     assert count_booked(bench) == 0
-    await stop_bench(bench)
+    await bench.close()
 
 
 async def test_encoded_paths_and_queries_reach_the_service():
@@ -47,7 +46,7 @@
         answer = await bench.post(path, {"quantity": 1})
         assert answer.status == status, (path, answer)
         assert answer.headers_by_name["x-repeat"] == "new-order"
-    await stop_bench(bench)
+    await bench.close()
 
 
 async def test_mark_is_checked_and_makes_an_order():
@@ -62,7 +61,7 @@
         # The service's pattern makes it an order in any case.
         assert answer.status == 201 and "x-repeat" not in answer.headers_by_name
         assert len(bench.fleet.platform.list_keys()) == keys
-    await stop_bench(bench)
+    await bench.close()
 
 
 async def test_order_is_recorded_although_its_caller_disconnected():
@@ -90,7 +89,7 @@
     headers = {"idempotency-key": "gone"}
     answer = await bench.post(BOOK, {"quantity": 1}, headers=headers)
     assert (answer.status, count_booked(bench)) == (201, 1), answer
-    await stop_bench(bench)
+    await bench.close()
 
 
 async def test_shutdown_waits_for_orders_in_flight():
@@ -107,7 +106,7 @@
     assert (await order.join()).status == 201
     keys = bench.fleet.platform.list_keys()
     assert b'"done"' in bench.fleet.platform.read_value(keys[0])
-    await stop_bench(bench)
+    await bench.close()
 
 
 def load_tests(loader, tests, pattern):
