Format the log lines of libraries alike and shorten the table of changes

absl's handler printed a warning about unparsed flags at every start, and curio's messages had no time or level. One handler at the root logger now formats both. The difference of a first document made rows of the table of changes unreadable; it shows three sections and says how many more there are.

--- a/hibiscustiller/cli/_operators.py
+++ b/hibiscustiller/cli/_operators.py
@@ -38,6 +38,8 @@
 _LONGEST_PAUSE = timedelta(seconds=5)
 _OK = 200
 _CELL_WIDTH = 60
+# Sections of one change in the table of changes; a first document has hundreds.
+_MAX_SHOWN_SECTIONS = 3
 
 
 @dataclass(frozen=True)
@@ -378,6 +380,10 @@
             for key, value in edits.items()
         )
         parts.append(f"[{heading}] {pairs}".rstrip())
+    hidden = len(parts) - _MAX_SHOWN_SECTIONS
+    if hidden > 0:
+        more = f"and {hidden} more sections (--json shows all)"
+        parts = [*parts[:_MAX_SHOWN_SECTIONS], more]
     return "; ".join(parts)
 
 
--- a/hibiscustiller/utils/_logging.py
+++ b/hibiscustiller/utils/_logging.py
@@ -56,10 +56,14 @@
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
     """
-    logging.use_absl_handler()
-    handler = logging.get_absl_handler()
+    # absl's own handler warns about flags that were not parsed; this program has none.
+    handler = std_logging.StreamHandler()
     handler.setFormatter(_EventFormatter())
-    logging.set_stderrthreshold(level)
+    # Libraries log to the root logger; their lines get the same format.
+    std_logging.getLogger().handlers = [handler]
+    logger = logging.get_absl_logger()
+    logger.handlers = []
+    logger.propagate = True
     logging.set_verbosity(level)
 
 
--- a/hibiscustiller/utils/tests/test_utils.py
+++ b/hibiscustiller/utils/tests/test_utils.py
@@ -1,5 +1,7 @@
 """Parts used everywhere: hashing, back-off, logs, invariants."""
 
+import io
+import logging as std_logging
 import random
 import sys
 from datetime import timedelta
@@ -12,8 +14,10 @@
     ManualClock,
     Verdict,
     check_invariant,
+    configure_logging,
     format_fields,
     jittered_delays,
+    log_event,
     rank_by_rendezvous,
     violations_by_name,
 )
@@ -81,5 +85,27 @@
     raise AssertionError("no error was raised")
 
 
+def test_lines_of_libraries_have_the_same_format():
+    """Guards against log lines that a parser of key=value pairs cannot read."""
+    logger = std_logging.getLogger("library")
+    handlers = std_logging.getLogger().handlers
+    configure_logging("warning")
+    (handler,) = std_logging.getLogger().handlers
+    stream = handler.setStream(io.StringIO())
+    captured = handler.stream
+    try:
+        logger.error("two words")
+        log_event("known", level="warning", a=1)
+        log_event("hidden", level="info", a=2)
+    finally:
+        handler.setStream(stream)
+        std_logging.getLogger().handlers = handlers
+        configure_logging("info")
+    lines = captured.getvalue().splitlines()
+    assert len(lines) == 2, lines
+    assert lines[0].endswith('level=error event=log message="two words"')
+    assert lines[1].endswith("level=warning event=known a=1")
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
