--- a/benchmarks/bench_processes.py
+++ b/benchmarks/bench_processes.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 import signal
 import sys
@@ -19,7 +18,14 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from processes import ProcessFleet, RouterProcess, make_directory
+from processes import (
+    ProcessFleet,
+    RouterProcess,
+    make_directory,
+    print_figure,
+    propose,
+    propose_document,
+)
 
 from hibiscustiller.configuration import parse_sections
 from hibiscustiller.exceptions import TransportError
@@ -69,7 +75,7 @@
 
     async def run(self) -> None:
         """Run everything and print the figures."""
-        await self.propose_document()
+        await propose_document(self.fleet, self.client)
         for router in self.fleet.routers:
             await self.await_revision(router, 1)
         idle_memory = [router.read_memory_mb() for router in self.fleet.routers]
@@ -109,43 +115,12 @@
         """Change a section at one router and wait for it everywhere."""
         changes = {"organisation notes": {"weight": "2"}}
         started = self.clock.monotonic()
-        await self.propose(self.fleet.routers[0], 1, "weight", changes, "tizas")
+        router = self.fleet.routers[0]
+        await propose(router, self.client, 1, "weight", changes, "tizas")
         for router in self.fleet.routers:
             await self.await_revision(router, 2)
         return self.clock.monotonic() - started
 
-    async def propose_document(self) -> None:
-        """Propose the first document."""
-        sections = parse_sections(self.fleet.document, "fleet.ini")
-        changes = {heading: dict(values) for heading, values in sections.items()}
-        await self.propose(self.fleet.routers[0], 0, "first", changes, "carnbeg")
-
-    async def propose(
-        self,
-        router: RouterProcess,
-        base: int,
-        proposal_id: str,
-        changes: dict[str, dict[str, str]],
-        team: str,
-    ) -> None:
-        """Propose changes as a team."""
-        body = {
-            "proposal_id": proposal_id,
-            "base_revision": base,
-            "changes": changes,
-            "check_only": False,
-        }
-        answer = await self.client.request_json(
-            Address("127.0.0.1", router.administration),
-            "POST",
-            "/admin/proposals",
-            body,
-            timeout=TIMEOUT,
-            headers={"authorization": f"Bearer {TEAM_KEYS_BY_ID[team]}"},
-        )
-        if answer.status != 200:
-            raise RuntimeError(f"proposal refused: {answer.body!r}")
-
     async def await_revision(self, router: RouterProcess, revision: int) -> None:
         """Wait until a router has a revision in force."""
         address = Address("127.0.0.1", router.administration)
@@ -258,11 +233,6 @@
         return self.tally.counts["booked"] - held
 
 
-def print_figure(figure: str, value: float, unit: str) -> None:
-    """Print a figure as one JSON line."""
-    print(json.dumps({"figure": figure, "value": value, "unit": unit}), flush=True)
-
-
 def main() -> None:
     """Run the benchmark."""
     with make_directory() as directory:
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 import socket
@@ -10,11 +11,18 @@
 import tempfile
 import time
 from dataclasses import dataclass, field
+from datetime import timedelta
 from pathlib import Path
 
+from hibiscustiller.configuration import parse_sections
+from hibiscustiller.settings import Address
+from hibiscustiller.standins import TEAM_KEYS_BY_ID
+from hibiscustiller.wire import HttpClient
+
 ROOT = Path(__file__).resolve().parent.parent
 SHARED_KEY = "benchmark-shared-key"
 _START_SECONDS = 15.0
+_TIMEOUT = timedelta(seconds=10)
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 _SETTINGS = """
 [router]
@@ -63,11 +71,13 @@
     """A platform with engines in one process, and routers in one each.
 
     :param directory: where settings and the document are written.
+    :param standin_options: further options of ``standin fleet``.
     """
 
     router_count: int
     replicas: int
     directory: Path
+    standin_options: tuple[str, ...] = ()
     routers: list[RouterProcess] = field(default_factory=list)
     platform_port: int = 0
     standins: subprocess.Popen | None = None
@@ -94,6 +104,7 @@
             f"127.0.0.1:{self.platform_port}",
             "--document",
             str(document),
+            *self.standin_options,
         )
         wait_until(document.exists)
         wait_for_port(self.platform_port)
@@ -129,6 +140,60 @@
                 process.wait()
 
 
+async def propose_document(fleet: ProcessFleet, client: HttpClient) -> None:
+    """Have the first document accepted through the first router.
+
+    :raises RuntimeError: if it is refused.
+    """
+    sections = parse_sections(fleet.document, "fleet.ini")
+    changes = {heading: dict(values) for heading, values in sections.items()}
+    await propose(fleet.routers[0], client, 0, "first", changes, "carnbeg")
+
+
+async def propose(
+    router: RouterProcess,
+    client: HttpClient,
+    base: int,
+    proposal_id: str,
+    changes: dict[str, dict[str, str]],
+    team: str,
+) -> None:
+    """Propose changes as a team of the stand-ins' document.
+
+    :raises RuntimeError: if they are refused.
+    """
+    body = {
+        "proposal_id": proposal_id,
+        "base_revision": base,
+        "changes": changes,
+        "check_only": False,
+    }
+    answer = await client.request_json(
+        Address("127.0.0.1", router.administration),
+        "POST",
+        "/admin/proposals",
+        body,
+        timeout=_TIMEOUT,
+        headers={"authorization": f"Bearer {TEAM_KEYS_BY_ID[team]}"},
+    )
+    if answer.status != 200:
+        raise RuntimeError(f"proposal refused: {answer.body!r}")
+
+
+def print_figure(
+    figure: str,
+    value: float,
+    unit: str,
+    baseline: float | None = None,
+    ratio: float | None = None,
+) -> None:
+    """Print a figure as one JSON line."""
+    line = {"figure": figure, "value": value, "unit": unit}
+    if baseline is not None:
+        line |= {"baseline": baseline, "ratio": ratio}
+    print(json.dumps(line), flush=True)
+
+
 def start_command(*arguments: str) -> subprocess.Popen:
     """Start the program with a command."""
     environment = {**os.environ, "PYTHONPATH": str(ROOT)}
--- a/hibiscustiller/cli/_standins.py
+++ b/hibiscustiller/cli/_standins.py
@@ -60,6 +60,15 @@
 _ADDRESS = click.option(
     "--address", type=AddressType(), required=True, help="Where to listen."
 )
+_TOKEN_TIME = click.option(
+    "--token-time",
+    type=DurationType(),
+    default=timedelta(milliseconds=2),
+    help="Time a token when lightly loaded; 2ms by default.",
+)
+_STREAMS = click.option(
+    "--streams", default=16, show_default=True, help="Streams at once."
+)
 
 
 @click.group()
@@ -89,13 +98,8 @@
 @click.option("--model", required=True, help="Model that it holds.")
 @click.option("--first-layer", type=int, required=True, help="First layer held.")
 @click.option("--last-layer", type=int, required=True, help="Layer after the last.")
-@click.option(
-    "--token-time",
-    type=DurationType(),
-    default=timedelta(milliseconds=2),
-    help="Time a token when lightly loaded; 2ms by default.",
-)
-@click.option("--streams", default=16, show_default=True, help="Streams at once.")
+@_TOKEN_TIME
+@_STREAMS
 def engine(address: Address, **options: Any) -> None:
     """Run a model engine that holds a range of layers."""
     _run(EngineStandin(EngineOptions(**options), address, SystemClock()))
@@ -116,13 +120,21 @@
     required=True,
     help="Where to write the operators' document that describes the fleet.",
 )
-def fleet(replicas: int, platform_address: Address, document: Path) -> None:
+@_TOKEN_TIME
+@_STREAMS
+def fleet(
+    replicas: int,
+    platform_address: Address,
+    document: Path,
+    token_time: timedelta,
+    streams: int,
+) -> None:
     """Run a platform, engines and booking services in one process."""
     started = []
 
     async def start() -> None:
         made = await start_fleet(
-            SystemClock(), replicas, platform_address=platform_address
+            SystemClock(), replicas, token_time, streams, platform_address
         )
         started.append(made)
         document.write_text(made.document, encoding="utf-8")
