--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -1,7 +1,8 @@
-"""Cost of one reconcile pass of the control holder, by number of engines.
+"""Cost of the control holder at rest, by number of engines.
 
 Engines are a minimal responder in the same process, so CPU time includes both sides.
-The baseline is the smallest number of engines of the same run, scaled up.
+The clock is set forward by the period between passes; the figures are for that time.
+The baseline reads every engine in each pass.
 """
 
 import json
@@ -17,12 +18,14 @@
 from hibiscustiller.platform import EtcdStore
 from hibiscustiller.settings import Address
 from hibiscustiller.standins import PlatformStandin
-from hibiscustiller.utils import SystemClock, configure_logging
+from hibiscustiller.utils import ManualClock, configure_logging
 from hibiscustiller.wire import HttpClient
 
-PASSES = 5
+# Twice the sweep period of 600 engines.
+PASSES = 28
+BASELINE_PASSES = 5
 STORE_TIMEOUT = timedelta(seconds=2)
-PERIOD_SECONDS = 5.0
+PERIOD = timedelta(seconds=5)
 _STATE = {
     "model": "m",
     "version": "1",
@@ -45,10 +48,12 @@
         )
         self.answer = head.encode() + body
         self.byte_count = 0
+        self.read_count = 0
 
     async def serve(self, sock, address) -> None:
         """Serve one connection."""
         while data := await sock.recv(65536):
+            self.read_count += 1
             self.byte_count += len(data) + len(self.answer)
             await sock.sendall(self.answer)
 
@@ -69,9 +74,12 @@
     return build_config(sections)
 
 
-async def measure_pass(count: int) -> dict[str, float]:
-    """Measure the mean of several passes that find nothing to do."""
-    clock = SystemClock()
+async def measure_rest(count: int, reads_all: bool) -> dict[str, float]:
+    """Measure the mean of many passes that find nothing to do.
+
+    :param reads_all: read every engine in each pass, as the baseline does.
+    """
+    clock = ManualClock()
     platform = PlatformStandin(Address("127.0.0.1", 0), clock)
     await platform.start()
     responder = Responder()
@@ -94,13 +102,22 @@
     )
     await holder.step_lease()
     await holder.reconcile()
-    before, cpu, begun = responder.byte_count, time.process_time(), time.monotonic()
-    for _ in range(PASSES):
+    passes = BASELINE_PASSES if reads_all else PASSES
+    bytes_before, reads_before = responder.byte_count, responder.read_count
+    cpu, begun = time.process_time(), time.monotonic()
+    for _ in range(passes):
+        clock.advance(PERIOD)
+        await holder.step_lease()
+        if reads_all:
+            holder.forget_states()
         await holder.reconcile()
+    elapsed = passes * PERIOD.total_seconds()
+    reads = responder.read_count - reads_before
     result = {
-        "pass_time": (time.monotonic() - begun) / PASSES,
-        "cpu": (time.process_time() - cpu) / PASSES / PERIOD_SECONDS,
-        "bytes": (responder.byte_count - before) / PASSES / PERIOD_SECONDS,
+        "pass_time": (time.monotonic() - begun) / passes,
+        "cpu": (time.process_time() - cpu) / elapsed,
+        "bytes": (responder.byte_count - bytes_before) / elapsed,
+        "sweep_period": count * elapsed / reads,
     }
     await holder.stop()
     await client.close()
@@ -110,21 +127,20 @@
 
 
 @click.command()
-@click.option("--sizes", default="80,600", help="Numbers of engines.")
+@click.option("--sizes", default="80,300,600", help="Numbers of engines.")
 def main(sizes: str) -> None:
     """Measure and print one JSON line for each figure."""
     configure_logging("error")
-    units = {"pass_time": "s", "cpu": "cores", "bytes": "B/s"}
-    counts = [int(size) for size in sizes.split(",")]
-    results = {count: curio.run(measure_pass, count) for count in counts}
-    for count, result in results.items():
+    units = {"pass_time": "s", "cpu": "cores", "bytes": "B/s", "sweep_period": "s"}
+    for count in (int(size) for size in sizes.split(",")):
+        result = curio.run(measure_rest, count, False)
+        baselines = curio.run(measure_rest, count, True)
         for name, unit in units.items():
-            baseline = results[counts[0]][name] * count / counts[0]
             line = {
                 "figure": f"{name}, {count} engines",
                 "value": result[name],
-                "baseline": baseline,
-                "ratio": result[name] / baseline,
+                "baseline": baselines[name],
+                "ratio": result[name] / baselines[name],
                 "unit": unit,
             }
             click.echo(json.dumps(line))
--- a/hibiscustiller/control/_holder.py
+++ b/hibiscustiller/control/_holder.py
@@ -19,6 +19,7 @@
     parse_engine_state,
 )
 from hibiscustiller.control._lease import HOLDER_KEY, ControlLease, Term
+from hibiscustiller.control._sweep import SWEEP_PERIOD, StateSweep
 from hibiscustiller.exceptions import StoreUnavailableError, TransportError
 from hibiscustiller.platform import KeyValueStore
 from hibiscustiller.utils import (
@@ -35,7 +36,8 @@
 
 _RENEW_PERIOD = timedelta(seconds=3)
 _RETRY_PERIOD = timedelta(seconds=1)
-_RECONCILE_PERIOD = timedelta(seconds=5)
+# A new document or term is noticed within this time. Looking costs no message.
+_LOOK_PERIOD = timedelta(seconds=1)
 _CALL_TIMEOUT = timedelta(seconds=1)
 # Of the live routers, the first few stand by, since each look at the key costs the
 # store a call.
@@ -53,11 +55,16 @@
 
 @dataclass
 class _Attempts:
-    """What was last sent to a server to reach one wanted state."""
+    """What was last sent to a server to reach one wanted state.
+
+    :param check_at: when the server is read to see whether the command took effect.
+    :param next_at: earliest time of the next attempt.
+    """
 
     command: Command
     delays: Iterator[timedelta]
     count: int = 0
+    check_at: timedelta = timedelta(0)
     next_at: timedelta = timedelta(0)
 
 
@@ -92,6 +99,10 @@
         self._random_state = random_state
         self._attempts: dict[tuple[ServerId, type], _Attempts] = {}
         self._next_load_at = timedelta(0)
+        self._sweep = StateSweep(clock)
+        self._swept_term: Term | None = None
+        self._swept_config: FleetConfig | None = None
+        self._next_pass_at = timedelta(0)
         self._tasks: list[curio.Task] = []
 
     @property
@@ -130,26 +141,47 @@
         return _RENEW_PERIOD
 
     async def reconcile(self) -> None:
-        """Compare all engines with the document and send what is missing.
+        """Compare engines with the document and send what is missing.
+
+        Reads the engines whose part of the document changed, those that may need a
+        command again, and of the others as many as the sweep's rate permits.
 
         :raises StoreUnavailableError: if the store cannot confirm the lease.
         """
+        self._next_pass_at = self._clock.monotonic() + SWEEP_PERIOD
         term = self.lease.term
         if term is None or not await self.lease.confirm():
             return
         config = self._get_config()
-        states = await self._read_states(config)
-        loads: dict[ServerId, LoadCommand] = {}
+        if term is not self._swept_term:
+            self.forget_states()
+        self._swept_term, self._swept_config = term, config
+        due = self._sweep.select_servers(config, self._list_pending())
+        states = await self._read_states(config, due)
         for server, state in states.items():
             commands = list_commands(config, config.servers_by_id[server], state)
             self._forget_reached(server, commands)
             for command in commands:
-                if isinstance(command, LoadCommand):
-                    loads[server] = command
-                else:
+                if not isinstance(command, LoadCommand):
                     await self._send_if_due(term, config.servers_by_id[server], command)
-        for server in order_loads(config, states, loads):
-            await self._send_load_if_due(term, config, server, loads[server])
+        await self._send_loads(term, config, states)
+
+    def forget_states(self) -> None:
+        """Let the next pass read every engine."""
+        self._sweep.forget_all()
+
+    async def look(self) -> None:
+        """Reconcile if a pass is due, or at once after a new document or term.
+
+        :raises StoreUnavailableError: if the store cannot confirm the lease.
+        """
+        is_changed = (
+            self.lease.term is not self._swept_term
+            or self._get_config() is not self._swept_config
+        )
+        is_due = self._clock.monotonic() >= self._next_pass_at
+        if self.lease.term is not None and (is_changed or is_due):
+            await self.reconcile()
 
     async def _run_lease(self) -> None:
         while True:
@@ -165,46 +197,69 @@
     async def _run_reconcile(self) -> None:
         while True:
             try:
-                await self.reconcile()
+                await self.look()
             except StoreUnavailableError as error:
                 log_event("control_store_unavailable", level="warning", reason=error)
             except Exception as error:
                 log_event("control_failed", level="error", error=repr(error))
                 await self.lease.release()
-            await self._clock.sleep(_RECONCILE_PERIOD)
+            await self._clock.sleep(_LOOK_PERIOD)
 
     def _is_candidate(self) -> bool:
         ranked = rank_by_rendezvous(HOLDER_KEY, self._list_routers())
         return self._router_id in ranked[:_CANDIDATE_COUNT]
 
-    async def _read_states(self, config: FleetConfig) -> dict[ServerId, EngineState]:
+    def _list_pending(self) -> set[ServerId]:
+        """Return the servers that must be read for a command sent earlier.
+
+        They are read once after the time that the command takes, and again when the
+        next attempt is due. An engine that cannot be sent the next attempt, because it
+        does not answer or because the weight store is busy, is read seldom after that.
+        """
+        now = self._clock.monotonic()
+        pending = set()
+        for (server, _), attempts in self._attempts.items():
+            if now >= attempts.check_at:
+                is_early = now < attempts.next_at
+                attempts.check_at = attempts.next_at if is_early else now + _LAST_RETRY
+                pending.add(server)
+        return pending
+
+    async def _read_states(
+        self, config: FleetConfig, due: list[ServerConfig]
+    ) -> dict[ServerId, EngineState]:
         states: dict[ServerId, EngineState] = {}
-        servers = iter(list(config.servers_by_id.values()))
+        servers = iter(due)
 
         async def read_some() -> None:
             for server in servers:
-                state = await self._read_state(server)
+                state = await self._read_state(config, server)
                 if state is not None:
                     states[server.name] = state
 
         async with curio.TaskGroup() as group:
-            for _ in range(min(_MAX_CONCURRENT_READS, len(config.servers_by_id))):
+            for _ in range(min(_MAX_CONCURRENT_READS, len(due))):
                 await group.spawn(read_some)
         return dict(sorted(states.items()))
 
-    async def _read_state(self, server: ServerConfig) -> EngineState | None:
+    async def _read_state(
+        self, config: FleetConfig, server: ServerConfig
+    ) -> EngineState | None:
+        state, body_bytes = None, 0
         try:
             answer = await self._client.request(
                 server.address, "GET", "/v1/state", timeout=_CALL_TIMEOUT
             )
+            body_bytes = len(answer.body)
             if answer.status != _OK:
                 raise ValueError(f"status {answer.status}")
-            return parse_engine_state(answer.read_json())
+            state = parse_engine_state(answer.read_json())
         except (TransportError, ValueError) as error:
             log_event(
                 "state_read_failed", level="debug", server=server.name, error=error
             )
-            return None
+        self._sweep.note_read(config, server, state, body_bytes)
+        return state
 
     def _forget_reached(self, server: ServerId, commands: list[Command]) -> None:
         wanted = {type(command): command for command in commands}
@@ -212,18 +267,53 @@
             if wanted.get(key[1]) != self._attempts[key].command:
                 del self._attempts[key]
 
-    async def _send_load_if_due(
-        self, term: Term, config: FleetConfig, server: ServerId, command: LoadCommand
+    async def _send_loads(
+        self,
+        term: Term,
+        config: FleetConfig,
+        fresh_states: dict[ServerId, EngineState],
     ) -> None:
-        """Send a load if the weight store can take another one."""
-        now = self._clock.monotonic()
-        if now < self._next_load_at:
-            return
-        load_time = config.models_by_name[command.model].load_time
-        if await self._send_if_due(
-            term, config.servers_by_id[server], command, load_time
-        ):
-            self._next_load_at = now + load_time
+        """Send loads as far as the weight store can take them.
+
+        :param fresh_states: states that were read in this pass.
+        """
+        states = self._sweep.states_by_server
+        loads = self._list_loads(config, states)
+        for name in order_loads(config, states, loads):
+            if self._clock.monotonic() < self._next_load_at:
+                return
+            server, command = config.servers_by_id[name], loads[name]
+            if not self._is_due(server, command):
+                continue
+            if name not in fresh_states and not await self._still_needs(
+                config, server, command
+            ):
+                continue
+            load_time = config.models_by_name[command.model].load_time
+            now = self._clock.monotonic()
+            if await self._send_if_due(term, server, command, load_time):
+                self._next_load_at = now + load_time
+
+    def _list_loads(
+        self, config: FleetConfig, states: dict[ServerId, EngineState]
+    ) -> dict[ServerId, LoadCommand]:
+        return {
+            server: command
+            for server, state in states.items()
+            for command in list_commands(config, config.servers_by_id[server], state)
+            if isinstance(command, LoadCommand)
+        }
+
+    async def _still_needs(
+        self, config: FleetConfig, server: ServerConfig, command: Command
+    ) -> bool:
+        """Read a server again whose state is of an earlier pass."""
+        state = await self._read_state(config, server)
+        return state is not None and command in list_commands(config, server, state)
+
+    def _is_due(self, server: ServerConfig, command: Command) -> bool:
+        attempts = self._attempts.get((server.name, type(command)))
+        return attempts is None or self._clock.monotonic() >= attempts.next_at
 
     async def _send_if_due(
         self,
@@ -247,6 +337,7 @@
         if not self.lease.has_margin(term):
             return False
         attempts.count += 1
+        attempts.check_at = now + duration
         attempts.next_at = now + duration + _FIRST_RETRY / 2 + next(attempts.delays)
         if attempts.count >= _MAX_ATTEMPTS:
             attempts.count = 0
