--- a/hibiscustiller/cli/_standins.py
+++ b/hibiscustiller/cli/_standins.py
@@ -1,4 +1,8 @@
-"""Commands that run stand-ins as processes, for trials and benchmarks."""
+"""Commands that run stand-ins as processes, for trials and benchmarks.
+
+The stand-ins are imported inside the commands, so that a router, which shares this
+command line, does not hold their code in memory.
+"""
 
 from __future__ import annotations
 
@@ -12,13 +16,6 @@
 
 from hibiscustiller.cli._daemon import run_until_signal
 from hibiscustiller.settings import Address, parse_address, parse_duration
-from hibiscustiller.standins import (
-    BookingStandin,
-    EngineOptions,
-    EngineStandin,
-    PlatformStandin,
-    start_fleet,
-)
 from hibiscustiller.utils import SystemClock, configure_logging
 
 
@@ -72,6 +69,8 @@
 @_ADDRESS
 def platform(address: Address) -> None:
     """Run the key-value service and the host list."""
+    from hibiscustiller.standins import PlatformStandin
+
     _run(PlatformStandin(address, SystemClock()))
 
 
@@ -80,6 +79,8 @@
 @click.option("--stock", default=1000, show_default=True, help="Units in stock.")
 def booking(address: Address, stock: int) -> None:
     """Run a booking service."""
+    from hibiscustiller.standins import BookingStandin
+
     _run(BookingStandin(address, SystemClock(), stock))
 
 
@@ -98,6 +99,8 @@
 @click.option("--streams", default=16, show_default=True, help="Streams at once.")
 def engine(address: Address, **options: Any) -> None:
     """Run a model engine that holds a range of layers."""
+    from hibiscustiller.standins import EngineOptions, EngineStandin
+
     _run(EngineStandin(EngineOptions(**options), address, SystemClock()))
 
 
@@ -118,6 +121,8 @@
 )
 def fleet(replicas: int, platform_address: Address, document: Path) -> None:
     """Run a platform, engines and booking services in one process."""
+    from hibiscustiller.standins import start_fleet
+
     started = []
 
     async def start() -> None:
--- a/hibiscustiller/limits/_servers.py
+++ b/hibiscustiller/limits/_servers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import statistics
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -46,7 +45,7 @@
         """
         if not self.samples:
             return False
-        median = statistics.median(self.samples)
+        median = _find_median(self.samples)
         self.samples.clear()
         if now - self.period_started > _BASELINE_PERIOD:
             self.previous_smallest, self.smallest = self.smallest, None
@@ -197,3 +196,16 @@
         config = self._get_config().servers_by_id.get(server)
         # A server that left the document may still have streams that end.
         return config.streams if config is not None else 1
+
+
+def _find_median(samples: list[float]) -> float:
+    """Return the median.
+
+    The module ``statistics`` has one, but it loads ``decimal`` and ``fractions``, which
+    are 0.6 MB in each daemon.
+    """
+    ordered = sorted(samples)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
--- a/hibiscustiller/utils/_metrics.py
+++ b/hibiscustiller/utils/_metrics.py
@@ -1,9 +1,13 @@
 """Metrics, sent by statsd and kept as totals for the operators' report."""
 
+from __future__ import annotations
+
 from collections import Counter
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
-import statsd
+if TYPE_CHECKING:
+    import statsd
 
 
 class Metrics:
@@ -42,4 +46,7 @@
     :param port: UDP port.
     :param prefix: put before every name.
     """
+    # Imported here, so that a daemon without a statsd server does not hold the library.
+    import statsd
+
     return Metrics(statsd.StatsClient(host, port, prefix=prefix))
