--- a/hibiscustiller/membership/_usage_sharing.py
+++ b/hibiscustiller/membership/_usage_sharing.py
@@ -24,8 +24,8 @@
 
 SHARD_COUNT = 16
 _PERIOD = timedelta(seconds=1)
-# What an owner may spend on reports and replies together. A router at rest uses 2.3
-# of its 7 KB/s for control, and one that follows the configuration 1.8 KB/s more.
+# What an owner may spend on reports and replies together. Of the 7 KB/s of a daemon,
+# everything else takes 4.0 KB/s at the planned size (docs/decisions/0005).
 OWNER_BYTES_PER_SECOND = 2800
 # In a large fleet a report names fewer organisations rather than come less often. The
 # period is the half-life of usage, after which half of a total has decayed. One entry
