--- a/hibiscustiller/cli/_standins.py
+++ b/hibiscustiller/cli/_standins.py
@@ -1,4 +1,8 @@
-"""Commands that run stand-ins as processes, for trials and benchmarks."""
+"""Commands that run stand-ins as processes, for trials and benchmarks.
+
+The stand-ins are imported inside the commands, so that a router, which shares this
+command line, does not hold their code in memory.
+"""
 
 from __future__ import annotations
 
@@ -12,13 +16,6 @@
 
 from hibiscustiller.cli._daemon import run_until_signal
 from hibiscustiller.settings import Address, parse_address, parse_duration
-from hibiscustiller.standins import (
-    BookingStandin,
-    EngineOptions,
-    EngineStandin,
-    PlatformStandin,
-    start_fleet,
-)
 from hibiscustiller.utils import SystemClock, configure_logging
 
 
@@ -81,6 +78,8 @@
 @_ADDRESS
 def platform(address: Address) -> None:
     """Run the key-value service and the host list."""
+    from hibiscustiller.standins import PlatformStandin
+
     _run(PlatformStandin(address, SystemClock()))
 
 
@@ -89,6 +88,8 @@
 @click.option("--stock", default=1000, show_default=True, help="Units in stock.")
 def booking(address: Address, stock: int) -> None:
     """Run a booking service."""
+    from hibiscustiller.standins import BookingStandin
+
     _run(BookingStandin(address, SystemClock(), stock))
 
 
@@ -102,6 +103,8 @@
 @_STREAMS
 def engine(address: Address, **options: Any) -> None:
     """Run a model engine that holds a range of layers."""
+    from hibiscustiller.standins import EngineOptions, EngineStandin
+
     _run(EngineStandin(EngineOptions(**options), address, SystemClock()))
 
 
@@ -130,6 +133,8 @@
     streams: int,
 ) -> None:
     """Run a platform, engines and booking services in one process."""
+    from hibiscustiller.standins import start_fleet
+
     started = []
 
     async def start() -> None:
