Report usage as sums that replace each other, also after a failed send

Cause: undelivered entries were added to the next report's as if they were increments, but the ledger gives decayed sums. An entry that stayed undelivered twice was reported too high. The tests' ledger counted increments and hid it. Change: nothing is kept; a lost sum is replaced by the next one. The tests use the real ledger and aggregator. The method is now named collect_usage.

The control holder no longer repeats the store's outage as a warning every second; the store's client logs it once.

--- a/benchmarks/bench_fairness.py
+++ b/benchmarks/bench_fairness.py
@@ -80,7 +80,7 @@
     while True:
         for number, router in enumerate(bench.routers):
             name = f"router-{number}"
-            aggregator.add_report(name, router.usage.collect_deltas())
+            aggregator.add_report(name, router.usage.collect_usage())
             router.usage.apply_totals(aggregator.list_totals(name))
         await curio.sleep(1)
 
--- a/hibiscustiller/control/_holder.py
+++ b/hibiscustiller/control/_holder.py
@@ -134,7 +134,8 @@
             elif self._is_candidate():
                 await self.lease.acquire()
         except StoreUnavailableError as error:
-            log_event("control_store_unavailable", level="warning", reason=error)
+            # The store's client logs an outage once, as a warning.
+            log_event("control_store_unavailable", level="debug", reason=error)
             if term is not None and not self.lease.has_margin(term):
                 self.lease.drop("not renewed in time")
             return _RETRY_PERIOD
@@ -199,7 +200,7 @@
             try:
                 await self.look()
             except StoreUnavailableError as error:
-                log_event("control_store_unavailable", level="warning", reason=error)
+                log_event("control_store_unavailable", level="debug", reason=error)
             except Exception as error:
                 log_event("control_failed", level="error", error=repr(error))
                 await self.lease.release()
--- a/hibiscustiller/limits/_usage.py
+++ b/hibiscustiller/limits/_usage.py
@@ -134,7 +134,7 @@
         weight = self._scale.get_weight()
         return self.get_rank(organisation, class_name) / weight
 
-    def collect_deltas(self) -> tuple[UsageEntry, ...]:
+    def collect_usage(self) -> tuple[UsageEntry, ...]:
         """Return own usage to report: what changed most, then the others in turn."""
         weight = self._scale.get_weight()
         self._forget_negligible(weight)
--- a/hibiscustiller/limits/tests/test_usage.py
+++ b/hibiscustiller/limits/tests/test_usage.py
@@ -19,7 +19,7 @@
 
 def exchange(ledgers, aggregator):
     for name, ledger in ledgers.items():
-        aggregator.add_report(name, ledger.collect_deltas())
+        aggregator.add_report(name, ledger.collect_usage())
     for name, ledger in ledgers.items():
         ledger.apply_totals(aggregator.list_totals(name))
 
@@ -45,7 +45,7 @@
     aggregator = UsageAggregator(clock)
     for _ in range(40):
         early = ledger.charge("early", "c", 50)
-        aggregator.add_report("a", ledger.collect_deltas())
+        aggregator.add_report("a", ledger.collect_usage())
         clock.advance(USAGE_HALF_LIFE * 100)
         ledger.charge("late", "c", 60)
         ledger.charge("small", "c", 10)
@@ -53,8 +53,8 @@
         ledger.settle(early, 0)
         assert ledger.get_attained("early", "c") < 1e-3
     assert round(ledger.get_attained("late", "c")) == 60
-    aggregator.add_report("b", ledger.collect_deltas())
-    aggregator.add_report("a", ledger.collect_deltas())
+    aggregator.add_report("b", ledger.collect_usage())
+    aggregator.add_report("a", ledger.collect_usage())
     by_name = {e.organisation: e.tokens for e in aggregator.list_totals("a")}
     assert by_name == {"late": 60, "small": 10}
 
@@ -67,11 +67,11 @@
     for number in range(500):
         ledger.charge(f"o{number}", "c", 100)
     for _ in range(60):
-        aggregator.add_report("a", ledger.collect_deltas())
+        aggregator.add_report("a", ledger.collect_usage())
     assert len(aggregator._totals_by_key) == 500
     clock.advance(USAGE_HALF_LIFE * 20)
     for _ in range(70):
-        assert ledger.collect_deltas() == ()
+        assert ledger.collect_usage() == ()
         aggregator.add_report("a", ())
     assert not aggregator._totals_by_key
     assert not aggregator._senders_by_id["a"].sums_by_key
@@ -85,7 +85,7 @@
         ledger.charge(f"organisation-{number}", "confirmations", 1000 + number)
     seen = set()
     for _ in range(1400 // 12 + 40):
-        entries = ledger.collect_deltas()
+        entries = ledger.collect_usage()
         assert len(entries) <= MAX_ENTRIES_PER_MESSAGE
         size = len(encode_message("router-1", UsageReport(entries)))
         assert size <= 3500, size
@@ -93,8 +93,8 @@
     assert len(seen) == 1400
     # What changes is sent at once.
     ledger.charge("organisation-7", "confirmations", 50_000)
-    assert "organisation-7" in {e.organisation for e in ledger.collect_deltas()}
-    message = UsageReport(ledger.collect_deltas())
+    assert "organisation-7" in {e.organisation for e in ledger.collect_usage()}
+    message = UsageReport(ledger.collect_usage())
     assert decode_message(encode_message("a", message)) == ("a", message)
 
 
@@ -120,7 +120,7 @@
         expected[organisation] += tokens
         if is_reset:
             aggregator = UsageAggregator(clock)
-        report = ledgers[name].collect_deltas()
+        report = ledgers[name].collect_usage()
         if not is_lost:
             aggregator.add_report(name, report)
             aggregator.add_report(name, report)
@@ -160,7 +160,7 @@
     assert round(ledgers["b"].get_attained("o", "c")) == 1001
     clock.advance(USAGE_HALF_LIFE * 12)
     ledgers["a"].charge("o", "c", 10)
-    aggregator.add_report("a", ledgers["a"].collect_deltas())
+    aggregator.add_report("a", ledgers["a"].collect_usage())
     assert aggregator.list_totals("a") == ()
 
 
--- a/hibiscustiller/membership/_usage_sharing.py
+++ b/hibiscustiller/membership/_usage_sharing.py
@@ -1,8 +1,9 @@
 """Sharing of the organisations' usage between routers.
 
 Each organisation belongs to one of 16 shards, and each shard to the router that ranks
-first for it. A router reports its deltas to the shards' owners, which answer with
-totals, so each owner has the totals of its organisations over the whole fleet.
+first for it. A router reports its sums to the shards' owners, which answer with what
+the other routers used. A sum replaces the earlier one of the same router, so a report
+that is lost is repaired by the next.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 from typing import Protocol
 
 from hibiscustiller.membership._transport import PeerTransport
-from hibiscustiller.utils import Clock, RouterId, log_event, rank_by_rendezvous
+from hibiscustiller.utils import Clock, RouterId, rank_by_rendezvous
 from hibiscustiller.wire._messages_generated import (
     UsageEntry,
     UsageReport,
@@ -35,19 +36,17 @@
 # and for each entry what is added to its two names.
 _MESSAGE_BYTES = 56
 _ENTRY_BYTES = 24
-# Deltas that could not be delivered are kept for a later report, up to this many.
-_MAX_KEPT = 4096
 
 
 class UsageLedger(Protocol):
     """This router's own usage, as ``limits.UsageLedger`` offers it."""
 
-    def collect_deltas(self) -> tuple[UsageEntry, ...]:
-        """Return the tokens used since the last call."""
+    def collect_usage(self) -> tuple[UsageEntry, ...]:
+        """Return decayed sums of the tokens used by organisation and class."""
         ...
 
     def apply_totals(self, entries: tuple[UsageEntry, ...]) -> None:
-        """Take over the fleet's totals."""
+        """Take over what the other routers used."""
         ...
 
 
@@ -55,11 +54,11 @@
     """Totals over routers, as ``limits.UsageAggregator`` offers them."""
 
     def add_report(self, sender: RouterId, entries: tuple[UsageEntry, ...]) -> None:
-        """Add a router's deltas."""
+        """Take over a router's sums, in place of its earlier ones."""
         ...
 
     def list_totals(self, sender: RouterId) -> tuple[UsageEntry, ...]:
-        """Return the totals that a router needs."""
+        """Return what all other routers used, for a router's last report."""
         ...
 
 
@@ -86,7 +85,6 @@
         self._aggregator = aggregator
         self._clock = clock
         self._random_state = random_state
-        self._kept: list[UsageEntry] = []
         self._message_bytes = 0
         # Reports since an entry was last sent, for those that had to wait.
         self._waits_by_key: dict[tuple[str, str], int] = {}
@@ -101,9 +99,8 @@
             await self.report_once()
 
     async def report_once(self) -> None:
-        """Send the usage since the last report to the shards' owners."""
-        entries = [*self._kept, *self._ledger.collect_deltas()]
-        self._kept = []
+        """Send this router's usage to the shards' owners."""
+        entries = self._ledger.collect_usage()
         members = [member.router_id for member in self._mesh.list_members()]
         allowed_bytes = find_allowed_bytes(len(members))
         own_id = self._mesh.self_member.router_id
@@ -114,8 +111,7 @@
                 owned = self._choose_entries(owned, allowed_bytes, waits)
                 size = estimate_bytes(owned)
                 self._message_bytes = max(self._message_bytes, size)
-            if not await self._mesh.send(owner, UsageReport(tuple(owned))):
-                self._keep(owned)
+            await self._mesh.send(owner, UsageReport(tuple(owned)))
         self._waits_by_key = waits
 
     def _choose_entries(
@@ -147,15 +143,6 @@
                 waits[key] = self._waits_by_key.get(key, 0) + 1
         return chosen
 
-    def _keep(self, entries: list[UsageEntry]) -> None:
-        merged: dict[tuple[str, str], int] = defaultdict(int)
-        for entry in [*self._kept, *entries]:
-            merged[(entry.organisation, entry.class_name)] += entry.tokens
-        kept = [UsageEntry(*key, tokens) for key, tokens in merged.items()]
-        if len(kept) > _MAX_KEPT:
-            log_event("usage_deltas_lost", level="warning", count=len(kept) - _MAX_KEPT)
-        self._kept = kept[:_MAX_KEPT]
-
     async def _take_report(self, sender: RouterId, report: UsageReport) -> None:
         self._aggregator.add_report(sender, report.entries)
         totals = self._aggregator.list_totals(sender)
--- a/hibiscustiller/membership/tests/test_sharing.py
+++ b/hibiscustiller/membership/tests/test_sharing.py
@@ -4,6 +4,10 @@
 import sys
 from collections import Counter
 
+import curio
+
+from hibiscustiller.limits import UsageAggregator, UsageLedger
+from hibiscustiller.limits._usage import MAX_ENTRIES_PER_MESSAGE
 from hibiscustiller.membership import (
     BackendState,
     CrashSharing,
@@ -31,7 +35,7 @@
     wait_for_links,
     wait_until,
 )
-from hibiscustiller.utils import SystemClock
+from hibiscustiller.utils import ManualClock, SystemClock
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire._framing import make_frame
 from hibiscustiller.wire._messages_generated import (
@@ -46,32 +50,6 @@
 CLOCK = SystemClock()
 
 
-class Ledger:
-    def __init__(self):
-        self.deltas = Counter()
-        self.totals = {}
-
-    def collect_deltas(self):
-        entries = tuple(UsageEntry(o, "c", n) for o, n in self.deltas.items())
-        self.deltas.clear()
-        return entries
-
-    def apply_totals(self, entries):
-        self.totals.update({entry.organisation: entry.tokens for entry in entries})
-
-
-class Aggregator:
-    def __init__(self):
-        self.totals = Counter()
-
-    def add_report(self, sender, entries):
-        for entry in entries:
-            self.totals[entry.organisation] += entry.tokens
-
-    def list_totals(self, sender):
-        return tuple(UsageEntry(o, "c", n) for o, n in self.totals.items())
-
-
 class Registry:
     def __init__(self):
         self.own = []
@@ -86,39 +64,44 @@
 
 
 def share_usage(mesh):
-    ledger, aggregator = Ledger(), Aggregator()
+    # A clock that stands still keeps sums from decaying.
+    clock = ManualClock()
+    ledger, aggregator = UsageLedger(clock), UsageAggregator(clock)
     sharing = UsageSharing(mesh, ledger, aggregator, CLOCK, random.Random(1))
     return sharing, ledger, aggregator
 
 
+def read_attained(ledger, organisations):
+    return {o: round(ledger.get_attained(o, "c")) for o in organisations}
+
+
 async def test_usage_of_all_routers_is_added_up():
     """Guards against fairness that sees only one router's part of the traffic."""
     meshes = await start_meshes(5)
     await wait_for_agreement(meshes)
     parts = [share_usage(mesh) for mesh in meshes]
     organisations = [f"org-{n}" for n in range(30)]
-    for _, ledger, _ in parts:
-        ledger.deltas.update({o: 10 for o in organisations})
-    for sharing, _, _ in parts:
-        await sharing.report_once()
-    added = lambda: sum((Counter(a.totals) for _, _, a in parts), Counter())
-    await wait_until(lambda: added() == {o: 50 for o in organisations})
-    assert len([a for _, _, a in parts if a.totals]) > 1
-    for sharing, ledger, _ in parts:
-        ledger.deltas.update({o: 1 for o in organisations})
-        await sharing.report_once()
-    await wait_until(lambda: added() == {o: 55 for o in organisations})
-    # Totals come with the answer to a router's own next report.
-    sharing, ledger, _ = parts[-1]
-    ledger.deltas.update({o: 0 for o in organisations})
-    await sharing.report_once()
-    final = ledger.totals
-    await wait_until(lambda: final == {o: 55 for o in organisations}, lambda: final)
+    for tokens in (10, 1):
+        for _, ledger, _ in parts:
+            for organisation in organisations:
+                ledger.charge(organisation, "c", tokens)
+        # The first round fills the owners; totals come with the answer to the next.
+        for _ in range(2):
+            for sharing, _, _ in parts:
+                await sharing.report_once()
+            await curio.sleep(0.05)
+        expected = {o: 50 if tokens == 10 else 55 for o in organisations}
+        for _, ledger, _ in parts:
+            await wait_until(
+                lambda ledger=ledger, expected=expected: (
+                    read_attained(ledger, organisations) == expected
+                )
+            )
     await stop_all(meshes)
 
 
-async def test_undelivered_usage_is_reported_later():
-    """Guards against usage lost while its owner changes."""
+async def test_undelivered_usage_is_neither_lost_nor_counted_twice():
+    """Guards against sums that are added up while their owner cannot be reached."""
     transport = SoloTransport(Member("a", "d", "r", ANY_PORT))
     sharing, ledger, aggregator = share_usage(transport)
     deliver = transport.send
@@ -126,14 +109,23 @@
     async def fail(router, message):
         return False
 
+    # More than fit into one message, so that a report names only some of them.
+    organisations = [f"org-{n}" for n in range(3 * MAX_ENTRIES_PER_MESSAGE)]
     transport.send = fail
-    for _ in range(3):
-        ledger.deltas["x"] += 5
+    for _ in range(8):
+        for organisation in organisations:
+            ledger.charge(organisation, "c", 5)
         await sharing.report_once()
     transport.send = deliver
     await sharing.report_once()
-    assert aggregator.totals == {"x": 15}
-    assert ledger.totals == {"x": 15}
+    questions = tuple(UsageEntry(o, "c", 1) for o in organisations)
+    aggregator.add_report("b", questions)
+    totals = {e.organisation: e.tokens for e in aggregator.list_totals("b")}
+    assert totals and set(totals.values()) == {40}, totals
+    for _ in range(20):
+        await sharing.report_once()
+    totals = {e.organisation: e.tokens for e in aggregator.list_totals("b")}
+    assert totals == {o: 40 for o in organisations}
 
 
 def test_owners_are_few_and_move_little():
@@ -198,7 +190,7 @@
     def __init__(self, entries):
         self._entries = entries
 
-    def collect_deltas(self):
+    def collect_usage(self):
         return self._entries
 
 
