Prepare the expected layers once for each attempt

Ruled out: dropping or sampling the layer check; every token is still asserted against the route. Change: the expected runs and the prompt's length are computed when an attempt starts; LayerRun is a named tuple (0.68 against 1.31 us to make, 0.09 against 0.37 us to compare).

--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -212,6 +212,8 @@
     ) -> AttemptEnd:
         route = grant.route
         head = route.stages[0].server
+        layers = _list_layers(route)
+        prompt_tokens = request.prompt_tokens
         pace = _Pace(self._clock)
         while True:
             # An empty line keeps the connection alive while a token is awaited. It
@@ -224,9 +226,9 @@
             if frame is not None and _is_end(frame, request, route, progress):
                 return AttemptEnd.DONE
             if isinstance(frame, TokenFrame) and _is_next(
-                frame, request, route, progress
+                frame, request, head, layers, progress
             ):
-                context = request.prompt_tokens + len(progress.tokens)
+                context = prompt_tokens + len(progress.tokens)
                 self._note_token(route, pace, crash_run, context)
                 progress.tokens.append(frame.token)
                 await deliver(frame.token)
@@ -426,11 +428,24 @@
     return isinstance(frame, DoneFrame)
 
 
+def _list_layers(route: Route) -> tuple[LayerRun, ...]:
+    """Return what must run for each token of a route."""
+    return tuple(
+        LayerRun(stage.server, stage.first_layer, stage.last_layer)
+        for stage in route.stages
+    )
+
+
 def _is_next(
-    frame: TokenFrame, request: StreamRequest, route: Route, progress: Progress
+    frame: TokenFrame,
+    request: StreamRequest,
+    head: ServerId,
+    layers: tuple[LayerRun, ...],
+    progress: Progress,
 ) -> bool:
     """Tell whether a frame brings the next token; older and repeated ones do not.
 
+    :param layers: what must have run for it.
     :raises EngineFailedError: if an invariant of streams is broken. The violation is
         counted; the caller's answer is continued elsewhere.
     """
@@ -452,10 +467,6 @@
             position=frame.position,
             expected=expected,
         )
-        layers = tuple(
-            LayerRun(stage.server, stage.first_layer, stage.last_layer)
-            for stage in route.stages
-        )
         check_invariant(
             frame.layers == layers,
             "layers_run_once_in_order",
@@ -463,6 +474,5 @@
             expected=layers,
         )
     except InvariantError as error:
-        head = route.stages[0].server
         raise EngineFailedError(head, str(error), is_open=True) from error
     return True
--- a/hibiscustiller/streams/_frames.py
+++ b/hibiscustiller/streams/_frames.py
@@ -4,14 +4,18 @@
 
 import json
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.utils import ServerId
 
 
-@dataclass(frozen=True)
-class LayerRun:
-    """A half-open range of layers that a backend server ran for a token."""
+class LayerRun(NamedTuple):
+    """A half-open range of layers that a backend server ran for a token.
+
+    Each token brings one for every stage. A named tuple takes half the time of a frozen
+    dataclass to make and a quarter to compare.
+    """
 
     server: ServerId
     first_layer: int
@@ -66,8 +70,10 @@
         if value.get("done"):
             return DoneFrame(attempt, str(value.get("reason", "")))
         layers = tuple(
-            LayerRun(str(server), _read_int(first), _read_int(last))
-            for server, first, last in value["layers"]
+            [
+                LayerRun(str(server), _read_int(first), _read_int(last))
+                for server, first, last in value["layers"]
+            ]
         )
         position = _read_int(value["position"])
         token = value["token"]
