End the router benchmark's processes and callers when a run fails

One run of the benchmark printed nothing for 55 s until its outer timeout. A refusal on a kept connection would leave a caller waiting, and the router's graceful stop waits for its open requests. The cause of that one run was not seen.

--- a/benchmarks/bench_router.py
+++ b/benchmarks/bench_router.py
@@ -103,7 +103,8 @@
                 curio.network.run_server, listener, serve_engine, daemon=True
             )
         connection.send((platform.address.port, ports))
-        await curio.sleep(3600)
+        # The pipe becomes readable when the benchmark's process is gone.
+        await curio.traps._read_wait(connection.fileno())
 
     curio.run(run)
 
@@ -193,9 +194,12 @@
 
 def run_callers(connection: Any) -> None:
     """Run the workloads that are asked for, until None comes."""
-    while (task := connection.recv()) is not None:
-        workload, port = task
-        connection.send(curio.run(send_requests, workload, port))
+    try:
+        while (task := connection.recv()) is not None:
+            workload, port = task
+            connection.send(curio.run(send_requests, workload, port))
+    except (EOFError, OSError):
+        return
 
 
 async def send_requests(workload: Workload, port: int) -> int:
@@ -225,7 +229,7 @@
     return (
         b"POST /v1/completions HTTP/1.1\r\nhost: router\r\n"
         b"authorization: Bearer %s\r\ncontent-type: application/json\r\n"
-        b"content-length: %d\r\n\r\n%s" % (KEY.encode(), len(body), body)
+        b"connection: close\r\ncontent-length: %d\r\n\r\n%s" % (KEY.encode(), len(body), body)
     )
 
 
@@ -235,6 +239,7 @@
     while not answer.endswith(b"\r\n0\r\n\r\n"):
         data = await sock.recv(RECEIVE_BYTES)
         if not data:
+            print(f"incomplete answer: {bytes(answer[-500:])!r}", file=sys.stderr)
             return False
         answer += data
     return all(b"w%04d" % number in answer for number in range(tokens))
@@ -394,7 +399,9 @@
                 await print_profile(callers, workload, port)
     finally:
         await relay.cancel()
-        await router.stop()
+        # Without the grace of a shutdown, which would wait for a hanging request.
+        await router.caller_server.close()
+        await router.admission.stop()
 
 
 def print_workload(workload: Workload, router: list[Usage], relay: list[Usage]) -> None:
