--- a/hibiscustiller/wire/tests/test_http_server.py
+++ b/hibiscustiller/wire/tests/test_http_server.py
@@ -51,6 +51,12 @@
             await responder.start(200, "text/event-stream")
             while True:
                 await responder.send_part(b"x" * 65536)
+        elif request.path == "/parts":
+            await responder.start(200, "text/plain")
+            for part in (b"one", b"", b"two" * 10):
+                await responder.send_part(part)
+            await responder.finish()
+            return
         elif request.path == "/wait":
             try:
                 await curio.sleep(30)
@@ -331,5 +337,22 @@
         await bench.check_unharmed()
 
 
+async def test_parts_are_framed_for_the_version_of_the_client():
+    """Guards against an empty part that ends the answer, and chunks to HTTP/1.0."""
+    async with Bench() as bench:
+        new = await bench.exchange(b"GET /parts HTTP/1.1\r\nhost: a\r\n\r\n")
+        old = await bench.exchange(b"GET /parts HTTP/1.0\r\nhost: a\r\n\r\n")
+        head = await bench.exchange(b"HEAD /parts HTTP/1.1\r\nhost: a\r\n\r\n")
+    new_head, _, new_body = new.partition(b"\r\n\r\n")
+    assert b"transfer-encoding: chunked" in new_head.lower(), new
+    chunks = b"3\r\none\r\n1e\r\n" + b"two" * 10 + b"\r\n0\r\n\r\n"
+    assert new_body == chunks, new
+    old_head, _, old_body = old.partition(b"\r\n\r\n")
+    assert b"transfer-encoding" not in old_head.lower(), old
+    assert old_body == b"one" + b"two" * 10, old
+    assert head.endswith(b"\r\n\r\n"), head
+    assert head.count(b"\r\n\r\n") == 1, head
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
