--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -9,14 +9,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 
 import curio
 
 from benchmarks._baselines import FirstComeFirstServed, NoAdmission
-from hibiscustiller.cli._demo import make_demo_settings
 from hibiscustiller.configuration import format_sections, parse_sections
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.serving import Router
+from hibiscustiller.settings import Settings, parse_settings
 from hibiscustiller.standins import MODEL, Fleet, start_fleet
 from hibiscustiller.utils import (
     Metrics,
@@ -36,6 +37,24 @@
     LOW: {"rank": "2", "deadline": "20s", "floor": "0.05", "preemptible": "true"},
 }
 TARGET = timedelta(milliseconds=850)
+_SETTINGS = """
+[router]
+id = router-{number}
+failure_domain = domain-0
+shutdown_lag = 0s
+[listen]
+callers = 127.0.0.1:0
+administration = 127.0.0.1:0
+peers = 127.0.0.1:0
+[peers]
+seeds = {seeds}
+shared_key = benchmark
+[platform]
+store = {platform}
+host_list = {platform}
+"""
+_JOIN_POLL_S = 0.05
+_JOIN_LIMIT_S = 10.0
 
 
 @dataclass(frozen=True)
@@ -91,6 +110,7 @@
         for router in self.routers:
             await router.caller_server.close()
             await router.admission.stop()
+            await router.control_plane.stop()
         await self.fleet.close()
 
     async def send(
@@ -171,17 +191,39 @@
     document = format_sections(sections)
     started = []
     for number in range(routers):
-        settings = make_demo_settings(fleet.platform.address)
+        settings = _make_settings(number, fleet, started)
         router = Router(settings, clock, random.Random(number), Metrics())
-        # The router counts itself only, until membership tells it of others.
-        router.server_limits._count_sharers = lambda server: routers
         router.install_document(document, Revision(1))
         _use_policy(router, policy)
         await router.start()
         started.append(router)
+    await _wait_for_members(started)
     return Bench(fleet, started, HttpClient(clock), replicas * streams)
 
 
+def _make_settings(number: int, fleet: Fleet, started: list[Router]) -> Settings:
+    """Return settings of a router that joins those that are started."""
+    seeds = [router.control_plane.mesh.self_member.address for router in started]
+    text = _SETTINGS.format(
+        number=number,
+        seeds=", ".join(str(seed) for seed in seeds),
+        platform=fleet.platform.address,
+    )
+    return parse_settings(text, "benchmark")
+
+
+async def _wait_for_members(routers: list[Router]) -> None:
+    """Wait until all routers know each other, and so how many share a server."""
+    limit = time.monotonic() + _JOIN_LIMIT_S
+    while any(
+        len(router.control_plane.transport.list_members()) < len(routers)
+        for router in routers
+    ):
+        if time.monotonic() > limit:
+            raise RuntimeError(f"{len(routers)} routers did not find each other")
+        await curio.sleep(_JOIN_POLL_S)
+
+
 def _use_policy(router: Router, policy: str) -> None:
     def plan(request):
         return router.planner.plan_route(request.model, request.prompt, request.avoided)
@@ -289,10 +331,16 @@
     return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
 
 
-def print_figure(figure: str, value: float, unit: str, **fields: object) -> None:
-    """Print one JSON line; ``baseline`` gives a ratio unless one is given."""
-    baseline = fields.get("baseline")
-    if isinstance(baseline, (int, float)) and baseline and "ratio" not in fields:
-        fields["ratio"] = round(value / baseline, 4)
-    line = {"figure": figure, "value": round(value, 4), "unit": unit, **fields}
+def print_figure(figure: str, value: float, unit: str, **fields: Any) -> None:
+    """Print one JSON line; ``baseline`` gives the ratio if there is one."""
+    baseline = fields.pop("baseline", None)
+    ratio = round(value / baseline, 4) if baseline else None
+    line = {
+        "figure": figure,
+        "value": round(value, 4),
+        "unit": unit,
+        "baseline": baseline,
+        "ratio": ratio,
+        **fields,
+    }
     print(json.dumps(line), flush=True)
--- a/benchmarks/bench_fairness.py
+++ b/benchmarks/bench_fairness.py
@@ -25,8 +25,6 @@
     print_figure,
     start_bench,
 )
-from hibiscustiller.limits import UsageAggregator
-from hibiscustiller.utils import SystemClock
 
 SEED = 13
 SMALL, LARGE = "small-club", "large-company"
@@ -74,15 +72,10 @@
     return [o for o in outcomes if o.arrival.organisation == SMALL]
 
 
-async def share_usage(bench: Bench) -> None:
-    """Exchange usage once a second, as the routers' messages do."""
-    aggregator = UsageAggregator(SystemClock())
-    while True:
-        for number, router in enumerate(bench.routers):
-            name = f"router-{number}"
-            aggregator.add_report(name, router.usage.collect_deltas())
-            router.usage.apply_totals(aggregator.list_totals(name))
-        await curio.sleep(1)
+def ignore_totals(bench: Bench) -> None:
+    """Let each router count its own usage only, for the baseline."""
+    for router in bench.routers:
+        router.usage.apply_totals = lambda entries: None
 
 
 async def run_backlog(
@@ -91,6 +84,8 @@
     """Keep all organisations backlogged; return Jain's index of their service."""
     classes = dict.fromkeys(DEMANDS, MIDDLE)
     bench = await start_bench(classes, policy, routers=routers, streams=6)
+    if not is_shared:
+        ignore_totals(bench)
     random_state = random.Random(SEED)
     started = time.monotonic()
     outcomes: list[Outcome] = []
@@ -114,8 +109,6 @@
         random_state.shuffle(requests)
         for request in requests:
             await group.spawn(repeat, *request)
-        if is_shared:
-            await group.spawn(share_usage, bench)
         await curio.sleep(seconds)
         await group.cancel_remaining()
     await bench.close()
