--- a/benchmarks/_baselines.py
+++ b/benchmarks/_baselines.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from hibiscustiller.limits import AdmissionRequest, Grant, PlanRoute, ServerLimits
+from hibiscustiller.routing import Route
 from hibiscustiller.utils import Refusal, RefusalReason
 
 
@@ -27,7 +28,7 @@
         planned = self._plan_route(request)
         if isinstance(planned, Err):
             return planned
-        return Ok(Grant(request, planned.ok_value))
+        return Ok(_make_grant(request, planned.ok_value))
 
     async def release(self, grant: Grant, used_tokens: int) -> None:
         """Give back a grant."""
@@ -69,10 +70,16 @@
             planned = self._plan_route(request)
             if isinstance(planned, Ok):
                 self._server_limits.reserve_route(planned.ok_value)
-                outcome.append(Ok(Grant(request, planned.ok_value)))
+                outcome.append(Ok(_make_grant(request, planned.ok_value)))
             elif planned.err_value.reason is RefusalReason.OVERLOADED:
                 return
             else:
                 outcome.append(planned)
             self._queue.popleft()
             await event.set()
+
+
+def _make_grant(request: AdmissionRequest, route: Route) -> Grant:
+    if request.note_granted is not None:
+        request.note_granted(route)
+    return Grant(request, route)
--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -226,7 +226,9 @@
 
 def _use_policy(router: Router, policy: str) -> None:
     def plan(request):
-        return router.planner.plan_route(request.model, request.prompt, request.avoided)
+        return router.planner.plan_route(
+            request.model, request.prompt, request.list_avoided()
+        )
 
     if policy == "fcfs":
         router.runner._admission = FirstComeFirstServed(plan, router.server_limits)
--- a/hibiscustiller/limits/_admission.py
+++ b/hibiscustiller/limits/_admission.py
@@ -52,8 +52,8 @@
 # 5,000 waiters are looked at within a second.
 _ESTIMATES_PER_SWEEP = 100
 # Requests that avoid servers may be blocked while others are not. This many are passed
-# over in one dispatch.
-_MAX_PASSED_OVER = 8
+# over in one dispatch: all streams that a server of usual size ran when it died.
+_MAX_PASSED_OVER = 64
 # Preemption counts of requests that never came back are dropped, oldest first.
 _MAX_PREEMPTION_COUNTS = 4096
 # A request whose expected wait exceeds what is left of its deadline by this factor is
@@ -68,6 +68,10 @@
 
     :param cost: estimated tokens, prompt and answer.
     :param avoided: servers that the route must not use.
+    :param list_occupied: returns further servers that the route must not use, as they
+        are at the time of the call; None if there are never any.
+    :param note_granted: called with the route at the moment of the grant, before any
+        other request is looked at.
     :param is_resumed: whether its answer has begun and it was interrupted. It goes
         before new requests of its class, and no queue bound or deadline refuses it.
     """
@@ -79,8 +83,16 @@
     prompt: str
     cost: int
     avoided: frozenset[ServerId] = frozenset()
+    list_occupied: Callable[[], frozenset[ServerId]] | None = None
+    note_granted: Callable[[Route], None] | None = None
     is_resumed: bool = False
 
+    def list_avoided(self) -> frozenset[ServerId]:
+        """Return all servers that the route must not use now."""
+        if self.list_occupied is None:
+            return self.avoided
+        return self.avoided | self.list_occupied()
+
 
 @dataclass(eq=False)
 class Grant:
@@ -157,6 +169,7 @@
         self._to_wake: deque[curio.Event] = deque()
         self._has_backlog = curio.Event()
         self._may_have_capacity = False
+        self._may_have_route = False
         self._replanned_at = self._clock.monotonic()
         self._capacity_reset_at = self._clock.monotonic()
         self._estimates: Iterator[tuple[_Model, ClassQueue, Waiter, int]] = iter(())
@@ -223,6 +236,13 @@
         """Note that a limit rose; queued requests are planned at the next sweep."""
         self._may_have_capacity = True
 
+    def note_routes_changed(self) -> None:
+        """Note that servers which requests avoided may be used again.
+
+        Queued requests are planned at the next sweep.
+        """
+        self._may_have_route = True
+
     async def sweep(self) -> None:
         """Refuse requests that can no longer be in time, and use new capacity."""
         now = self._clock.monotonic()
@@ -233,7 +253,7 @@
         if is_reset:
             self._capacity_reset_at = now
         for model in self._models_by_name.values():
-            if self._may_have_capacity or is_due:
+            if self._may_have_capacity or self._may_have_route or is_due:
                 model.is_blocked = False
             if self._may_have_capacity or is_reset:
                 model.capacity = 0
@@ -242,6 +262,7 @@
             self._replanned_at = now
             self._report_queues()
         self._may_have_capacity = False
+        self._may_have_route = False
         await self._wake()
 
     def count_queued(self) -> dict[ClassName, int]:
@@ -295,25 +316,36 @@
     def _dispatch(self, model: _Model) -> None:
         """Grant what capacity allows, in the order of the policy."""
         passed_over: list[Waiter] = []
+        # Servers that no request without capacity may use.
+        useless: frozenset[ServerId] | None = None
+        choice = None
         while not model.is_blocked:
             choice = model.queues.choose(self._ledger)
             if choice is None or self._must_wait(model, choice):
                 break
-            planned = self._plan(choice.waiter.request)
+            request = choice.waiter.request
+            avoided = request.list_avoided()
+            planned = self._plan(request)
             if isinstance(planned, Ok):
                 self._grant(model, choice, planned.ok_value)
-            elif planned.err_value.reason is not RefusalReason.OVERLOADED:
+            elif not _must_stay_queued(request, avoided, planned.err_value):
                 self._refuse(model, choice.waiter, planned.err_value)
-            elif choice.waiter.request.avoided and len(passed_over) < _MAX_PASSED_OVER:
+            elif avoided and len(passed_over) < _MAX_PASSED_OVER:
                 choice.queue.remove(choice.waiter)
                 passed_over.append(choice.waiter)
+                if planned.err_value.reason is RefusalReason.OVERLOADED:
+                    useless = avoided if useless is None else useless & avoided
             else:
                 model.is_blocked = True
                 model.capacity = model.service.running_count
         for waiter in reversed(passed_over):
             queue = model.queues.queues_by_class[waiter.config.name]
             queue.put_back(waiter, self._ledger)
-        self._preempt(model)
+        if model.is_blocked:
+            self._preempt(model, frozenset())
+        elif choice is None and useless is not None:
+            # Only requests that avoid servers are left; what is free is not for them.
+            self._preempt(model, useless)
 
     def _must_wait(self, model: _Model, choice: Choice) -> bool:
         """Tell whether the free capacity is kept for other organisations."""
@@ -360,6 +392,8 @@
         model.reserved += request.cost
         if self._server_limits is not None:
             self._server_limits.reserve_route(route)
+        if request.note_granted is not None:
+            request.note_granted(route)
         self._metrics.timing("admission.wait", now - waiter.arrived_at)
         self._finish(waiter, Ok(grant))
 
@@ -507,10 +541,12 @@
                         if waiter.outcome is None:
                             ahead += waiter.request.cost
 
-    def _preempt(self, model: _Model) -> None:
-        """Stop streams of less urgent classes for urgent work without capacity."""
-        if not model.is_blocked:
-            return
+    def _preempt(self, model: _Model, useless: frozenset[ServerId]) -> None:
+        """Stop streams of less urgent classes for urgent work without capacity.
+
+        :param useless: servers whose streams are not stopped, since the urgent work
+            could not run there.
+        """
         now = self._clock.monotonic()
         backlogged = list(model.queues.iterate_backlogged())
         running = [
@@ -527,7 +563,7 @@
             if not needed:
                 continue
             for stream in model.service.choose_victims(
-                config, needed, now, self._preemptions
+                config, needed, now, self._preemptions, useless
             ):
                 self._stop(model, stream)
 
@@ -562,6 +598,19 @@
             self._metrics.gauge(f"admission.queued.{class_name}", count)
 
 
+def _must_stay_queued(
+    request: AdmissionRequest, avoided: frozenset[ServerId], refusal: Refusal
+) -> bool:
+    """Tell whether a request without a route may get one later.
+
+    There is no route while other suspects occupy all servers. They get past the
+    position at which their server died within a few token times.
+    """
+    if refusal.reason is RefusalReason.NO_ROUTE:
+        return avoided != request.avoided
+    return refusal.reason is RefusalReason.OVERLOADED
+
+
 def _make_empty_source() -> Callable[[], FleetConfig]:
     empty = build_config({})
     return lambda: empty
--- a/hibiscustiller/limits/_service.py
+++ b/hibiscustiller/limits/_service.py
@@ -12,7 +12,7 @@
 from hibiscustiller.configuration import ClassConfig
 from hibiscustiller.limits._queues import ClassQueue
 from hibiscustiller.limits._usage import Charge
-from hibiscustiller.utils import ClassName
+from hibiscustiller.utils import ClassName, ServerId
 
 if TYPE_CHECKING:
     from hibiscustiller.limits._admission import Grant
@@ -117,8 +117,13 @@
             if queue.config.rank >= rank:
                 break
             waiting += len(queue)
-            oldest = next(iter(queue.by_arrival.values()), None)
-            waited = now - oldest.arrived_at if oldest else timedelta(0)
+            # A stream that broke off waits as a new request does.
+            oldest = [
+                next(iter(waiters.values())).arrived_at
+                for waiters in (queue.by_arrival, queue.resumed)
+                if waiters
+            ]
+            waited = now - min(oldest, default=now)
             spare = queue.config.first_token_target * _NATURAL_WAIT_SHARE - waited
             natural = int(ends_per_second * max(0.0, spare.total_seconds()))
             needed = max(needed, waiting - natural)
@@ -130,6 +135,7 @@
         needed: int,
         now: timedelta,
         preemptions: dict[str, int],
+        useless: frozenset[ServerId] = frozenset(),
     ) -> list[RunningStream]:
         """Choose running streams of a class to stop, those with the most left first.
 
@@ -137,6 +143,7 @@
         were granted under the floor run on.
 
         :param preemptions: past preemptions by request id.
+        :param useless: servers whose streams are not stopped.
         """
         running = self.running_by_class.get(config.name, {})
         kept = math.ceil(config.floor * self.running_count)
@@ -145,6 +152,7 @@
             for stream in running.values()
             if not stream.is_preempted
             and not stream.is_floor
+            and useless.isdisjoint(stream.grant.route.servers)
             and preemptions.get(stream.grant.request.request_id, 0) < MAX_PREEMPTIONS
         ]
         active = sum(not stream.is_preempted for stream in running.values())
--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -128,7 +128,7 @@
         self.control_plane.share_usage(self.usage, UsageAggregator(self._clock))
         self.admission = AdmissionController(
             lambda request: self.planner.plan_route(
-                request.model, request.prompt, request.avoided
+                request.model, request.prompt, request.list_avoided()
             ),
             get_config,
             self._clock,
@@ -140,6 +140,7 @@
             queue_limit=max(1, self.settings.limits.max_connections // 2),
         )
         self.crash_registry = CrashRegistry(self._clock)
+        self.crash_registry.subscribe(self.admission.note_routes_changed)
         self.control_plane.share_crashes(self.crash_registry)
         self.retry_budget = RetryBudget(self._clock)
         self.runner = StreamRunner(
--- a/hibiscustiller/streams/_crashes.py
+++ b/hibiscustiller/streams/_crashes.py
@@ -10,7 +10,7 @@
 
 import hashlib
 from collections import OrderedDict, deque
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -113,6 +113,11 @@
         # the loss of a domain hundreds of suspects ask for it many times a second.
         self._occupied: frozenset[ServerId] | None = None
         self._reports: deque[CrashReport] = deque(maxlen=_REPORTS_KEPT)
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when suspects may occupy other servers than before."""
+        self._listeners.append(listener)
 
     def get_quarantine(self, fingerprint: Fingerprint) -> timedelta | None:
         """Return how much longer a request is refused; None if it may run."""
@@ -176,7 +181,7 @@
             return
         suspect.passed += len(suspect.deaths_by_server)
         suspect.deaths_by_server.clear()
-        self._occupied = None
+        self._forget_occupied()
 
     def note_ended(self, run: CrashRun) -> None:
         """Note the end of an attempt that shows nothing."""
@@ -191,7 +196,7 @@
         """Note a complete answer, which clears a suspect."""
         self.note_ended(run)
         if self._suspects.pop(run.fingerprint, None) is not None:
-            self._occupied = None
+            self._forget_occupied()
             self._report(run.fingerprint, ServerId(""), CrashEvent.CLEARED)
 
     def note_death(self, run: CrashRun, server: ServerId) -> None:
@@ -231,7 +236,7 @@
             self._quarantine(fingerprint, self._quarantine_time - max(age, _ZERO))
         elif report.event == CrashEvent.CLEARED.value:
             self._suspects.pop(fingerprint, None)
-            self._occupied = None
+            self._forget_occupied()
         elif report.event == CrashEvent.SUSPECTED.value:
             self._apply_suspicion(fingerprint, ServerId(report.server_id), age)
 
@@ -294,12 +299,17 @@
         if suspect is None or suspect.expires_at > self._clock.monotonic():
             return suspect
         del self._suspects[fingerprint]
-        self._occupied = None
+        self._forget_occupied()
         return None
 
     def _note_change(self, fingerprint: Fingerprint) -> None:
         if fingerprint in self._suspects:
-            self._occupied = None
+            self._forget_occupied()
+
+    def _forget_occupied(self) -> None:
+        self._occupied = None
+        for listener in self._listeners:
+            listener()
 
     def _find_occupied_servers(self) -> frozenset[ServerId]:
         return frozenset(
@@ -325,7 +335,7 @@
         suspect.expires_at = expires_at
         suspect.deaths_by_server[server] = death
         death.fingerprints.add(fingerprint)
-        self._occupied = None
+        self._forget_occupied()
         _trim(self._suspects, self._capacity)
         return suspect
 
@@ -340,7 +350,7 @@
 
     def _quarantine(self, fingerprint: Fingerprint, time: timedelta) -> None:
         self._suspects.pop(fingerprint, None)
-        self._occupied = None
+        self._forget_occupied()
         self._quarantine_ends[fingerprint] = self._clock.monotonic() + time
         self._quarantine_ends.move_to_end(fingerprint)
         _trim(self._quarantine_ends, self._capacity)
--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -33,6 +33,7 @@
     ServerId,
     SystemClock,
     Verdict,
+    check_invariant,
     jittered_delays,
     log_event,
 )
@@ -46,13 +47,6 @@
 # a restarted server come up without a rush of all its streams.
 _FIRST_RETRY_DELAY = timedelta(milliseconds=100)
 _LAST_RETRY_DELAY = timedelta(seconds=1)
-# A suspect waits for a server without another suspect. One replays and passes its
-# position in a few token times; short polls keep the places in use, so that all of a
-# server's streams recover within the 2 s target. A poll alone costs little: admission
-# is asked only after a change, or to notice servers that join.
-_ISOLATION_POLL = timedelta(milliseconds=20)
-_ISOLATION_POLLS = 25
-_ISOLATION_LIMIT = timedelta(seconds=30)
 
 
 class RetryBudget(Protocol):
@@ -159,45 +153,63 @@
         retry_delays = jittered_delays(
             _FIRST_RETRY_DELAY, _LAST_RETRY_DELAY, self._random_state
         )
-        limit = self._clock.monotonic() + _ISOLATION_LIMIT
         while True:
             quarantine = self._registry.get_quarantine(fingerprint)
             if quarantine is not None:
                 return Err(_make_quarantine_refusal(quarantine))
             avoided = progress.list_avoided(self._clock.monotonic())
-            occupied = self._registry.list_occupied_servers(fingerprint)
-            admitted = await self._admission.admit(
-                _describe(request, progress, avoided | occupied)
-            )
+            admitted = await self._admit(request, progress, fingerprint, avoided)
             if isinstance(admitted, Ok):
-                grant = admitted.ok_value
-                crash_run = self._registry.try_start(
-                    fingerprint, grant.route.servers, len(progress.tokens)
-                )
-                if crash_run is not None:
-                    return Ok(_Start(grant, crash_run))
-                # Another suspect started there while this one was queued.
-                await self._admission.release(grant, 0)
-            elif admitted.err_value.reason is not RefusalReason.NO_ROUTE:
                 return admitted
-            elif not occupied:
-                progress.failures += 1
-                if not avoided or progress.failures >= _MAX_FAILURES:
-                    return admitted
-                progress.avoided_until.clear()
-                await self._clock.sleep(next(retry_delays))
-                continue
-            if self._clock.monotonic() > limit:
-                return Err(_make_failure(progress, "no server was free of suspects"))
-            await self._wait_for_change(fingerprint)
-
-    async def _wait_for_change(self, fingerprint: Fingerprint) -> None:
-        """Wait until the servers that a suspect must not use change."""
-        occupied = self._registry.list_occupied_servers(fingerprint)
-        for _ in range(_ISOLATION_POLLS):
-            await self._clock.sleep(_ISOLATION_POLL * self._random_state.random())
-            if self._registry.list_occupied_servers(fingerprint) is not occupied:
-                return
+            if admitted.err_value.reason is not RefusalReason.NO_ROUTE:
+                return admitted
+            progress.failures += 1
+            if not avoided or progress.failures >= _MAX_FAILURES:
+                return admitted
+            progress.avoided_until.clear()
+            await self._clock.sleep(next(retry_delays))
+
+    async def _admit(
+        self,
+        request: StreamRequest,
+        progress: Progress,
+        fingerprint: Fingerprint,
+        avoided: frozenset[ServerId],
+    ) -> Result[_Start, Refusal]:
+        """Ask admission once.
+
+        The attempt counts at its servers from the grant on. If it counted only when
+        this task runs, two suspects could be granted the same server, and one of them
+        would have to give its place back.
+        """
+        crash_run: CrashRun | None = None
+
+        def note_granted(route: Route) -> None:
+            nonlocal crash_run
+            crash_run = self._registry.try_start(
+                fingerprint, route.servers, len(progress.tokens)
+            )
+
+        described = replace(
+            _describe(request, progress, avoided),
+            list_occupied=lambda: self._registry.list_occupied_servers(fingerprint),
+            note_granted=note_granted,
+        )
+        try:
+            admitted = await self._admission.admit(described)
+            if isinstance(admitted, Err):
+                return admitted
+            check_invariant(
+                crash_run is not None,
+                "suspects_run_apart",
+                request=request.request_id,
+                servers=admitted.ok_value.route.servers,
+            )
+        except BaseException:
+            if crash_run is not None:
+                self._registry.note_ended(crash_run)
+            raise
+        return Ok(_Start(admitted.ok_value, crash_run))
 
     async def _run_attempt(
         self,
--- a/hibiscustiller/streams/tests/fixtures.py
+++ b/hibiscustiller/streams/tests/fixtures.py
@@ -107,10 +107,11 @@
             random.Random(3),
         )
         self.admission = RecordingAdmission(
-            lambda r: self.planner.plan_route(r.model, r.prompt, r.avoided)
+            lambda r: self.planner.plan_route(r.model, r.prompt, r.list_avoided())
         )
         self.observer = RecordingObserver()
         self.registry = CrashRegistry(self.clock)
+        self.registry.subscribe(self.admission.note_routes_changed)
         self.client = HttpClient(self.clock)
         self.runner = StreamRunner(
             self.client,
@@ -124,10 +125,12 @@
             estimator(lambda: self.config) if estimator else None,
         )
         self.delivered = []
+        await self.admission.start()
         return self
 
     async def close(self):
         await self.client.close()
+        await self.admission.stop()
         await self.fleet.close()
 
     async def run(self, prompt="a b", max_tokens=20, on_token=None, **options):
