--- a/benchmarks/_baselines.py
+++ b/benchmarks/_baselines.py
@@ -33,6 +33,10 @@
     async def release(self, grant: Grant, used_tokens: int) -> None:
         """Give back a grant."""
 
+    def has_route(self, request: AdmissionRequest) -> bool:
+        """Never offer another route to a stream that waits at an engine."""
+        return False
+
 
 class FirstComeFirstServed:
     """One queue without classes, organisations, bounds or deadlines.
@@ -64,6 +68,10 @@
         self._server_limits.free_route(grant.route)
         await self._dispatch()
 
+    def has_route(self, request: AdmissionRequest) -> bool:
+        """Never offer another route to a stream that waits at an engine."""
+        return False
+
     async def _dispatch(self) -> None:
         while self._queue:
             request, event, outcome = self._queue[0]
--- a/hibiscustiller/limits/_admission.py
+++ b/hibiscustiller/limits/_admission.py
@@ -73,7 +73,9 @@
     :param note_granted: called with the route at the moment of the grant, before any
         other request is looked at.
     :param is_resumed: whether its answer has begun and it was interrupted. It goes
-        before new requests of its class, and no queue bound or deadline refuses it.
+        before new requests of its class, and no queue bound refuses it.
+    :param deadline_at: when it is refused if it still waits, by the clock's monotonic
+        time; None for its class's deadline from now on, or for none if it is resumed.
     """
 
     request_id: RequestId
@@ -86,6 +88,7 @@
     list_occupied: Callable[[], frozenset[ServerId]] | None = None
     note_granted: Callable[[Route], None] | None = None
     is_resumed: bool = False
+    deadline_at: timedelta | None = None
 
     def list_avoided(self) -> frozenset[ServerId]:
         """Return all servers that the route must not use now."""
@@ -232,6 +235,10 @@
         self._dispatch(model)
         await self._wake()
 
+    def has_route(self, request: AdmissionRequest) -> bool:
+        """Tell whether a route with free capacity exists for a request now."""
+        return isinstance(self._plan(request), Ok)
+
     def note_capacity(self) -> None:
         """Note that a limit rose; queued requests are planned at the next sweep."""
         self._may_have_capacity = True
@@ -293,13 +300,16 @@
         organisation = config.organisations_by_id.get(request.organisation)
         now = self._clock.monotonic()
         self._sequence += 1
+        deadline_at = request.deadline_at
+        if deadline_at is None and not request.is_resumed:
+            deadline_at = now + class_config.deadline
         waiter = Waiter(
             request=request,
             sequence=self._sequence,
             config=class_config,
             weight=organisation.weight if organisation is not None else 1.0,
             arrived_at=now,
-            deadline_at=None if request.is_resumed else now + class_config.deadline,
+            deadline_at=deadline_at,
         )
         model.queues.get_queue(class_config).add(waiter, self._ledger)
         model.get_reserve(class_config.name).note_arrival(
@@ -446,6 +456,8 @@
     def _limit_backlog(self, model: _Model, waiter: Waiter) -> None:
         """Keep the bounds of the queues, and refuse what cannot be in time."""
         if waiter.request.is_resumed:
+            if waiter.deadline_at is not None:
+                self._push_deadline(waiter)
             return
         queue = model.queues.queues_by_class[waiter.config.name]
         organisation = queue.organisations[waiter.request.organisation]
@@ -504,7 +516,7 @@
                 continue
             model = self._models_by_name[waiter.request.model]
             queue = model.queues.queues_by_class[waiter.config.name]
-            if waiter.sequence not in queue.by_arrival:
+            if not queue.holds(waiter):
                 continue
             wait = estimate_wait(model.queues, queue, waiter, 0, model.service)
             late = None if wait is None else wait + waiter.config.deadline
--- a/hibiscustiller/limits/_queues.py
+++ b/hibiscustiller/limits/_queues.py
@@ -79,6 +79,10 @@
     def __len__(self) -> int:
         return len(self.by_arrival) + len(self.resumed)
 
+    def holds(self, waiter: Waiter) -> bool:
+        """Tell whether a waiter is queued here."""
+        return waiter.sequence in self.by_arrival or waiter.sequence in self.resumed
+
     def add(self, waiter: Waiter, ledger: UsageLedger) -> None:
         """Queue a waiter behind those of its organisation."""
         self.config = waiter.config
--- a/hibiscustiller/limits/tests/test_admission.py
+++ b/hibiscustiller/limits/tests/test_admission.py
@@ -150,6 +150,21 @@
         assert len(preempted) == 1, avoided
 
 
+async def test_deadline_of_a_resumed_request():
+    """Guards against an answer without a token that is queued beyond its deadline,
+    and against a begun one that is refused."""
+    harness = Harness()
+    await harness.arrive()
+    deadline_at = harness.clock.monotonic() + timedelta(seconds=1)
+    empty = await harness.arrive(is_resumed=True, deadline_at=deadline_at)
+    begun = await harness.arrive(is_resumed=True)
+    await harness.advance(1.1)
+    assert list(harness.refusals) == [empty]
+    assert harness.refusals[empty].reason is RefusalReason.DEADLINE
+    await harness.advance(99)
+    assert begun in harness.tasks
+
+
 async def test_full_queues():
     """Guards against unbounded queues, and against eviction of the wrong request."""
     cases = [
--- a/hibiscustiller/serving/_callers.py
+++ b/hibiscustiller/serving/_callers.py
@@ -254,15 +254,18 @@
         return _refuse_bad_request(
             f"x-idempotent is {mark!r}; accepted are true and false"
         )
+    class_config = config.classes_by_name[class_name.ok_value]
     stream = StreamRequest(
         request_id=request_id,
         organisation=organisation.name,
         class_name=class_name.ok_value,
-        rank=config.classes_by_name[class_name.ok_value].rank,
+        rank=class_config.rank,
         model=model.name,
         prompt=body["prompt"],
         max_tokens=body.get("max_tokens", _default_length(model)),
         is_idempotent=mark == "true",
+        first_token_target=class_config.first_token_target,
+        deadline=class_config.deadline,
     )
     return Ok(_Completion(stream, body.get("stream", False)))
 
--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -36,6 +36,11 @@
 _PROBE_TIMEOUT = timedelta(milliseconds=20)
 # Above this, the wait for the next token is due to a slow caller as well.
 _SLOW_DELIVERY = timedelta(milliseconds=5)
+# An attempt whose first token takes longer than this many of its class's targets, and
+# longer than the fixed time, is late. The fixed time is the prefill of some 5,000
+# tokens at 400 us each, which is no sign of a queue.
+_LATE_TARGETS = 4
+_MIN_LATE_TIME = timedelta(seconds=2)
 # An engine that ended because it reached the asked length says so.
 _LENGTH_REASON = "length"
 _LOST_STAGE_ERROR = "stage-lost"
@@ -48,6 +53,10 @@
     REFUSED = "refused"
     FAILED = "failed"
     PREEMPTED = "preempted"
+    # No first token, and another route is free.
+    LATE = "late"
+    # No first token within the class's deadline.
+    EXPIRED = "expired"
 
 
 class EngineFailedError(Exception):
@@ -74,6 +83,10 @@
         self.is_open = is_open
 
 
+class _ExpiredError(Exception):
+    """The class's deadline passed without any token."""
+
+
 class AttemptRunner:
     """Runs single attempts.
 
@@ -112,9 +125,12 @@
         progress: Progress,
         crash_run: CrashRun,
         deliver: Deliver,
+        may_leave: Callable[[], bool] = lambda: False,
     ) -> AttemptEnd:
         """Run the attempt ``progress.attempt``.
 
+        :param may_leave: asked for leave to try another route, once the first token
+            is late.
         :returns: how it ended; ``progress`` tells what it brought.
         :raises TransportError: if the caller no longer takes the answer.
         """
@@ -123,7 +139,9 @@
             observer.note_started(route, request.cost - len(progress.tokens))
         end = AttemptEnd.FAILED
         try:
-            end = await self._run(request, grant, progress, crash_run, deliver)
+            end = await self._run(
+                request, grant, progress, crash_run, deliver, may_leave
+            )
         except EngineFailedError as error:
             if error.is_death:
                 error.is_death = await _has_died(route, error.server)
@@ -150,14 +168,19 @@
         progress: Progress,
         crash_run: CrashRun,
         deliver: Deliver,
+        may_leave: Callable[[], bool],
     ) -> AttemptEnd:
         stream = await self._open(request, grant.route, progress)
         if stream is None:
             return AttemptEnd.REFUSED
         async with stream:
             end = await self._read_frames(
-                stream, request, grant, progress, crash_run, deliver
+                stream, request, grant, progress, crash_run, deliver, may_leave
             )
+        if end in (AttemptEnd.LATE, AttemptEnd.EXPIRED):
+            self._note_late(request, grant.route, progress, end)
+            # The caller does not wait for an engine that brought nothing.
+            await curio.spawn(self._cancel, request, grant.route, progress, daemon=True)
         if end is AttemptEnd.PREEMPTED:
             await self._cancel(request, grant.route, progress)
         return end
@@ -209,15 +232,20 @@
         progress: Progress,
         crash_run: CrashRun,
         deliver: Deliver,
+        may_leave: Callable[[], bool],
     ) -> AttemptEnd:
         route = grant.route
         head = route.stages[0].server
+        late_after = max(_MIN_LATE_TIME, _LATE_TARGETS * request.first_token_target)
         pace = _Pace(self._clock)
         while True:
             # An empty line keeps the connection alive while a token is awaited. It
             # is also the moment at which a preemption is noticed: engines send a
             # line at least every 250 ms.
-            line = await _read_line(stream, head)
+            try:
+                line = await self._read_line(stream, head, progress)
+            except _ExpiredError:
+                return AttemptEnd.EXPIRED
             if line is None:
                 raise EngineFailedError(head, "the stream ended early")
             frame = _parse(line, head) if line else None
@@ -233,10 +261,38 @@
                 pace.note_delivered()
             elif pace.has_stalled(self._next_byte_timeout):
                 raise _make_stall_error(route)
+            elif pace.is_late(late_after) and may_leave():
+                return AttemptEnd.LATE
             # A request that must not run again is not interrupted.
             if grant.preempted.is_set() and request.is_idempotent:
                 return AttemptEnd.PREEMPTED
 
+    async def _read_line(
+        self, stream: AnswerStream, head: ServerId, progress: Progress
+    ) -> bytes | None:
+        """Read a line, until the deadline if the answer has not begun."""
+        if progress.tokens:
+            return await _read_line(stream, head)
+        left = progress.deadline_at - self._clock.monotonic()
+        try:
+            return await wait_at_most(max(left, timedelta(0)), _read_line(stream, head))
+        except TimeoutError as error:
+            raise _ExpiredError from error
+
+    def _note_late(
+        self, request: StreamRequest, route: Route, progress: Progress, end: AttemptEnd
+    ) -> None:
+        for server in route.servers:
+            self._avoid(progress, server)
+        log_event(
+            "first_token_late",
+            level="warning",
+            request=request.request_id,
+            attempt=progress.attempt,
+            server=route.stages[0].server,
+            end=end.value,
+        )
+
     def _note_token(
         self, route: Route, pace: _Pace, crash_run: CrashRun, context: int
     ) -> None:
@@ -320,6 +376,10 @@
         self._waiting_since = self._clock.monotonic()
         self._was_slow = self._waiting_since - self._last_arrival > _SLOW_DELIVERY
 
+    def is_late(self, limit: timedelta) -> bool:
+        """Tell whether the first token has not come within a time."""
+        return self.is_first and self._clock.monotonic() - self._last_arrival > limit
+
     def has_stalled(self, limit: timedelta) -> bool:
         """Tell whether a started answer has brought no token for too long."""
         waited = self._clock.monotonic() - self._waiting_since
--- a/hibiscustiller/streams/_requests.py
+++ b/hibiscustiller/streams/_requests.py
@@ -24,6 +24,8 @@
 
     :param rank: rank of its priority class; 0 is the most urgent.
     :param max_tokens: length of the answer, in tokens.
+    :param first_token_target: its class's target for the first token.
+    :param deadline: its class's longest wait for the first token.
     :param is_idempotent: whether it may run again after an attempt that may have run.
     """
 
@@ -35,6 +37,8 @@
     prompt: str
     max_tokens: int
     is_idempotent: bool = True
+    first_token_target: timedelta = timedelta(milliseconds=850)
+    deadline: timedelta = timedelta(seconds=30)
 
     @property
     def prompt_tokens(self) -> int:
@@ -64,6 +68,7 @@
 class Progress:
     """State of one stream across its attempts.
 
+    :param deadline_at: when the answer must have begun, by the monotonic clock.
     :param attempt: number of the latest attempt; the first is 1.
     :param may_have_run: whether any attempt may have run.
     :param has_attempt_run: whether the latest attempt may have run.
@@ -72,6 +77,7 @@
     :param avoided_until: when each server that failed may be tried again.
     """
 
+    deadline_at: timedelta
     attempt: int = 0
     tokens: list[str] = field(default_factory=list)
     finish_reason: str = ""
@@ -92,6 +98,10 @@
         self.has_attempt_run = True
         self.may_have_run = True
 
+    def is_expired(self, now: timedelta) -> bool:
+        """Tell whether the deadline passed without any token."""
+        return not self.tokens and now >= self.deadline_at
+
     def list_avoided(self, now: timedelta) -> frozenset[ServerId]:
         """Return the servers to avoid."""
         return frozenset(s for s, end in self.avoided_until.items() if end > now)
--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -132,7 +132,7 @@
         fingerprint = compute_fingerprint(
             request.organisation, request.model, request.prompt
         )
-        progress = Progress()
+        progress = Progress(self._clock.monotonic() + request.deadline)
         while True:
             started = await self._start(request, progress, fingerprint)
             if isinstance(started, Err):
@@ -224,7 +224,12 @@
             await self._move_caches(request, grant, progress)
             progress.start_attempt(grant.route)
             return await self._attempts.run(
-                request, grant, progress, start.crash_run, deliver
+                request,
+                grant,
+                progress,
+                start.crash_run,
+                deliver,
+                lambda: self._may_leave(request, grant, progress),
             )
         finally:
             self._registry.note_ended(start.crash_run)
@@ -247,6 +252,17 @@
             request.prompt_tokens + len(progress.tokens),
         )
 
+    def _may_leave(
+        self, request: StreamRequest, grant: Grant, progress: Progress
+    ) -> bool:
+        """Take leave to try a route apart from one whose first token is late."""
+        if not request.is_idempotent:
+            return False
+        avoided = progress.list_avoided(self._clock.monotonic()) | grant.route.servers
+        if not self._admission.has_route(_describe(request, progress, avoided)):
+            return False
+        return self._retry_budget is None or self._retry_budget.try_spend()
+
     def _find_refusal(
         self,
         request: StreamRequest,
@@ -255,6 +271,8 @@
         has_progress: bool,
     ) -> Refusal | None:
         """Return the refusal if no further attempt is allowed."""
+        if end is AttemptEnd.EXPIRED or progress.is_expired(self._clock.monotonic()):
+            return _make_expiry(request, progress)
         if progress.may_have_run and not request.is_idempotent:
             # A repeat by the caller is not advised either, so there is no time for it.
             refusal = _make_failure(progress, "the request must not run twice")
@@ -273,6 +291,9 @@
         progress.failures += 1
         if progress.failures >= _MAX_FAILURES:
             return _make_failure(progress, f"no answer in {progress.attempt} attempts")
+        if end is AttemptEnd.LATE:
+            # The budget was asked before the attempt was given up.
+            return None
         if self._retry_budget is not None and not self._retry_budget.try_spend():
             return _make_failure(progress, "the retry budget is spent")
         return None
@@ -290,6 +311,7 @@
         cost=request.cost - len(progress.tokens),
         avoided=avoided,
         is_resumed=progress.may_have_run,
+        deadline_at=None if progress.tokens else progress.deadline_at,
     )
 
 
@@ -311,6 +333,18 @@
     return Refusal(RefusalReason.BACKEND_FAILED, ran, message, _RETRY_AFTER_FAILURE)
 
 
+def _make_expiry(request: StreamRequest, progress: Progress) -> Refusal:
+    has_run = progress.may_have_run
+    return Refusal(
+        RefusalReason.BACKEND_TIMEOUT if has_run else RefusalReason.DEADLINE,
+        Verdict.MAY_HAVE_RUN if has_run else Verdict.NOT_RUN,
+        f"no token within the deadline of {request.deadline.total_seconds():g} s"
+        f" of class {request.class_name}",
+        # A repeat of a request that must not run twice is not advised.
+        _RETRY_AFTER_FAILURE if request.is_idempotent or not has_run else None,
+    )
+
+
 def _make_quarantine_refusal(left: timedelta) -> Refusal:
     return Refusal(
         RefusalReason.QUARANTINED,
--- a/hibiscustiller/streams/tests/test_runner.py
+++ b/hibiscustiller/streams/tests/test_runner.py
@@ -374,5 +374,87 @@
     await bench.close()
 
 
+def _queue_everything(bench):
+    """Let engines accept streams and send only keep-alive lines, as if queued."""
+    for engine in bench.engines.values():
+        engine._slots.running = engine._slots.limit
+
+
+async def _free_others(bench):
+    """Let engines serve, except the first stage at which a stream waits."""
+    while not any(engine._slots.queued for engine in bench.engines.values()):
+        await curio.sleep(0.01)
+    for engine in bench.engines.values():
+        if not engine._slots.queued:
+            engine._slots.running = 0
+
+
+async def test_late_first_token_is_sought_elsewhere():
+    """Guards against a caller that waits for an engine which queues forever."""
+    budget = FixedBudget(1)
+    bench = await Bench.start(budget=budget)
+    _queue_everything(bench)
+    task = await curio.spawn(_free_others, bench)
+    ran = await curio.timeout_after(20, bench.run("a b", 8))
+    await task.join()
+    assert ran.ok_value.attempts == 2, ran
+    assert bench.delivered == compute_expected("a b", 8)
+    first, second = [grant.route.servers for grant in bench.admission.grants]
+    assert first.isdisjoint(second)
+    assert budget.left == 0
+    assert not bench.admission.open_grants
+    await curio.sleep(0.1)
+    assert _count_cancels(bench) == 1
+    await bench.close()
+
+
+async def test_answer_that_never_begins_ends_at_the_deadline():
+    """Guards against an answer held back beyond the class's deadline, against a second
+    attempt without capacity, budget or leave, and against a false verdict."""
+    cases = [
+        # Whether other engines serve, the retry budget, and the caller's mark.
+        (False, 9, True),
+        (True, 0, True),
+        (True, 9, False),
+    ]
+    for has_others, retries, is_idempotent in cases:
+        bench = await Bench.start(budget=FixedBudget(retries))
+        _queue_everything(bench)
+        task = await curio.spawn(_free_others if has_others else _pass, bench)
+        if not has_others:
+            bench.planner._has_capacity = lambda s, b=bench: not b.admission.grants
+        deadline = timedelta(seconds=2.6)
+        running = bench.run("a b", 8, is_idempotent=is_idempotent, deadline=deadline)
+        ran = await curio.timeout_after(20, running)
+        await task.join()
+        refusal = ran.err_value
+        assert refusal.reason is RefusalReason.BACKEND_TIMEOUT, refusal
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN, refusal
+        assert (refusal.retry_after is not None) == is_idempotent
+        assert len(bench.admission.grants) == 1
+        assert not bench.admission.open_grants
+        await curio.sleep(0.1)
+        assert _count_cancels(bench) == 1
+        await bench.close()
+
+
+async def _pass(bench):
+    return None
+
+
+async def test_deadline_holds_over_several_attempts():
+    """Guards against a retry that starts the class's deadline anew."""
+    bench = await Bench.start(replicas=2)
+    for engine in bench.engines.values():
+        engine.faults.is_silent = True
+    deadline = timedelta(seconds=0.9)
+    running = bench.run("a b", 8, deadline=deadline)
+    ran = await curio.timeout_after(20, running)
+    assert ran.err_value.reason is RefusalReason.BACKEND_TIMEOUT, ran
+    assert ran.err_value.verdict is Verdict.MAY_HAVE_RUN
+    assert len(bench.admission.grants) == 2
+    await bench.close()
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
