--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from datetime import timedelta
 from enum import Enum
+from typing import Any, TypeVar
 
 import curio
 
@@ -25,6 +26,8 @@
 from hibiscustiller.utils import Clock, ServerId, Verdict, check_invariant, log_event
 from hibiscustiller.wire import AnswerStream, HttpClient, wait_at_most
 
+Value = TypeVar("Value")
+
 _OK = 200
 # How long a server that failed or refused is avoided by the stream that met it. By
 # then membership knows its state.
@@ -170,7 +173,16 @@
         deliver: Deliver,
         may_leave: Callable[[], bool],
     ) -> AttemptEnd:
-        stream = await self._open(request, grant.route, progress)
+        try:
+            stream = await self._wait_to_begin(
+                progress, self._open(request, grant.route, progress)
+            )
+        except _ExpiredError:
+            # The bytes may have been sent.
+            progress.note_may_have_run()
+            self._note_late(request, grant.route, progress, AttemptEnd.EXPIRED)
+            await curio.spawn(self._cancel, request, grant.route, progress, daemon=True)
+            return AttemptEnd.EXPIRED
         if stream is None:
             return AttemptEnd.REFUSED
         async with stream:
@@ -243,7 +255,7 @@
             # is also the moment at which a preemption is noticed: engines send a
             # line at least every 250 ms.
             try:
-                line = await self._read_line(stream, head, progress)
+                line = await self._wait_to_begin(progress, _read_line(stream, head))
             except _ExpiredError:
                 return AttemptEnd.EXPIRED
             if line is None:
@@ -267,15 +279,18 @@
             if grant.preempted.is_set() and request.is_idempotent:
                 return AttemptEnd.PREEMPTED
 
-    async def _read_line(
-        self, stream: AnswerStream, head: ServerId, progress: Progress
-    ) -> bytes | None:
-        """Read a line, until the deadline if the answer has not begun."""
+    async def _wait_to_begin(
+        self, progress: Progress, operation: Coroutine[Any, Any, Value]
+    ) -> Value:
+        """Await an operation, until the deadline if the answer has not begun.
+
+        :raises _ExpiredError: if the deadline passed.
+        """
         if progress.tokens:
-            return await _read_line(stream, head)
+            return await operation
         left = progress.deadline_at - self._clock.monotonic()
         try:
-            return await wait_at_most(max(left, timedelta(0)), _read_line(stream, head))
+            return await wait_at_most(max(left, timedelta(0)), operation)
         except TimeoutError as error:
             raise _ExpiredError from error
 
