--- a/hibiscustiller/standins/_engine.py
+++ b/hibiscustiller/standins/_engine.py
@@ -265,17 +265,19 @@
         """Wait for a slot, sending empty lines so that the wait is not a silence."""
         slots = self._slots
         task = await curio.spawn(slots.enter, priority, daemon=True)
-        while True:
-            try:
-                await wait_at_most(_KEEPALIVE_PERIOD, task.wait())
-                return slots is self._slots
-            except TimeoutError:
-                pass
-            try:
-                await responder.send_part(b"\n")
-            except TransportError:
-                await task.cancel()
-                raise
+        try:
+            while True:
+                try:
+                    await wait_at_most(_KEEPALIVE_PERIOD, task.wait())
+                    return slots is self._slots
+                except TimeoutError:
+                    await responder.send_part(b"\n")
+        except BaseException:
+            # A stream that goes away leaves the queue, and the slot if it has one.
+            await task.cancel()
+            if task.exception is None:
+                await slots.leave()
+            raise
 
     async def _generate(self, body: dict[str, Any], responder: Responder) -> None:
         stream_id, attempt = body["stream_id"], body["attempt"]
--- a/hibiscustiller/streams/tests/test_runner.py
+++ b/hibiscustiller/streams/tests/test_runner.py
@@ -442,6 +442,23 @@
     return None
 
 
+async def test_stream_that_expired_in_the_engines_queue_takes_no_slot():
+    """Guards against a fleet that fills with streams which nobody waits for."""
+    bench = await Bench.start(replicas=1)
+    _queue_everything(bench)
+    deadline = timedelta(seconds=0.7)
+    for number in range(3):
+        ran = await bench.run(f"a {number}", 8, deadline=deadline)
+        assert ran.err_value.reason is RefusalReason.BACKEND_TIMEOUT
+    # The engine notices a closed connection with its next line.
+    await curio.sleep(0.5)
+    head = bench.engines["engine-0-0"]
+    assert head._slots.queued == 0
+    await head._slots.leave()
+    assert head._slots.running == head._slots.limit - 1
+    await bench.close()
+
+
 async def test_deadline_holds_over_several_attempts():
     """Guards against a retry that starts the class's deadline anew."""
     bench = await Bench.start(replicas=2)
