--- a/hibiscustiller/configuration/_generated.py
+++ b/hibiscustiller/configuration/_generated.py
@@ -64,7 +64,7 @@
     :param name: the section's name.
     :param rank: 0 is the most urgent.
     :param first_token_target: time to the first token that the class aims for.
-    :param deadline: longest wait for the first token; a request that would wait longer is refused.
+    :param deadline: longest wait for the first token; a request that would wait longer is refused; set it below the target where late answers are of no use.
     :param floor: share of service kept for the class while it has a backlog.
     :param preemptible: whether more urgent work may interrupt this class.
     :param queue_limit: requests that may wait at one router.
@@ -280,7 +280,7 @@
                 minimum="1ms",
                 maximum="24h",
                 choices=(),
-                doc="longest wait for the first token; a request that would wait longer is refused",
+                doc="longest wait for the first token; a request that would wait longer is refused; set it below the target where late answers are of no use",
             ),
             KeySpec(
                 name="floor",
