--- a/hibiscustiller/streams/tests/test_frames.py
+++ b/hibiscustiller/streams/tests/test_frames.py
@@ -68,7 +68,7 @@
     second = timedelta(seconds=1)
     runner = AttemptRunner(_Client(lines), [], registry, clock, second)
     request = make_request("a", LENGTH)
-    progress = Progress(attempt=ATTEMPT)
+    progress = Progress(clock.monotonic() + 60 * second, attempt=ATTEMPT)
     delivered = []
 
     async def deliver(token):
