--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -199,6 +199,8 @@
             admitted = await self._admission.admit(described)
             if isinstance(admitted, Err):
                 return admitted
+            if crash_run is None:
+                await self._admission.release(admitted.ok_value, 0)
             check_invariant(
                 crash_run is not None,
                 "suspects_run_apart",
