--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -33,6 +33,7 @@
     ServerId,
     SystemClock,
     Verdict,
+    check_invariant,
     jittered_delays,
     log_event,
 )
@@ -46,13 +47,6 @@
 # a restarted server come up without a rush of all its streams.
 _FIRST_RETRY_DELAY = timedelta(milliseconds=100)
 _LAST_RETRY_DELAY = timedelta(seconds=1)
-# A suspect waits for a server without another suspect. One replays and passes its
-# position in a few token times; short polls keep the places in use, so that all of a
-# server's streams recover within the 2 s target. A poll alone costs little: admission
-# is asked only after a change, or to notice servers that join.
-_ISOLATION_POLL = timedelta(milliseconds=20)
-_ISOLATION_POLLS = 25
-_ISOLATION_LIMIT = timedelta(seconds=30)
 
 
 class RetryBudget(Protocol):
@@ -138,7 +132,7 @@
         fingerprint = compute_fingerprint(
             request.organisation, request.model, request.prompt
         )
-        progress = Progress()
+        progress = Progress(self._clock.monotonic() + request.deadline)
         while True:
             started = await self._start(request, progress, fingerprint)
             if isinstance(started, Err):
@@ -159,45 +153,65 @@
         retry_delays = jittered_delays(
             _FIRST_RETRY_DELAY, _LAST_RETRY_DELAY, self._random_state
         )
-        limit = self._clock.monotonic() + _ISOLATION_LIMIT
         while True:
             quarantine = self._registry.get_quarantine(fingerprint)
             if quarantine is not None:
                 return Err(_make_quarantine_refusal(quarantine))
             avoided = progress.list_avoided(self._clock.monotonic())
-            occupied = self._registry.list_occupied_servers(fingerprint)
-            admitted = await self._admission.admit(
-                _describe(request, progress, avoided | occupied)
-            )
+            admitted = await self._admit(request, progress, fingerprint, avoided)
             if isinstance(admitted, Ok):
-                grant = admitted.ok_value
-                crash_run = self._registry.try_start(
-                    fingerprint, grant.route.servers, len(progress.tokens)
-                )
-                if crash_run is not None:
-                    return Ok(_Start(grant, crash_run))
-                # Another suspect started there while this one was queued.
-                await self._admission.release(grant, 0)
-            elif admitted.err_value.reason is not RefusalReason.NO_ROUTE:
                 return admitted
-            elif not occupied:
-                progress.failures += 1
-                if not avoided or progress.failures >= _MAX_FAILURES:
-                    return admitted
-                progress.avoided_until.clear()
-                await self._clock.sleep(next(retry_delays))
-                continue
-            if self._clock.monotonic() > limit:
-                return Err(_make_failure(progress, "no server was free of suspects"))
-            await self._wait_for_change(fingerprint)
-
-    async def _wait_for_change(self, fingerprint: Fingerprint) -> None:
-        """Wait until the servers that a suspect must not use change."""
-        occupied = self._registry.list_occupied_servers(fingerprint)
-        for _ in range(_ISOLATION_POLLS):
-            await self._clock.sleep(_ISOLATION_POLL * self._random_state.random())
-            if self._registry.list_occupied_servers(fingerprint) is not occupied:
-                return
+            if admitted.err_value.reason is not RefusalReason.NO_ROUTE:
+                return admitted
+            progress.failures += 1
+            if not avoided or progress.failures >= _MAX_FAILURES:
+                return admitted
+            progress.avoided_until.clear()
+            await self._clock.sleep(next(retry_delays))
+
+    async def _admit(
+        self,
+        request: StreamRequest,
+        progress: Progress,
+        fingerprint: Fingerprint,
+        avoided: frozenset[ServerId],
+    ) -> Result[_Start, Refusal]:
+        """Ask admission once.
+
+        The attempt counts at its servers from the grant on. If it counted only when
+        this task runs, two suspects could be granted the same server, and one of them
+        would have to give its place back.
+        """
+        crash_run: CrashRun | None = None
+
+        def note_granted(route: Route) -> None:
+            nonlocal crash_run
+            crash_run = self._registry.try_start(
+                fingerprint, route.servers, len(progress.tokens)
+            )
+
+        described = replace(
+            _describe(request, progress, avoided),
+            list_occupied=lambda: self._registry.list_occupied_servers(fingerprint),
+            note_granted=note_granted,
+        )
+        try:
+            admitted = await self._admission.admit(described)
+            if isinstance(admitted, Err):
+                return admitted
+            if crash_run is None:
+                await self._admission.release(admitted.ok_value, 0)
+            check_invariant(
+                crash_run is not None,
+                "suspects_run_apart",
+                request=request.request_id,
+                servers=admitted.ok_value.route.servers,
+            )
+        except BaseException:
+            if crash_run is not None:
+                self._registry.note_ended(crash_run)
+            raise
+        return Ok(_Start(admitted.ok_value, crash_run))
 
     async def _run_attempt(
         self,
@@ -212,7 +226,12 @@
             await self._move_caches(request, grant, progress)
             progress.start_attempt(grant.route)
             return await self._attempts.run(
-                request, grant, progress, start.crash_run, deliver
+                request,
+                grant,
+                progress,
+                start.crash_run,
+                deliver,
+                lambda: self._may_leave(request, grant, progress),
             )
         finally:
             self._registry.note_ended(start.crash_run)
@@ -235,6 +254,17 @@
             request.prompt_tokens + len(progress.tokens),
         )
 
+    def _may_leave(
+        self, request: StreamRequest, grant: Grant, progress: Progress
+    ) -> bool:
+        """Take leave to try a route apart from one whose first token is late."""
+        if not request.is_idempotent:
+            return False
+        avoided = progress.list_avoided(self._clock.monotonic()) | grant.route.servers
+        if not self._admission.has_route(_describe(request, progress, avoided)):
+            return False
+        return self._retry_budget is None or self._retry_budget.try_spend()
+
     def _find_refusal(
         self,
         request: StreamRequest,
@@ -243,6 +273,8 @@
         has_progress: bool,
     ) -> Refusal | None:
         """Return the refusal if no further attempt is allowed."""
+        if end is AttemptEnd.EXPIRED or progress.is_expired(self._clock.monotonic()):
+            return _make_expiry(request, progress)
         if progress.may_have_run and not request.is_idempotent:
             # A repeat by the caller is not advised either, so there is no time for it.
             refusal = _make_failure(progress, "the request must not run twice")
@@ -261,6 +293,9 @@
         progress.failures += 1
         if progress.failures >= _MAX_FAILURES:
             return _make_failure(progress, f"no answer in {progress.attempt} attempts")
+        if end is AttemptEnd.LATE:
+            # The budget was asked before the attempt was given up.
+            return None
         if self._retry_budget is not None and not self._retry_budget.try_spend():
             return _make_failure(progress, "the retry budget is spent")
         return None
@@ -278,6 +313,7 @@
         cost=request.cost - len(progress.tokens),
         avoided=avoided,
         is_resumed=progress.may_have_run,
+        deadline_at=None if progress.tokens else progress.deadline_at,
     )
 
 
@@ -299,6 +335,18 @@
     return Refusal(RefusalReason.BACKEND_FAILED, ran, message, _RETRY_AFTER_FAILURE)
 
 
+def _make_expiry(request: StreamRequest, progress: Progress) -> Refusal:
+    has_run = progress.may_have_run
+    return Refusal(
+        RefusalReason.BACKEND_TIMEOUT if has_run else RefusalReason.DEADLINE,
+        Verdict.MAY_HAVE_RUN if has_run else Verdict.NOT_RUN,
+        f"no token within the deadline of {request.deadline.total_seconds():g} s"
+        f" of class {request.class_name}",
+        # A repeat of a request that must not run twice is not advised.
+        _RETRY_AFTER_FAILURE if request.is_idempotent or not has_run else None,
+    )
+
+
 def _make_quarantine_refusal(left: timedelta) -> Refusal:
     return Refusal(
         RefusalReason.QUARANTINED,
