--- a/hibiscustiller/standins/_fleet.py
+++ b/hibiscustiller/standins/_fleet.py
@@ -56,6 +56,7 @@
     token_time: timedelta = timedelta(milliseconds=2),
     streams: int = 16,
     platform_address: Address = _ANY_PORT,
+    has_own_hosts: bool = False,
 ) -> Fleet:
     """Start a fleet: replicas of one model in two stages each, over three domains.
 
@@ -63,6 +64,8 @@
     :param token_time: time a token at each stage.
     :param streams: streams that each stage runs at once.
     :param platform_address: where the platform's stand-in listens.
+    :param has_own_hosts: whether each engine has a loopback address of its own, so
+        that the host list can name it alone.
     """
     platform = PlatformStandin(platform_address, clock)
     await platform.start()
@@ -70,7 +73,9 @@
     for replica in range(replicas):
         for stage in range(_STAGES_PER_REPLICA):
             options = _make_engine_options(replica, stage, token_time, streams)
-            engine = EngineStandin(options, _ANY_PORT, clock)
+            number = len(engines) + 2 if has_own_hosts else 1
+            address = Address(f"127.0.0.{number}", 0)
+            engine = EngineStandin(options, address, clock)
             await engine.start()
             engines[options.server_id] = engine
     bookings = [BookingStandin(_ANY_PORT, clock) for _ in range(2)]
