Republish at once when a proposal finds that the store lost changes

A proposal's read of the head saw the loss but did not tell the task that republishes, so that all proposals were refused until the next slow read of a watcher, up to 45 s later.

--- a/hibiscustiller/configuration/_sync.py
+++ b/hibiscustiller/configuration/_sync.py
@@ -156,6 +156,7 @@
         self._contact_at: timedelta | None = None
         self._requested_at: timedelta | None = None
         self._head_read_due = timedelta(0)
+        self._is_loss_suspected = False
         self._store_revision = 0
         self._is_watch_open = False
         self._watch_error: Exception | None = None
@@ -262,7 +263,11 @@
         stored = await self._head_store.read_head()
         self._note_confirmed()
         self._is_store_up = True
-        await self.adopt(stored)
+        if await self.adopt(stored) is HeadRelation.LOST:
+            # Proposals are refused until the document is republished, which would
+            # otherwise wait for the next slow read of the head.
+            self._is_loss_suspected = True
+            self._head_read_due = timedelta(0)
         return stored
 
     async def adopt(self, stored: StoredHead) -> HeadRelation:
@@ -585,7 +590,11 @@
         reader = await curio.spawn(self._read_events, watch, daemon=True)
         try:
             due = self._clock.monotonic() + self.options.watch_period
-            while self._is_watch_open and self._clock.monotonic() < due:
+            while (
+                self._is_watch_open
+                and not self._is_loss_suspected
+                and self._clock.monotonic() < due
+            ):
                 await self._clock.sleep(self.options.tick)
         finally:
             if self._is_watch_open:
@@ -617,13 +626,16 @@
             await self._read_head()
 
     async def _read_head(self) -> None:
+        was_suspected = self._is_loss_suspected
         stored = await self.refresh()
+        self._is_loss_suspected = False
         self._store_revision = stored.store_revision
         is_watcher = self.is_watcher()
         options = self.options
         period = options.head_period if is_watcher else options.poll_period
         self._head_read_due = self._clock.monotonic() + self._jitter(period)
-        if is_watcher and self._compare(stored.head) is HeadRelation.LOST:
+        must_republish = is_watcher or was_suspected
+        if must_republish and self._compare(stored.head) is HeadRelation.LOST:
             await self._republish()
 
     async def _republish(self) -> None:
--- a/hibiscustiller/configuration/tests/test_sync.py
+++ b/hibiscustiller/configuration/tests/test_sync.py
@@ -227,6 +227,34 @@
         await fleet.stop()
 
 
+async def test_proposal_that_finds_a_restored_store_has_it_repaired():
+    """Guards against proposals refused until the next slow read of the head (R7)."""
+    for is_watcher in (True, False):
+        fleet = SimulatedFleet(9)
+        await fleet.start()
+        backup = fleet.store.take_backup()
+        await change(fleet, fleet.nodes[0], 5)
+        # All watchers have just read the head, and read it again only after 15 s.
+        await fleet.run(1)
+        fleet.store.restore_backup(backup)
+        node = next(n for n in fleet.nodes if n.sync.is_watcher() is is_watcher)
+        weight = 20
+        for _ in range(2):
+            weight += 1
+            answer = await fleet.do(
+                node.propose(
+                    f"late-{weight}", node.sync.revision, edit(weight), "sales"
+                )
+            )
+            if answer.is_ok():
+                break
+            await fleet.run(2)
+        assert answer.is_ok(), (is_watcher, answer)
+        await fleet.run(4)
+        fleet.assert_equal()
+        await fleet.stop()
+
+
 async def test_store_restored_behind_open_watches_is_repaired_over_http():
     """Guards against a watch that hides the loss, with the real client."""
     clock = SystemClock()
