--- a/benchmarks/bench_domain_loss.py
+++ b/benchmarks/bench_domain_loss.py
@@ -312,7 +312,10 @@
         count_rate(base, LOSS_AT + 1, RETURN_AT) / remaining,
     )
     print_figure(
-        "tokens lost, repeated or wrong", run.count_wrong(), "tokens", base.count_wrong()
+        "tokens lost, repeated or wrong",
+        run.count_wrong(),
+        "tokens",
+        base.count_wrong(),
     )
     print_figure(
         "the returned domain carries 95% of its share",
--- a/hibiscustiller/serving/tests/_automation.py
+++ b/hibiscustiller/serving/tests/_automation.py
@@ -71,6 +71,8 @@
         answer = await self._world.propose(proposal_id, base, changes, _TEAM)
         if answer is not None and answer.status == 200:
             self._note_applied(proposal_id, answer)
+        elif answer is not None and read_reason(answer) == "conflict":
+            self._world.add_problem(f"{proposal_id} was applied and not recognised")
 
     def _note_applied(self, proposal_id: str, answer: HttpAnswer) -> None:
         revision = json.loads(answer.body)["revision"]
--- a/hibiscustiller/serving/tests/test_faults.py
+++ b/hibiscustiller/serving/tests/test_faults.py
@@ -55,6 +55,14 @@
     await run_scenario(50, (STORE_RESTORED,), 2)
 
 
+async def test_promises_hold_when_the_store_is_restored_beside_another_fault():
+    """Guards against a repair of the store that another fault interrupts."""
+    others = ("router-aborted", "partition-without-store", "store-answer-lost")
+    await run_scenarios(
+        (60 + number, (STORE_RESTORED, other), 2) for number, other in enumerate(others)
+    )
+
+
 async def test_promises_hold_under_two_faults_at_once():
     """Guards against promises that hold only for one fault at a time."""
     names = tuple(name for name in ALL_FAULTS if name != STORE_RESTORED)
