--- a/hibiscustiller/serving/tests/_fleet_faults.py
+++ b/hibiscustiller/serving/tests/_fleet_faults.py
@@ -71,6 +71,7 @@
             "partition": self._part_routers,
             "partition-without-store": self._part_routers_and_store,
             "store-restored": self._restore_store,
+            "store-emptied": self._empty_store,
             "leaves-by-report": lambda: self._leave("report"),
             "leaves-by-host-list": lambda: self._leave("host-list"),
             "leaves-by-document": lambda: self._leave("document"),
@@ -132,6 +133,16 @@
         # A proposal reads the head, and so finds the loss at once.
         await self._automation.edit()
 
+    async def _empty_store(self) -> None:
+        """Restore the store to its state before the first router started."""
+        platform = self._world.fleet.platform
+        platform.restore_backup(self._world.first_backup)
+        await self._automation.edit()
+        # The next holder must get its commands accepted by engines that know fences
+        # of the lost state.
+        engine = self._world.choose_engine()
+        engine.role = "prefill"
+
     async def _edit_everywhere(self) -> None:
         async with curio.TaskGroup() as group:
             for _ in self._world.routers:
--- a/hibiscustiller/serving/tests/_world.py
+++ b/hibiscustiller/serving/tests/_world.py
@@ -64,6 +64,7 @@
     async def start(self) -> None:
         """Start everything; the document is proposed to the first router."""
         self.fleet = await start_fleet(self.clock, has_own_hosts=True)
+        self.first_backup = self.fleet.platform.take_backup()
         for number, engine in enumerate(self.fleet.engines_by_id.values()):
             engine.options = replace(engine.options, checks_fence=number % 2 == 0)
             self.fleet.platform.host_states_by_address[engine.address.host] = "live"
