Tell other routers of crashes before the caller repeats the request

Reports of crashes were sent each 200 ms, so a caller that repeated a request at once through another router met one that did not know it. A death is now shared before the caller is answered. A router that started or came back never learned of quarantines and ran such requests again; two routers now send them to each new member.

--- a/hibiscustiller/membership/_crash_sharing.py
+++ b/hibiscustiller/membership/_crash_sharing.py
@@ -6,12 +6,14 @@
 from typing import Protocol
 
 from hibiscustiller.membership._relaying import SeenMessages
-from hibiscustiller.membership._transport import PeerTransport
-from hibiscustiller.utils import Clock, RouterId
+from hibiscustiller.membership._transport import Member, PeerTransport
+from hibiscustiller.utils import Clock, RouterId, rank_by_rendezvous
 from hibiscustiller.wire._messages_generated import CrashReport
 
-# A caller repeats a refused request after a second or more, through another router.
+# Reports of deaths are sent before the caller is answered; this period is for others.
 _PERIOD = timedelta(milliseconds=200)
+# In a large fleet a connection of every router to each new one would cost too much.
+_INFORMERS = 2
 
 
 class CrashRegistry(Protocol):
@@ -21,6 +23,10 @@
         """Return this router's reports since the last call."""
         ...
 
+    def list_quarantine_reports(self) -> tuple[CrashReport, ...]:
+        """Return the reports of all quarantines."""
+        ...
+
     def apply_report(self, report: CrashReport) -> None:
         """Take over another router's report."""
         ...
@@ -41,6 +47,7 @@
         self._registry = registry
         self._clock = clock
         self._seen = SeenMessages()
+        self._known: frozenset[Member] = frozenset()
         mesh.register(CrashReport, self._take_report)
 
     async def run(self) -> None:
@@ -48,6 +55,29 @@
         while True:
             await self._clock.sleep(_PERIOD)
             await self.share_once()
+            await self.inform_new_members()
+
+    async def inform_new_members(self) -> None:
+        """Send all quarantines to routers that started or came back."""
+        members = frozenset(self._mesh.list_members())
+        own = self._mesh.self_member
+        new = members - self._known - {own}
+        informed = set(members - new)
+        # Routers that are new themselves have nothing to tell.
+        routers = {member.router_id for member in informed} | {own.router_id}
+        for member in new:
+            ranked = rank_by_rendezvous(member.router_id, routers)
+            is_informer = own.router_id in ranked[:_INFORMERS]
+            if not is_informer or await self._inform(member):
+                informed.add(member)
+        self._known = frozenset(informed)
+
+    async def _inform(self, member: Member) -> bool:
+        """Send all quarantines; False if the router cannot be reached yet."""
+        for report in self._registry.list_quarantine_reports():
+            if not await self._mesh.send(member.router_id, report):
+                return False
+        return True
 
     async def share_once(self) -> None:
         """Send the reports made since the last call."""
--- a/hibiscustiller/membership/tests/test_sharing.py
+++ b/hibiscustiller/membership/tests/test_sharing.py
@@ -22,6 +22,7 @@
 from hibiscustiller.membership.tests import test_backends
 from hibiscustiller.membership.tests._meshes import (
     ANY_PORT,
+    start_mesh,
     start_meshes,
     stop_all,
     wait_for_agreement,
@@ -69,6 +70,10 @@
     def __init__(self):
         self.own = []
         self.applied = []
+        self.quarantined = []
+
+    def list_quarantine_reports(self):
+        return tuple(self.quarantined)
 
     def collect_reports(self):
         reports, self.own = tuple(self.own), []
@@ -161,6 +166,32 @@
     await stop_all(meshes)
 
 
+async def test_new_router_learns_of_quarantines():
+    """Guards against a poisonous request that is new to a restarted router."""
+    meshes = await start_meshes(3)
+    await wait_for_agreement(meshes)
+    report = CrashReport("fingerprint", "engine", "quarantined", 5)
+    registries = [Registry() for _ in meshes]
+    sharings = [
+        CrashSharing(mesh, registry, CLOCK)
+        for mesh, registry in zip(meshes, registries, strict=True)
+    ]
+    for sharing in sharings:
+        await sharing.inform_new_members()
+    for registry in registries:
+        registry.quarantined.append(report)
+    seeds = [meshes[0].self_member.address]
+    late, late_registry = await start_mesh("r09", seeds), Registry()
+    CrashSharing(late, late_registry, CLOCK)
+    await wait_for_agreement([*meshes, late])
+    await wait_for_links([*meshes, late])
+    for sharing in sharings:
+        await sharing.inform_new_members()
+    await wait_until(lambda: late_registry.applied)
+    assert late_registry.applied == [report]
+    await stop_all([*meshes, late])
+
+
 async def test_backend_signals_reach_all_routers():
     """Guards against a departure that only the polling router knows (R5)."""
     meshes = await start_meshes(3)
--- a/hibiscustiller/serving/_control_plane.py
+++ b/hibiscustiller/serving/_control_plane.py
@@ -22,10 +22,10 @@
     SoloTransport,
     UsageSharing,
 )
-from hibiscustiller.membership._crash_sharing import CrashRegistry
 from hibiscustiller.membership._usage_sharing import UsageAggregator, UsageLedger
 from hibiscustiller.platform import KeyValueStore
 from hibiscustiller.settings import Settings
+from hibiscustiller.streams import CrashRegistry
 from hibiscustiller.utils import Clock, RouterId, ServerId
 from hibiscustiller.wire import HttpClient
 
@@ -103,7 +103,9 @@
 
     def share_crashes(self, registry: CrashRegistry) -> None:
         """Share crash reports with the other routers once started."""
-        self._runs.append(CrashSharing(self.transport, registry, self._clock).run)
+        sharing = CrashSharing(self.transport, registry, self._clock)
+        registry.share_now = sharing.share_once
+        self._runs.append(sharing.run)
 
     async def start(self) -> None:
         """Join the fleet.
--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -128,6 +128,10 @@
             if error.is_death:
                 error.is_death = await _has_died(route, error.server)
             self._note_failure(request, progress, crash_run, error)
+            if error.is_death:
+                # Before the caller is answered, so that a repeat through another
+                # router meets what is known of its request.
+                await self._registry.share_now()
             if error.is_open:
                 # The next attempt does not wait for an engine that may be silent.
                 await curio.spawn(self._cancel, request, route, progress, daemon=True)
--- a/hibiscustiller/streams/_crashes.py
+++ b/hibiscustiller/streams/_crashes.py
@@ -10,7 +10,7 @@
 
 import hashlib
 from collections import OrderedDict, deque
-from collections.abc import Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -108,11 +108,14 @@
         self._runs_by_server: dict[ServerId, set[CrashRun]] = {}
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
         self._quarantine_ends: OrderedDict[Fingerprint, timedelta] = OrderedDict()
+        self._quarantine_reports: OrderedDict[Fingerprint, CrashReport] = OrderedDict()
         self._deaths_by_server: OrderedDict[ServerId, _Death] = OrderedDict()
         # Servers that run an isolated suspect; None if it must be computed again. After
         # the loss of a domain hundreds of suspects ask for it many times a second.
         self._occupied: frozenset[ServerId] | None = None
         self._reports: deque[CrashReport] = deque(maxlen=_REPORTS_KEPT)
+        # Sends the reports to the peers now; replaced by the router's assembly.
+        self.share_now: Callable[[], Awaitable[None]] = _share_nothing
 
     def get_quarantine(self, fingerprint: Fingerprint) -> timedelta | None:
         """Return how much longer a request is refused; None if it may run."""
@@ -214,6 +217,15 @@
         self._reports.clear()
         return reports
 
+    def list_quarantine_reports(self) -> tuple[CrashReport, ...]:
+        """Return the reports of all quarantines, for a router that is new."""
+        quarantined = self.list_quarantined()
+        return tuple(
+            report
+            for fingerprint, report in self._quarantine_reports.items()
+            if fingerprint in quarantined
+        )
+
     def apply_report(self, report: CrashReport) -> None:
         """Take over a peer's report; a late or malformed one is ignored."""
         if not 0 < len(report.fingerprint) <= _MAX_TEXT:
@@ -229,6 +241,7 @@
         fingerprint = Fingerprint(report.fingerprint)
         if report.event == CrashEvent.QUARANTINED.value:
             self._quarantine(fingerprint, self._quarantine_time - max(age, _ZERO))
+            self._keep_quarantine_report(report)
         elif report.event == CrashEvent.CLEARED.value:
             self._suspects.pop(fingerprint, None)
             self._occupied = None
@@ -350,6 +363,12 @@
     ) -> None:
         report = CrashReport(fingerprint, server, event.value, self._read_ms())
         self._reports.append(report)
+        if event is CrashEvent.QUARANTINED:
+            self._keep_quarantine_report(report)
+
+    def _keep_quarantine_report(self, report: CrashReport) -> None:
+        self._quarantine_reports[Fingerprint(report.fingerprint)] = report
+        _trim(self._quarantine_reports, self._capacity)
 
     def _read_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
@@ -370,3 +389,7 @@
 def _trim(table: OrderedDict, capacity: int) -> None:
     while len(table) > capacity:
         table.popitem(last=False)
+
+
+async def _share_nothing() -> None:
+    """Stand in for the sharing of a router without peers."""
--- a/hibiscustiller/streams/tests/test_crashes.py
+++ b/hibiscustiller/streams/tests/test_crashes.py
@@ -12,6 +12,7 @@
     CrashRegistry,
     compute_fingerprint,
 )
+from hibiscustiller.streams.tests.fixtures import Bench
 from hibiscustiller.utils import ManualClock
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire._messages_generated import CrashReport
@@ -149,6 +150,38 @@
     assert registry.get_quarantine("a") is not None
 
 
+def test_quarantines_are_listed_for_new_routers():
+    """Guards against a restarted router that runs a quarantined request again."""
+    registry, clock = _make_registry()
+    _kill(registry, "s1", *_start(registry, "a"))
+    _kill(registry, "s2", *_start(registry, "a", server="s2"))
+    assert registry.get_quarantine("a") is not None
+    other, _ = _make_registry()
+    for report in registry.list_quarantine_reports():
+        other.apply_report(report)
+    assert other.get_quarantine("a") is not None
+    assert other.list_quarantine_reports() == registry.list_quarantine_reports()
+    clock.advance(timedelta(days=1))
+    assert registry.list_quarantine_reports() == ()
+
+
+async def test_deaths_are_shared_before_the_caller_is_answered():
+    """Guards against a repeat that meets another router before the report does."""
+    bench = await Bench.start()
+    shared = []
+
+    async def share():
+        shared.extend(bench.registry.collect_reports())
+
+    bench.registry.share_now = share
+    for engine in bench.engines.values():
+        engine.faults.poison = "poison"
+    ran = await bench.run("poison", 3)
+    assert ran.is_err()
+    assert CrashEvent.QUARANTINED.value in [report.event for report in shared]
+    await bench.close()
+
+
 def test_bad_reports_change_nothing():
     """Guards against peers that are late, ahead, or send nonsense."""
     registry, clock = _make_registry()
