--- a/hibiscustiller/cli/tests/test_operators.py
+++ b/hibiscustiller/cli/tests/test_operators.py
@@ -17,6 +17,7 @@
     stop_bench,
 )
 from hibiscustiller.standins import TEAM_KEYS_BY_ID
+from hibiscustiller.standins._platform import Backup
 from hibiscustiller.utils import SystemClock
 from hibiscustiller.utils._testing import collect_tests
 
@@ -85,7 +86,7 @@
     document = (await invoke(bench, "document")).output
     await bench.router.stop()
     platform = bench.fleet.platform
-    platform.restore_backup((1, {}))
+    platform.restore_backup(Backup(1, {}, {}))
     bench.router = make_router(bench.fleet, SystemClock())
     await bench.router.start()
     with tempfile.TemporaryDirectory() as directory:
