--- a/hibiscustiller/control/_holder.py
+++ b/hibiscustiller/control/_holder.py
@@ -18,7 +18,12 @@
     order_loads,
     parse_engine_state,
 )
-from hibiscustiller.control._lease import HOLDER_KEY, ControlLease, Term
+from hibiscustiller.control._lease import (
+    HOLDER_KEY,
+    MAX_FLOOR,
+    ControlLease,
+    Term,
+)
 from hibiscustiller.control._sweep import SWEEP_PERIOD, StateSweep
 from hibiscustiller.exceptions import StoreUnavailableError, TransportError
 from hibiscustiller.platform import KeyValueStore
@@ -43,6 +48,8 @@
 # store a call.
 _CANDIDATE_COUNT = 3
 _MAX_CONCURRENT_READS = 16
+# A faulty engine that reports ever higher fences must not end every term.
+_FLOOR_PERIOD = timedelta(minutes=1)
 # A command that does not take effect this often is left alone for a longer time, in
 # which the engine may be replaced, or until the document asks for something else.
 _MAX_ATTEMPTS = 8
@@ -103,6 +110,7 @@
         self._swept_term: Term | None = None
         self._swept_config: FleetConfig | None = None
         self._next_pass_at = timedelta(0)
+        self._next_floor_at = timedelta(0)
         self._tasks: list[curio.Task] = []
 
     @property
@@ -159,6 +167,8 @@
         self._swept_term, self._swept_config = term, config
         due = self._sweep.select_servers(config, self._list_pending())
         states = await self._read_states(config, due)
+        if await self._has_raised_floor(term, states):
+            return
         for server, state in states.items():
             commands = list_commands(config, config.servers_by_id[server], state)
             self._forget_reached(server, commands)
@@ -184,6 +194,28 @@
         if self.lease.term is not None and (is_changed or is_due):
             await self.reconcile()
 
+    async def _has_raised_floor(
+        self, term: Term, states: dict[ServerId, EngineState]
+    ) -> bool:
+        """End a term that engines would refuse although it is the newest.
+
+        Its fence is too low after the store was restored to an earlier revision.
+        """
+        seen = max(
+            (s.highest_fence for s in states.values() if s.highest_fence <= MAX_FLOOR),
+            default=0,
+        )
+        now = self._clock.monotonic()
+        if seen <= term.fence or now < self._next_floor_at:
+            return False
+        # A newer holder's fence is above as well, and it must be left alone.
+        if not await self.lease.confirm():
+            return True
+        self._next_floor_at = now + _FLOOR_PERIOD
+        await self.lease.raise_floor(seen)
+        await self.lease.release()
+        return True
+
     async def _run_lease(self) -> None:
         while True:
             try:
