Share the settings of routers beside stand-ins; write benchmark results as they come

The same settings text stood in the demo, two benchmarks and two test modules. The table of results is written after each benchmark, so that an interrupted run keeps what it has.

--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -17,8 +17,8 @@
 from hibiscustiller.configuration import format_sections, parse_sections
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.serving import Router
-from hibiscustiller.settings import Settings, parse_settings
-from hibiscustiller.standins import MODEL, Fleet, start_fleet
+from hibiscustiller.settings import Settings
+from hibiscustiller.standins import MODEL, Fleet, make_standin_settings, start_fleet
 from hibiscustiller.utils import (
     Metrics,
     Revision,
@@ -37,22 +37,6 @@
     LOW: {"rank": "2", "deadline": "20s", "floor": "0.05", "preemptible": "true"},
 }
 TARGET = timedelta(milliseconds=850)
-_SETTINGS = """
-[router]
-id = router-{number}
-failure_domain = domain-0
-shutdown_lag = 0s
-[listen]
-callers = 127.0.0.1:0
-administration = 127.0.0.1:0
-peers = 127.0.0.1:0
-[peers]
-seeds = {seeds}
-shared_key = benchmark
-[platform]
-store = {platform}
-host_list = {platform}
-"""
 _JOIN_POLL_S = 0.05
 _JOIN_LIMIT_S = 10.0
 
@@ -204,12 +188,12 @@
 def _make_settings(number: int, fleet: Fleet, started: list[Router]) -> Settings:
     """Return settings of a router that joins those that are started."""
     seeds = [router.control_plane.mesh.self_member.address for router in started]
-    text = _SETTINGS.format(
-        number=number,
-        seeds=", ".join(str(seed) for seed in seeds),
-        platform=fleet.platform.address,
+    return make_standin_settings(
+        fleet.platform.address,
+        router_id=f"router-{number}",
+        seeds=seeds,
+        shared_key="benchmark",
     )
-    return parse_settings(text, "benchmark")
 
 
 async def _wait_for_members(routers: list[Router]) -> None:
--- a/benchmarks/bench_control_plane.py
+++ b/benchmarks/bench_control_plane.py
@@ -22,8 +22,8 @@
 
 from hibiscustiller.configuration import parse_sections
 from hibiscustiller.serving import Router
-from hibiscustiller.settings import Address, parse_settings
-from hibiscustiller.standins import start_fleet
+from hibiscustiller.settings import Address
+from hibiscustiller.standins import make_standin_settings, start_fleet
 from hibiscustiller.standins._fleet import TEAM_KEYS_BY_ID
 from hibiscustiller.utils import (
     Metrics,
@@ -46,22 +46,6 @@
 CPU_BUDGET = 0.037
 # Every router polls the head of the configuration every 2 s.
 POLLING_CALLS = 0.5
-_SETTINGS = """
-[router]
-id = router-{index:03}
-failure_domain = domain-{domain}
-shutdown_lag = 0s
-[listen]
-callers = 127.0.0.1:0
-administration = 127.0.0.1:0
-peers = 127.0.0.1:{port}
-[peers]
-seeds = {seeds}
-shared_key = benchmark
-[platform]
-store = {platform}
-host_list = {platform}
-"""
 _MESH_KINDS = {
     "Heartbeat": "mesh heartbeats",
     "MemberDigests": "membership gossip",
@@ -189,11 +173,14 @@
     ports = find_ports(count)
     routers = []
     for index, port in enumerate(ports):
-        seeds = ", ".join(f"127.0.0.1:{seed}" for seed in ports[:2] if seed != port)
-        text = _SETTINGS.format(
-            index=index, domain=index % 3, port=port, seeds=seeds, platform=platform
+        settings = make_standin_settings(
+            platform,
+            router_id=f"router-{index:03}",
+            failure_domain=f"domain-{index % 3}",
+            peers=f"127.0.0.1:{port}",
+            seeds=[f"127.0.0.1:{seed}" for seed in ports[:2] if seed != port],
+            shared_key="benchmark",
         )
-        settings = parse_settings(text, "benchmark")
         router = Router(settings, SystemClock(), random.Random(index), Metrics())
         count_client(router._client, counts)
         count_mesh(router.control_plane.mesh, counts)
@@ -309,10 +296,7 @@
 
 async def put_document(platform: str, document: str) -> None:
     """Put the first document into the store through a router without peers."""
-    text = _SETTINGS.format(
-        index=999, domain=0, port=0, seeds="", platform=platform
-    ).replace("shared_key = benchmark", "")
-    settings = parse_settings(text, "benchmark")
+    settings = make_standin_settings(platform)
     router = Router(settings, SystemClock(), random.Random(999), Metrics())
     await router.start()
     client = HttpClient(SystemClock())
--- a/benchmarks/bench_router.py
+++ b/benchmarks/bench_router.py
@@ -28,11 +28,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from hibiscustiller.cli._demo import make_demo_settings
 from hibiscustiller.configuration import format_sections
 from hibiscustiller.serving import Router
 from hibiscustiller.settings import Address
-from hibiscustiller.standins import PlatformStandin
+from hibiscustiller.standins import PlatformStandin, make_standin_settings
 from hibiscustiller.utils import (
     Metrics,
     Revision,
@@ -384,7 +383,7 @@
 ) -> None:
     """Start the router and the relay, and measure them."""
     configure_logging("error")
-    settings = make_demo_settings(Address("127.0.0.1", platform_port))
+    settings = make_standin_settings(Address("127.0.0.1", platform_port))
     router = Router(settings, SystemClock(), random.Random(1), Metrics())
     router.install_document(make_document(ports), Revision(1))
     await router.start()
--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -73,8 +73,13 @@
 @click.command()
 @click.argument("names", nargs=-1)
 def main(names: tuple[str, ...]) -> None:
-    """Run all benchmarks, or only those named (without ``bench_`` and ``.py``)."""
+    """Run all benchmarks, or only those named (without ``bench_`` and ``.py``).
+
+    The table is written after each one, so that an interrupted run keeps its results.
+    """
     paths = sorted((ROOT / "benchmarks").glob("bench_*.py"))
+    moment = datetime.now(UTC).strftime("%Y-%m-%d %H:%M UTC")
+    head = f"# Benchmark results\n\n{moment}. {describe_machine()}.\n\n"
     figures_by_benchmark = {}
     for path in paths:
         name = path.stem.removeprefix("bench_")
@@ -82,12 +87,8 @@
             continue
         click.echo(f"running {name}", err=True)
         figures_by_benchmark[name] = run_benchmark(path)
-    table = format_table(figures_by_benchmark)
-    click.echo(table)
-    if not names:
-        moment = datetime.now(UTC).strftime("%Y-%m-%d %H:%M UTC")
-        head = f"# Benchmark results\n\n{moment}. {describe_machine()}.\n\n"
-        RESULTS.write_text(head + table + "\n")
+        RESULTS.write_text(head + format_table(figures_by_benchmark) + "\n")
+    click.echo(format_table(figures_by_benchmark))
 
 
 if __name__ == "__main__":
--- a/hibiscustiller/cli/_demo.py
+++ b/hibiscustiller/cli/_demo.py
@@ -11,7 +11,7 @@
 
 from hibiscustiller.configuration import parse_sections
 from hibiscustiller.serving import Router
-from hibiscustiller.settings import Address, Settings, parse_settings
+from hibiscustiller.settings import Address
 from hibiscustiller.standins import (
     MODEL,
     MODEL_LAYERS,
@@ -19,6 +19,7 @@
     TEAM_KEYS_BY_ID,
     Fleet,
     compute_answer,
+    make_standin_settings,
     start_fleet,
 )
 from hibiscustiller.utils import Metrics, SystemClock
@@ -32,29 +33,6 @@
     "schools": "quote forty boxes of white chalk",
     "notes": "write the catalogue note for round markers",
 }
-_SETTINGS = """
-[router]
-id = demo
-failure_domain = domain-0
-shutdown_lag = {shutdown_lag}
-[listen]
-callers = 127.0.0.1:0
-administration = 127.0.0.1:0
-peers = 127.0.0.1:0
-[platform]
-store = {platform}
-host_list = {platform}
-"""
-
-
-def make_demo_settings(platform: Address, shutdown_lag: str = "0s") -> Settings:
-    """Return settings of a router beside stand-ins.
-
-    :param platform: address of the platform's stand-in.
-    :param shutdown_lag: as in the settings.
-    """
-    text = _SETTINGS.format(platform=platform, shutdown_lag=shutdown_lag)
-    return parse_settings(text, "demo")
 
 
 async def run_demo() -> bool:
@@ -64,7 +42,7 @@
     """
     clock = SystemClock()
     fleet = await start_fleet(clock)
-    settings = make_demo_settings(fleet.platform.address)
+    settings = make_standin_settings(fleet.platform.address)
     router = Router(settings, clock, random.Random(1), Metrics())
     await router.start()
     client = HttpClient(clock)
--- a/hibiscustiller/serving/tests/_routers.py
+++ b/hibiscustiller/serving/tests/_routers.py
@@ -13,7 +13,8 @@
 from hibiscustiller.membership import MeshTimings
 from hibiscustiller.membership.tests._meshes import Cuts
 from hibiscustiller.serving import Router
-from hibiscustiller.settings import Address, parse_settings
+from hibiscustiller.settings import Address
+from hibiscustiller.standins import make_standin_settings
 from hibiscustiller.utils import Metrics, Revision, SystemClock, Verdict
 from hibiscustiller.wire import HttpClient
 
@@ -21,22 +22,6 @@
 # at the real periods.
 _TIMINGS = MeshTimings().scale(0.15)
 _PAUSE_POLL = timedelta(milliseconds=20)
-_SETTINGS = """
-[router]
-id = {name}
-failure_domain = {domain}
-shutdown_lag = 0s
-[listen]
-callers = 127.0.0.1:0
-administration = 127.0.0.1:0
-peers = 127.0.0.1:0
-[peers]
-seeds = {seeds}
-shared_key = secret
-[platform]
-store = {platform}
-host_list = {platform}
-"""
 
 
 class PausableClock:
@@ -103,20 +88,19 @@
         cuts: Cuts,
         random_state: random.Random,
     ) -> None:
-        text = _SETTINGS.format(
-            name=name,
-            domain=domain,
-            platform=platform,
-            seeds=", ".join(str(seed) for seed in seeds),
+        settings = make_standin_settings(
+            platform,
+            router_id=name,
+            failure_domain=domain,
+            seeds=seeds,
+            shared_key="secret",
         )
         self.name = name
         self.domain = domain
         self.is_aborted = False
         self.clock = PausableClock()
         self.revisions: list[Revision] = []
-        self.router = Router(
-            parse_settings(text, "test"), self.clock, random_state, Metrics()
-        )
+        self.router = Router(settings, self.clock, random_state, Metrics())
         self.store_link = _StoreLink(self.router.store._client)
         self.router.store._client = self.store_link
         mesh = self.mesh
--- a/hibiscustiller/serving/tests/fixtures.py
+++ b/hibiscustiller/serving/tests/fixtures.py
@@ -5,9 +5,14 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from hibiscustiller.cli._demo import make_demo_settings
 from hibiscustiller.serving import Router
-from hibiscustiller.standins import MODEL, ORGANISATION_KEYS_BY_ID, Fleet, start_fleet
+from hibiscustiller.standins import (
+    MODEL,
+    ORGANISATION_KEYS_BY_ID,
+    Fleet,
+    make_standin_settings,
+    start_fleet,
+)
 from hibiscustiller.utils import Metrics, Revision, SystemClock
 from hibiscustiller.wire import HttpAnswer, HttpClient
 
@@ -66,7 +71,7 @@
     """
     clock = SystemClock()
     fleet = await start_fleet(clock)
-    settings = make_demo_settings(fleet.platform.address, **changes)
+    settings = make_standin_settings(fleet.platform.address, **changes)
     router = Router(settings, clock, random.Random(7), Metrics())
     router.install_document(fleet.document, Revision(1))
     await router.start()
--- a/hibiscustiller/serving/tests/test_administration.py
+++ b/hibiscustiller/serving/tests/test_administration.py
@@ -7,10 +7,9 @@
 
 import curio
 
-from hibiscustiller.cli._demo import make_demo_settings
 from hibiscustiller.configuration import parse_sections
 from hibiscustiller.serving import Router
-from hibiscustiller.standins import TEAM_KEYS_BY_ID, start_fleet
+from hibiscustiller.standins import TEAM_KEYS_BY_ID, make_standin_settings, start_fleet
 from hibiscustiller.utils import Metrics, SystemClock
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import HttpClient
@@ -52,7 +51,7 @@
 
 
 def make_router(fleet, clock, report=None):
-    settings = make_demo_settings(fleet.platform.address)
+    settings = make_standin_settings(fleet.platform.address)
     return Router(
         settings,
         clock,
--- a/hibiscustiller/serving/tests/test_control_plane.py
+++ b/hibiscustiller/serving/tests/test_control_plane.py
@@ -4,37 +4,25 @@
 import sys
 from datetime import timedelta
 
-from hibiscustiller.cli._demo import make_demo_settings
 from hibiscustiller.membership.tests._meshes import wait_until
 from hibiscustiller.serving import Router
-from hibiscustiller.settings import parse_settings
-from hibiscustiller.standins import MODEL, ORGANISATION_KEYS_BY_ID, start_fleet
+from hibiscustiller.standins import (
+    MODEL,
+    ORGANISATION_KEYS_BY_ID,
+    make_standin_settings,
+    start_fleet,
+)
 from hibiscustiller.utils import Metrics, Revision, SystemClock
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import HttpClient
 
 CLOCK = SystemClock()
-SETTINGS = """
-[router]
-id = {name}
-failure_domain = domain-0
-shutdown_lag = 0s
-[listen]
-callers = 127.0.0.1:0
-administration = 127.0.0.1:0
-peers = 127.0.0.1:0
-[peers]
-seeds = {seeds}
-shared_key = secret
-[platform]
-store = {platform}
-host_list = {platform}
-"""
-
-
-async def start_router(name, fleet, seeds=""):
-    text = SETTINGS.format(name=name, seeds=seeds, platform=fleet.platform.address)
-    settings = parse_settings(text, "test")
+
+
+async def start_router(name, fleet, seeds=()):
+    settings = make_standin_settings(
+        fleet.platform.address, router_id=name, seeds=seeds, shared_key="secret"
+    )
     router = Router(settings, CLOCK, random.Random(name), Metrics())
     router.install_document(fleet.document, Revision(1))
     await router.start()
@@ -64,7 +52,7 @@
     fleet = await start_fleet(CLOCK)
     first = await start_router("one", fleet)
     address = first.control_plane.mesh.self_member.address
-    second = await start_router("two", fleet, address)
+    second = await start_router("two", fleet, [address])
     routers = [first, second]
     await wait_until(lambda: all(count_members(r) == 2 for r in routers))
     holders = lambda: [r for r in routers if r.control_plane.holder.fence is not None]
@@ -116,7 +104,7 @@
 async def test_router_without_shared_key_is_alone():
     """Guards against an open port for peers that nobody authenticates."""
     fleet = await start_fleet(CLOCK, replicas=1)
-    settings = make_demo_settings(fleet.platform.address)
+    settings = make_standin_settings(fleet.platform.address)
     router = Router(settings, CLOCK, random.Random(1), Metrics())
     router.install_document(fleet.document, Revision(1))
     await router.start()
--- a/hibiscustiller/standins/__init__.py
+++ b/hibiscustiller/standins/__init__.py
@@ -12,6 +12,7 @@
 )
 from hibiscustiller.standins._model import compute_answer
 from hibiscustiller.standins._platform import PlatformStandin, StoreFaults
+from hibiscustiller.standins._settings import make_standin_settings
 
 __all__ = [
     "MODEL",
@@ -27,5 +28,6 @@
     "PlatformStandin",
     "StoreFaults",
     "compute_answer",
+    "make_standin_settings",
     "start_fleet",
 ]
--- a/hibiscustiller/standins/_fleet.py
+++ b/hibiscustiller/standins/_fleet.py
@@ -10,6 +10,7 @@
 from hibiscustiller.standins._booking import BookingStandin
 from hibiscustiller.standins._engine import EngineOptions, EngineStandin
 from hibiscustiller.standins._platform import PlatformStandin
+from hibiscustiller.standins._settings import ANY_PORT
 from hibiscustiller.utils import Clock, hash_secret
 
 MODEL = "turf-70b"
@@ -26,7 +27,6 @@
     "notes": "overnight",
 }
 _STAGES_PER_REPLICA = 2
-_ANY_PORT = Address("127.0.0.1", 0)
 
 
 @dataclass
@@ -55,7 +55,7 @@
     replicas: int = 3,
     token_time: timedelta = timedelta(milliseconds=2),
     streams: int = 16,
-    platform_address: Address = _ANY_PORT,
+    platform_address: Address = ANY_PORT,
     has_own_hosts: bool = False,
 ) -> Fleet:
     """Start a fleet: replicas of one model in two stages each, over three domains.
@@ -78,7 +78,7 @@
             engine = EngineStandin(options, address, clock)
             await engine.start()
             engines[options.server_id] = engine
-    bookings = [BookingStandin(_ANY_PORT, clock) for _ in range(2)]
+    bookings = [BookingStandin(ANY_PORT, clock) for _ in range(2)]
     for booking in bookings:
         await booking.start()
     document = format_sections(_describe_fleet(engines, bookings))
