End a shutdown beside callers that keep their connections

Cause: a caller, such as a balancer, that went on sending on an open connection kept the count of running requests above zero, so that the shutdown never ended; where it did end, a request that had just arrived on another connection was cut off by the close. Change: from the signal on each answer tells its client to close the connection. After the listener is closed, a connection is closed once it has no request; one whose next request has begun to arrive is read and answered.

--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -36,8 +36,6 @@
 from hibiscustiller.utils import Clock, Metrics, Revision, ServerId, log_event
 from hibiscustiller.wire import HttpClient, HttpLimits, HttpServer
 
-_DRAIN_POLL = timedelta(milliseconds=50)
-
 
 class Router:
     """One router daemon.
@@ -234,13 +232,11 @@
             return
         self._is_stopping = True
         self._is_ready = False
+        self.caller_server.announce_end()
         log_event("shutdown_started", router=self.settings.router.id)
         # The balancer learns of the lost readiness late; requests are still accepted.
         await self._clock.sleep(self.settings.router.shutdown_lag)
-        await self.caller_server.stop_accepting()
-        while self.caller_server.busy_count:
-            await self._clock.sleep(_DRAIN_POLL)
-        await self.caller_server.close()
+        await self.caller_server.drain()
         await self.forwarder.drain()
         await self.admission.stop()
         if self._cache_poll_task is not None:
--- a/hibiscustiller/serving/tests/fixtures.py
+++ b/hibiscustiller/serving/tests/fixtures.py
@@ -40,10 +40,11 @@
         body: object,
         organisation: str = "greens",
         headers: dict[str, str] | None = None,
+        client: HttpClient | None = None,
     ) -> HttpAnswer:
-        """Send a JSON body as an organisation."""
+        """Send a JSON body as an organisation, by the bench's client or another."""
         key = ORGANISATION_KEYS_BY_ID.get(organisation, "wrong")
-        return await self.client.request_json(
+        return await (client or self.client).request_json(
             self.router.caller_server.address,
             "POST",
             path,
--- a/hibiscustiller/serving/tests/test_shutdown.py
+++ b/hibiscustiller/serving/tests/test_shutdown.py
@@ -1,14 +1,16 @@
 """Graceful shutdown: nothing is cut off."""
 
 import sys
+from collections import Counter
 
 import curio
 
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.serving.tests.fixtures import read_text, start_bench
 from hibiscustiller.standins import MODEL, MODEL_LAYERS, compute_answer
-from hibiscustiller.utils import Verdict
+from hibiscustiller.utils import SystemClock, Verdict
 from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire import HttpClient
 
 
 async def test_shutdown_cuts_off_no_request():
@@ -38,5 +40,36 @@
     await bench.close()
 
 
+async def test_shutdown_ends_beside_callers_that_keep_their_connections():
+    """Guards against a shutdown that never ends, or that cuts off the last request."""
+    bench = await start_bench(shutdown_lag="200ms")
+    counts = Counter()
+    is_stopped = False
+
+    async def keep_asking():
+        client = HttpClient(SystemClock())
+        while not is_stopped:
+            try:
+                answer = await bench.complete("again", 3, client=client)
+            except TransportError as error:
+                # Only a request that no router took may fail.
+                counts[error.verdict] += 1
+                await curio.sleep(0.02)
+                continue
+            counts[answer.status] += 1
+        await client.close()
+
+    callers = [await curio.spawn(keep_asking) for _ in range(5)]
+    await curio.sleep(0.2)
+    async with curio.timeout_after(20):
+        await bench.router.stop()
+    is_stopped = True
+    for caller in callers:
+        await caller.join()
+    assert counts[200] > 0, counts
+    assert set(counts) <= {200, Verdict.NOT_RUN}, counts
+    await bench.close()
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -183,7 +183,7 @@
             if not idle:
                 del self._idle_by_address[address]
             age = self._clock.monotonic() - connection.idle_since
-            if age < _MAX_IDLE and not _is_readable(connection.sock):
+            if age < _MAX_IDLE and not is_readable(connection.sock):
                 return connection
             await connection.close()
         return await self._connect(address)
@@ -355,7 +355,7 @@
     }
 
 
-def _is_readable(sock: Any) -> bool:
+def is_readable(sock: Any) -> bool:
     """Tell whether bytes or an end of stream wait on an idle connection."""
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -24,8 +24,10 @@
     log_event,
 )
 from hibiscustiller.wire._deadlines import wait_at_most
+from hibiscustiller.wire._http_client import is_readable
 
 _RECEIVE_BYTES = 65536
+_DRAIN_POLL_S = 0.02
 _LISTEN_BACKLOG = 512
 # Answers sent to a client that has already broken the protocol get a short wait.
 _CLOSING_TIMEOUT = timedelta(seconds=1)
@@ -108,6 +110,8 @@
         self.is_finished = False
         # Sent with the head of the answer, whatever its kind.
         self.extra_headers: dict[str, str] = {}
+        # Asked when the answer begins: whether the connection ends with it.
+        self.should_close: Callable[[], bool] = lambda: False
 
     async def send(
         self,
@@ -166,6 +170,8 @@
     def _make_response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
         self.is_started = True
         headers = [*fields.items(), *self.extra_headers.items()]
+        if self.should_close():
+            headers.append(("connection", "close"))
         return h11.Response(status_code=status, headers=headers)
 
     async def _write(self, *events: Any) -> None:
@@ -219,6 +225,9 @@
     _busy_count: int = 0
     _watch_task: Any = None
     _busy_tasks_by_fd: dict[int, Any] = field(default_factory=dict)
+    # Connections between two requests.
+    _idle_socks_by_task: dict[Any, Any] = field(default_factory=dict)
+    _is_ending: bool = False
 
     async def start(self) -> None:
         """Bind the address and start to accept connections.
@@ -244,6 +253,29 @@
             self._accept_task = None
             await self._socket.close()
 
+    def announce_end(self) -> None:
+        """Tell clients with each answer to send no more on its connection.
+
+        A balancer keeps connections open and sends requests on them for as long as
+        it is not told.
+        """
+        self._is_ending = True
+
+    async def drain(self) -> None:
+        """Close the listener, and each connection once it has no request.
+
+        A request that has begun to arrive is read and answered.
+        """
+        self.announce_end()
+        await self.stop_accepting()
+        while self._tasks:
+            for task, sock in list(self._idle_socks_by_task.items()):
+                # The connection may have become busy while another one was closed.
+                if task in self._idle_socks_by_task and not is_readable(sock):
+                    await task.cancel()
+            await curio.sleep(_DRAIN_POLL_S)
+        await self.close()
+
     async def close(self) -> None:
         """Close the listener and every connection."""
         await self.stop_accepting()
@@ -326,6 +358,7 @@
             if request is None:
                 return
             responder.is_head = request.method == "HEAD"
+            responder.should_close = lambda: self._is_ending
             await self._handle_request(request, responder, sock.fileno())
             if not responder.is_finished or connection.our_state is h11.MUST_CLOSE:
                 return
@@ -384,15 +417,23 @@
         """Read one request; None if the client closed between requests."""
         event = connection.next_event()
         if event is h11.NEED_DATA:
-            data = await wait_at_most(
-                self.limits.idle_timeout, sock.recv(_RECEIVE_BYTES)
-            )
-            connection.receive_data(data)
+            connection.receive_data(await self._receive_first(sock))
             event = connection.next_event()
         return await wait_at_most(
             self.limits.read_timeout, self._read_rest(connection, sock, event)
         )
 
+    async def _receive_first(self, sock: Any) -> bytes:
+        """Wait between requests for the first bytes of the next one."""
+        task = await curio.current_task()
+        self._idle_socks_by_task[task] = sock
+        try:
+            return await wait_at_most(
+                self.limits.idle_timeout, sock.recv(_RECEIVE_BYTES)
+            )
+        finally:
+            del self._idle_socks_by_task[task]
+
     async def _read_rest(
         self, connection: h11.Connection, sock: Any, event: Any
     ) -> HttpRequest | None:
