--- a/benchmarks/bench_configuration.py
+++ b/benchmarks/bench_configuration.py
@@ -75,13 +75,13 @@
 CONTROL_MEGABYTES = 32
 
 
-def report(name: str, figure: float, unit: str, baseline: float, against: str) -> None:
+def report(name: str, value: float, unit: str, baseline: float, against: str) -> None:
     """Print one figure."""
-    ratio = None if baseline == 0 else round(figure / baseline, 6)
+    ratio = None if baseline == 0 else round(value / baseline, 6)
     line = {
         "benchmark": "configuration",
-        "name": name,
-        "figure": round(figure, 6),
+        "figure": name,
+        "value": round(value, 6),
         "unit": unit,
         "baseline": round(baseline, 6),
         "baseline_is": against,
