Read the x-idempotent mark in one place; drop a refusal reason never sent

The same check stood in completions and in service calls. No code refused with shutting-down: a router that stops answers what reaches it. 16 tests of marks, service calls, callers and utilities pass; the whole suite was not run again.

--- a/hibiscustiller/serving/_callers.py
+++ b/hibiscustiller/serving/_callers.py
@@ -250,11 +250,9 @@
     class_name = choose_class(config, request, organisation)
     if isinstance(class_name, Err):
         return class_name
-    mark = request.headers_by_name.get("x-idempotent", "true").lower()
-    if mark not in ("true", "false"):
-        return _refuse_bad_request(
-            f"x-idempotent is {mark!r}; accepted are true and false"
-        )
+    is_idempotent = read_idempotent_mark(request)
+    if isinstance(is_idempotent, Err):
+        return is_idempotent
     class_config = config.classes_by_name[class_name.ok_value]
     stream = StreamRequest(
         request_id=request_id,
@@ -264,7 +262,7 @@
         model=model.name,
         prompt=body["prompt"],
         max_tokens=body.get("max_tokens", _default_length(model)),
-        is_idempotent=mark == "true",
+        is_idempotent=is_idempotent.ok_value,
         first_token_target=class_config.first_token_target,
         deadline=class_config.deadline,
     )
@@ -288,6 +286,16 @@
     return Ok(asked.name)
 
 
+def read_idempotent_mark(request: HttpRequest) -> Result[bool, Refusal]:
+    """Return whether the caller allows a request to run more than once."""
+    mark = request.headers_by_name.get("x-idempotent", "true").lower()
+    if mark not in ("true", "false"):
+        return _refuse_bad_request(
+            f"x-idempotent is {mark!r}; accepted are true and false"
+        )
+    return Ok(mark == "true")
+
+
 def check_service_call(
     config: FleetConfig, request: HttpRequest, organisation: OrganisationConfig
 ) -> Result[tuple[Any, ServiceCall], Refusal]:
@@ -303,11 +311,9 @@
             f"Idempotency-Key has {len(key)} characters;"
             f" accepted are 1 to {_MAX_KEY_LENGTH}"
         )
-    mark = request.headers_by_name.get("x-idempotent", "true").lower()
-    if mark not in ("true", "false"):
-        return _refuse_bad_request(
-            f"x-idempotent is {mark!r}; accepted are true and false"
-        )
+    is_idempotent = read_idempotent_mark(request)
+    if isinstance(is_idempotent, Err):
+        return is_idempotent
     # Services may fold such segments, and the path would match other patterns there.
     if any(segment in ("", ".", "..") for segment in rest.split("/")[:-1]) or (
         rest.rpartition("/")[2] in (".", "..")
@@ -321,7 +327,7 @@
         body=request.body,
         content_type=request.headers_by_name.get("content-type", "application/json"),
         idempotency_key=key,
-        is_marked_non_idempotent=mark == "false",
+        is_marked_non_idempotent=not is_idempotent.ok_value,
     )
     return Ok((service, call))
 
--- a/hibiscustiller/utils/_verdicts.py
+++ b/hibiscustiller/utils/_verdicts.py
@@ -33,7 +33,6 @@
     INTERNAL = ("internal", 500)
     BACKEND_FAILED = ("backend-failed", 502)
     NO_ROUTE = ("no-route", 503)
-    SHUTTING_DOWN = ("shutting-down", 503)
     STORE_UNAVAILABLE = ("store-unavailable", 503)
     BACKEND_TIMEOUT = ("backend-timeout", 504)
 
