--- a/benchmarks/bench_control_plane.py
+++ b/benchmarks/bench_control_plane.py
@@ -19,6 +19,7 @@
 
 import click
 import curio
+from processes import find_free_ports
 
 from hibiscustiller.configuration import parse_sections
 from hibiscustiller.serving import Router
@@ -155,22 +156,9 @@
     await fleet.close()
 
 
-def find_ports(count: int) -> list[int]:
-    """Return ports that are free at the moment."""
-    import socket
-
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 async def start_routers(count: int, platform: str, counts: Counts) -> list[Router]:
     """Start routers that know each other."""
-    ports = find_ports(count)
+    ports = find_free_ports(count)
     routers = []
     for index, port in enumerate(ports):
         settings = make_standin_settings(
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -23,7 +23,6 @@
 SHARED_KEY = "benchmark-shared-key"
 _START_SECONDS = 15.0
 _TIMEOUT = timedelta(seconds=10)
-_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 _SETTINGS = """
 [router]
 id = router-{number}
@@ -59,12 +58,6 @@
         line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
         return int(line.split()[1]) / 1024
 
-    def read_cpu_seconds(self) -> float:
-        """Return the processor time used so far."""
-        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1]
-        user, system = fields.split()[11:13]
-        return (int(user) + int(system)) / _TICKS_PER_SECOND
-
 
 @dataclass
 class ProcessFleet:
--- a/hibiscustiller/configuration/_sync.py
+++ b/hibiscustiller/configuration/_sync.py
@@ -351,10 +351,6 @@
             self._history.replace(points or [own], ())
             await self._announce(())
 
-    async def announce_accepted(self, change: Change) -> None:
-        """Tell the peers of a change that this router put in force."""
-        await self._announce((change,))
-
     def _compare(self, head: Head) -> HeadRelation:
         if head.revision == self.revision and head.digest == self.digest:
             return HeadRelation.EQUAL
