Watch each engine from three routers, space watches by the fleet's size

Change: three routers watch an engine and tell the others at once; watch calls are spaced by 4 ms for each router; registration needs one call less.

--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -51,6 +51,7 @@
         self._on_return = on_return
         self._lease: LeaseId | None = None
         self._is_written = False
+        self._revision = 0
         self.is_reachable = True
 
     async def run(self) -> None:
@@ -91,7 +92,7 @@
         if self._lease is None:
             self._lease = await self._store.grant_lease(_TTL)
         elif not await self._store.keep_alive(self._lease):
-            self._lease, self._is_written = None, False
+            self._lease, self._is_written, self._revision = None, False, 0
             return await self._renew()
         if not self._is_written:
             await self._write()
@@ -99,14 +100,17 @@
     async def _write(self) -> None:
         assert self._lease is not None
         try:
-            current = await self._store.get(self._key)
-            revision = 0 if current is None else current.revision
             outcome = await self._store.compare_and_swap(
-                self._key, self._value, revision, self._lease
+                self._key, self._value, self._revision, self._lease
             )
-            self._is_written = outcome.is_swapped
         except LeaseExpiredError:
             self._lease = None
+            return
+        self._is_written = outcome.is_swapped
+        # An earlier process of this host may have left an entry; the next try replaces
+        # it.
+        found = outcome.current
+        self._revision = 0 if found is None else found.revision
 
 
 def _read_boot_time() -> timedelta:
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -52,6 +52,8 @@
         self._listeners: list[Callable[[], None]] = []
         self.document: FleetDocument | None = None
         self.peers_by_id: dict[RouterId, Peer] = {}
+        # Rises with each change of the routers.
+        self.routers_generation = 0
         self.has_holder = False
         # Rises with each change of the document or the servers.
         self.generation = 0
@@ -144,6 +146,16 @@
         for server_id in late:
             self._drop_server(server_id)
 
+    def apply_peer(self, peer: Peer) -> None:
+        """Add a router or replace what is known of it."""
+        self.peers_by_id[peer.router_id] = peer
+        self.routers_generation += 1
+
+    def remove_peer(self, router_id: RouterId) -> None:
+        """Remove a router."""
+        if self.peers_by_id.pop(router_id, None) is not None:
+            self.routers_generation += 1
+
     def get_server(self, server_id: ServerId) -> BackendServer | None:
         """Return a server, or None if it is unknown or gone."""
         return self._servers_by_id.get(server_id)
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -30,8 +30,11 @@
 _ALL_KEYS = ""
 # Each call is charged. A silent connection is found by TCP probes, not by this.
 _WATCH_WAIT = timedelta(seconds=20)
-# Changes within this time share an answer; the bound on a change is two seconds.
+# Changes within this time share an answer; the bound on a change is two seconds. It
+# grows with the fleet, since each router makes these calls.
 _WATCH_SPACING = timedelta(milliseconds=120)
+_WATCH_SPACING_PER_ROUTER = timedelta(milliseconds=4)
+_LONGEST_WATCH_SPACING = timedelta(milliseconds=400)
 # The renewal of the registration is cheaper and tells sooner that the store is back.
 _FIRST_RETRY = timedelta(milliseconds=200)
 _LONGEST_RETRY = timedelta(seconds=2)
@@ -90,6 +93,11 @@
         if task is not None:
             await task.cancel(blocking=False)
 
+    def _get_spacing(self) -> timedelta:
+        routers = len(self._view.peers_by_id)
+        spacing = _WATCH_SPACING + _WATCH_SPACING_PER_ROUTER * routers
+        return min(_LONGEST_WATCH_SPACING, spacing)
+
     async def _wait_for_retry(self, delay: timedelta) -> None:
         self._is_asked_to_retry.clear()
         try:
@@ -111,7 +119,7 @@
                 self._apply(change)
             self._revision = max(self._revision, changes.revision)
             self._view.drop_missing()
-            await self._clock.sleep(_WATCH_SPACING)
+            await self._clock.sleep(self._get_spacing())
 
     async def _wait(self):
         """Wait for changes; None if the call was given up for a restart."""
@@ -141,7 +149,8 @@
         if document is not None:
             self._apply_document(document.value, document.revision)
         self._view.replace_servers(self._decode_servers(servers.items))
-        self._view.peers_by_id.clear()
+        for router_id in list(self._view.peers_by_id):
+            self._view.remove_peer(router_id)
         for change in routers.items:
             self._apply(change)
         self._view.has_holder = holder is not None
@@ -193,11 +202,11 @@
     def _apply_peer(self, change: Change) -> None:
         router_id = RouterId(change.key.removeprefix(ROUTER_PREFIX))
         if change.value is None:
-            self._view.peers_by_id.pop(router_id, None)
+            self._view.remove_peer(router_id)
             return
         try:
             address = parse_endpoint(json.loads(change.value)["address"])
         except (ValueError, KeyError, TypeError) as error:
             log_event("entry_unreadable", level="warning", reason=repr(error))
             return
-        self._view.peers_by_id[router_id] = Peer(router_id, address)
+        self._view.apply_peer(Peer(router_id, address))
--- a/hibiscustiller/ingress/__main__.py
+++ b/hibiscustiller/ingress/__main__.py
@@ -61,7 +61,7 @@
 @click.option("--log-level", default="info", show_default=True)
 def main(path: Path | None, log_level: str) -> None:
     """Run the router on the platform until SIGTERM."""
-    configure_logging(log_level)
+    configure_logging(log_level, sys.stdout)
     try:
         curio.run(run_gateway, path or find_host_settings())
     except SettingsError as error:
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -63,6 +63,8 @@
 _LONGEST_ELECTION_DELAY = timedelta(seconds=3)
 # Changes of servers come in groups.
 _REFRESH_DELAY = timedelta(milliseconds=20)
+# One more than may be restarted at the same moment as the engine is lost.
+_WATCHERS_PER_ENGINE = 3
 # Leaving servers are left out at most this much after their time.
 _REFRESH_PERIOD = timedelta(milliseconds=250)
 # The balancer asks once a second and needs two misses; new connections come until then.
@@ -99,11 +101,14 @@
         self._table: RouteTable | None = None
         self._forwarders: dict[ServiceName, StreamForwarder] = {}
         self._is_stale = curio.UniversalEvent()
+        self._watchers_by_id: dict[ServerId, tuple[object, bool]] = {}
         self.view = FleetView(clock, settings.drain)
         self.view.subscribe(self._note_change)
         self._load = EngineLoad(clock)
-        self._health = ServerHealth(clock, self.view.get_server, self._note_change)
-        self._monitor = EngineMonitor(clock, self._health, self._list_stages)
+        self._health = ServerHealth(
+            clock, self.view.get_server, self._note_health_change
+        )
+        self._monitor = EngineMonitor(clock, self._health, self._list_watched)
         self._client = HttpClient(clock, _CONNECT_TIMEOUT)
         self._make_store_parts()
         self._make_plain_forwarder()
@@ -379,14 +384,24 @@
             if service.engine is not None
         ]
 
-    def _list_stages(self) -> dict[ServerId, BackendServer]:
-        """Return the engines that pipelines run through."""
-        return {
-            stage.server.id: stage.server
+    def _list_watched(self) -> dict[ServerId, BackendServer]:
+        """Return the engines of pipelines that this router watches for the fleet."""
+        stages = [
+            stage.server
             for forwarder in self._forwarders.values()
             for pipeline in forwarder.choice.pipelines
             for stage in pipeline.stages
-        }
+        ]
+        return {server.id: server for server in stages if self._is_watcher(server.id)}
+
+    def _is_watcher(self, server_id: ServerId) -> bool:
+        routers = {*self.view.peers_by_id, self._settings.router_id}
+        key = (server_id, len(routers), self.view.routers_generation)
+        if self._watchers_by_id.get(server_id, (None, False))[0] != key:
+            watchers = rank_by_rendezvous(server_id, routers)[:_WATCHERS_PER_ENGINE]
+            is_watcher = self._settings.router_id in watchers
+            self._watchers_by_id[server_id] = (key, is_watcher)
+        return self._watchers_by_id[server_id][1]
 
     async def _refresh_pipelines(self) -> None:
         """Find the pipelines again after changes, until cancelled."""
@@ -416,6 +431,10 @@
     def _note_change(self) -> None:
         self._is_stale.set()
 
+    def _note_health_change(self) -> None:
+        self._is_stale.set()
+        self._sharing.hurry()
+
     async def _note_store_returned(self) -> None:
         self.view.note_store_returned()
         await self._store_client.close()
--- a/hibiscustiller/ingress/_monitor.py
+++ b/hibiscustiller/ingress/_monitor.py
@@ -1,7 +1,8 @@
 """An idle connection to each engine, which ends at once when the engine's process does.
 
 Only the first engine of a pipeline has a connection that carries requests. Without one
-to each of the others, the loss of a stage shows only as a pause of its streams.
+to each of the others, the loss of a stage shows only as a pause of its streams. A few
+routers watch each engine and tell the others.
 """
 
 from __future__ import annotations
@@ -27,7 +28,7 @@
     """Keeps the connections.
 
     :param health: checks a server whose connection has ended.
-    :param list_engines: returns the engines that are in use.
+    :param list_engines: returns the engines that this router watches.
     """
 
     def __init__(
@@ -42,7 +43,7 @@
         self._tasks_by_id: dict[ServerId, curio.Task] = {}
 
     async def run(self) -> None:
-        """Keep a connection to each engine in use until cancelled."""
+        """Keep a connection to each watched engine until cancelled."""
         while True:
             engines_by_id = self._list_engines()
             for server_id in set(self._tasks_by_id) - set(engines_by_id):
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -19,6 +19,7 @@
 from hibiscustiller.layers import EngineLoad, EngineUse
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, RouterId, ServerId, log_event
+from hibiscustiller.wire import wait_at_most
 from hibiscustiller.wire._messages_generated import (
     LoadReport,
     ServerUse,
@@ -58,6 +59,7 @@
         self._clock = clock
         self._on_report = on_report
         self._socket: Any = None
+        self._is_urgent = curio.UniversalEvent()
 
     async def start(self) -> None:
         """Bind the address.
@@ -78,7 +80,7 @@
                 if peer.router_id != self._router_id
             ]
             seconds = len(peers) / _MAX_REPORTS_PER_SECOND
-            await self._clock.sleep(max(_SHORTEST_PERIOD, timedelta(seconds=seconds)))
+            await self._wait(max(_SHORTEST_PERIOD, timedelta(seconds=seconds)))
             self._load.expire_reports()
             data = self._make_report()
             for peer in peers:
@@ -92,6 +94,19 @@
                         reason=error,
                     )
 
+    def hurry(self) -> None:
+        """Send the next report at once: a server was lost."""
+        self._is_urgent.set()
+
+    async def _wait(self, period: timedelta) -> None:
+        """Wait for the next report's time."""
+        try:
+            await wait_at_most(period, self._is_urgent.wait())
+        except TimeoutError:
+            # Nothing urgent has happened.
+            return
+        self._is_urgent.clear()
+
     async def take_reports(self) -> None:
         """Take reports until cancelled."""
         while True:
--- a/hibiscustiller/utils/_logging.py
+++ b/hibiscustiller/utils/_logging.py
@@ -4,6 +4,7 @@
 import logging as std_logging
 from datetime import UTC, datetime, timedelta
 from enum import Enum
+from typing import TextIO
 
 from absl import logging
 
@@ -51,16 +52,20 @@
         return line
 
 
-def configure_logging(level: str = "info") -> None:
-    """Send logs to standard error, one key=value line an event.
+def configure_logging(level: str = "info", stream: TextIO | None = None) -> None:
+    """Send logs to a stream, one key=value line an event.
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    :param stream: standard error by default.
     """
     # absl's own handler warns about flags that were not parsed; this program has none.
-    handler = std_logging.StreamHandler()
+    handler = std_logging.StreamHandler(stream)
     handler.setFormatter(_EventFormatter())
     # Libraries log to the root logger; their lines get the same format.
     std_logging.getLogger().handlers = [handler]
+    # curio warns of each read that ends in the moment of its timeout, which is frequent
+    # and harmless with the short waits of streams.
+    std_logging.getLogger("curio").setLevel(std_logging.ERROR)
     logger = logging.get_absl_logger()
     logger.handlers = []
     logger.propagate = True
