Test the daemon beside stand-ins of the metadata store and of layered engines

A watch that fails no longer counts as a crashed task, and plain servers whose costs hardly differ are taken at random.

--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 import curio
+from result import Err, Ok, Result
 
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.exceptions import StoreUnavailableError, WireFormatError
@@ -16,6 +17,7 @@
     DOCUMENT_KEY,
     SERVER_PREFIX,
     Change,
+    Changes,
     HistoryLostError,
     MetadataStore,
     decode_fleet_document,
@@ -121,23 +123,31 @@
             self._view.drop_missing()
             await self._clock.sleep(self._get_spacing())
 
-    async def _wait(self):
+    async def _wait(self) -> Changes | None:
         """Wait for changes; None if the call was given up for a restart."""
-        task = await curio.spawn(
-            self._store.wait_changes, _ALL_KEYS, self._revision, _WATCH_WAIT
-        )
+        assert self._revision is not None
+        task = await curio.spawn(self._try_wait, self._revision)
         self._wait_task = task
         try:
-            return await task.join()
-        except curio.TaskError as error:
-            if isinstance(error.__cause__, curio.CancelledError):
-                return None
-            raise error.__cause__ from error
+            await task.wait()
         except curio.CancelledError:
             await task.cancel()
             raise
         finally:
             self._wait_task = None
+        if isinstance(task.exception, curio.CancelledError):
+            return None
+        outcome = task.result
+        if isinstance(outcome, Err):
+            raise outcome.err_value
+        return outcome.ok_value
+
+    async def _try_wait(self, revision: int) -> Result[Changes, StoreUnavailableError]:
+        # A task that ends with an exception is logged as crashed.
+        try:
+            return Ok(await self._store.wait_changes(_ALL_KEYS, revision, _WATCH_WAIT))
+        except StoreUnavailableError as error:
+            return Err(error)
 
     async def _read_all(self) -> None:
         """Read every key of interest, at or after one revision."""
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -39,6 +40,8 @@
 _FAILURE_FACTOR = 10.0
 _REMOTE_FACTOR = 1.1
 _USUAL_LATENCY_S = 0.02
+# Servers whose costs differ by less are taken at random.
+_COST_STEP = 1.08
 # The health of a server that is not used is forgotten with this half-life.
 _FORGET_HALF_LIFE_S = 4.0
 _RETRY_AFTER = timedelta(milliseconds=200)
@@ -99,7 +102,7 @@
         record.failure_rate += (failed - record.failure_rate) * _FAILURE_WEIGHT
         record.at = self._clock.monotonic()
 
-    def _weigh(self, server: BackendServer) -> tuple[float, float]:
+    def _weigh(self, server: BackendServer) -> tuple[int, float]:
         record = self._records.get(server.id, _Record())
         age = (self._clock.monotonic() - record.at).total_seconds()
         memory = 0.5 ** (age / _FORGET_HALF_LIFE_S)
@@ -109,7 +112,8 @@
         cost *= 1 + _FAILURE_FACTOR * record.failure_rate * memory
         if server.domain != self._domain:
             cost *= _REMOTE_FACTOR
-        return cost, self._random_state.random()
+        step = int(math.log(cost) / math.log(_COST_STEP))
+        return step, self._random_state.random()
 
 
 class PlainForwarder:
--- /dev/null
+++ b/hibiscustiller/ingress/tests/fixtures.py
@@ -0,0 +1,320 @@
+"""A gateway beside stand-ins of the store, engines and a plain service."""
+
+import random
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import curio
+import h11
+
+from hibiscustiller.fleet import HostSettings
+from hibiscustiller.ingress import Gateway
+from hibiscustiller.settings import Address
+from hibiscustiller.standins import LayeredEngineStandin, MetadataStoreStandin
+from hibiscustiller.utils import Metrics, SystemClock
+from hibiscustiller.wire import HttpLimits, HttpServer
+
+LAYERS = 8
+KEY = "key-of-greens"
+HOST = "router.example"
+
+
+def find_free_port():
+    """Return a UDP port that is free now."""
+    sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_DGRAM)
+    sock._socket.bind(("127.0.0.1", 0))
+    port = sock._socket.getsockname()[1]
+    sock._socket.close()
+    return port
+
+
+def make_settings(store, name="router-1", grace_s=3.0):
+    """Make a host's settings beside a store."""
+    port = find_free_port()
+    return HostSettings(
+        router_id=name,
+        domain="north",
+        region="region",
+        ip="127.0.0.1",
+        front=Address("127.0.0.1", 0),
+        readiness=Address("127.0.0.1", 0),
+        inner_ports=(port, port + 1),
+        store=store,
+        memory_mb=300,
+        drain=timedelta(seconds=2),
+        grace=timedelta(seconds=grace_s),
+        retry_ratio=0.2,
+        retry_window=timedelta(seconds=10),
+        retry_slack=20.0,
+        heartbeat=timedelta(seconds=1.2),
+        stall=timedelta(seconds=2),
+        needs_fencing=True,
+        min_lease=timedelta(seconds=1),
+        max_value_bytes=1 << 20,
+    )
+
+
+def make_document(version=1):
+    """Return a configuration as an operator writes it."""
+    engine = {
+        "slots": 8,
+        "token_kv_bytes": 80000,
+        "stride": 1,
+        "models": [{"name": "m", "pace": 1.0, "load_s": 0.1}],
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.01,
+        "delays": [{"from": "north", "target": "east", "delay_ms": 0.5}],
+        "usual": {"prompt": 100, "answer": 20},
+        "layers": LAYERS,
+        "layer_mb": 100.0,
+        "activation_bytes": 1000,
+        "pipe_mbps": 1000.0,
+        "kinds": [
+            {"name": "large", "size_mb": 900.0, "pace": 1.0, "read_factor": 1.0},
+            {"name": "small", "size_mb": 550.0, "pace": 1.0, "read_factor": 1.0},
+        ],
+    }
+    stream = {
+        "host": HOST,
+        "kind": "streaming",
+        "timeout_ms": 10000,
+        "target_latency_ms": 500,
+        "service": "engines",
+        "max_attempts": 2,
+        "target_gap_ms": 250,
+    }
+    plain = {
+        "host": HOST,
+        "timeout_ms": 600,
+        "target_latency_ms": 200,
+        "service": "orders",
+    }
+    return {
+        "version": version,
+        "routes": [
+            {**stream, "name": "chat", "prefix": "/chat/", "resumable": True},
+            {**stream, "name": "once", "prefix": "/once/", "resumable": False},
+            {
+                **plain,
+                "name": "book",
+                "prefix": "/book/",
+                "kind": "non_idempotent",
+                "max_attempts": 1,
+            },
+            {
+                **plain,
+                "name": "stock",
+                "prefix": "/stock/",
+                "kind": "idempotent",
+                "max_attempts": 2,
+            },
+            {
+                **plain,
+                "name": "open",
+                "prefix": "/stock/open/",
+                "kind": "idempotent",
+                "max_attempts": 2,
+                "public": True,
+            },
+        ],
+        "services": [
+            {"name": "engines", "max_connections": 50, "engine": engine},
+            {"name": "orders", "max_connections": 50},
+        ],
+        "tenants": [{"name": "greens", "api_keys": [KEY]}],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 2000,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 2000,
+        },
+    }
+
+
+class PlainStandin:
+    """A server of the plain service.
+
+    :param behave: one of ``answer``, ``fail``, ``full``, ``reset``, ``other``,
+        ``short``, ``unsealed``.
+    """
+
+    def __init__(self, server_id, store, behave="answer"):
+        self.id = server_id
+        self._store = store
+        self.behave = behave
+        self.requests = []
+        self.server = HttpServer(
+            Address("127.0.0.1", 0), self._handle, HttpLimits(), server_id
+        )
+
+    async def start(self):
+        await self.server.start()
+        self.write_entry()
+
+    def write_entry(self, state="ready"):
+        self._store.put(
+            f"servers/{self.id}",
+            {
+                "service": "orders",
+                "address": str(self.server.address),
+                "zone": "north",
+                "slots": 6,
+                "state": state,
+                "born": 1,
+            },
+        )
+
+    async def _handle(self, request, responder):
+        if request.headers_by_name.get("expect-instance") != self.id:
+            await responder.send_json(421, {}, {"Instance-Id": self.id})
+            return
+        self.requests.append(request)
+        headers = {"Request-Id": request.headers_by_name["request-id"]}
+        sealed = {**headers, "Response-Seal": f"seal-{self.id}"}
+        if self.behave == "answer":
+            await responder.send(200, b"booked", "text/plain", sealed)
+        elif self.behave == "fail":
+            await responder.send(500, b"failed", "text/plain", sealed)
+        elif self.behave == "full":
+            await responder.send(503, b"", "text/plain", {"Not-Executed": "1"})
+        elif self.behave == "other":
+            other = {**sealed, "Request-Id": "another"}
+            await responder.send(200, b"of another", "text/plain", other)
+        elif self.behave == "short":
+            await responder.start(200, "text/plain", sealed)
+            await responder.send_part(b"boo")
+        elif self.behave == "unsealed":
+            await responder.send(200, b"booked", "text/plain", headers)
+
+
+@dataclass
+class Answer:
+    """What a caller got.
+
+    :param is_complete: whether the answer ended as the protocol has it.
+    """
+
+    status: int = 0
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+    is_complete: bool = False
+
+
+class World:
+    """A store, engines, plain servers and one gateway.
+
+    :param engine_ids: ids of the engines.
+    :param zones: domain of each engine.
+    :param kind: the engines' kind; a small one cannot hold the whole model.
+    """
+
+    def __init__(self, engine_ids=("e0", "e1"), zones=("north", "east"), kind="large"):
+        self.clock = SystemClock()
+        self.store = MetadataStoreStandin(self.clock)
+        self.engines_by_address = {}
+        self.engines = [
+            LayeredEngineStandin(
+                server_id, self.store, self.engines_by_address, zone=zone, kind=kind
+            )
+            for server_id, zone in zip(engine_ids, zones, strict=True)
+        ]
+        self.plain = [PlainStandin(f"p{number}", self.store) for number in range(2)]
+        self.gateway = None
+        self.request_count = 0
+
+    async def __aenter__(self):
+        await self.store.start()
+        for server in [*self.engines, *self.plain]:
+            await server.start()
+        self.store.put("op/config", make_document())
+        await self.start_gateway()
+        return self
+
+    async def start_gateway(self):
+        settings = make_settings(self.store.address)
+        self.gateway = Gateway(settings, self.clock, random.Random(1), Metrics())
+        await self.gateway.start()
+        await self.wait_until(lambda: self.gateway.is_ready)
+
+    async def __aexit__(self, *args):
+        for task in self.gateway._tasks:
+            await task.cancel()
+        await self.gateway._front.close()
+        await self.gateway._readiness.close()
+        for server in [*self.engines, *self.plain]:
+            await server.server.close()
+        await self.store.stop()
+
+    def hold_all_layers(self, *engines):
+        """Let engines hold the whole model, as after an order."""
+        for engine in engines:
+            engine.layers = (0, LAYERS)
+            engine.write_entry()
+
+    async def wait_until(self, condition, timeout_s=5.0):
+        async with curio.timeout_after(timeout_s):
+            while not condition():
+                await curio.sleep(0.005)
+
+    async def wait_for_pipelines(self, count):
+        def has_pipelines():
+            forwarder = self.gateway._forwarders.get("engines")
+            return forwarder and len(forwarder.choice.pipelines) == count
+
+        await self.wait_until(has_pipelines)
+
+    async def connect(self):
+        address = self.gateway._front.address
+        return await curio.open_connection(address.host, address.port)
+
+    async def request(self, path, **options):
+        """Send a request on a connection of its own and read the answer."""
+        sock = await self.connect()
+        async with sock:
+            return await self.exchange(sock, path, **options)
+
+    async def exchange(
+        self, sock, path, method="POST", key=KEY, body=b"{}", headers=(), on_data=None
+    ):
+        """Send a request on a connection and read the answer."""
+        self.request_count += 1
+        state = h11.Connection(h11.CLIENT)
+        fields = [
+            ("host", HOST),
+            ("request-id", f"request-{self.request_count}"),
+            ("deadline-ms", "5000"),
+            ("token-usage", "100,20"),
+            ("content-length", str(len(body))),
+            *headers,
+        ]
+        if key is not None:
+            fields.append(("authorization", f"Token {key}"))
+        data = state.send(h11.Request(method=method, target=path, headers=fields))
+        data += state.send(h11.Data(data=body)) + state.send(h11.EndOfMessage())
+        await sock.sendall(data)
+        answer = Answer()
+        async with curio.timeout_after(8):
+            while not answer.is_complete:
+                event = state.next_event()
+                if event is h11.NEED_DATA:
+                    data = await sock.recv(65536)
+                    try:
+                        state.receive_data(data)
+                        event = state.next_event() if not data else None
+                    except h11.RemoteProtocolError:
+                        return answer
+                if isinstance(event, h11.Response):
+                    answer.status = event.status_code
+                    answer.headers = {
+                        name.decode(): value.decode() for name, value in event.headers
+                    }
+                elif isinstance(event, h11.Data):
+                    answer.body += event.data
+                    if on_data is not None:
+                        await on_data(answer)
+                elif isinstance(event, h11.EndOfMessage):
+                    answer.is_complete = True
+                elif isinstance(event, h11.ConnectionClosed):
+                    return answer
+        return answer
--- /dev/null
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -0,0 +1,282 @@
+"""A gateway from the caller's side, with faults of engines, servers and the store."""
+
+import sys
+
+import curio
+
+from hibiscustiller.ingress.tests.fixtures import (
+    HOST,
+    KEY,
+    LAYERS,
+    World,
+    make_document,
+)
+from hibiscustiller.standins import make_event
+from hibiscustiller.utils._testing import collect_tests
+
+WHOLE_STREAM = b"".join(make_event(number) for number in range(20))
+
+
+async def test_stream_passes_byte_for_byte_through_placed_engines():
+    """Guards against a path on which some part does not fit the others."""
+    async with World(("e0", "e1"), ("north", "north"), "small") as world:
+        await world.wait_for_pipelines(1)
+        answer = await world.request("/chat/1")
+        assert answer.status == 200
+        assert answer.is_complete
+        assert answer.body == WHOLE_STREAM
+        assert answer.headers["response-seal"].startswith("seal-e")
+        (path,) = [path for engine in world.engines for path in engine.paths]
+        assert [path[0][1], path[-1][2]] == [0, LAYERS]
+
+
+async def test_server_gets_the_organisation_and_not_the_key():
+    """Guards against a key that leaks, and against headers that a caller forges."""
+    async with World() as world:
+        forged = [("Tenant", "other"), ("Expect-Instance", "x"), ("X-Trace", "7")]
+        answer = await world.request("/book/1?a=%2F", headers=forged)
+        assert answer.status == 200
+        (request,) = [r for server in world.plain for r in server.requests]
+        assert request.headers_by_name["tenant"] == "greens"
+        assert request.headers_by_name["x-trace"] == "7"
+        assert "authorization" not in request.headers_by_name
+        assert request.target == b"/book/1?a=%2F"
+        assert 0 < int(request.headers_by_name["deadline-ms"]) <= 5000
+
+
+async def test_unknown_routes_and_keys_are_told_apart():
+    """Guards against a wrong status, which callers do not repeat."""
+    async with World() as world:
+        assert (await world.request("/nothing/")).status == 404
+        assert (await world.request("/book/1", key="wrong")).status == 401
+        assert (await world.request("/book/1", key=None)).status == 401
+        assert (await world.request("/stock/open/1", key=None)).status == 200
+
+
+async def test_no_configuration_is_no_reason_for_404():
+    """Guards against a router that denies what it does not know yet."""
+    world = World()
+    await world.store.start()
+    for server in [*world.engines, *world.plain]:
+        await server.start()
+    world.store.put("op/other", b"")
+    try:
+        task = await curio.spawn(world.start_gateway)
+        await curio.sleep(0.2)
+        answer = await world.request("/book/1")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert not world.gateway.is_ready
+        world.store.put("op/config", make_document())
+        await task.join()
+        assert (await world.request("/book/1")).status == 200
+    finally:
+        await world.__aexit__()
+
+
+async def test_new_configuration_is_in_force_within_its_time():
+    """Guards against a dropped key or route that goes on working."""
+    async with World() as world:
+        document = make_document(version=2)
+        document["tenants"][0]["api_keys"] = ["new-key"]
+        document["routes"] = document["routes"][:3]
+        world.store.put("op/config", document)
+        view = world.gateway.view
+        await world.wait_until(lambda: view.document.version == 2, timeout_s=2.0)
+        assert (await world.request("/book/1")).status == 401
+        assert (await world.request("/book/1", key="new-key")).status == 200
+        assert (await world.request("/stock/1", key="new-key")).status == 404
+
+
+async def test_lost_history_is_read_again():
+    """Guards against a watch that waits for changes that are gone."""
+    async with World() as world:
+        await world.gateway._watcher.restart()
+        world.store.put("op/config", make_document(version=5))
+        world.store.forget_history()
+        view = world.gateway.view
+        await world.wait_until(lambda: view.document.version == 5, timeout_s=2.0)
+
+
+async def test_stream_goes_on_at_another_pipeline_when_a_stage_dies():
+    """Guards against a lost or doubled event, and against the engine's long stall."""
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+
+        async def kill_first(answer):
+            if b"id: 5\n" in answer.body:
+                used = [engine for engine in world.engines if engine.paths][:1]
+                if used[0].is_alive:
+                    await used[0].die()
+
+        answer = await world.request("/chat/1", on_data=kill_first)
+        assert answer.is_complete
+        assert answer.body == WHOLE_STREAM
+        assert all(engine.paths for engine in world.engines)
+
+
+async def test_half_an_event_is_cut_and_sent_whole():
+    """Guards against pieces of two runs that are joined within an event."""
+    async with World(("e0",), ("north",)) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(1)
+        world.engines[0].faults.breaks_after = 7
+        answer = await world.request("/chat/1")
+        assert answer.body == WHOLE_STREAM
+        assert world.engines[0].requests[1].headers_by_name["last-event-id"] == "6"
+
+
+async def test_stream_that_may_not_be_resumed_is_never_sent_again():
+    """Guards against a second run of a request that may run once."""
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        for engine in world.engines:
+            engine.faults.breaks_after = 3
+        answer = await world.request("/once/1")
+        assert not answer.is_complete
+        assert answer.body == b"".join(make_event(number) for number in range(3))
+        assert sum(len(engine.requests) for engine in world.engines) == 1
+
+
+async def test_refused_stream_is_sent_to_another_engine():
+    """Guards against a refusal while another engine has room."""
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        world.engines[0].faults.is_full = True
+        answer = await world.request("/once/1")
+        assert answer.body == WHOLE_STREAM
+
+
+async def test_stream_of_another_request_does_not_reach_the_caller():
+    """Guards against an answer at the wrong caller."""
+    async with World(("e0",), ("north",)) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(1)
+        world.engines[0].faults.is_of_other_request = True
+        answer = await world.request("/once/1")
+        assert answer.status == 502
+        assert b"piece" not in answer.body
+
+
+async def test_no_pipeline_is_refused_at_once():
+    """Guards against callers that wait for engines that are not there."""
+    async with World((), ()) as world:
+        answer = await world.request("/chat/1")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+
+
+async def test_repeatable_request_passes_at_another_server():
+    """Guards against a failure that another server does not have."""
+    for behaviour in ("fail", "full", "other", "short", "unsealed"):
+        async with World() as world:
+            world.plain[0].behave = behaviour
+            for _ in range(4):
+                answer = await world.request("/stock/1", method="GET", body=b"")
+                assert answer.status == 200, behaviour
+                assert answer.body == b"booked"
+
+
+async def test_booking_is_sent_once_whatever_the_server_answers():
+    """Guards against a second booking, and against a false promise."""
+    expected = {"fail": 500, "other": 502, "short": 502, "unsealed": 502, "full": 503}
+    for behaviour, status in expected.items():
+        async with World() as world:
+            for server in world.plain:
+                server.behave = behaviour
+            answer = await world.request("/book/1")
+            assert answer.status == status, behaviour
+            assert sum(len(server.requests) for server in world.plain) == 1
+            assert ("retry-after" in answer.headers) == (status == 503)
+
+
+async def test_booking_passes_where_a_server_cannot_be_reached():
+    """Guards against a refusal when nothing was sent to the dead server."""
+    async with World() as world:
+        await world.plain[0].server.close()
+        for _ in range(4):
+            assert (await world.request("/book/1")).status == 200
+
+
+async def test_draining_server_gets_no_new_requests():
+    """Guards against work that is cut when the server leaves."""
+    async with World() as world:
+        world.plain[0].write_entry("draining")
+        view = world.gateway.view
+        await world.wait_until(lambda: len(view.list_servers("orders")) == 1)
+        for _ in range(6):
+            assert (await world.request("/book/1")).status == 200
+        assert world.plain[0].requests == []
+
+
+async def test_store_outage_leaves_the_last_configuration_in_force():
+    """Guards against a router that stops serving with the store."""
+    async with World() as world:
+        world.store.faults.is_down = True
+        await world.gateway._watcher.restart()
+        await curio.sleep(0.3)
+        assert (await world.request("/book/1")).status == 200
+        assert world.gateway.is_ready
+
+
+async def test_entries_that_expired_with_the_store_get_time_to_return():
+    """Guards against servers taken for lost while their entries are written again."""
+    async with World() as world:
+        world.store.faults.is_down = True
+        await world.gateway._watcher.restart()
+        await world.wait_until(lambda: world.gateway._watcher.is_cut_off)
+        for server in world.plain:
+            world.store.delete(f"servers/{server.id}")
+        world.store.faults.is_down = False
+        await world.wait_until(lambda: not world.gateway._watcher.is_cut_off)
+        assert (await world.request("/book/1")).status == 200
+
+
+async def test_bad_requests_get_a_clear_error_and_harm_nothing_else():
+    """Guards against smuggled, oversized, slow and malformed requests."""
+    head = f"POST /book/1 HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+    cases = {
+        head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 400,
+        head + "Content-Length: 99999\r\n\r\n": 413,
+        head + "X-Large: " + "x" * 5000 + "\r\n\r\n": 431,
+        "NONSENSE\r\n\r\n": 400,
+        head + "Content-Length: 5\r\n\r\nab": 408,
+    }
+    async with World() as world:
+        # The limits of the configuration are in force once it has been used.
+        assert (await world.request("/book/1")).status == 200
+        for data, status in cases.items():
+            sock = await world.connect()
+            async with sock:
+                await sock.sendall(data.encode())
+                async with curio.timeout_after(4):
+                    answer = await sock.recv(1000)
+            assert answer.startswith(b"HTTP/1.1 %d" % status), (data[:60], answer)
+        assert (await world.request("/book/1")).status == 200
+        assert sum(len(server.requests) for server in world.plain) == 2
+
+
+async def test_stop_answers_what_is_there():
+    """Guards against requests cut by a planned stop, and against staying ready."""
+    async with World(("e0",), ("north",)) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(1)
+        request = await curio.spawn(world.request, "/chat/1")
+        await curio.sleep(0.05)
+        stop = await curio.spawn(world.gateway.stop)
+        await curio.sleep(0.01)
+        assert not world.gateway.is_ready
+        # The balancer sends new connections until it has noticed.
+        assert (await world.request("/book/1")).status == 200
+        answer = await request.join()
+        assert answer.body == WHOLE_STREAM
+        assert answer.is_complete
+        await stop.join()
+        assert not [key for key in world.store.items if key.startswith("routers/")]
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
--- /dev/null
+++ b/hibiscustiller/layers/tests/test_admission.py
@@ -0,0 +1,258 @@
+"""Admission under the loads that a day brings; none of it needs a network.
+
+Requests arrive at fixed times and hold their place for a fixed time, so a run is the
+same each time.
+"""
+
+import random
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import curio
+from result import Ok
+
+from hibiscustiller.layers import (
+    Admission,
+    Demand,
+    EngineLoad,
+    EngineUse,
+    PipelineChoice,
+    find_pipelines,
+)
+from hibiscustiller.layers._queue import FairQueue
+from hibiscustiller.layers.tests.fixtures import (
+    MS,
+    SPEC,
+    LayerRange,
+    make_engine,
+)
+from hibiscustiller.utils import ManualClock, SystemClock
+from hibiscustiller.utils._testing import collect_tests
+
+SECOND = timedelta(seconds=1)
+# Three engines of 27 layers leave room for some 55 requests of the usual size.
+ENGINES = [
+    make_engine("a", "large", "north", LayerRange(0, 27)),
+    make_engine("b", "large", "north", LayerRange(27, 54)),
+    make_engine("c", "large", "north", LayerRange(54, 80)),
+]
+
+
+@dataclass
+class Bench:
+    """An admission over one pipeline."""
+
+    clock: object = field(default_factory=SystemClock)
+
+    def __post_init__(self):
+        self.load = EngineLoad(self.clock)
+        self.choice = PipelineChoice("north", self.load, self.clock)
+        self.choice.replace(SPEC, find_pipelines(SPEC, ENGINES))
+        self.admission = Admission(self.choice, self.load, self.clock, random.Random(1))
+
+    async def fill(self):
+        """Admit requests until there is no place."""
+        grants = []
+        while True:
+            pipeline = self.choice.choose(SPEC.usual_tokens, None)
+            if pipeline is None:
+                return grants
+            admitted = await self.admission.admit(make_demand(9, "filler"))
+            grants.append(admitted.ok_value)
+
+
+def make_demand(priority, organisation="one", tokens=SPEC.usual_tokens, target=500):
+    return Demand(priority, organisation, tokens, target * MS, None, 20 * SECOND)
+
+
+async def test_free_places_are_given_at_once():
+    """Guards against a queue in front of idle engines."""
+    bench = Bench()
+    admitted = await bench.admission.admit(make_demand(2))
+    assert isinstance(admitted, Ok)
+    assert bench.load.get("a").entered == 1
+    await bench.admission.release(admitted.ok_value)
+    assert bench.load.list_own() == {}
+
+
+async def test_request_memory_bounds_what_is_admitted():
+    """Guards against engines that preempt streams for want of memory."""
+    bench = Bench()
+    grants = await bench.fill()
+    tokens = sum(grant.tokens for grant in grants)
+    capacity = bench.load.find_room(SPEC, grants[0].pipeline) + tokens
+    assert capacity * 0.9 < tokens <= capacity
+
+
+async def test_use_by_other_routers_counts():
+    """Guards against routers that each fill the same engine."""
+    bench = Bench()
+    alone = len(await bench.fill())
+    bench = Bench()
+    use = EngineUse(27 * 30 * SPEC.usual_tokens, 30)
+    bench.load.take_report("other", {"b": use})
+    assert len(await bench.fill()) <= alone - 29
+
+
+async def test_what_would_wait_too_long_is_refused_at_once():
+    """Guards against callers held until their deadline behind a long queue."""
+    bench = Bench()
+    await bench.fill()
+    first = await curio.spawn(bench.admission.admit, make_demand(0))
+    await curio.sleep(0.01)
+    started = bench.clock.monotonic()
+    refused = (await bench.admission.admit(make_demand(0))).err_value
+    assert bench.clock.monotonic() - started < 50 * MS
+    assert refused.retry_after >= SECOND
+    await first.cancel()
+    assert bench.admission.waiting_count == 0
+
+
+async def test_refused_callers_are_told_different_times():
+    """Guards against a second flood when all refused callers return together."""
+    bench = Bench()
+    bench.choice.replace(SPEC, ())
+    times = set()
+    for _ in range(20):
+        refused = (await bench.admission.admit(make_demand(1))).err_value
+        times.add(refused.retry_after)
+    assert max(times) - min(times) > 2 * SECOND
+
+
+async def test_retry_time_fits_in_the_callers_wait():
+    """Guards against a Retry-After that the caller does not honour."""
+    bench = Bench()
+    bench.choice.replace(SPEC, ())
+    demand = Demand(1, "one", 100, 500 * MS, None, 3 * SECOND)
+    refused = (await bench.admission.admit(demand)).err_value
+    assert refused.retry_after <= SECOND
+
+
+async def test_a_released_place_goes_to_the_waiting_request():
+    """Guards against a free place beside a request that waits."""
+    bench = Bench()
+    grants = await bench.fill()
+    waiting = await curio.spawn(bench.admission.admit, make_demand(0))
+    await curio.sleep(0.01)
+    await bench.admission.release(grants[0])
+    assert isinstance(await waiting.join(), Ok)
+
+
+async def test_a_caller_that_leaves_gives_up_its_turn():
+    """Guards against places given to callers that are gone."""
+    bench = Bench()
+    grants = await bench.fill()
+    waiting = await curio.spawn(bench.admission.admit, make_demand(0))
+    await curio.sleep(0.01)
+    await waiting.cancel()
+    before = bench.load.get("a").entered
+    await bench.admission.release(grants[0])
+    assert bench.load.get("a").entered == before - 1
+
+
+async def test_the_largest_request_is_served_by_an_idle_pipeline():
+    """Guards against a request that no load would ever let in."""
+    bench = Bench()
+    huge = make_demand(0, tokens=10 * bench.load.find_room(SPEC, _pipeline(bench)))
+    assert isinstance(await bench.admission.admit(huge), Ok)
+
+
+async def test_a_stream_that_lost_its_pipeline_finds_a_place_in_a_full_one():
+    """Guards against a stream that ends although an engine could go on with it."""
+    bench = Bench()
+    await bench.fill()
+    assert bench.admission.replace(make_demand(0), set()) is not None
+    assert bench.admission.replace(make_demand(0), {"b"}) is None
+
+
+def _pipeline(bench):
+    return bench.choice.pipelines[0]
+
+
+def serve_backlog(arrivals, count):
+    """Push a backlog of (priority, organisation, tokens) and pop some of it."""
+    queue = FairQueue()
+    for number, (priority, organisation, tokens) in enumerate(arrivals):
+        item = (priority, organisation, number)
+        queue.push(priority, organisation, tokens, item)
+    return [queue.pop() for _ in range(count)]
+
+
+def test_burst_of_the_least_urgent_class_leaves_the_urgent_first():
+    """Guards against urgent requests behind a flood of overnight work."""
+    backlog = [(2, "night", 900)] * 200 + [(0, "shop", 900)] * 40
+    served = Counter(item[0] for item in serve_backlog(backlog, 40))
+    assert served[0] >= 36
+
+
+def test_burst_of_the_most_urgent_class_leaves_the_rest_a_share():
+    """Guards against a class that is not served at all during a flood."""
+    backlog = [(0, "shop", 900)] * 300 + [(1, "desk", 900)] * 50
+    backlog += [(2, "night", 900)] * 50
+    served = Counter(item[0] for item in serve_backlog(backlog, 100))
+    assert served[0] > 70
+    assert served[1] >= 15
+    assert served[2] >= 3
+
+
+def test_one_organisations_flood_does_not_hold_up_the_others():
+    """Guards against a large caller that takes the turns of small ones."""
+    backlog = [(1, "large", 900)] * 200 + [(1, "small", 900)] * 10
+    served = Counter(item[1] for item in serve_backlog(backlog, 21))
+    assert served["small"] == 10
+
+
+def test_small_requests_do_not_pass_a_large_one_for_ever():
+    """Guards against a size that is never served under load."""
+    backlog = [(0, "shop", 3000)] + [(0, "shop", 100)] * 50
+    assert serve_backlog(backlog, 1)[0][2] == 0
+
+
+def test_a_class_without_backlog_does_not_save_up_its_share():
+    """Guards against a flood that is served alone because its class was idle."""
+    queue = FairQueue()
+    for number in range(100):
+        queue.push(0, "shop", 900, ("shop", number))
+        queue.pop()
+    for number in range(50):
+        queue.push(0, "shop", 900, ("shop", number))
+        queue.push(2, "night", 900, ("night", number))
+    served = Counter(queue.pop()[0] for _ in range(40))
+    assert served["shop"] > 30
+
+
+def test_observed_pauses_move_requests_to_the_faster_pipeline():
+    """Guards against requests sent to a pipeline with a slow engine."""
+    clock = ManualClock()
+    load = EngineLoad(clock)
+    choice = PipelineChoice("north", load, clock)
+    engines = [
+        make_engine("n", "large", "north", LayerRange(0, 80)),
+        make_engine("e", "large", "east", LayerRange(0, 80)),
+    ]
+    # Memory is beside the point here.
+    choice.replace(SPEC, find_pipelines(SPEC, engines))
+    near = choice.choose(1, None, must_have_room=False)
+    assert near.server_ids == ("n",)
+    for _ in range(10):
+        choice.note_gap(near, 400 * MS)
+    assert choice.choose(1, None, must_have_room=False).server_ids == ("e",)
+    clock.advance(5 * SECOND)
+    assert choice.choose(1, None, must_have_room=False).server_ids == ("n",)
+
+
+def test_silent_router_is_forgotten():
+    """Guards against places held for ever by a router that died."""
+    clock = ManualClock()
+    load = EngineLoad(clock)
+    load.take_report("dead", {"a": EngineUse(1000.0, 5)})
+    assert load.get("a").entered == 5
+    clock.advance(4 * SECOND)
+    load.expire_reports()
+    assert load.get("a").entered == 0
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
--- /dev/null
+++ b/hibiscustiller/layers/tests/test_placement.py
@@ -0,0 +1,136 @@
+"""Placement of layers on a day without faults, and after losses."""
+
+import sys
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hibiscustiller.layers import find_pipelines, plan_covers, plan_layers
+from hibiscustiller.layers._capacity import count_tokens, find_width
+from hibiscustiller.layers._placement import find_gaps
+from hibiscustiller.layers.tests.fixtures import (
+    KINDS,
+    SPEC,
+    LayerRange,
+    apply_changes,
+    get_held,
+    make_domain,
+    make_fleet,
+)
+from hibiscustiller.utils._testing import collect_tests
+
+
+def place(servers):
+    return apply_changes(servers, plan_layers(SPEC, servers, get_held(servers)))
+
+
+def test_empty_fleet_gets_a_cover_in_each_domain():
+    """Guards against pipelines over the shared link where a domain has the memory."""
+    servers = place(make_fleet())
+    pipelines = find_pipelines(SPEC, servers)
+    domains = [{stage.server.domain for stage in p.stages} for p in pipelines]
+    assert sorted(domains, key=str) == [{"east"}, {"north"}, {"south"}]
+
+
+def test_no_engine_holds_more_than_its_memory():
+    """Guards against an order that crashes the engine, and against no room beside."""
+    for server in place(make_fleet()):
+        kind = KINDS[server.kind]
+        assert server.layers.width * SPEC.layer_mb < kind.memory_mb
+        if server.layers.width:
+            tokens = count_tokens(SPEC, kind, server.layers.width)
+            assert tokens > 8 * SPEC.usual_tokens
+
+
+def test_a_placed_fleet_is_left_alone():
+    """Guards against loads without a reason."""
+    servers = place(make_fleet())
+    assert plan_layers(SPEC, servers, get_held(servers), may_improve=True) == {}
+
+
+def test_lost_engine_is_replaced_by_one_order():
+    """Guards against moving the layers of engines that serve."""
+    servers = place(make_fleet())
+    lost = next(s for s in servers if s.domain == "north" and s.kind == "medium")
+    left = [server for server in servers if server is not lost]
+    changes = plan_layers(SPEC, left, get_held(left))
+    assert list(changes.values()) == [lost.layers]
+    (server_id,) = changes
+    assert next(s for s in left if s.id == server_id).domain == "north"
+
+
+def test_smallest_fitting_spare_is_taken():
+    """Guards against a large engine that fills a small gap and is then missing."""
+    servers = place(make_domain("north", 1, 10, 4))
+    servers += make_domain("north", 0, 11, 0)[-1:] + make_domain("north", 2, 0, 0)[-1:]
+    lost = next(s for s in servers if s.kind == "medium" and s.layers.width)
+    left = [server for server in servers if server is not lost]
+    changes = plan_layers(SPEC, left, get_held(left))
+    kinds = [s.kind for s in left if s.id in changes]
+    assert kinds == ["medium"]
+
+
+def test_loss_of_the_largest_engine_plans_the_domain_anew():
+    """Guards against a repair that leaves a fifth of the room for requests."""
+    servers = place(make_fleet())
+    lost = next(s for s in servers if s.domain == "north" and s.kind == "large")
+    left = [server for server in servers if server is not lost]
+    after = apply_changes(left, plan_layers(SPEC, left, get_held(left)))
+    north = [server for server in after if server.domain == "north"]
+    best = plan_covers(SPEC, north)[0].tokens
+    room = min(
+        count_tokens(SPEC, KINDS[s.kind], s.layers.width)
+        for s in north
+        if s.layers.width
+    )
+    assert room >= 0.6 * best
+    assert not find_gaps(SPEC.layers, [s.layers for s in north], 1)
+
+
+def test_returned_engine_improves_a_weak_domain():
+    """Guards against a large engine that stays empty beside an overloaded cover."""
+    servers = place(make_domain("north", 0, 10, 4))
+    servers += make_domain("north", 1, 0, 0)
+    assert plan_layers(SPEC, servers, get_held(servers)) == {}
+    changes = plan_layers(SPEC, servers, get_held(servers), may_improve=True)
+    assert any(server_id.startswith("north-large") for server_id in changes)
+
+
+def test_domains_without_the_memory_share_a_cover():
+    """Guards against engines that stay idle in small domains."""
+    servers = place([*make_domain("north", 1, 2, 0), *make_domain("east", 1, 2, 0)])
+    (pipeline,) = find_pipelines(SPEC, servers)
+    assert {stage.server.domain for stage in pipeline.stages} == {"north", "east"}
+
+
+def test_engines_without_the_memory_for_a_model_get_nothing():
+    """Guards against half a cover that only costs its loads."""
+    assert plan_layers(SPEC, make_domain("north", 1, 0, 0), {}) == {}
+
+
+def test_gaps_count_missing_copies():
+    """Guards against a second cover that is taken for whole."""
+    ranges = [LayerRange(0, 80), LayerRange(0, 30), LayerRange(40, 80)]
+    assert find_gaps(80, ranges, 1) == []
+    assert find_gaps(80, ranges, 2) == [LayerRange(30, 40)]
+
+
+@settings(derandomize=True, deadline=None, max_examples=40)
+@given(
+    st.tuples(st.integers(0, 3), st.integers(0, 12), st.integers(0, 8)),
+    st.sets(st.integers(0, 22), max_size=4),
+)
+def test_any_fleet_that_can_hold_the_model_serves_after_losses(counts, lost):
+    """Guards against plans with gaps, whatever the engines and the losses."""
+    servers = place(make_domain("north", *counts))
+    left = [server for number, server in enumerate(servers) if number not in lost]
+    can_serve = bool(plan_covers(SPEC, left))
+    after = place(left)
+    assert bool(find_pipelines(SPEC, after)) >= can_serve
+    for server in after:
+        width = find_width(SPEC, KINDS[server.kind], 1)
+        assert server.layers.width <= width
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
--- /dev/null
+++ b/hibiscustiller/platform/tests/test_metadata_store.py
@@ -0,0 +1,147 @@
+"""The client of the metadata store against its stand-in, with faults."""
+
+import sys
+from datetime import timedelta
+
+import curio
+
+from hibiscustiller.exceptions import StoreUnavailableError
+from hibiscustiller.platform import (
+    HistoryLostError,
+    LeaseExpiredError,
+    MetadataStore,
+    ValueTooLargeError,
+)
+from hibiscustiller.standins import MetadataStoreStandin
+from hibiscustiller.utils import ManualClock, SystemClock, Verdict
+from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire import HttpClient
+
+SECOND = timedelta(seconds=1)
+
+
+class Bench:
+    async def __aenter__(self):
+        self.clock = ManualClock()
+        self.standin = MetadataStoreStandin(self.clock)
+        await self.standin.start()
+        self.client = HttpClient(SystemClock())
+        self.store = MetadataStore(self.client, self.standin.address, SECOND / 4, 1000)
+        return self
+
+    async def __aexit__(self, *args):
+        await self.client.close()
+        await self.standin.stop()
+
+
+async def test_pages_are_read_to_the_end():
+    """Guards against servers that are left out after the first page."""
+    async with Bench() as bench:
+        for number in range(120):
+            bench.standin.put(f"servers/{number:03}", b"x")
+        found = await bench.store.read_prefix("servers/")
+        assert len(found.items) == 120
+        assert found.revision == bench.standin.revision
+
+
+async def test_watch_tells_writes_and_deletions():
+    """Guards against changes that are missed or told twice."""
+    async with Bench() as bench:
+        bench.standin.put("a", b"1")
+        start = bench.standin.revision
+        bench.standin.put("a", b"2")
+        bench.standin.put("b", b"3")
+        bench.standin.delete("b")
+        changes = await bench.store.wait_changes("", start, SECOND)
+        found = [(change.key, change.value) for change in changes.items]
+        assert found == [("a", b"2"), ("b", b"3"), ("b", None)]
+        none = await bench.store.wait_changes("", changes.revision, SECOND / 50)
+        assert none.items == ()
+
+
+async def test_lost_history_is_told():
+    """Guards against a watch that goes on over a gap."""
+    async with Bench() as bench:
+        start = bench.standin.revision
+        bench.standin.put("a", b"1")
+        bench.standin.forget_history()
+        try:
+            await bench.store.wait_changes("", start, SECOND)
+        except HistoryLostError:
+            return
+        raise AssertionError("the gap was not told")
+
+
+async def test_swap_returns_what_was_found_instead():
+    """Guards against a second holder of a lease."""
+    async with Bench() as bench:
+        first = await bench.store.compare_and_swap("key", b"one", 0)
+        assert first.is_swapped
+        second = await bench.store.compare_and_swap("key", b"two", 0)
+        assert not second.is_swapped
+        assert second.current.value == b"one"
+        third = await bench.store.compare_and_swap("key", b"two", first.revision)
+        assert third.is_swapped
+
+
+async def test_expired_lease_ends_its_keys_and_refuses_writes():
+    """Guards against an entry of a router that is gone."""
+    async with Bench() as bench:
+        lease = await bench.store.grant_lease(SECOND)
+        await bench.store.compare_and_swap("key", b"one", 0, lease)
+        bench.clock.advance(SECOND / 2)
+        assert await bench.store.keep_alive(lease)
+        bench.clock.advance(2 * SECOND)
+        assert not await bench.store.keep_alive(lease)
+        assert await bench.store.get("key") is None
+        try:
+            await bench.store.compare_and_swap("key", b"one", 0, lease)
+        except LeaseExpiredError:
+            return
+        raise AssertionError("written under a lease that has ended")
+
+
+async def test_verdict_tells_whether_a_write_may_have_been_done():
+    """Guards against a write that is repeated although it was done."""
+    async with Bench() as bench:
+        for fault, verdict in (
+            ("is_down", Verdict.NOT_RUN),
+            ("drops_answers", Verdict.MAY_HAVE_RUN),
+            ("is_silent", Verdict.MAY_HAVE_RUN),
+        ):
+            setattr(bench.standin.faults, fault, True)
+            try:
+                await bench.store.compare_and_swap(f"key-{fault}", b"x", 0)
+            except StoreUnavailableError as error:
+                assert error.verdict is verdict, fault
+            else:
+                raise AssertionError(fault)
+            setattr(bench.standin.faults, fault, False)
+        assert "key-drops_answers" in bench.standin.items
+        assert "key-is_down" not in bench.standin.items
+
+
+async def test_too_large_value_is_not_sent():
+    """Guards against a call that the store can only refuse."""
+    async with Bench() as bench:
+        try:
+            await bench.store.compare_and_swap("key", b"x" * 1001, 0)
+        except ValueTooLargeError:
+            assert bench.standin.calls == 0
+            return
+        raise AssertionError("sent")
+
+
+async def test_waiting_watch_can_be_cancelled():
+    """Guards against a watch that cannot be replaced on a silent connection."""
+    async with Bench() as bench:
+        task = await curio.spawn(
+            bench.store.wait_changes, "", bench.standin.revision, 20 * SECOND
+        )
+        await curio.sleep(0.02)
+        await task.cancel()
+        assert await bench.store.get("key") is None
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/standins/__init__.py
+++ b/hibiscustiller/standins/__init__.py
@@ -10,6 +10,15 @@
     Fleet,
     start_fleet,
 )
+from hibiscustiller.standins._layered_engine import (
+    LayeredEngineFaults,
+    LayeredEngineStandin,
+    make_event,
+)
+from hibiscustiller.standins._metadata_store import (
+    MetadataFaults,
+    MetadataStoreStandin,
+)
 from hibiscustiller.standins._model import compute_answer
 from hibiscustiller.standins._platform import PlatformStandin, StoreFaults
 from hibiscustiller.standins._settings import make_standin_settings
@@ -25,9 +34,14 @@
     "EngineOptions",
     "EngineStandin",
     "Fleet",
+    "LayeredEngineFaults",
+    "LayeredEngineStandin",
+    "MetadataFaults",
+    "MetadataStoreStandin",
     "PlatformStandin",
     "StoreFaults",
     "compute_answer",
+    "make_event",
     "make_standin_settings",
     "start_fleet",
 ]
