Improve a cover step by step with engines that are not in use

Change: an unused engine takes over the layers that gain most; engines that serve keep theirs. A redundant engine may fill a gap, and new plans keep the order of engines.

--- a/hibiscustiller/layers/_placement.py
+++ b/hibiscustiller/layers/_placement.py
@@ -13,16 +13,17 @@
 
 from hibiscustiller.fleet import BackendServer, EngineSpec, LayerRange
 from hibiscustiller.layers._capacity import (
+    count_token_layers,
     count_tokens,
     estimate_token_time,
     find_width,
 )
-from hibiscustiller.layers._pipelines import Pipeline, find_pipelines
+from hibiscustiller.layers._pipelines import Pipeline, Stage, find_pipelines
 from hibiscustiller.utils import DomainId, ServerId
 
-# A new plan stops a domain for the time of its loads, so it must promise this much
-# more than what is there.
-_IMPROVEMENT = 1.4
+# An unused engine that takes over some layers must promise this much more than what is
+# there; its load is charged, and estimates are rough.
+_STEP_GAIN = 1.12
 # A cover must hold some requests of the usual size, or it is not worth its engines.
 _MIN_REQUESTS = 8
 # An unused engine replaces a lost one within the time of its load; a domain without
@@ -58,40 +59,48 @@
 
     :param servers: the usable engines.
     :param held_by_id: layers that engines hold, or are about to hold.
-    :param may_improve: whether one domain may be planned anew for speed alone.
+    :param may_improve: whether one unused engine of a domain may get layers for speed
+        alone.
     :returns: new layers by engine; engines that stay as they are are left out.
     """
     changes: dict[ServerId, LayerRange] = {}
     without_cover: list[BackendServer] = []
     improvements = []
     for _, members in sorted(_group_by_domain(servers).items()):
-        covers = plan_covers(spec, members)
+        covers = plan_covers(spec, members, held_by_id)
         if covers:
             changes |= _plan_domain(spec, members, covers, held_by_id)
-            improvements.append(_find_improvement(spec, members, covers, held_by_id))
+            if may_improve:
+                improvements.append(_find_step(spec, members, held_by_id))
         else:
             without_cover += members
     # Domains that are too small for a cover of their own share one.
-    covers = plan_covers(spec, without_cover)
+    covers = plan_covers(spec, without_cover, held_by_id)
     if covers:
         changes |= _plan_domain(spec, without_cover, covers, held_by_id)
-    if changes or not may_improve:
-        return changes
-    # One domain at a time, so that the others go on serving.
-    return next((found for found in improvements if found), {})
+    if not changes:
+        for found in improvements:
+            changes |= found
+    return changes
 
 
-def plan_covers(spec: EngineSpec, servers: Sequence[BackendServer]) -> list[Cover]:
+def plan_covers(
+    spec: EngineSpec,
+    servers: Sequence[BackendServer],
+    held_by_id: Mapping[ServerId, LayerRange] | None = None,
+) -> list[Cover]:
     """Divide engines into the covers that promise the highest rate.
 
+    :param held_by_id: layers that engines hold; engines of a kind keep their order.
     :returns: the covers; none if the engines cannot hold the model.
     """
     memory_mb = sum(spec.kinds_by_name[server.kind].memory_mb for server in servers)
     most = int(memory_mb / (spec.layers * spec.layer_mb))
+    ordered = _sort_by_pace(spec, servers, held_by_id or {})
     best: list[Cover] = []
     best_rate = 0.0
     for count in range(1, most + 1):
-        covers = _deal_covers(spec, servers, count)
+        covers = _deal_covers(spec, ordered, count)
         used = sum(len(cover.ranges_by_id) for cover in covers)
         rate = sum(cover.rate for cover in covers)
         if used == len(servers):
@@ -148,7 +157,7 @@
     gaps = find_gaps(spec.layers, held.values(), len(covers))
     if not gaps:
         return {}
-    spares = [server for server in servers if server.id not in held]
+    spares = _list_spares(spec, servers, held, len(covers))
     floor = _MIN_REPAIR_SHARE * min(cover.tokens for cover in covers)
     if held:
         repair = _fill_gaps(spec, gaps, spares, floor)
@@ -157,36 +166,106 @@
     return _list_moves(covers, held)
 
 
-def _find_improvement(
+def _list_spares(
+    spec: EngineSpec,
+    servers: Sequence[BackendServer],
+    held: Mapping[ServerId, LayerRange],
+    count: int,
+) -> list[BackendServer]:
+    """Return the engines without which no layer is missing more than it is now."""
+    left = dict(held)
+    gaps = find_gaps(spec.layers, left.values(), count)
+    spares = [server for server in servers if server.id not in held]
+    for server in reversed(_sort_by_pace(spec, servers, held)):
+        layers = left.pop(server.id, None)
+        if layers is None:
+            continue
+        if find_gaps(spec.layers, left.values(), count) == gaps:
+            spares.append(server)
+        else:
+            left[server.id] = layers
+    return spares
+
+
+def _find_step(
     spec: EngineSpec,
     servers: Sequence[BackendServer],
-    covers: Sequence[Cover],
     held_by_id: Mapping[ServerId, LayerRange],
 ) -> dict[ServerId, LayerRange]:
-    """Return a new plan for a domain that serves, if it is much better."""
+    """Find layers for an unused engine that make a pipeline faster or roomier.
+
+    The engines that serve keep their layers, so nothing stops meanwhile. A whole new
+    plan would: its loads take up to eight seconds.
+    """
     holding = [
         replace(server, layers=held_by_id[server.id])
         for server in servers
         if server.id in held_by_id
     ]
-    present = sum(
-        _measure_rate(spec, pipeline) for pipeline in find_pipelines(spec, holding)
-    )
-    if sum(cover.rate for cover in covers) < _IMPROVEMENT * present:
-        return {}
-    return _list_moves(covers, held_by_id)
+    pipelines = find_pipelines(spec, holding)
+    used = {server_id for pipeline in pipelines for server_id in pipeline.server_ids}
+    # Engines of one kind are alike here.
+    unused_by_kind = {s.kind: s for s in servers if s.id not in used}
+    best: dict[ServerId, LayerRange] = {}
+    best_gain = _STEP_GAIN
+    for pipeline in pipelines:
+        present = _measure_rate(spec, pipeline.stages)
+        for server in unused_by_kind.values():
+            for layers in _list_takeovers(spec, pipeline, server):
+                stages = _take_over(pipeline, replace(server, layers=layers))
+                gain = _measure_rate(spec, stages) / present
+                if gain > best_gain:
+                    best, best_gain = {server.id: layers}, gain
+    return best
+
+
+def _list_takeovers(
+    spec: EngineSpec, pipeline: Pipeline, server: BackendServer
+) -> list[LayerRange]:
+    """Return the ranges between stages, or half stages, that an engine can hold."""
+    cuts = {spec.layers}
+    for stage in pipeline.stages:
+        layers = stage.layers
+        cuts |= {layers.first, (layers.first + layers.end) // 2}
+    ordered = sorted(cuts)
+    kind = spec.kinds_by_name[server.kind]
+    widest = find_width(spec, kind, _MIN_REQUESTS * spec.usual_tokens)
+    return [
+        LayerRange(first, end)
+        for number, first in enumerate(ordered)
+        for end in ordered[number + 1 :]
+        if end - first <= widest
+    ]
 
 
-def _measure_rate(spec: EngineSpec, pipeline: Pipeline) -> float:
-    """Estimate the tokens a second of a pipeline when its request memory is full."""
+def _take_over(pipeline: Pipeline, server: BackendServer) -> list[Stage]:
+    """Return a pipeline's stages with an engine's layers run by that engine."""
+    taken = server.layers
+    stages = []
+    for stage in pipeline.stages:
+        before = LayerRange(stage.layers.first, min(stage.layers.end, taken.first))
+        after = LayerRange(max(stage.layers.first, taken.end), stage.layers.end)
+        if before.width > 0:
+            stages.append(Stage(stage.server, before))
+        if taken.first < stage.layers.end and stage.layers.first <= taken.first:
+            stages.append(Stage(server, taken))
+        if after.width > 0:
+            stages.append(Stage(stage.server, after))
+    return stages
+
+
+def _measure_rate(spec: EngineSpec, stages: Sequence[Stage]) -> float:
+    """Estimate the tokens a second of stages when their request memory is full."""
+    widths = [
+        (spec.kinds_by_name[stage.server.kind], stage.layers.width) for stage in stages
+    ]
+    # An engine that runs a part of what it holds has room for more tokens.
     tokens = min(
-        count_tokens(
-            spec, spec.kinds_by_name[stage.server.kind], stage.server.layers.width
-        )
-        for stage in pipeline.stages
+        count_token_layers(spec, kind, stage.server.layers.width) / width
+        for stage, (kind, width) in zip(stages, widths, strict=True)
     )
     sequences = min(float(spec.slots), tokens / spec.usual_tokens)
-    time = pipeline.estimate_token_time(spec, sequences, sequences * spec.usual_tokens)
+    time = estimate_token_time(spec, widths, sequences, sequences * spec.usual_tokens)
     return sequences / time.total_seconds()
 
 
@@ -212,7 +291,7 @@
 
     :returns: their layers; None if they cannot hold the layers with enough room.
     """
-    left = _sort_by_pace(spec, spares)
+    left = _sort_by_pace(spec, spares, {})
     changes: dict[ServerId, LayerRange] = {}
     for gap in sorted(gaps, key=lambda gap: -gap.width):
         filled = _fill_gap(spec, gap, left, min_tokens)
@@ -255,7 +334,7 @@
     spec: EngineSpec, servers: Sequence[BackendServer], count: int
 ) -> list[Cover]:
     hands: list[list[BackendServer]] = [[] for _ in range(count)]
-    for position, server in enumerate(_sort_by_pace(spec, servers)):
+    for position, server in enumerate(servers):
         # Back and forth, so that no cover gets the better of every pair.
         turn, place = divmod(position, count)
         hands[place if turn % 2 == 0 else count - 1 - place].append(server)
@@ -264,11 +343,16 @@
 
 
 def _sort_by_pace(
-    spec: EngineSpec, servers: Sequence[BackendServer]
+    spec: EngineSpec,
+    servers: Sequence[BackendServer],
+    held_by_id: Mapping[ServerId, LayerRange],
 ) -> list[BackendServer]:
-    return sorted(
-        servers, key=lambda server: (spec.kinds_by_name[server.kind].pace, server.id)
-    )
+    def rank(server: BackendServer) -> tuple[float, int, ServerId]:
+        held = held_by_id.get(server.id)
+        first = spec.layers if held is None else held.first
+        return spec.kinds_by_name[server.kind].pace, first, server.id
+
+    return sorted(servers, key=rank)
 
 
 def _choose_cover(spec: EngineSpec, servers: Sequence[BackendServer]) -> Cover | None:
--- a/hibiscustiller/layers/_placer.py
+++ b/hibiscustiller/layers/_placer.py
@@ -23,9 +23,9 @@
 _CALL_TIMEOUT = timedelta(milliseconds=800)
 # An engine that is busy, or refused an order, is asked again after this time.
 _RETRY_AFTER = timedelta(milliseconds=600)
-# A plan for speed alone needs this long a time without any other change: engines that
-# were lost often come back within four seconds.
-_CALM_TIME = timedelta(seconds=3)
+# A change for speed alone needs this long a time without any other: engines that come
+# together are placed together.
+_CALM_TIME = timedelta(seconds=1)
 # Time beyond a load's own until the order is taken to be lost.
 _ORDER_SLACK = timedelta(seconds=4)
 
--- a/hibiscustiller/layers/tests/test_placement.py
+++ b/hibiscustiller/layers/tests/test_placement.py
@@ -87,13 +87,58 @@
     assert not find_gaps(SPEC.layers, [s.layers for s in north], 1)
 
 
+def test_redundant_engine_fills_a_gap():
+    """Guards against a domain planned anew while an engine holds layers twice."""
+    servers = place(make_domain("north", 1, 10, 2))
+    lost = next(s for s in servers if s.kind == "medium" and s.layers.width)
+    spares = {s.id for s in servers if not s.layers.width}
+    held = {server.id: server.layers for server in servers if server is not lost}
+    held |= {server_id: LayerRange(0, 6) for server_id in spares}
+    left = [server for server in servers if server is not lost]
+    changes = plan_layers(SPEC, left, held)
+    assert list(changes.values()) == [lost.layers]
+    assert set(changes) <= spares
+
+
 def test_returned_engine_improves_a_weak_domain():
     """Guards against a large engine that stays empty beside an overloaded cover."""
     servers = place(make_domain("north", 0, 10, 4))
     servers += make_domain("north", 1, 0, 0)
     assert plan_layers(SPEC, servers, get_held(servers)) == {}
     changes = plan_layers(SPEC, servers, get_held(servers), may_improve=True)
-    assert any(server_id.startswith("north-large") for server_id in changes)
+    ((server_id, layers),) = changes.items()
+    assert server_id.startswith("north-large")
+    assert layers.width >= 20
+
+
+def test_improvement_takes_no_layers_from_engines_that_serve():
+    """Guards against a domain that stops for seconds for the sake of speed."""
+    servers = place(make_domain("north", 0, 10, 4))
+    servers += make_domain("north", 1, 0, 0)
+    for _ in range(6):
+        before = find_pipelines(SPEC, servers)[0]
+        changes = plan_layers(SPEC, servers, get_held(servers), may_improve=True)
+        assert not set(changes) & set(before.server_ids)
+        servers = apply_changes(servers, changes)
+    assert changes == {}
+
+
+def test_new_plan_keeps_the_order_of_engines():
+    """Guards against two equal engines that swap their layers."""
+    servers = place(make_domain("east", 2, 4, 4))
+    swapped = {s.id: s.layers for s in servers if s.layers.width}
+    large = sorted(server_id for server_id in swapped if "large" in server_id)
+    swapped[large[0]], swapped[large[1]] = swapped[large[1]], swapped[large[0]]
+    lost = next(s for s in servers if s.kind == "medium" and s.layers.width)
+    left = [s for s in servers if s is not lost and s.kind != "slow"]
+    left += make_domain("east", 0, 0, 9)
+    changes = plan_layers(
+        SPEC, left, {k: v for k, v in swapped.items() if k != lost.id}
+    )
+    held = {**swapped, **changes}
+    assert (held[large[0]].first > held[large[1]].first) == (
+        swapped[large[0]].first > swapped[large[1]].first
+    )
 
 
 def test_domains_without_the_memory_share_a_cover():
