--- a/hibiscustiller/ingress/__main__.py
+++ b/hibiscustiller/ingress/__main__.py
@@ -14,17 +14,25 @@
 import curio
 
 from hibiscustiller.exceptions import SettingsError
+from hibiscustiller.ingress._exposition import ExposedMetrics
 from hibiscustiller.ingress._gateway import Gateway
 from hibiscustiller.platform import find_host_settings, load_host_settings
-from hibiscustiller.utils import Metrics, SystemClock, configure_logging, log_event
+from hibiscustiller.utils import (
+    BoundedHandler,
+    SystemClock,
+    configure_logging,
+    log_event,
+)
 
 _EXIT_BAD_SETTINGS = 2
 
 
-async def run_gateway(path: Path) -> None:
+async def run_gateway(path: Path, inspection_port: int) -> None:
     """Run one daemon until SIGTERM; SIGHUP reads the settings again."""
     settings = load_host_settings(path)
-    gateway = Gateway(settings, SystemClock(), random.Random(), Metrics())
+    gateway = Gateway(
+        settings, SystemClock(), random.Random(), ExposedMetrics(), inspection_port
+    )
     wake = curio.UniversalEvent()
     received: set[int] = set()
 
@@ -58,12 +66,24 @@
     type=click.Path(path_type=Path),
     help="Settings file; the platform's by default.",
 )
-@click.option("--log-level", default="info", show_default=True)
-def main(path: Path | None, log_level: str) -> None:
+@click.option(
+    "--inspection-port",
+    type=click.IntRange(0, 65535),
+    default=0,
+    show_default=True,
+    help="Port of /metrics and /state; 0 for any free one.",
+)
+@click.option(
+    "--log-level",
+    type=click.Choice(["debug", "info", "warning", "error"]),
+    default="info",
+    show_default=True,
+)
+def main(path: Path | None, inspection_port: int, log_level: str) -> None:
     """Run the router on the platform until SIGTERM."""
-    configure_logging(log_level, sys.stdout)
+    configure_logging(log_level, BoundedHandler(sys.stdout))
     try:
-        curio.run(run_gateway, path or find_host_settings())
+        curio.run(run_gateway, path or find_host_settings(), inspection_port)
     except SettingsError as error:
         for problem in error.problems:
             click.echo(problem, err=True)
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -4,6 +4,7 @@
 
 import random
 from datetime import timedelta
+from typing import Any
 
 import curio
 from result import Err
@@ -12,7 +13,9 @@
 from hibiscustiller.fleet import BackendServer, HostSettings, ServiceSpec
 from hibiscustiller.ingress._budget import RepeatBudget
 from hibiscustiller.ingress._context import RequestContext, send_refusal
+from hibiscustiller.ingress._exposition import ExposedMetrics
 from hibiscustiller.ingress._health import ServerHealth
+from hibiscustiller.ingress._inspection import Inspection
 from hibiscustiller.ingress._monitor import EngineMonitor
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServers
 from hibiscustiller.ingress._routes import RouteTable, choose_service
@@ -31,7 +34,6 @@
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     Clock,
-    Metrics,
     Refusal,
     RefusalReason,
     ServerId,
@@ -82,7 +84,8 @@
     :param settings: what the platform tells of the host.
     :param clock: source of time.
     :param random_state: source of choices and jitter.
-    :param metrics: counters.
+    :param metrics: counters and histograms.
+    :param inspection_port: port of ``/metrics`` and ``/state``; 0 for any free one.
     """
 
     def __init__(
@@ -90,7 +93,8 @@
         settings: HostSettings,
         clock: Clock,
         random_state: random.Random,
-        metrics: Metrics,
+        metrics: ExposedMetrics,
+        inspection_port: int = 0,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -113,6 +117,8 @@
         self._make_store_parts()
         self._make_plain_forwarder()
         self._make_servers()
+        address = Address(settings.ip, inspection_port)
+        self.inspection = Inspection(address, metrics, self.describe, clock)
 
     def _make_store_parts(self) -> None:
         settings, clock = self._settings, self._clock
@@ -180,7 +186,9 @@
         await self._sharing.start()
         await self._readiness.start()
         await self._front.start()
+        await self.inspection.start()
         for run in (
+            self.inspection.run,
             self._watcher.run,
             self._registration.run,
             self._placer.run,
@@ -218,6 +226,7 @@
         for task in self._tasks:
             await task.cancel()
         await self._readiness.close()
+        await self.inspection.stop()
         log_event("stopped", router=self._settings.router_id)
 
     def reload(self, settings: HostSettings) -> None:
@@ -225,6 +234,35 @@
         self._settings = settings
         log_event("settings_reloaded", router=settings.router_id)
 
+    def describe(self) -> dict[str, Any]:
+        """Return what this daemon believes, as JSON values."""
+        document = self.view.document
+        return {
+            "router": self._settings.router_id,
+            "is_ready": self.is_ready,
+            "document_version": None if document is None else document.version,
+            "store_reachable": self._registration.is_reachable,
+            "watch_reachable": not self._watcher.is_cut_off,
+            "routers": sorted(self.view.peers_by_id),
+            "unreachable": self._health.list_unreachable(),
+            "waiting": {
+                name: forwarder.admission.waiting_count
+                for name, forwarder in self._forwarders.items()
+            },
+            "pipelines": {
+                name: [
+                    [f"{stage.server.id}={stage.layers}" for stage in pipeline.stages]
+                    for pipeline in forwarder.choice.pipelines
+                ]
+                for name, forwarder in self._forwarders.items()
+            },
+            "in_flight": {
+                server_id: use.entered
+                for server_id, use in self._load.list_own().items()
+                if use.entered
+            },
+        }
+
     @property
     def is_ready(self) -> bool:
         """Whether new connections are welcome."""
@@ -277,7 +315,17 @@
         service = context.service
         budget = self._get_budget(service.name)
         budget.note_request()
-        self._metrics.count(f"requests.{context.route.kind.value}")
+        kind = context.route.kind.value
+        self._metrics.count(f"requests.{kind}")
+        try:
+            await self._forward_to(context, budget, responder)
+        finally:
+            self._metrics.timing(f"request.{kind}", context.age)
+
+    async def _forward_to(
+        self, context: RequestContext, budget: RepeatBudget, responder: Responder
+    ) -> None:
+        service = context.service
         if service.engine is not None:
             await self._get_forwarder(service).forward(context, responder)
             return
@@ -309,6 +357,7 @@
         document = self.view.document
         assert document is not None
         self._table = RouteTable(document)
+        self._metrics.gauge("document.version", document.version)
         limits = document.limits
         self._front.limits = HttpLimits(
             max_connections=_MAX_CONNECTIONS,
@@ -358,6 +407,7 @@
                 stages=",".join(str(len(p.stages)) for p in pipelines),
             )
         choice.replace(service.engine, pipelines)
+        self._metrics.gauge(f"pipelines.{service.name}", len(pipelines))
 
     def _list_usable(
         self, service: ServiceSpec, servers: list[BackendServer]
--- /dev/null
+++ b/hibiscustiller/ingress/_inspection.py
@@ -0,0 +1,70 @@
+"""What a daemon tells of itself: its metrics, and what it believes."""
+
+from __future__ import annotations
+
+import resource
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from hibiscustiller.ingress._exposition import ExposedMetrics
+from hibiscustiller.settings import Address
+from hibiscustiller.utils import Clock, log_event
+from hibiscustiller.wire import HttpLimits, HttpRequest, HttpServer, Responder
+
+_LIMITS = HttpLimits(max_connections=16, max_body_bytes=1024)
+_PERIOD = timedelta(seconds=1)
+
+
+class Inspection:
+    """Serves ``/metrics`` and ``/state``.
+
+    :param address: where it listens.
+    :param describe: returns what the daemon believes, as JSON values.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        metrics: ExposedMetrics,
+        describe: Callable[[], dict[str, Any]],
+        clock: Clock,
+    ) -> None:
+        self._metrics = metrics
+        self._describe = describe
+        self._clock = clock
+        self._server = HttpServer(address, self._handle, _LIMITS, "inspection")
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Start to listen; a daemon that cannot be inspected still serves."""
+        try:
+            await self._server.start()
+        except OSError as error:
+            log_event("inspection_failed", level="error", reason=error)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    async def run(self) -> None:
+        """Measure the delay of the event loop and the memory until cancelled."""
+        while True:
+            before = self._clock.monotonic()
+            await self._clock.sleep(_PERIOD)
+            delay = self._clock.monotonic() - before - _PERIOD
+            self._metrics.timing("loop_delay", max(timedelta(0), delay))
+            usage = resource.getrusage(resource.RUSAGE_SELF)
+            self._metrics.gauge("memory.peak_kb", usage.ru_maxrss)
+
+    async def _handle(self, request: HttpRequest, responder: Responder) -> None:
+        if request.path == "/metrics":
+            await responder.send(200, self._metrics.render(), "text/plain")
+        elif request.path == "/state":
+            await responder.send_json(200, self._describe())
+        else:
+            await responder.send_json(404, {"error": "only /metrics and /state exist"})
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -199,6 +199,8 @@
             routers = self._forwarder._count_routers()
             if is_repeat and not self._forwarder._budget.try_repeat(routers):
                 break
+            if is_repeat:
+                self._forwarder._metrics.count("plain.repeated")
             self.tried.append(server.id)
             answer = await self._try_server(server)
             if answer is None:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -90,6 +90,7 @@
         """Answer a request with a stream."""
         demand = self._make_demand(context)
         admitted = await self.admission.admit(demand)
+        self.metrics.timing("wait_for_place", context.age)
         if isinstance(admitted, Err):
             await self._refuse(context, responder, admitted.err_value)
             return
@@ -174,6 +175,7 @@
             again = self._find_other()
             if again is None:
                 return self._fail("no other pipeline is left")
+            self._forwarder.metrics.count(f"streams.repeated.{outcome.value}")
             grant = again
 
     async def _run_granted(self, grant: Grant) -> _Outcome:
@@ -360,6 +362,8 @@
 
     async def _send_events(self, exchange: Exchange, events: list[Event]) -> None:
         self._may_have_run = True
+        if not self._event_count:
+            self._forwarder.metrics.timing("first_event", self._context.age)
         await self._start_answer(exchange)
         self._event_count += len(events)
         data = b"".join(event.data for event in events)
--- a/hibiscustiller/ingress/tests/fixtures.py
+++ b/hibiscustiller/ingress/tests/fixtures.py
@@ -9,9 +9,10 @@
 
 from hibiscustiller.fleet import HostSettings
 from hibiscustiller.ingress import Gateway
+from hibiscustiller.ingress._exposition import ExposedMetrics
 from hibiscustiller.settings import Address
 from hibiscustiller.standins import LayeredEngineStandin, MetadataStoreStandin
-from hibiscustiller.utils import Metrics, SystemClock
+from hibiscustiller.utils import SystemClock
 from hibiscustiller.wire import HttpLimits, HttpServer
 
 LAYERS = 8
@@ -233,7 +234,7 @@
 
     async def start_gateway(self):
         settings = make_settings(self.store.address)
-        self.gateway = Gateway(settings, self.clock, random.Random(1), Metrics())
+        self.gateway = Gateway(settings, self.clock, random.Random(1), ExposedMetrics())
         await self.gateway.start()
         await self.wait_until(lambda: self.gateway.is_ready)
 
@@ -242,6 +243,7 @@
             await task.cancel()
         await self.gateway._front.close()
         await self.gateway._readiness.close()
+        await self.gateway.inspection.stop()
         for server in [*self.engines, *self.plain]:
             await server.server.close()
         await self.store.stop()
--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """A gateway from the caller's side, with faults of engines, servers and the store."""
 
 import sys
+from datetime import timedelta
 
 import curio
 
@@ -13,7 +14,9 @@
 )
 from hibiscustiller.standins import make_event
 from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire import HttpClient
 
+SECOND = timedelta(seconds=1)
 WHOLE_STREAM = b"".join(make_event(number) for number in range(20))
 
 
@@ -259,6 +262,21 @@
         assert sum(len(server.requests) for server in world.plain) == 2
 
 
+async def test_daemon_tells_its_metrics_and_beliefs():
+    """Guards against a failure that nobody can explain afterwards."""
+    async with World() as world:
+        assert (await world.request("/book/1")).status == 200
+        client = HttpClient(world.clock)
+        address = world.gateway.inspection.address
+        metrics = await client.request(address, "GET", "/metrics", timeout=SECOND)
+        assert b'events_total{name="requests.non-idempotent"} 1.0' in metrics.body
+        assert b"duration_seconds_bucket" in metrics.body
+        state = await client.request(address, "GET", "/state", timeout=SECOND)
+        assert state.read_json()["document_version"] == 1
+        assert state.read_json()["is_ready"]
+        await client.close()
+
+
 async def test_stop_answers_what_is_there():
     """Guards against requests cut by a planned stop, and against staying ready."""
     async with World(("e0",), ("north",)) as world:
--- a/hibiscustiller/utils/_logging.py
+++ b/hibiscustiller/utils/_logging.py
@@ -4,7 +4,6 @@
 import logging as std_logging
 from datetime import UTC, datetime, timedelta
 from enum import Enum
-from typing import TextIO
 
 from absl import logging
 
@@ -52,14 +51,16 @@
         return line
 
 
-def configure_logging(level: str = "info", stream: TextIO | None = None) -> None:
-    """Send logs to a stream, one key=value line an event.
+def configure_logging(
+    level: str = "info", handler: std_logging.Handler | None = None
+) -> None:
+    """Send logs to a handler, one key=value line an event.
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
-    :param stream: standard error by default.
+    :param handler: writes to standard error by default.
     """
     # absl's own handler warns about flags that were not parsed; this program has none.
-    handler = std_logging.StreamHandler(stream)
+    handler = handler or std_logging.StreamHandler()
     handler.setFormatter(_EventFormatter())
     # Libraries log to the root logger; their lines get the same format.
     std_logging.getLogger().handlers = [handler]
