--- a/hibiscustiller/cli/_commands.py
+++ b/hibiscustiller/cli/_commands.py
@@ -9,6 +9,7 @@
 import curio
 
 from hibiscustiller.cli._daemon import run_router
+from hibiscustiller.cli._inspection import INSPECTION_COMMANDS
 from hibiscustiller.cli._operators import OPERATOR_COMMANDS
 from hibiscustiller.cli._standins import standin
 from hibiscustiller.exceptions import SettingsError
@@ -57,7 +58,7 @@
     sys.exit(0 if curio.run(run_demo) else 1)
 
 
-for _command in OPERATOR_COMMANDS:
+for _command in (*OPERATOR_COMMANDS, *INSPECTION_COMMANDS):
     main.add_command(_command)
 
 
--- a/hibiscustiller/cli/_operators.py
+++ b/hibiscustiller/cli/_operators.py
@@ -17,6 +17,7 @@
 import click
 import curio
 
+from hibiscustiller.cli._arguments import AddressType
 from hibiscustiller.configuration import (
     Difference,
     Sections,
@@ -24,7 +25,7 @@
     parse_sections,
 )
 from hibiscustiller.exceptions import SettingsError, TransportError
-from hibiscustiller.settings import Address, parse_address
+from hibiscustiller.settings import Address
 from hibiscustiller.utils import SystemClock, Verdict
 from hibiscustiller.wire import HttpAnswer, HttpClient
 
@@ -48,20 +49,10 @@
     key: str
 
 
-class _AddressType(click.ParamType):
-    name = "IP:PORT"
-
-    def convert(self, value: Any, param: Any, ctx: Any) -> Address:
-        try:
-            return value if isinstance(value, Address) else parse_address(value)
-        except ValueError as error:
-            self.fail(f"{value!r}: {error}", param, ctx)
-
-
 _address_option = click.option(
     "--address",
     "addresses",
-    type=_AddressType(),
+    type=AddressType(),
     multiple=True,
     required=True,
     help="Administration address of a router; repeat it to name others to try.",
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -22,8 +22,8 @@
     MetadataStore,
     decode_fleet_document,
     decode_server_entry,
-    parse_endpoint,
 )
+from hibiscustiller.settings import parse_address
 from hibiscustiller.utils import Clock, RouterId, ServerId, jittered_delays, log_event
 from hibiscustiller.wire import wait_at_most
 
@@ -215,7 +215,7 @@
             self._view.remove_peer(router_id)
             return
         try:
-            address = parse_endpoint(json.loads(change.value)["address"])
+            address = parse_address(json.loads(change.value)["address"])
         except (ValueError, KeyError, TypeError) as error:
             log_event("entry_unreadable", level="warning", reason=repr(error))
             return
--- a/hibiscustiller/platform/__init__.py
+++ b/hibiscustiller/platform/__init__.py
@@ -26,7 +26,6 @@
 from hibiscustiller.platform._host_settings import (
     find_host_settings,
     load_host_settings,
-    parse_endpoint,
     parse_host_settings,
 )
 from hibiscustiller.platform._hosts import HostList, HostState, read_host_list
@@ -74,7 +73,6 @@
     "make_caller_fields",
     "make_server_fields",
     "order_layers",
-    "parse_endpoint",
     "parse_host_settings",
     "read_answer_facts",
     "read_engine_report",
--- a/hibiscustiller/platform/_fields.py
+++ b/hibiscustiller/platform/_fields.py
@@ -7,8 +7,7 @@
 from datetime import timedelta
 
 from hibiscustiller.fleet import LayerRange
-from hibiscustiller.platform._host_settings import parse_endpoint
-from hibiscustiller.settings import Address
+from hibiscustiller.settings import Address, parse_address
 from hibiscustiller.utils import OrganisationId, RequestId, ServerId
 
 Field = tuple[bytes, bytes]
@@ -197,7 +196,7 @@
 
 def _read_address(value: bytes | None) -> Address | None:
     try:
-        return None if value is None else parse_endpoint(value.decode("ascii"))
+        return None if value is None else parse_address(value.decode("ascii"))
     except ValueError:
         return None
 
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -11,7 +11,7 @@
 
 from hibiscustiller.exceptions import SettingsError
 from hibiscustiller.fleet import HostSettings
-from hibiscustiller.settings import Address
+from hibiscustiller.settings import parse_address
 from hibiscustiller.utils import DomainId, RegionId, RouterId
 
 _PATH_VARIABLE = "HIBISCUSTILLER_NODE_FILE"
@@ -58,17 +58,6 @@
         raise SettingsError((f"{label}: {error}",)) from error
 
 
-def parse_endpoint(text: str) -> Address:
-    """Parse ``IP:PORT``.
-
-    :raises ValueError: if it is not of that form.
-    """
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit():
-        raise ValueError(f"address is {text!r}; accepted is IP:PORT")
-    return Address(host, int(port))
-
-
 def _read_settings(values: dict[str, Any]) -> HostSettings:
     # "bounds" holds the guarantees' time limits; "limits" the resources of the host.
     bounds, store = values["bounds"], values["platform"]
@@ -78,10 +67,10 @@
         domain=DomainId(values["zone"]),
         region=RegionId(values["region"]),
         ip=values["ip"],
-        front=parse_endpoint(values["listen"]["front"]),
-        readiness=parse_endpoint(values["listen"]["ready"]),
+        front=parse_address(values["listen"]["front"]),
+        readiness=parse_address(values["listen"]["ready"]),
         inner_ports=(int(first_port), int(last_port)),
-        store=parse_endpoint(store["address"]),
+        store=parse_address(store["address"]),
         memory_mb=int(values["limits"]["memory_mb"]),
         drain=_read_ms(bounds, "drain_ms"),
         grace=timedelta(seconds=bounds["grace_s"]),
--- a/hibiscustiller/platform/_server_entries.py
+++ b/hibiscustiller/platform/_server_entries.py
@@ -7,7 +7,7 @@
 
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.fleet import EMPTY_RANGE, BackendServer, LayerRange, ServerState
-from hibiscustiller.platform._host_settings import parse_endpoint
+from hibiscustiller.settings import parse_address
 from hibiscustiller.utils import DomainId, ServerId, ServiceName
 
 SERVER_PREFIX = "servers/"
@@ -25,7 +25,7 @@
         server = BackendServer(
             id=ServerId(key.removeprefix(SERVER_PREFIX)),
             service=ServiceName(_read_text(values, "service")),
-            address=parse_endpoint(_read_text(values, "address")),
+            address=parse_address(_read_text(values, "address")),
             domain=DomainId(_read_text(values, "zone")),
             slots=_read_number(values, "slots"),
             state=_STATES[values["state"]],
--- a/hibiscustiller/wire/tests/test_http_server.py
+++ b/hibiscustiller/wire/tests/test_http_server.py
@@ -354,5 +354,17 @@
     assert head.count(b"\r\n\r\n") == 1, head
 
 
+async def test_body_with_two_framings_is_refused():
+    """Guards against a request hidden in a body that another server ends elsewhere."""
+    data = (
+        b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+        b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n" + GOOD
+    )
+    async with Bench() as bench:
+        answer = await bench.exchange(data)
+        assert answer.startswith(b"HTTP/1.1 400")
+        assert bench.requests == []
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
