--- a/hibiscustiller/standins/_metadata_store.py
+++ b/hibiscustiller/standins/_metadata_store.py
@@ -94,6 +94,13 @@
         self._history.clear()
         self._first_revision = self.revision
 
+    def expire_leases(self) -> None:
+        """End leases whose time is up; every call does so too."""
+        now = self._clock.monotonic()
+        for lease, (until, _) in list(self._leases.items()):
+            if now >= until:
+                self._end_lease(lease)
+
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         self.calls += 1
         if self.faults.is_silent:
@@ -101,7 +108,7 @@
         if self.faults.is_down:
             await responder.send_json(503, {"error": "down"})
             return
-        self._expire_leases()
+        self.expire_leases()
         path, query = request.path, request.query_by_name
         if path == "/kv-key":
             await self._answer_key(query["key"], responder)
@@ -139,7 +146,7 @@
             if after < self._first_revision and after < self.revision:
                 await responder.send_json(410, {"error": "history is gone"})
                 return
-            self._expire_leases()
+            self.expire_leases()
             events = self._list_events(query["prefix"], after)
             if events or waited >= int(query["wait_ms"]) / 1000:
                 answer = {"events": events, "current_rev": self.revision}
@@ -202,12 +209,6 @@
         item = self.items.get(key)
         return 0 if item is None else item.revision
 
-    def _expire_leases(self) -> None:
-        now = self._clock.monotonic()
-        for lease, (until, _) in list(self._leases.items()):
-            if now >= until:
-                self._end_lease(lease)
-
     def _end_lease(self, lease: int) -> None:
         del self._leases[lease]
         for key, item in list(self.items.items()):
