Draw two pipelines at random where reports are old

Cause: with 60 routers a report is 1.5 s old; all routers would take the pipeline that it calls the best. Change: above 12 routers each takes the better of two drawn at random. Test: 60 routers with the same old report.

--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -380,7 +380,13 @@
 
     def _get_forwarder(self, service: ServiceSpec) -> StreamForwarder:
         if service.name not in self._forwarders:
-            choice = PipelineChoice(self._settings.domain, self._load, self._clock)
+            choice = PipelineChoice(
+                self._settings.domain,
+                self._load,
+                self._clock,
+                self._count_routers,
+                self._random_state,
+            )
             self._forwarders[service.name] = StreamForwarder(
                 self._client,
                 Admission(choice, self._load, self._clock, self._random_state),
--- a/hibiscustiller/layers/_choice.py
+++ b/hibiscustiller/layers/_choice.py
@@ -1,8 +1,14 @@
-"""Which pipeline a request takes: the one that will write it fastest and has room."""
+"""Which pipeline a request takes: the one that will write it fastest and has room.
+
+In a large fleet the reports of other routers are a second old or more. If all took the
+best pipeline, they would fill it together, so each then takes the better of two drawn
+at random.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Collection
+import random
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 from hibiscustiller.fleet import EngineSpec
@@ -18,6 +24,9 @@
 # Observed pauses say more than the estimate while they are recent.
 _OBSERVATION_LIFE = timedelta(seconds=2)
 _OBSERVATION_WEIGHT = 0.15
+# Up to this many routers, reports are at most 0.3 s old.
+_MAX_CLOSE_ROUTERS = 12
+_DRAWN = 2
 # A pipeline whose pauses come close to the target has no room for more requests.
 _GAP_SHARE = 0.8
 
@@ -28,12 +37,23 @@
     :param domain: where this router is.
     :param load: requests in flight.
     :param clock: tells the age of observations.
+    :param count_routers: returns how many routers choose at the same time.
+    :param random_state: draws candidates in a large fleet.
     """
 
-    def __init__(self, domain: DomainId, load: EngineLoad, clock: Clock) -> None:
+    def __init__(
+        self,
+        domain: DomainId,
+        load: EngineLoad,
+        clock: Clock,
+        count_routers: Callable[[], int] = lambda: 1,
+        random_state: random.Random | None = None,
+    ) -> None:
         self._domain = domain
         self._load = load
         self._clock = clock
+        self._count_routers = count_routers
+        self._random_state = random_state or random.Random()
         self.spec: EngineSpec | None = None
         self.pipelines: tuple[Pipeline, ...] = ()
         self._observed: dict[tuple[ServerId, ...], tuple[timedelta, float]] = {}
@@ -62,24 +82,37 @@
         :param excluded: engines that must not be used.
         :param must_have_room: whether a pipeline without room may not be used.
         """
-        if self.spec is None:
+        candidates = [
+            (time, pipeline)
+            for pipeline in self.pipelines
+            if not any(stage.server.id in excluded for stage in pipeline.stages)
+            and (time := self._find_time(pipeline, tokens, target_gap, must_have_room))
+            is not None
+        ]
+        if self._count_routers() > _MAX_CLOSE_ROUTERS and len(candidates) > _DRAWN:
+            candidates = self._random_state.sample(candidates, _DRAWN)
+        if not candidates:
+            return None
+        return min(candidates, key=lambda candidate: candidate[0])[1]
+
+    def _find_time(
+        self,
+        pipeline: Pipeline,
+        tokens: float,
+        target_gap: timedelta | None,
+        must_have_room: bool,
+    ) -> float | None:
+        """Return a pipeline's expected pause, in seconds; None if it has no room."""
+        assert self.spec is not None
+        time = self._estimate_gap(pipeline)
+        is_slow = (
+            target_gap is not None and time > _GAP_SHARE * target_gap.total_seconds()
+        )
+        is_full = is_slow or self._load.find_room(self.spec, pipeline) < tokens
+        if is_full and must_have_room and not self._is_idle(pipeline):
             return None
-        best, best_time = None, float("inf")
-        for pipeline in self.pipelines:
-            if any(stage.server.id in excluded for stage in pipeline.stages):
-                continue
-            time = self._estimate_gap(pipeline)
-            is_full = self._load.find_room(self.spec, pipeline) < tokens or (
-                target_gap is not None
-                and time > _GAP_SHARE * target_gap.total_seconds()
-            )
-            if is_full and must_have_room and not self._is_idle(pipeline):
-                continue
-            if pipeline.entry.domain != self._domain:
-                time *= _REMOTE_FACTOR
-            if time < best_time:
-                best, best_time = pipeline, time
-        return best
+        is_remote = pipeline.entry.domain != self._domain
+        return time * _REMOTE_FACTOR if is_remote else time
 
     def count_free_share(self) -> float:
         """Return the share of all pipelines' entries that is not in use."""
--- a/hibiscustiller/layers/tests/test_admission.py
+++ b/hibiscustiller/layers/tests/test_admission.py
@@ -243,6 +243,26 @@
     assert choice.choose(1, None, must_have_room=False).server_ids == ("n",)
 
 
+def test_many_routers_with_old_reports_do_not_fill_one_pipeline():
+    """Guards against a stampede to the pipeline that an old report calls the best."""
+    engines = [
+        make_engine(f"e{n}", "large", "north", LayerRange(0, 80)) for n in range(6)
+    ]
+    taken = Counter()
+    for number in range(60):
+        clock = ManualClock()
+        load = EngineLoad(clock)
+        # All know the same: one pipeline is a little less busy than the others.
+        load.take_report("old", {f"e{n}": EngineUse(0.0, 5) for n in range(1, 6)})
+        choice = PipelineChoice("north", load, clock, lambda: 60, random.Random(number))
+        choice.replace(SPEC, find_pipelines(SPEC, engines))
+        for _ in range(3):
+            pipeline = choice.choose(1, None, must_have_room=False)
+            load.add(pipeline, SPEC.usual_tokens)
+            taken[pipeline.entry.id] += 1
+    assert max(taken.values()) < 2 * 180 / 6
+
+
 def test_silent_router_is_forgotten():
     """Guards against places held for ever by a router that died."""
     clock = ManualClock()
