--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -213,7 +213,7 @@
         self._is_ending = True
         self._front.announce_end()
         await self._placer.release()
-        await self._clock.sleep(_LISTEN_AFTER_STOP)
+        await self._clock.sleep(min(_LISTEN_AFTER_STOP, self._settings.grace / 2))
         left = self._settings.grace - _CLOSING_TIME
         left -= self._clock.monotonic() - began_at
         try:
@@ -389,7 +389,13 @@
             )
             self._forwarders[service.name] = StreamForwarder(
                 self._client,
-                Admission(choice, self._load, self._clock, self._random_state),
+                Admission(
+                    choice,
+                    self._load,
+                    self._clock,
+                    self._random_state,
+                    self._health.list_refusing,
+                ),
                 choice,
                 self._health,
                 self._get_budget(service.name),
--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -22,6 +22,9 @@
 _CONNECT_ATTEMPTS = 2
 # A result is good for this long; more streams may stall at the same servers.
 _RESULT_LIFE = timedelta(milliseconds=300)
+# A server that refused is left out for this long: it is full, or it leaves before the
+# store has told so. Others get the requests meanwhile.
+_REFUSAL_LIFE = timedelta(milliseconds=400)
 _RECHECK_PERIOD = timedelta(milliseconds=500)
 
 
@@ -56,6 +59,7 @@
         self._outages: dict[ServerId, _Outage] = {}
         self._checked_at: dict[ServerId, timedelta] = {}
         self._checks: dict[ServerId, curio.Event] = {}
+        self._refused_until: dict[ServerId, timedelta] = {}
 
     def is_usable(self, server: BackendServer) -> bool:
         """Tell whether a server is not known to be unreachable."""
@@ -63,6 +67,18 @@
         # A new incarnation under the same id has not been seen to fail.
         return outage is None or outage.born != server.born
 
+    def note_refusal(self, server_id: ServerId) -> None:
+        """Record that a server did not take a request."""
+        self._refused_until[server_id] = self._clock.monotonic() + _REFUSAL_LIFE
+
+    def list_refusing(self) -> set[ServerId]:
+        """Return the servers that refused a request just now."""
+        now = self._clock.monotonic()
+        over = [key for key, until in self._refused_until.items() if now >= until]
+        for server_id in over:
+            del self._refused_until[server_id]
+        return set(self._refused_until)
+
     def list_unreachable(self) -> list[ServerId]:
         """Return the servers that cannot be reached."""
         return [
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -208,7 +208,11 @@
         limit = max(1, self._context.route.max_attempts)
         if len(set(self._entries) - self._lost) >= limit:
             return None
-        return self._forwarder.admission.replace(self._demand, self._lost)
+        refusing = self._forwarder.health.list_refusing()
+        admission = self._forwarder.admission
+        return admission.replace(self._demand, self._lost | refusing) or (
+            admission.replace(self._demand, self._lost)
+        )
 
     def _check_repeat(self, outcome: _Outcome) -> Refusal | None:
         """Return why the request may not be sent again; None if it may."""
@@ -298,7 +302,10 @@
             for stage in grant.pipeline.stages
             if stage.server.address == address
         ]
-        self._lost.update(at_fault or [grant.pipeline.entry.id])
+        refusing = at_fault or [grant.pipeline.entry.id]
+        self._lost.update(refusing)
+        for server_id in refusing:
+            self._forwarder.health.note_refusal(server_id)
 
     async def _pass_whole(self, exchange: Exchange) -> _Outcome:
         """Pass on an answer that is no stream, if nothing was sent yet."""
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -76,6 +76,7 @@
     :param load: requests in flight.
     :param clock: source of time.
     :param random_state: spreads the returns of refused callers.
+    :param list_refusing: returns engines that refused a request just now.
     """
 
     def __init__(
@@ -84,7 +85,9 @@
         load: EngineLoad,
         clock: Clock,
         random_state: random.Random,
+        list_refusing: Callable[[], Collection[ServerId]] = frozenset,
     ) -> None:
+        self._list_refusing = list_refusing
         self._choice = choice
         self._load = load
         self._clock = clock
@@ -162,7 +165,9 @@
             await waiter.is_placed.set()
 
     def _place(self, demand: Demand) -> Grant | None:
-        pipeline = self._choice.choose(demand.tokens, demand.target_gap)
+        pipeline = self._choice.choose(
+            demand.tokens, demand.target_gap, self._list_refusing()
+        )
         return None if pipeline is None else self._take(pipeline, demand.tokens)
 
     def _take(self, pipeline: Pipeline, tokens: float) -> Grant:
--- a/hibiscustiller/layers/_placement.py
+++ b/hibiscustiller/layers/_placement.py
@@ -24,6 +24,9 @@
 # An unused engine that takes over some layers must promise this much more than what is
 # there; its load is charged, and estimates are rough.
 _STEP_GAIN = 1.12
+# A cover over several domains sends activations over their shared link, so it must
+# hold this many requests to be worth that.
+_MIN_SHARED_REQUESTS = 20
 # A cover must hold some requests of the usual size, or it is not worth its engines.
 _MIN_REQUESTS = 8
 # An unused engine replaces a lost one within the time of its load; a domain without
@@ -81,6 +84,8 @@
     if not changes:
         for found in improvements:
             changes |= found
+    if not changes and may_improve:
+        changes = _plan_shared_cover(spec, servers, held_by_id)
     return changes
 
 
@@ -166,6 +171,39 @@
     return _list_moves(covers, held)
 
 
+def _plan_shared_cover(
+    spec: EngineSpec,
+    servers: Sequence[BackendServer],
+    held_by_id: Mapping[ServerId, LayerRange],
+) -> dict[ServerId, LayerRange]:
+    """Let engines that no domain's cover needs hold one together.
+
+    They remain the spares of their domains: a gap there goes first.
+    """
+    used: set[ServerId] = set()
+    for members in _group_by_domain(servers).values():
+        for pipeline in find_pipelines(spec, _list_holding(members, held_by_id)):
+            used |= set(pipeline.server_ids)
+    unused = [server for server in servers if server.id not in used]
+    if find_pipelines(spec, _list_holding(unused, held_by_id)):
+        return {}
+    covers = plan_covers(spec, unused, held_by_id)
+    if not covers or covers[0].tokens < _MIN_SHARED_REQUESTS * spec.usual_tokens:
+        return {}
+    return _plan_domain(spec, unused, covers, held_by_id)
+
+
+def _list_holding(
+    servers: Iterable[BackendServer], held_by_id: Mapping[ServerId, LayerRange]
+) -> list[BackendServer]:
+    """Return the engines that hold layers, with what they hold or will hold."""
+    return [
+        replace(server, layers=held_by_id[server.id])
+        for server in servers
+        if server.id in held_by_id
+    ]
+
+
 def _list_spares(
     spec: EngineSpec,
     servers: Sequence[BackendServer],
@@ -197,12 +235,7 @@
     The engines that serve keep their layers, so nothing stops meanwhile. A whole new
     plan would: its loads take up to eight seconds.
     """
-    holding = [
-        replace(server, layers=held_by_id[server.id])
-        for server in servers
-        if server.id in held_by_id
-    ]
-    pipelines = find_pipelines(spec, holding)
+    pipelines = find_pipelines(spec, _list_holding(servers, held_by_id))
     used = {server_id for pipeline in pipelines for server_id in pipeline.server_ids}
     # Engines of one kind are alike here.
     unused_by_kind = {s.kind: s for s in servers if s.id not in used}
@@ -347,10 +380,10 @@
     servers: Sequence[BackendServer],
     held_by_id: Mapping[ServerId, LayerRange],
 ) -> list[BackendServer]:
-    def rank(server: BackendServer) -> tuple[float, int, ServerId]:
+    def rank(server: BackendServer) -> tuple[float, DomainId, int, ServerId]:
         held = held_by_id.get(server.id)
         first = spec.layers if held is None else held.first
-        return spec.kinds_by_name[server.kind].pace, first, server.id
+        return spec.kinds_by_name[server.kind].pace, server.domain, first, server.id
 
     return sorted(servers, key=rank)
 
--- a/hibiscustiller/layers/tests/test_placement.py
+++ b/hibiscustiller/layers/tests/test_placement.py
@@ -24,6 +24,16 @@
     return apply_changes(servers, plan_layers(SPEC, servers, get_held(servers)))
 
 
+def improve(servers):
+    """Carry out changes for speed until there are none."""
+    for _ in range(10):
+        changes = plan_layers(SPEC, servers, get_held(servers), may_improve=True)
+        if not changes:
+            break
+        servers = apply_changes(servers, changes)
+    return servers
+
+
 def test_empty_fleet_gets_a_cover_in_each_domain():
     """Guards against pipelines over the shared link where a domain has the memory."""
     servers = place(make_fleet())
@@ -45,9 +55,35 @@
 def test_a_placed_fleet_is_left_alone():
     """Guards against loads without a reason."""
     servers = place(make_fleet())
+    assert plan_layers(SPEC, servers, get_held(servers)) == {}
+    servers = improve(servers)
     assert plan_layers(SPEC, servers, get_held(servers), may_improve=True) == {}
 
 
+def test_engines_left_over_in_all_domains_hold_a_cover_together():
+    """Guards against a quarter of the engines idling while callers are refused."""
+    servers = improve(place(make_fleet()))
+    pipelines = find_pipelines(SPEC, servers)
+    assert len(pipelines) == 4
+    domains = [stage.server.domain for stage in pipelines[3].stages]
+    assert len(set(domains)) == 3
+    changes = sum(a != b for a, b in zip(domains, domains[1:], strict=False))
+    assert changes == 2
+
+
+def test_shared_cover_gives_way_to_a_domains_gap():
+    """Guards against a domain planned anew because its spares hold layers."""
+    servers = improve(place(make_fleet()))
+    own = find_pipelines(SPEC, servers)[1]
+    lost = next(s.server for s in own.stages if s.server.kind == "medium")
+    left = [server for server in servers if server.id != lost.id]
+    changes = plan_layers(SPEC, left, get_held(left))
+    assert len(changes) <= 1
+    after = apply_changes(left, changes)
+    in_domain = [s for s in after if s.domain == lost.domain]
+    assert find_pipelines(SPEC, in_domain)
+
+
 def test_lost_engine_is_replaced_by_one_order():
     """Guards against moving the layers of engines that serve."""
     servers = place(make_fleet())
