--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -49,7 +49,7 @@
         self._missing_until_by_id: dict[ServerId, timedelta] = {}
         self._store_returned_at: timedelta | None = None
         self._first_read_at: timedelta | None = None
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners: list[Callable[[], object]] = []
         self.document: FleetDocument | None = None
         self.peers_by_id: dict[RouterId, Peer] = {}
         # Rises with each change of the routers.
@@ -58,7 +58,7 @@
         # Rises with each change of the document or the servers.
         self.generation = 0
 
-    def subscribe(self, listener: Callable[[], None]) -> None:
+    def subscribe(self, listener: Callable[[], object]) -> None:
         """Call a function after each change of the document or the servers."""
         self._listeners.append(listener)
 
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
@@ -14,7 +14,6 @@
 from hibiscustiller.utils import (
     DomainId,
     OrganisationId,
-    RegionId,
     RouterId,
     ServerId,
     ServiceName,
@@ -129,12 +128,10 @@
 class ServiceSpec:
     """A service to which requests are routed.
 
-    :param max_connections: connections that one server takes from all callers.
     :param engine: how its engines run a model; None for a plain service.
     """
 
     name: ServiceName
-    max_connections: int
     engine: EngineSpec | None = None
 
 
@@ -248,29 +245,21 @@
     :param retry_ratio: repeats allowed for each request, over all daemons.
     :param retry_window: time over which repeats are counted.
     :param retry_slack: repeats allowed in the window besides, over all daemons.
-    :param heartbeat: period in which servers renew their entries.
-    :param stall: time after which an engine gives up on a dead part.
-    :param needs_fencing: engines refuse orders with an old fencing token.
     :param min_lease: shortest lease of the store.
+    :param max_value_bytes: longest value that the store takes.
     """
 
     router_id: RouterId
     domain: DomainId
-    region: RegionId
     ip: str
     front: Address
     readiness: Address
     inner_ports: tuple[int, int]
     store: Address
-    memory_mb: int
     drain: timedelta
     grace: timedelta
     retry_ratio: float
     retry_window: timedelta
     retry_slack: float
-    heartbeat: timedelta
-    stall: timedelta
-    needs_fencing: bool
     min_lease: timedelta
     max_value_bytes: int
-    domains: frozenset[DomainId] = field(default_factory=frozenset)
--- /dev/null
+++ b/hibiscustiller/ingress/_model_services.py
@@ -0,0 +1,210 @@
+"""The services that run models: their pipelines, and who forwards their streams."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+import curio
+
+from hibiscustiller.discovery import FleetView
+from hibiscustiller.fleet import BackendServer, ServiceSpec
+from hibiscustiller.ingress._budget import RepeatBudget
+from hibiscustiller.ingress._health import ServerHealth
+from hibiscustiller.ingress._streams import StreamForwarder
+from hibiscustiller.layers import (
+    Admission,
+    EngineGroup,
+    EngineLoad,
+    Pipeline,
+    PipelineChoice,
+    find_pipelines,
+)
+from hibiscustiller.utils import (
+    Clock,
+    DomainId,
+    Metrics,
+    RouterId,
+    ServerId,
+    ServiceName,
+    log_event,
+    rank_by_rendezvous,
+)
+from hibiscustiller.wire import HttpClient, wait_at_most
+
+# Changes of servers come in groups.
+_REFRESH_DELAY = timedelta(milliseconds=20)
+# Leaving servers are left out at most this much after their time.
+_REFRESH_PERIOD = timedelta(milliseconds=250)
+# One more than may be restarted at the same moment as the engine is lost.
+_WATCHERS_PER_ENGINE = 3
+
+
+class ModelServices:
+    """Keeps a forwarder for each model service, and its pipelines current.
+
+    :param router_id: this router.
+    :param domain: where it is.
+    :param get_budget: returns a service's budget of repeats.
+    """
+
+    def __init__(
+        self,
+        router_id: RouterId,
+        domain: DomainId,
+        view: FleetView,
+        load: EngineLoad,
+        health: ServerHealth,
+        client: HttpClient,
+        get_budget: Callable[[ServiceName], RepeatBudget],
+        clock: Clock,
+        random_state: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._router_id = router_id
+        self._domain = domain
+        self._view = view
+        self._load = load
+        self._health = health
+        self._client = client
+        self._get_budget = get_budget
+        self._clock = clock
+        self._random_state = random_state
+        self._metrics = metrics
+        self._is_stale = curio.UniversalEvent()
+        # Whether this router watches an engine, with what the answer depends on.
+        self._watching_by_id: dict[ServerId, tuple[object, bool]] = {}
+        self.forwarders_by_service: dict[ServiceName, StreamForwarder] = {}
+
+    def note_change(self) -> None:
+        """Find the pipelines again soon."""
+        self._is_stale.set()
+
+    async def run(self) -> None:
+        """Find the pipelines again after changes, until cancelled."""
+        while True:
+            await self._wait_until_stale()
+            await self._clock.sleep(_REFRESH_DELAY)
+            self._is_stale.clear()
+            for service in self._list_services():
+                self.get_forwarder(service)
+                self._find_pipelines(service)
+            await self.dispatch()
+
+    async def dispatch(self) -> None:
+        """Give places to waiting requests."""
+        for forwarder in list(self.forwarders_by_service.values()):
+            await forwarder.admission.dispatch()
+
+    def get_forwarder(self, service: ServiceSpec) -> StreamForwarder:
+        """Return the forwarder of a service, new if it is not known yet."""
+        if service.name not in self.forwarders_by_service:
+            self.forwarders_by_service[service.name] = self._make_forwarder(service)
+            self._find_pipelines(service)
+        return self.forwarders_by_service[service.name]
+
+    def count_routers(self) -> int:
+        """Return how many routers share budgets and engines."""
+        return max(1, len(self._view.peers_by_id))
+
+    def list_groups(self) -> list[EngineGroup]:
+        """Return the engines that layers can be placed on, by service."""
+        return [
+            EngineGroup(
+                service.engine,
+                tuple(
+                    self._list_usable(service, self._view.list_servers(service.name))
+                ),
+            )
+            for service in self._list_services()
+            if service.engine is not None
+        ]
+
+    def list_watched(self) -> dict[ServerId, BackendServer]:
+        """Return the engines of pipelines that this router watches for the fleet."""
+        stages = [
+            stage.server
+            for forwarder in self.forwarders_by_service.values()
+            for pipeline in forwarder.choice.pipelines
+            for stage in pipeline.stages
+        ]
+        return {server.id: server for server in stages if self._is_watcher(server.id)}
+
+    def _list_services(self) -> list[ServiceSpec]:
+        document = self._view.document
+        services = {} if document is None else document.services_by_name
+        return [service for service in services.values() if service.engine is not None]
+
+    def _make_forwarder(self, service: ServiceSpec) -> StreamForwarder:
+        choice = PipelineChoice(
+            self._domain,
+            self._load,
+            self._clock,
+            self.count_routers,
+            self._random_state,
+        )
+        admission = Admission(
+            choice,
+            self._load,
+            self._clock,
+            self._random_state,
+            self._health.list_refusing,
+        )
+        return StreamForwarder(
+            self._client,
+            admission,
+            choice,
+            self._health,
+            self._get_budget(service.name),
+            self.count_routers,
+            self._metrics,
+        )
+
+    def _find_pipelines(self, service: ServiceSpec) -> None:
+        assert service.engine is not None
+        usable = self._list_usable(service, self._view.list_servers(service.name))
+        leaving = self._list_usable(service, self._view.list_leaving(service.name))
+        pipelines = find_pipelines(service.engine, usable, leaving)
+        choice = self.forwarders_by_service[service.name].choice
+        if pipelines != choice.pipelines:
+            _log_pipelines(service.name, pipelines)
+        choice.replace(service.engine, pipelines)
+        self._metrics.gauge(f"pipelines.{service.name}", len(pipelines))
+
+    def _list_usable(
+        self, service: ServiceSpec, servers: Sequence[BackendServer]
+    ) -> list[BackendServer]:
+        """Return the engines that can be reached and are of a known kind."""
+        assert service.engine is not None
+        return [
+            server
+            for server in servers
+            if server.kind in service.engine.kinds_by_name
+            and self._health.is_usable(server)
+        ]
+
+    def _is_watcher(self, server_id: ServerId) -> bool:
+        key = self._view.routers_generation
+        if self._watching_by_id.get(server_id, (None, False))[0] != key:
+            routers = {*self._view.peers_by_id, self._router_id}
+            watchers = rank_by_rendezvous(server_id, routers)[:_WATCHERS_PER_ENGINE]
+            self._watching_by_id[server_id] = (key, self._router_id in watchers)
+        return self._watching_by_id[server_id][1]
+
+    async def _wait_until_stale(self) -> None:
+        """Wait for a change, or for the time at which leaving servers are left out."""
+        try:
+            await wait_at_most(_REFRESH_PERIOD, self._is_stale.wait())
+        except TimeoutError:
+            # Nothing changed; the time itself may have.
+            return
+
+
+def _log_pipelines(name: ServiceName, pipelines: Sequence[Pipeline]) -> None:
+    log_event(
+        "pipelines_changed",
+        service=name,
+        count=len(pipelines),
+        stages=",".join(str(len(pipeline.stages)) for pipeline in pipelines),
+    )
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -119,7 +119,7 @@
 class PlainForwarder:
     """Forwards requests to plain services.
 
-    :param list_servers: returns a service's servers that take new requests.
+    :param servers: chooses among the servers of a service.
     :param count_routers: returns how many routers share the budget of repeats.
     """
 
@@ -129,30 +129,30 @@
         servers: PlainServers,
         load: EngineLoad,
         health: ServerHealth,
-        budget: RepeatBudget,
         count_routers: Callable[[], int],
         metrics: Metrics,
     ) -> None:
-        self._client = client
-        self._servers = servers
-        self._load = load
-        self._health = health
-        self._budget = budget
-        self._count_routers = count_routers
-        self._metrics = metrics
+        self.client = client
+        self.servers = servers
+        self.load = load
+        self.health = health
+        self.count_routers = count_routers
+        self.metrics = metrics
 
     async def forward(
         self,
         context: RequestContext,
         candidates: Sequence[BackendServer],
+        budget: RepeatBudget,
         responder: Responder,
     ) -> None:
         """Answer a request.
 
         :param candidates: the service's servers that take new requests.
+        :param budget: the service's budget of repeats.
         """
-        attempt = _PlainAttempts(self, context, list(candidates))
-        answer = await attempt.run()
+        attempts = _PlainAttempts(self, context, list(candidates), budget)
+        answer = await attempts.run()
         if isinstance(answer, Refusal):
             context.log(
                 "request_refused",
@@ -160,13 +160,13 @@
                 reason=answer.reason.label,
                 verdict=answer.verdict,
                 detail=answer.message,
-                servers=",".join(attempt.tried),
+                servers=",".join(attempts.tried),
             )
-            self._metrics.count(f"refused.{answer.reason.label}")
+            self.metrics.count(f"refused.{answer.reason.label}")
             await send_refusal(responder, answer)
             return
         context.log(
-            "request_answered", status=answer.status, servers=",".join(attempt.tried)
+            "request_answered", status=answer.status, servers=",".join(attempts.tried)
         )
         await responder.send_fields(
             answer.status, make_caller_fields(answer.fields), answer.body
@@ -181,7 +181,9 @@
         forwarder: PlainForwarder,
         context: RequestContext,
         candidates: list[BackendServer],
+        budget: RepeatBudget,
     ) -> None:
+        self._budget = budget
         self._forwarder = forwarder
         self._context = context
         self._candidates = candidates
@@ -196,11 +198,11 @@
             if context.time_left <= timedelta(0):
                 return self._fail(RefusalReason.BACKEND_TIMEOUT, "time is up", last)
             is_repeat = self._sent_count > 0
-            routers = self._forwarder._count_routers()
-            if is_repeat and not self._forwarder._budget.try_repeat(routers):
+            routers = self._forwarder.count_routers()
+            if is_repeat and not self._budget.try_repeat(routers):
                 break
             if is_repeat:
-                self._forwarder._metrics.count("plain.repeated")
+                self._forwarder.metrics.count("plain.repeated")
             self.tried.append(server.id)
             answer = await self._try_server(server)
             if answer is None:
@@ -216,8 +218,8 @@
         if self._sent_count >= max(1, self._context.route.max_attempts):
             return None
         untried = [server for server in self._candidates if server.id not in self.tried]
-        usable = [s for s in untried if self._forwarder._health.is_usable(s)]
-        return self._forwarder._servers.choose(usable or untried)
+        usable = [s for s in untried if self._forwarder.health.is_usable(s)]
+        return self._forwarder.servers.choose(usable or untried)
 
     def _should_repeat(self, answer: _Answer) -> bool:
         if answer.facts.is_not_run:
@@ -229,7 +231,7 @@
         """Send the request; None if there is no usable answer."""
         forwarder, context = self._forwarder, self._context
         started_at = context.clock.monotonic()
-        forwarder._load.add_plain(server.id, 1)
+        forwarder.load.add_plain(server.id, 1)
         answer = None
         try:
             answer = await self._exchange(server)
@@ -237,18 +239,18 @@
             if error.verdict is Verdict.MAY_HAVE_RUN:
                 self._may_have_run = True
             else:
-                await forwarder._health.check([server])
+                await forwarder.health.check([server])
             context.log("attempt_failed", server=server.id, reason=error)
         finally:
-            forwarder._load.add_plain(server.id, -1)
+            forwarder.load.add_plain(server.id, -1)
             latency = context.clock.monotonic() - started_at
             failed = answer is None or answer.status >= _BAD_STATUS
-            forwarder._servers.note_answer(server.id, latency, failed)
+            forwarder.servers.note_answer(server.id, latency, failed)
         return answer
 
     async def _exchange(self, server: BackendServer) -> _Answer:
         context = self._context
-        exchange = await self._forwarder._client.open_exchange(
+        exchange = await self._forwarder.client.open_exchange(
             server.address,
             context.make_server_request(server),
             head_timeout=max(timedelta(milliseconds=1), context.time_left),
--- a/hibiscustiller/platform/_fields.py
+++ b/hibiscustiller/platform/_fields.py
@@ -93,14 +93,12 @@
     :param is_sealed: whether it bears the server's seal.
     :param is_not_run: whether the server states that it did not run the request.
     :param failed_server: the server at fault among a pipeline's.
-    :param idle_timeout: how long the connection may be idle; None if not told.
     """
 
     request_id: RequestId | None
     is_sealed: bool
     is_not_run: bool
     failed_server: Address | None = None
-    idle_timeout: timedelta | None = None
 
 
 def read_request_facts(fields: Iterable[Field]) -> RequestFacts:
@@ -162,7 +160,6 @@
         is_sealed=_SEAL in by_name,
         is_not_run=_NOT_RUN in by_name or status == _WRONG_SERVER_STATUS,
         failed_server=_read_address(by_name.get(_FAILED_SERVER)),
-        idle_timeout=_read_idle_timeout(by_name.get(_KEEP_ALIVE, b"")),
     )
 
 
@@ -199,12 +196,3 @@
         return None if value is None else parse_address(value.decode("ascii"))
     except ValueError:
         return None
-
-
-def _read_idle_timeout(value: bytes) -> timedelta | None:
-    for part in value.split(b","):
-        name, _, seconds = part.strip().partition(b"=")
-        number = _read_int(seconds)
-        if name.lower() == b"timeout" and number is not None:
-            return timedelta(seconds=number)
-    return None
--- a/hibiscustiller/platform/_fleet_document.py
+++ b/hibiscustiller/platform/_fleet_document.py
@@ -80,7 +80,6 @@
     has_layers = engine is not None and "layers" in engine
     return ServiceSpec(
         name=ServiceName(values["name"]),
-        max_connections=int(values.get("max_connections", 0)),
         engine=_read_engine(engine) if has_layers else None,
     )
 
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -12,7 +12,7 @@
 from hibiscustiller.exceptions import SettingsError
 from hibiscustiller.fleet import HostSettings
 from hibiscustiller.settings import parse_address
-from hibiscustiller.utils import DomainId, RegionId, RouterId
+from hibiscustiller.utils import DomainId, RouterId
 
 _PATH_VARIABLE = "HIBISCUSTILLER_NODE_FILE"
 # Without a bound in the file the shortest useful lease is assumed.
@@ -59,33 +59,27 @@
 
 
 def _read_settings(values: dict[str, Any]) -> HostSettings:
-    # "bounds" holds the guarantees' time limits; "limits" the resources of the host.
+    # "bounds" holds the time limits of the guarantees.
     bounds, store = values["bounds"], values["platform"]
     first_port, last_port = values["port_range"]
     return HostSettings(
         router_id=RouterId(values["node_name"]),
         domain=DomainId(values["zone"]),
-        region=RegionId(values["region"]),
         ip=values["ip"],
         front=parse_address(values["listen"]["front"]),
         readiness=parse_address(values["listen"]["ready"]),
         inner_ports=(int(first_port), int(last_port)),
         store=parse_address(store["address"]),
-        memory_mb=int(values["limits"]["memory_mb"]),
         drain=_read_ms(bounds, "drain_ms"),
         grace=timedelta(seconds=bounds["grace_s"]),
         retry_ratio=float(bounds["retry_budget_ratio"]),
         retry_window=timedelta(seconds=bounds["budget_window_s"]),
         # The number of repeats over the share, in each window.
         retry_slack=float(bounds["budget_slack"]),
-        heartbeat=_read_ms(values, "heartbeat_ms"),
-        stall=_read_ms(bounds, "stall_ms"),
-        needs_fencing=bool(bounds.get("require_fencing", False)),
         min_lease=timedelta(
             milliseconds=store.get("ttl_min_ms", _DEFAULT_MIN_LEASE_MS)
         ),
         max_value_bytes=int(store["value_bytes"]),
-        domains=frozenset(DomainId(name) for name in values["zones"]),
     )
 
 
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -280,8 +280,6 @@
         self.status = 0
         self.fields: tuple[tuple[bytes, bytes], ...] = ()
         self.is_ended = False
-        # The answer has no length: it ends with its connection.
-        self.is_unframed = False
         self._is_reusable = False
 
     async def read_head(self, timeout: timedelta) -> None:
@@ -297,8 +295,6 @@
         self.fields = tuple(
             (bytes(name), bytes(value)) for name, value in event.headers
         )
-        names = {name for name, _ in self.fields}
-        self.is_unframed = not names & {b"content-length", b"transfer-encoding"}
 
     async def read_part(self, timeout: timedelta) -> bytes | None:
         """Read what has arrived of the body.
