--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -31,12 +31,15 @@
     Responder,
 )
 
-# The store answers in about 4 ms; a slow one takes 60 to 80 times as long.
+# Longer than a slow store takes for an answer; a silent one is found by it.
 _STORE_TIMEOUT = timedelta(milliseconds=800)
+# Connections take a few milliseconds; a caller's target is some hundred.
 _CONNECT_TIMEOUT = timedelta(milliseconds=350)
-# A holder that died is replaced after this time.
+# A holder that died is replaced after this time, in which layers stay as they are.
 _CONTROL_TTL = timedelta(seconds=2)
+# An order takes up to the store's timeout, and must arrive within the lease.
 _CONTROL_MARGIN = timedelta(milliseconds=800)
+# Leaves time for a second attempt before the margin is reached.
 _RENEWAL_PERIOD = timedelta(milliseconds=600)
 # Between the attempts of routers of adjacent ranks to take a free lease.
 _ELECTION_STEP = timedelta(milliseconds=300)
@@ -47,6 +50,7 @@
 _LISTEN_AFTER_STOP = timedelta(seconds=3)
 # Kept free at the end of the grace time for closing.
 _CLOSING_TIME = timedelta(milliseconds=700)
+# Below the descriptors of the smallest hosts, with room for connections to servers.
 _MAX_CONNECTIONS = 3000
 _SMALL_LIMITS = HttpLimits(max_connections=64, max_body_bytes=1024)
 
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -27,7 +27,7 @@
     encode_message,
 )
 
-# At 45 requests a second this is nine requests that others do not know of.
+# What a router admits within it is not known to the others.
 _SHORTEST_PERIOD = timedelta(milliseconds=200)
 # Reports that a router takes in a second, whatever the size of the fleet.
 _MAX_REPORTS_PER_SECOND = 40
--- a/hibiscustiller/layers/_pipelines.py
+++ b/hibiscustiller/layers/_pipelines.py
@@ -16,7 +16,7 @@
 _START = 0
 # An engine refuses longer pipelines.
 MAX_STAGES = 32
-# Within a domain; the pages give no figure, trials saw about this much.
+# Delay between two engines of a domain; trials saw about this much.
 _HOP = timedelta(milliseconds=0.1)
 # The link between domains is shared by all pipelines, so a crossing costs others too.
 _SHARED_LINK_FACTOR = 5.0
