End changes for speed; plan only when the question is a new one

Cause: an engine that no pipeline used, but without which a layer had too few copies, was moved for speed and moved back to fill the gap, without end (93 engines in three domains, by the planner alone). Each plan also ran at every tick of 150 ms, some 100 ms of processor at that size. Change: only engines whose removal leaves no gap are moved, a step must raise the total rate of the pipelines that are found, and a question that was answered with no change is not asked again. Tests: any fleet after losses comes to rest.

--- a/hibiscustiller/layers/_placement.py
+++ b/hibiscustiller/layers/_placement.py
@@ -24,6 +24,9 @@
 # An unused engine that takes over some layers must promise this much more than what is
 # there; its load is charged, and estimates are rough.
 _STEP_GAIN = 1.12
+# The same for all pipelines of the domain together.
+_TOTAL_GAIN = 1.03
+_STEPS_TRIED = 4
 # A cover over several domains sends activations over their shared link, so it must
 # hold this many requests to be worth that.
 _MIN_SHARED_REQUESTS = 20
@@ -74,7 +77,7 @@
         if covers:
             changes |= _plan_domain(spec, members, covers, held_by_id)
             if may_improve:
-                improvements.append(_find_step(spec, members, held_by_id))
+                improvements.append(_find_step(spec, members, held_by_id, len(covers)))
         else:
             without_cover += members
     # Domains that are too small for a cover of their own share one.
@@ -229,6 +232,7 @@
     spec: EngineSpec,
     servers: Sequence[BackendServer],
     held_by_id: Mapping[ServerId, LayerRange],
+    count: int,
 ) -> dict[ServerId, LayerRange]:
     """Find layers for an unused engine that make a pipeline faster or roomier.
 
@@ -237,19 +241,30 @@
     """
     pipelines = find_pipelines(spec, _list_holding(servers, held_by_id))
     used = {server_id for pipeline in pipelines for server_id in pipeline.server_ids}
+    held = {s.id: held_by_id[s.id] for s in servers if s.id in held_by_id}
+    # Another engine would leave a gap, which would be filled with it again.
+    spares = _list_spares(spec, servers, held, count)
     # Engines of one kind are alike here.
-    unused_by_kind = {s.kind: s for s in servers if s.id not in used}
-    best: dict[ServerId, LayerRange] = {}
-    best_gain = _STEP_GAIN
+    unused_by_kind = {s.kind: s for s in spares if s.id not in used}
+    steps = []
     for pipeline in pipelines:
         present = _measure_rate(spec, pipeline.stages)
         for server in unused_by_kind.values():
             for layers in _list_takeovers(spec, pipeline, server):
                 stages = _take_over(pipeline, replace(server, layers=layers))
                 gain = _measure_rate(spec, stages) / present
-                if gain > best_gain:
-                    best, best_gain = {server.id: layers}, gain
-    return best
+                if gain > _STEP_GAIN:
+                    steps.append((gain, server.id, layers))
+    present = sum(_measure_rate(spec, pipeline.stages) for pipeline in pipelines)
+    for _, server_id, layers in sorted(steps, reverse=True)[:_STEPS_TRIED]:
+        # The search for pipelines goes by time alone and may not use the engine. Each
+        # step must raise what it finds, or steps could follow each other for ever.
+        holding = _list_holding(servers, {**held_by_id, server_id: layers})
+        found = find_pipelines(spec, holding)
+        after = sum(_measure_rate(spec, pipeline.stages) for pipeline in found)
+        if after >= _TOTAL_GAIN * present:
+            return {server_id: layers}
+    return {}
 
 
 def _list_takeovers(
--- a/hibiscustiller/layers/_placer.py
+++ b/hibiscustiller/layers/_placer.py
@@ -88,6 +88,8 @@
         self._known_ids: frozenset[ServerId] = frozenset()
         self._known_since = timedelta(0)
         self._changed_at = timedelta(0)
+        # The last question to which the answer was that nothing has to change.
+        self._settled_question: object = None
 
     async def run(self) -> None:
         """Stand for the lease, and place layers while it is held."""
@@ -140,11 +142,16 @@
         if not held and not is_settled:
             return {}
         is_calm = not self._pending and now - self._changed_at >= _CALM_TIME
-        changes = plan_layers(
-            group.spec, group.servers, held, may_improve=is_calm and is_settled
-        )
+        may_improve = is_calm and is_settled
+        # A plan takes tens of milliseconds in a large fleet, and rarely differs.
+        question = (group, tuple(sorted(held.items())), may_improve)
+        if question == self._settled_question:
+            return {}
+        changes = plan_layers(group.spec, group.servers, held, may_improve=may_improve)
         if changes:
             self._changed_at = now
+        else:
+            self._settled_question = question
         return {
             server_id: layers
             for server_id, layers in changes.items()
--- a/hibiscustiller/layers/tests/test_placement.py
+++ b/hibiscustiller/layers/tests/test_placement.py
@@ -213,5 +213,39 @@
         assert server.layers.width <= width
 
 
+def test_a_step_for_speed_does_not_open_a_gap():
+    """Guards against an engine that is moved for speed, and back to fill its gap."""
+    check_changes_end([(3, 19, 6)], lost={0, 1})
+
+
+@settings(derandomize=True, deadline=None, max_examples=15)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 2), st.integers(0, 12), st.integers(0, 6)),
+        min_size=1,
+        max_size=2,
+    ),
+    st.sets(st.integers(0, 30), max_size=5),
+)
+def test_changes_for_speed_come_to_an_end(domains, lost):
+    """Guards against an engine that is ordered to and fro for ever."""
+    check_changes_end(domains, lost)
+
+
+def check_changes_end(domains, lost):
+    """Place a fleet, lose some engines, and carry out all changes."""
+    servers = []
+    for number, counts in enumerate(domains):
+        servers += make_domain(f"domain-{number}", *counts)
+    servers = place(servers)
+    left = [server for number, server in enumerate(servers) if number not in lost]
+    left = place(left)
+    steps = 0
+    while changes := plan_layers(SPEC, left, get_held(left), may_improve=True):
+        left = apply_changes(left, changes)
+        steps += 1
+        assert steps <= 12, changes
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
