Keep within the connections that backend servers accept; answer 504 when time ran out

Cause: routers kept up to 32 idle connections to each server whatever it accepts; nine of them hold 288 at a server that accepts 110 and resets the rest. A repeatable request whose time ran out at its last server got 502. Change: half of the connections are for requests in flight, as the routers tell each other, the other half is divided into idle connections. Time that ran out is answered with 504.

--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -129,10 +129,13 @@
     """A service to which requests are routed.
 
     :param engine: how its engines run a model; None for a plain service.
+    :param max_connections: connections that one of its servers accepts from all
+        routers; None if that is not known.
     """
 
     name: ServiceName
     engine: EngineSpec | None = None
+    max_connections: int | None = None
 
 
 @dataclass(frozen=True)
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -11,6 +11,7 @@
 from hibiscustiller.discovery import FleetView
 from hibiscustiller.fleet import BackendServer, ServiceSpec
 from hibiscustiller.ingress._budget import RepeatBudget
+from hibiscustiller.ingress._connections import limit_entries
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._streams import StreamForwarder
 from hibiscustiller.layers import (
@@ -169,7 +170,7 @@
         choice = self.forwarders_by_service[service.name].choice
         if pipelines != choice.pipelines:
             _log_pipelines(service.name, pipelines)
-        choice.replace(service.engine, pipelines)
+        choice.replace(limit_entries(service), pipelines)
         self._metrics.gauge(f"pipelines.{service.name}", len(pipelines))
 
     def _list_usable(
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -11,6 +11,10 @@
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._budget import RepeatBudget
+from hibiscustiller.ingress._connections import (
+    count_idle_connections,
+    has_free_connection,
+)
 from hibiscustiller.ingress._context import (
     MAX_BODY_BYTES,
     PROMISING_STATUSES,
@@ -213,12 +217,23 @@
             if not self._should_repeat(answer):
                 return answer
             last = answer
+        if context.time_left <= timedelta(0):
+            return self._fail(RefusalReason.BACKEND_TIMEOUT, "time is up", last)
+        if not self.tried and self._candidates:
+            message = "every server has its connections in use"
+            return self._fail(RefusalReason.OVERLOADED, message, last)
         return self._fail(RefusalReason.NO_ROUTE, "no server took it", last)
 
     def _choose(self) -> BackendServer | None:
         if self._sent_count >= max(1, self._context.route.max_attempts):
             return None
-        untried = [server for server in self._candidates if server.id not in self.tried]
+        service, load = self._context.service, self._forwarder.load
+        untried = [
+            server
+            for server in self._candidates
+            if server.id not in self.tried
+            and has_free_connection(service, load.get(server.id))
+        ]
         usable = [s for s in untried if self._forwarder.health.is_usable(s)]
         return self._forwarder.servers.choose(usable or untried)
 
@@ -259,6 +274,9 @@
             # leave open whether the request ran.
             is_fresh=not context.route.is_repeatable,
             on_sent=self._note_sent,
+            max_idle=count_idle_connections(
+                context.service, self._forwarder.count_routers()
+            ),
         )
         try:
             return await self._read_answer(exchange)
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -11,6 +11,7 @@
 
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.ingress._budget import RepeatBudget
+from hibiscustiller.ingress._connections import count_idle_connections
 from hibiscustiller.ingress._context import (
     MAX_BODY_BYTES,
     PROMISING_STATUSES,
@@ -249,6 +250,9 @@
                 head_timeout=context.wait_left,
                 is_fresh=not context.route.is_resumable,
                 on_sent=lambda: self._entries.append(pipeline.entry.id),
+                max_idle=count_idle_connections(
+                    context.service, self._forwarder.count_routers()
+                ),
             )
         except TransportError as error:
             return await self._note_broken(grant, error)
--- a/hibiscustiller/ingress/tests/fixtures.py
+++ b/hibiscustiller/ingress/tests/fixtures.py
@@ -132,7 +132,7 @@
     """A server of the plain service.
 
     :param behave: one of ``answer``, ``fail``, ``full``, ``reset``, ``other``,
-        ``short``, ``unsealed``.
+        ``short``, ``silent``, ``unsealed``.
     """
 
     def __init__(self, server_id, store, behave="answer"):
@@ -180,6 +180,8 @@
         elif self.behave == "short":
             await responder.start(200, "text/plain", sealed)
             await responder.send_part(b"boo")
+        elif self.behave == "silent":
+            await curio.sleep(3)
         elif self.behave == "unsealed":
             await responder.send(200, b"booked", "text/plain", headers)
 
--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """A gateway from the caller's side, with faults of engines, servers and the store."""
 
 import sys
+from collections import Counter
 from datetime import timedelta
 
 import curio
@@ -231,6 +232,37 @@
             assert (await world.request("/book/1")).status == 200
 
 
+async def test_time_that_runs_out_is_told_apart_from_a_failure():
+    """Guards against a failure that is blamed on a server which is only slow."""
+    async with World() as world:
+        for server in world.plain:
+            server.behave = "silent"
+        started_at = world.clock.monotonic()
+        answer = await world.request("/stock/1", method="GET", body=b"")
+        assert answer.status == 504
+        assert "retry-after" not in answer.headers
+        age = world.clock.monotonic() - started_at
+        assert timedelta(seconds=0.6) <= age <= timedelta(seconds=1.1)
+
+
+async def test_server_gets_no_more_connections_than_it_accepts():
+    """Guards against requests that a server resets because others came first."""
+    async with World() as world:
+        document = make_document(version=2)
+        document["services"][1]["max_connections"] = 4
+        world.store.put("op/config", document)
+        view = world.gateway.view
+        await world.wait_until(lambda: view.document.version == 2)
+        for server in world.plain:
+            server.behave = "silent"
+        async with curio.TaskGroup() as group:
+            for _ in range(8):
+                await group.spawn(world.request, "/book/1")
+        statuses = Counter(answer.status for answer in group.results)
+        assert statuses == {504: 4, 429: 4}, statuses
+        assert [len(server.requests) for server in world.plain] == [2, 2]
+
+
 async def test_draining_server_gets_no_new_requests():
     """Guards against work that is cut when the server leaves."""
     async with World() as world:
--- a/hibiscustiller/ingress/tests/test_parts.py
+++ b/hibiscustiller/ingress/tests/test_parts.py
@@ -11,13 +11,17 @@
 from hypothesis import strategies as st
 
 from hibiscustiller.discovery import FleetView
-from hibiscustiller.fleet import ServerState
+from hibiscustiller.fleet import ServerState, ServiceSpec
 from hibiscustiller.ingress._budget import RepeatBudget
+from hibiscustiller.ingress._connections import (
+    count_idle_connections,
+    has_free_connection,
+)
 from hibiscustiller.ingress._events import EventSplitter
 from hibiscustiller.ingress._plain import PlainServers
 from hibiscustiller.ingress._routes import RouteTable, choose_service
 from hibiscustiller.ingress.tests.fixtures import HOST, KEY, make_document
-from hibiscustiller.layers import EngineLoad
+from hibiscustiller.layers import EngineLoad, EngineUse
 from hibiscustiller.layers.tests.fixtures import LayerRange, make_engine
 from hibiscustiller.platform import decode_fleet_document
 from hibiscustiller.standins import make_event
@@ -71,6 +75,18 @@
     assert sum(budget.try_repeat(4) for _ in range(100)) == 4
 
 
+@given(st.integers(1, 2000), st.integers(1, 400))
+def test_idle_connections_of_all_routers_fit_beside_requests(accepted, routers):
+    """Guards against resets by a server whose connections idle routers hold."""
+    service = ServiceSpec("orders", max_connections=accepted)
+    idle = count_idle_connections(service, routers) * routers
+    in_flight = 0
+    while has_free_connection(service, EngineUse(entered=in_flight)):
+        in_flight += 1
+    assert in_flight >= 1
+    assert idle + in_flight <= accepted
+
+
 @settings(derandomize=True, deadline=None, max_examples=50)
 @given(st.lists(st.integers(1, 40), min_size=1, max_size=30))
 def test_events_are_whole_however_bytes_arrive(sizes):
--- a/hibiscustiller/platform/_fleet_document.py
+++ b/hibiscustiller/platform/_fleet_document.py
@@ -78,9 +78,11 @@
 def _read_service(values: Mapping[str, Any]) -> ServiceSpec:
     engine = values.get("engine")
     has_layers = engine is not None and "layers" in engine
+    max_connections = values.get("max_connections")
     return ServiceSpec(
         name=ServiceName(values["name"]),
         engine=_read_engine(engine) if has_layers else None,
+        max_connections=None if max_connections is None else int(max_connections),
     )
 
 
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -176,6 +176,7 @@
         head_timeout: timedelta,
         is_fresh: bool,
         on_sent: Callable[[], None] | None = None,
+        max_idle: int = _MAX_IDLE_PER_ADDRESS,
     ) -> Exchange:
         """Send a request as it is and leave its answer to be read.
 
@@ -183,11 +184,13 @@
         :param head_timeout: longest wait until the request has been sent.
         :param is_fresh: as for :meth:`request`.
         :param on_sent: called just before the first byte leaves.
+        :param max_idle: idle connections to this address beyond which this one is
+            closed after the answer.
         :returns: the exchange, to be closed by the caller.
         :raises TransportError: if the request could not be sent.
         """
         connection = await self._take_connection(address, is_fresh)
-        exchange = Exchange(self, address, connection)
+        exchange = Exchange(self, address, connection, max_idle)
         try:
             data = _encode_raw_request(connection, request)
             if on_sent is not None:
@@ -235,7 +238,11 @@
         return _Connection(sock, h11.Connection(h11.CLIENT))
 
     async def _give_back(
-        self, address: Address, connection: _Connection, is_reusable: bool
+        self,
+        address: Address,
+        connection: _Connection,
+        is_reusable: bool,
+        max_idle: int = _MAX_IDLE_PER_ADDRESS,
     ) -> None:
         # Bytes after the answer would be taken for the answer to the next request.
         is_done = (
@@ -243,7 +250,7 @@
             and not connection.state.trailing_data[0]
         )
         idle = self._idle_by_address.get(address, ())
-        if not (is_reusable and is_done and len(idle) < _MAX_IDLE_PER_ADDRESS):
+        if not (is_reusable and is_done and len(idle) < max_idle):
             await connection.close()
             return
         connection.state.start_next_cycle()
@@ -269,11 +276,17 @@
 
     :param client: takes the connection back after a complete answer.
     :param connection: the connection it uses.
+    :param max_idle: idle connections beyond which it is closed instead.
     """
 
     def __init__(
-        self, client: HttpClient, address: Address, connection: _Connection
+        self,
+        client: HttpClient,
+        address: Address,
+        connection: _Connection,
+        max_idle: int,
     ) -> None:
+        self._max_idle = max_idle
         self._client = client
         self._address = address
         self._connection = connection
@@ -325,7 +338,9 @@
         """Return the connection for the next request, or close it."""
         connection = self._connection
         is_reusable = self._is_reusable and connection.state.our_state is h11.DONE
-        await self._client._give_back(self._address, connection, is_reusable)
+        await self._client._give_back(
+            self._address, connection, is_reusable, self._max_idle
+        )
 
     async def _next_event(self, timeout: timedelta) -> Any:
         state = self._connection.state
