Judge requests that crash engines over all routers

Cause: each router took a request for the only one at an engine when it had no other there itself, and quarantined it although another router's request had crashed the engine. Reports of two deaths of a restarted engine were also taken for one death. Change: a verdict is lifted when a peer reports a request at the same death that is as likely to have caused it; the refusal waits 0.3 s for such reports; the requests then start a second apart, so that the next death has one cause.

--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -39,6 +39,9 @@
 _PROBE_TIMEOUT = timedelta(milliseconds=20)
 # Above this, the wait for the next token is due to a slow caller as well.
 _SLOW_DELIVERY = timedelta(milliseconds=5)
+# Other routers' reports of a death arrive within this time: a reset connection tells
+# of it at once, and the probe and a message between hosts take some milliseconds.
+_EVIDENCE_DELAY = timedelta(milliseconds=300)
 # An attempt whose first token takes longer than this many of its class's targets, and
 # longer than the fixed time, is late. The fixed time is the prefill of some 5,000
 # tokens at 400 us each, which is no sign of a queue.
@@ -153,6 +156,9 @@
                 # Before the caller is answered, so that a repeat through another
                 # router meets what is known of its request.
                 await self._registry.share_now()
+                if self._registry.get_quarantine(crash_run.fingerprint) is not None:
+                    # They may show that another request was there as well.
+                    await self._clock.sleep(_EVIDENCE_DELAY)
             if error.is_open:
                 # The next attempt does not wait for an engine that may be silent.
                 await curio.spawn(self._cancel, request, route, progress, daemon=True)
--- a/hibiscustiller/streams/_crashes.py
+++ b/hibiscustiller/streams/_crashes.py
@@ -4,6 +4,9 @@
 from each other, at most one to a server, until they finish or get past the position
 at which the server died. A suspect is quarantined if another server dies while it is
 the only suspect there.
+
+Each router sees its own requests only. A quarantine is therefore lifted when another
+router reports a request at the same death that is as likely to have caused it.
 """
 
 from __future__ import annotations
@@ -32,12 +35,19 @@
 # Routers learn of one death within the next-byte timeout and a report's way; reports
 # of one server within this time are about the same death.
 _SAME_DEATH_WINDOW = timedelta(seconds=10)
+# A reset connection tells all routers of a death at about the same time; clocks of
+# hosts and the reports' way add some hundred milliseconds.
+_TOGETHER_WINDOW = timedelta(seconds=1)
 # A request that crashes servers does so again at the same position. The router's
 # position lags by the token that was under way.
 _TOKENS_PAST_DEATH = 2
 # A request that is alone at this many deaths is quarantined even if it got past
 # each of them; two are met by chance when hosts fail one after the other.
 _MAX_PASSED_DEATHS = 2
+# Suspects of one death whose quarantine was lifted start again one after the other. A
+# request that crashes servers does so at once; others finish a part of their answer.
+_TURN = timedelta(seconds=1)
+_MAX_TURNS = 3
 _MAX_TEXT = 128
 _MS = timedelta(milliseconds=1)
 _ZERO = timedelta(0)
@@ -67,10 +77,24 @@
 
 @dataclass(eq=False)
 class _Death:
-    """A server's death and all requests known to have run there."""
+    """A server's death and all requests known to have run there.
+
+    A server that restarts may die again within the time in which reports count for one
+    death; the requests that met it together are told by the time.
+
+    :param met_at: when each request was last known to have met the death.
+    """
 
     at: timedelta
-    fingerprints: set[Fingerprint] = field(default_factory=set)
+    met_at: dict[Fingerprint, timedelta] = field(default_factory=dict)
+
+    def list_together(self, at: timedelta) -> set[Fingerprint]:
+        """Return the requests that met the death at about a time."""
+        return {
+            fingerprint
+            for fingerprint, met_at in self.met_at.items()
+            if abs(met_at - at) <= _TOGETHER_WINDOW
+        }
 
 
 @dataclass
@@ -88,6 +112,21 @@
     position: int | None = 0
 
 
+@dataclass(frozen=True, eq=False)
+class _Conviction:
+    """Why a request is quarantined.
+
+    :param suspect: evidence, the last death included.
+    :param server: where it was met by its last death.
+    :param at: when.
+    """
+
+    suspect: _Suspect
+    server: ServerId
+    death: _Death
+    at: timedelta
+
+
 class CrashRegistry:
     """Knows which requests are suspected of crashing servers, or quarantined.
 
@@ -109,6 +148,9 @@
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
         self._quarantine_ends: OrderedDict[Fingerprint, timedelta] = OrderedDict()
         self._quarantine_reports: OrderedDict[Fingerprint, CrashReport] = OrderedDict()
+        self._convictions: OrderedDict[Fingerprint, _Conviction] = OrderedDict()
+        # When a request whose quarantine was lifted may start again.
+        self._turns: OrderedDict[Fingerprint, timedelta] = OrderedDict()
         self._deaths_by_server: OrderedDict[ServerId, _Death] = OrderedDict()
         # Servers that run an isolated suspect; None if it must be computed again. After
         # the loss of a domain hundreds of suspects ask for it many times a second.
@@ -133,6 +175,15 @@
         del self._quarantine_ends[fingerprint]
         return None
 
+    def get_turn(self, fingerprint: Fingerprint) -> timedelta:
+        """Return how long a request should wait before it starts again."""
+        at = self._turns.get(fingerprint, _ZERO)
+        left = at - self._clock.monotonic()
+        if left > _ZERO:
+            return left
+        self._turns.pop(fingerprint, None)
+        return _ZERO
+
     def list_quarantined(self) -> dict[Fingerprint, timedelta]:
         """Return how much longer each quarantined request is refused."""
         remaining = {
@@ -245,8 +296,9 @@
         age = age_ms * _MS
         fingerprint = Fingerprint(report.fingerprint)
         if report.event == CrashEvent.QUARANTINED.value:
-            self._quarantine(fingerprint, self._quarantine_time - max(age, _ZERO))
+            self._apply_quarantine(fingerprint, ServerId(report.server_id), age)
             self._keep_quarantine_report(report)
+            self._review(ServerId(report.server_id))
         elif report.event == CrashEvent.CLEARED.value:
             self._suspects.pop(fingerprint, None)
             self._forget_occupied()
@@ -256,35 +308,104 @@
     def _apply_suspicion(
         self, fingerprint: Fingerprint, server: ServerId, age: timedelta
     ) -> None:
+        at = self._clock.monotonic() - age
+        death = self._get_death(server, at)
         if self.get_quarantine(fingerprint) is not None:
+            death.met_at[fingerprint] = at
+            self._review(server)
             return
-        death = self._get_death(server, self._clock.monotonic() - age)
-        self._suspect(fingerprint, server, death).position = None
+        self._suspect(fingerprint, server, death, at).position = None
+        self._review(server)
         alone = [
             known
             for known in self._suspects[fingerprint].deaths_by_server.values()
-            if known.fingerprints == {fingerprint}
+            if known.met_at.keys() == {fingerprint}
         ]
         if len(alone) > 1:
-            self._quarantine(fingerprint, self._quarantine_time)
-            self._report(fingerprint, server, CrashEvent.QUARANTINED)
+            self._convict(fingerprint, server, death, at)
+
+    def _apply_quarantine(
+        self, fingerprint: Fingerprint, server: ServerId, age: timedelta
+    ) -> None:
+        at = self._clock.monotonic() - age
+        death = self._get_death(server, at)
+        suspect = self._suspect(fingerprint, server, death, at)
+        suspect.position = None
+        time = self._quarantine_time - max(age, _ZERO)
+        self._quarantine(fingerprint, time, _Conviction(suspect, server, death, at))
+
+    def _convict(
+        self,
+        fingerprint: Fingerprint,
+        server: ServerId,
+        death: _Death,
+        at: timedelta,
+    ) -> None:
+        suspect = self._suspect(fingerprint, server, death, at)
+        conviction = _Conviction(suspect, server, death, at)
+        self._quarantine(fingerprint, self._quarantine_time, conviction)
+        self._report(fingerprint, server, CrashEvent.QUARANTINED)
+        log_event(
+            "request_quarantined",
+            level="warning",
+            fingerprint=fingerprint,
+            server=server,
+        )
+
+    def _review(self, server: ServerId) -> None:
+        """Lift quarantines for a death that other requests may as well have caused."""
+        death = self._deaths_by_server[server]
+        blamed = {
+            fingerprint: conviction
+            for fingerprint, conviction in self._convictions.items()
+            if conviction.death is death
+            and self.get_quarantine(fingerprint) is not None
+        }
+        together_by_blamed = {
+            fingerprint: death.list_together(conviction.at)
+            for fingerprint, conviction in blamed.items()
+        }
+        # All are judged before the first is lifted, as at the other routers.
+        lifted = [
+            fingerprint
+            for fingerprint, together in together_by_blamed.items()
+            if len(together) > 1
+            and self._find_only_earlier(server, together) != fingerprint
+        ]
+        for fingerprint in lifted:
+            self._lift(fingerprint, together_by_blamed[fingerprint])
+
+    def _lift(self, fingerprint: Fingerprint, together: set[Fingerprint]) -> None:
+        conviction = self._convictions.pop(fingerprint)
+        del self._quarantine_ends[fingerprint]
+        self._quarantine_reports.pop(fingerprint, None)
+        self._suspects[fingerprint] = conviction.suspect
+        _trim(self._suspects, self._capacity)
+        turn = min(_MAX_TURNS, sorted(together).index(fingerprint))
+        self._turns[fingerprint] = self._clock.monotonic() + turn * _TURN
+        _trim(self._turns, self._capacity)
+        self._forget_occupied()
+        log_event(
+            "quarantine_lifted",
+            level="warning",
+            fingerprint=fingerprint,
+            server=conviction.server,
+            requests_at_death=len(together),
+        )
 
     def _judge(self, server: ServerId, runs: Iterable[CrashRun]) -> None:
         positions = {run.fingerprint: run.position for run in runs}
-        culprit = self._find_culprit(server, positions.keys())
-        if culprit is not None:
-            self._quarantine(culprit, self._quarantine_time)
-            self._report(culprit, server, CrashEvent.QUARANTINED)
-            log_event(
-                "request_quarantined",
-                level="warning",
-                fingerprint=culprit,
-                server=server,
-            )
+        now = self._clock.monotonic()
+        death = self._get_death(server, now)
+        # Other routers may have told of their requests at this death before.
+        together = positions.keys() | death.list_together(now)
+        culprit = self._find_culprit(server, together)
+        if culprit in positions:
+            death.met_at.update(dict.fromkeys(positions, now))
+            self._convict(culprit, server, death, now)
             return
-        death = self._get_death(server, self._clock.monotonic())
         for fingerprint, position in positions.items():
-            self._suspect(fingerprint, server, death).position = position
+            self._suspect(fingerprint, server, death, now).position = position
             self._report(fingerprint, server, CrashEvent.SUSPECTED)
 
     def _find_culprit(
@@ -300,13 +421,26 @@
                 if suspect.deaths_by_server or suspect.passed >= _MAX_PASSED_DEATHS:
                     return fingerprint
             return None
+        return self._find_only_earlier(server, fingerprints)
+
+    def _find_only_earlier(
+        self, server: ServerId, fingerprints: Collection[Fingerprint]
+    ) -> Fingerprint | None:
+        """Return the only request that another server's death has made a suspect."""
         earlier = [
             fingerprint
-            for fingerprint, suspect in suspects.items()
-            if suspect.deaths_by_server.keys() - {server}
+            for fingerprint in fingerprints
+            if (suspect := self._find_evidence(fingerprint)) is not None
+            and suspect.deaths_by_server.keys() - {server}
         ]
         return earlier[0] if len(earlier) == 1 else None
 
+    def _find_evidence(self, fingerprint: Fingerprint) -> _Suspect | None:
+        if self.get_quarantine(fingerprint) is not None:
+            conviction = self._convictions.get(fingerprint)
+            return None if conviction is None else conviction.suspect
+        return self._get_suspect(fingerprint)
+
     def _get_suspect(self, fingerprint: Fingerprint) -> _Suspect | None:
         suspect = self._suspects.get(fingerprint)
         if suspect is None or suspect.expires_at > self._clock.monotonic():
@@ -340,14 +474,19 @@
         return position < suspect.position + _TOKENS_PAST_DEATH
 
     def _suspect(
-        self, fingerprint: Fingerprint, server: ServerId, death: _Death
+        self,
+        fingerprint: Fingerprint,
+        server: ServerId,
+        death: _Death,
+        at: timedelta,
     ) -> _Suspect:
         expires_at = self._clock.monotonic() + self._quarantine_time
-        suspect = self._suspects.setdefault(fingerprint, _Suspect(expires_at))
+        suspect = self._find_evidence(fingerprint) or _Suspect(expires_at)
+        self._suspects[fingerprint] = suspect
         self._suspects.move_to_end(fingerprint)
         suspect.expires_at = expires_at
         suspect.deaths_by_server[server] = death
-        death.fingerprints.add(fingerprint)
+        death.met_at[fingerprint] = at
         self._forget_occupied()
         _trim(self._suspects, self._capacity)
         return suspect
@@ -361,8 +500,13 @@
             _trim(self._deaths_by_server, self._capacity)
         return death
 
-    def _quarantine(self, fingerprint: Fingerprint, time: timedelta) -> None:
+    def _quarantine(
+        self, fingerprint: Fingerprint, time: timedelta, conviction: _Conviction
+    ) -> None:
         self._suspects.pop(fingerprint, None)
+        self._convictions[fingerprint] = conviction
+        self._convictions.move_to_end(fingerprint)
+        _trim(self._convictions, self._capacity)
         self._forget_occupied()
         self._quarantine_ends[fingerprint] = self._clock.monotonic() + time
         self._quarantine_ends.move_to_end(fingerprint)
--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -154,6 +154,9 @@
             _FIRST_RETRY_DELAY, _LAST_RETRY_DELAY, self._random_state
         )
         while True:
+            turn = self._registry.get_turn(fingerprint)
+            if turn > timedelta(0):
+                await self._clock.sleep(turn)
             quarantine = self._registry.get_quarantine(fingerprint)
             if quarantine is not None:
                 return Err(_make_quarantine_refusal(quarantine))
--- a/hibiscustiller/streams/tests/test_crashes.py
+++ b/hibiscustiller/streams/tests/test_crashes.py
@@ -150,6 +150,54 @@
     assert registry.get_quarantine("a") is not None
 
 
+def _exchange(*registries):
+    """Deliver the reports of each router to all others."""
+    reports = [(registry, registry.collect_reports()) for registry in registries]
+    for sender, sent in reports:
+        for registry in registries:
+            for report in sent if registry is not sender else ():
+                registry.apply_report(report)
+
+
+def test_quarantine_is_lifted_when_another_router_had_a_request_there():
+    """Guards against an innocent blamed because another router's request crashed it."""
+    registries = first, second, third = [_make_registry()[0] for _ in range(3)]
+    for server in ("s1", "s2"):
+        _kill(first, server, *_start(first, "killer", server=server))
+        _kill(second, server, *_start(second, "innocent", server=server))
+        if server == "s1":
+            _exchange(*registries)
+    assert second.get_quarantine("innocent") is not None
+    _exchange(*registries)
+    for registry in registries:
+        assert registry.get_quarantine("innocent") is None
+        assert registry.get_quarantine("killer") is None
+        assert registry.is_suspect("killer") and registry.is_suspect("innocent")
+        assert registry.list_quarantine_reports() == ()
+    # They start one after the other, so that the next death has one cause.
+    turns = {first.get_turn("killer"), second.get_turn("innocent")}
+    assert turns == {timedelta(0), timedelta(seconds=1)}
+    _kill(first, "s3", *_start(first, "killer", server="s3"))
+    second.note_finished(*_start(second, "innocent", server="s4"))
+    _exchange(*registries)
+    for registry in registries:
+        assert registry.get_quarantine("killer") is not None
+        assert registry.get_quarantine("innocent") is None
+        assert not registry.is_suspect("innocent")
+
+
+def test_quarantine_holds_beside_a_request_without_earlier_deaths():
+    """Guards against a killer that is let go because anything ran beside it."""
+    registries = first, second = [_make_registry()[0] for _ in range(2)]
+    for server in ("s1", "s2"):
+        _kill(first, server, *_start(first, "killer", server=server))
+    _kill(second, "s2", *_start(second, "bystander", server="s2"))
+    _exchange(*registries)
+    for registry in registries:
+        assert registry.get_quarantine("killer") is not None
+        assert registry.get_quarantine("bystander") is None
+
+
 def test_quarantines_are_listed_for_new_routers():
     """Guards against a restarted router that runs a quarantined request again."""
     registry, clock = _make_registry()
