Add a soak of the real programs behind loopback proxies

Callers keep their connections and check each answer; what ran is compared with what they were told.

--- a/hibiscustiller/ingress/tests/fixtures.py
+++ b/hibiscustiller/ingress/tests/fixtures.py
@@ -11,9 +11,12 @@
 from hibiscustiller.ingress import Gateway
 from hibiscustiller.ingress._exposition import ExposedMetrics
 from hibiscustiller.settings import Address
-from hibiscustiller.standins import LayeredEngineStandin, MetadataStoreStandin
+from hibiscustiller.standins import (
+    LayeredEngineStandin,
+    MetadataStoreStandin,
+    PlainServerStandin,
+)
 from hibiscustiller.utils import SystemClock
-from hibiscustiller.wire import HttpLimits, HttpServer
 
 LAYERS = 8
 KEY = "key-of-greens"
@@ -128,64 +131,6 @@
     }
 
 
-class PlainStandin:
-    """A server of the plain service.
-
-    :param behave: one of ``answer``, ``fail``, ``full``, ``reset``, ``other``,
-        ``short``, ``silent``, ``unsealed``.
-    """
-
-    def __init__(self, server_id, store, behave="answer"):
-        self.id = server_id
-        self._store = store
-        self.behave = behave
-        self.requests = []
-        self.server = HttpServer(
-            Address("127.0.0.1", 0), self._handle, HttpLimits(), server_id
-        )
-
-    async def start(self):
-        await self.server.start()
-        self.write_entry()
-
-    def write_entry(self, state="ready"):
-        self._store.put(
-            f"servers/{self.id}",
-            {
-                "service": "orders",
-                "address": str(self.server.address),
-                "zone": "north",
-                "slots": 6,
-                "state": state,
-                "born": 1,
-            },
-        )
-
-    async def _handle(self, request, responder):
-        if request.headers_by_name.get("expect-instance") != self.id:
-            await responder.send_json(421, {}, {"Instance-Id": self.id})
-            return
-        self.requests.append(request)
-        headers = {"Request-Id": request.headers_by_name["request-id"]}
-        sealed = {**headers, "Response-Seal": f"seal-{self.id}"}
-        if self.behave == "answer":
-            await responder.send(200, b"booked", "text/plain", sealed)
-        elif self.behave == "fail":
-            await responder.send(500, b"failed", "text/plain", sealed)
-        elif self.behave == "full":
-            await responder.send(503, b"", "text/plain", {"Not-Executed": "1"})
-        elif self.behave == "other":
-            other = {**sealed, "Request-Id": "another"}
-            await responder.send(200, b"of another", "text/plain", other)
-        elif self.behave == "short":
-            await responder.start(200, "text/plain", sealed)
-            await responder.send_part(b"boo")
-        elif self.behave == "silent":
-            await curio.sleep(3)
-        elif self.behave == "unsealed":
-            await responder.send(200, b"booked", "text/plain", headers)
-
-
 @dataclass
 class Answer:
     """What a caller got.
@@ -217,7 +162,9 @@
             )
             for server_id, zone in zip(engine_ids, zones, strict=True)
         ]
-        self.plain = [PlainStandin(f"p{number}", self.store) for number in range(2)]
+        self.plain = [
+            PlainServerStandin(f"p{number}", self.store) for number in range(2)
+        ]
         self.gateway = None
         self.request_count = 0
 
@@ -273,47 +220,66 @@
         async with sock:
             return await self.exchange(sock, path, **options)
 
-    async def exchange(
-        self, sock, path, method="POST", key=KEY, body=b"{}", headers=(), on_data=None
-    ):
+    async def exchange(self, sock, path, **options):
         """Send a request on a connection and read the answer."""
         self.request_count += 1
-        state = h11.Connection(h11.CLIENT)
-        fields = [
-            ("host", HOST),
-            ("request-id", f"request-{self.request_count}"),
-            ("deadline-ms", "5000"),
-            ("token-usage", "100,20"),
-            ("content-length", str(len(body))),
-            *headers,
-        ]
-        if key is not None:
-            fields.append(("authorization", f"Token {key}"))
-        data = state.send(h11.Request(method=method, target=path, headers=fields))
-        data += state.send(h11.Data(data=body)) + state.send(h11.EndOfMessage())
-        await sock.sendall(data)
-        answer = Answer()
-        async with curio.timeout_after(8):
-            while not answer.is_complete:
-                event = state.next_event()
-                if event is h11.NEED_DATA:
-                    data = await sock.recv(65536)
-                    try:
-                        state.receive_data(data)
-                        event = state.next_event() if not data else None
-                    except h11.RemoteProtocolError:
-                        return answer
-                if isinstance(event, h11.Response):
-                    answer.status = event.status_code
-                    answer.headers = {
-                        name.decode(): value.decode() for name, value in event.headers
-                    }
-                elif isinstance(event, h11.Data):
-                    answer.body += event.data
-                    if on_data is not None:
-                        await on_data(answer)
-                elif isinstance(event, h11.EndOfMessage):
-                    answer.is_complete = True
-                elif isinstance(event, h11.ConnectionClosed):
+        options.setdefault("request_id", f"request-{self.request_count}")
+        return await exchange(sock, path, **options)
+
+
+async def exchange(
+    sock,
+    path,
+    *,
+    request_id,
+    method="POST",
+    key=KEY,
+    body=b"{}",
+    headers=(),
+    on_data=None,
+    time_limit_s=8.0,
+):
+    """Send a request on a connection and read the answer.
+
+    :param on_data: called with the answer after each part of its body.
+    :returns: the answer; incomplete if the connection ended early.
+    """
+    state = h11.Connection(h11.CLIENT)
+    fields = [
+        ("host", HOST),
+        ("request-id", request_id),
+        ("deadline-ms", "5000"),
+        ("token-usage", "100,20"),
+        ("content-length", str(len(body))),
+        *headers,
+    ]
+    if key is not None:
+        fields.append(("authorization", f"Token {key}"))
+    data = state.send(h11.Request(method=method, target=path, headers=fields))
+    data += state.send(h11.Data(data=body)) + state.send(h11.EndOfMessage())
+    await sock.sendall(data)
+    answer = Answer()
+    async with curio.timeout_after(time_limit_s):
+        while not answer.is_complete:
+            event = state.next_event()
+            if event is h11.NEED_DATA:
+                data = await sock.recv(65536)
+                try:
+                    state.receive_data(data)
+                    event = state.next_event() if not data else None
+                except h11.RemoteProtocolError:
                     return answer
-        return answer
+            if isinstance(event, h11.Response):
+                answer.status = event.status_code
+                answer.headers = {
+                    name.decode(): value.decode() for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                answer.body += event.data
+                if on_data is not None:
+                    await on_data(answer)
+            elif isinstance(event, h11.EndOfMessage):
+                answer.is_complete = True
+            elif isinstance(event, h11.ConnectionClosed):
+                return answer
+    return answer
--- a/hibiscustiller/standins/__init__.py
+++ b/hibiscustiller/standins/__init__.py
@@ -20,6 +20,7 @@
     MetadataStoreStandin,
 )
 from hibiscustiller.standins._model import compute_answer
+from hibiscustiller.standins._plain_server import PlainServerStandin
 from hibiscustiller.standins._platform import PlatformStandin, StoreFaults
 from hibiscustiller.standins._settings import make_standin_settings
 
@@ -38,6 +39,7 @@
     "LayeredEngineStandin",
     "MetadataFaults",
     "MetadataStoreStandin",
+    "PlainServerStandin",
     "PlatformStandin",
     "StoreFaults",
     "compute_answer",
--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -2,19 +2,47 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import curio
 
 from hibiscustiller.settings import Address
-from hibiscustiller.standins._metadata_store import MetadataStoreStandin
 from hibiscustiller.wire import HttpLimits, HttpRequest, HttpServer, Responder
 
+# Stages of a pipeline: address, first layer and the one after the last.
+Path = list[tuple[str, int, int]]
+
 _EVENT_PERIOD_S = 0.01
 _STALL_S = 2.0
 
 
+class EntryWriter(Protocol):
+    """Where servers keep their entries."""
+
+    def put(self, key: str, value: Any) -> None:
+        """Write an entry."""
+        ...
+
+
+class PipelineMember(Protocol):
+    """An engine as another one of its pipeline sees it."""
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether its process runs."""
+        ...
+
+    def holds(self, first: int, end: int) -> bool:
+        """Tell whether it holds layers."""
+        ...
+
+    async def leave(self) -> None:
+        """Take note that the pipeline's stream has ended."""
+        ...
+
+
 @dataclass
 class LayeredEngineFaults:
     """Faults that a test switches on.
@@ -36,19 +64,35 @@
     :param store: where it keeps its entry.
     :param engines_by_address: all engines of the test.
     :param event_count: events of each answer.
+    :param address: where it listens.
+    :param public_address: where others reach it; its own address by default.
+    :param born: start of its process, in ms.
+    :param find_members: returns the engines of a pipeline; None for one that cannot
+        be reached. By default they are looked up among those of the test.
+    :param on_run: called when a request begins to run.
     """
 
     def __init__(
         self,
         server_id: str,
-        store: MetadataStoreStandin,
+        store: EntryWriter,
         engines_by_address: dict[str, LayeredEngineStandin],
         *,
         service: str = "engines",
         zone: str = "north",
         kind: str = "large",
         event_count: int = 20,
+        address: Address | None = None,
+        public_address: Address | None = None,
+        born: int = 1,
+        find_members: Callable[[Path], Awaitable[Sequence[PipelineMember | None]]]
+        | None = None,
+        on_run: Callable[[HttpRequest, Path], None] = lambda request, path: None,
     ) -> None:
+        self._public_address = public_address
+        self._born = born
+        self._find_members = find_members or self._look_up_members
+        self._on_run = on_run
         self.id = server_id
         self._store = store
         self._engines_by_address = engines_by_address
@@ -60,19 +104,19 @@
         self.order_count = 0
         self.orders: list[dict[str, Any]] = []
         self.requests: list[HttpRequest] = []
-        self.paths: list[list[tuple[str, int, int]]] = []
+        self.paths: list[Path] = []
         self.last_fence = 0
         self.is_alive = False
         self.state = "ready"
         self.faults = LayeredEngineFaults()
         self.server = HttpServer(
-            Address("127.0.0.1", 0), self._handle, HttpLimits(), server_id
+            address or Address("127.0.0.1", 0), self._handle, HttpLimits(), server_id
         )
 
     @property
     def address(self) -> Address:
-        """Where it listens."""
-        return self.server.address
+        """Where others reach it."""
+        return self._public_address or self.server.address
 
     async def start(self) -> None:
         """Start to listen and write its entry."""
@@ -101,13 +145,15 @@
                 "cold_remaining_ms": 0,
                 "kind": self._kind,
                 "layers": {"from": first, "target": end, "version": 1},
-                "born": 1,
+                "born": self._born,
                 "sequence": self.order_count,
             },
         )
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
-        if request.headers_by_name.get("expect-instance") != self.id:
+        if request.path == "/member":
+            await responder.send_json(200, {"layers": self.layers})
+        elif request.headers_by_name.get("expect-instance") != self.id:
             await responder.send_json(421, {}, {"Instance-Id": self.id})
         elif request.path == "/report":
             await responder.send_json(200, self._make_report())
@@ -140,16 +186,28 @@
 
     async def _answer_request(self, request: HttpRequest, responder: Responder) -> None:
         path = _parse_path(request.headers_by_name["hop-count"])
-        stages = [self._engines_by_address.get(address) for address, _, _ in path]
+        stages = await self._find_members(path)
         self.requests.append(request)
         self.paths.append(path)
-        for stage, (address, first, end) in zip(stages, path, strict=True):
-            is_dead = stage is None or not stage.is_alive
-            if self.faults.is_full or is_dead or not stage.holds(first, end):
-                headers = {"Not-Executed": "1", "At-Server": address}
-                await responder.send_json(503, {}, headers)
-                return
-        await self._stream(request, responder, stages)
+        try:
+            for stage, (address, first, end) in zip(stages, path, strict=True):
+                is_dead = stage is None or not stage.is_alive
+                if self.faults.is_full or is_dead or not stage.holds(first, end):
+                    headers = {"Not-Executed": "1", "At-Server": address}
+                    await responder.send_json(503, {}, headers)
+                    return
+            self._on_run(request, path)
+            await self._stream(request, responder, stages)
+        finally:
+            for stage in stages:
+                if stage is not None:
+                    await stage.leave()
+
+    async def _look_up_members(self, path: Path) -> Sequence[PipelineMember | None]:
+        return [self._engines_by_address.get(address) for address, _, _ in path]
+
+    async def leave(self) -> None:
+        """Nothing is kept for a pipeline within one process."""
 
     def holds(self, first: int, end: int) -> bool:
         """Tell whether it holds layers."""
@@ -159,7 +217,7 @@
         self,
         request: HttpRequest,
         responder: Responder,
-        stages: list[LayeredEngineStandin | None],
+        stages: Sequence[PipelineMember | None],
     ) -> None:
         request_id = request.headers_by_name["request-id"]
         if self.faults.is_of_other_request:
@@ -185,8 +243,8 @@
     return b"id: %d\ndata: piece-%d\n\n" % (number, number)
 
 
-def _parse_path(text: str) -> list[tuple[str, int, int]]:
-    path = []
+def _parse_path(text: str) -> Path:
+    path: Path = []
     for part in text.split(","):
         address, _, layers = part.partition("=")
         first, _, end = layers.partition("-")
--- a/hibiscustiller/standins/_metadata_store.py
+++ b/hibiscustiller/standins/_metadata_store.py
@@ -49,9 +49,10 @@
     """A small metadata store in one process.
 
     :param clock: ends leases.
+    :param address: where it listens.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, address: Address | None = None) -> None:
         self._clock = clock
         self.faults = MetadataFaults()
         self.calls = 0
@@ -62,7 +63,10 @@
         self._leases: dict[int, tuple[timedelta, timedelta]] = {}
         self._last_lease = 0
         self.server = HttpServer(
-            Address("127.0.0.1", 0), self._handle, HttpLimits(), "metadata store"
+            address or Address("127.0.0.1", 0),
+            self._handle,
+            HttpLimits(),
+            "metadata store",
         )
 
     @property
--- /dev/null
+++ b/hibiscustiller/standins/_plain_server.py
@@ -0,0 +1,96 @@
+"""Stand-in for a server of a plain service on the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import curio
+
+from hibiscustiller.settings import Address
+from hibiscustiller.standins._layered_engine import EntryWriter
+from hibiscustiller.wire import HttpLimits, HttpRequest, HttpServer, Responder
+
+_SILENCE_S = 3.0
+
+
+class PlainServerStandin:
+    """A server that answers ``booked``.
+
+    :param server_id: its id.
+    :param store: where it keeps its entry.
+    :param behave: one of ``answer``, ``fail``, ``full``, ``reset``, ``other``,
+        ``short``, ``silent``, ``unsealed``.
+    :param address: where it listens.
+    :param public_address: where others reach it; its own address by default.
+    :param born: start of its process, in ms.
+    :param on_run: called when a request begins to run.
+    """
+
+    def __init__(
+        self,
+        server_id: str,
+        store: EntryWriter,
+        behave: str = "answer",
+        *,
+        service: str = "orders",
+        address: Address | None = None,
+        public_address: Address | None = None,
+        born: int = 1,
+        on_run: Callable[[HttpRequest], None] = lambda request: None,
+    ) -> None:
+        self.id = server_id
+        self._store = store
+        self._service = service
+        self._public_address = public_address
+        self._born = born
+        self._on_run = on_run
+        self.behave = behave
+        self.requests: list[HttpRequest] = []
+        self.server = HttpServer(
+            address or Address("127.0.0.1", 0), self._handle, HttpLimits(), server_id
+        )
+
+    async def start(self) -> None:
+        """Start to listen and write its entry."""
+        await self.server.start()
+        self.write_entry()
+
+    def write_entry(self, state: str = "ready") -> None:
+        """Write its entry in the store."""
+        self._store.put(
+            f"servers/{self.id}",
+            {
+                "service": self._service,
+                "address": str(self._public_address or self.server.address),
+                "zone": "north",
+                "slots": 6,
+                "state": state,
+                "born": self._born,
+            },
+        )
+
+    async def _handle(self, request: HttpRequest, responder: Responder) -> None:
+        if request.headers_by_name.get("expect-instance") != self.id:
+            await responder.send_json(421, {}, {"Instance-Id": self.id})
+            return
+        self.requests.append(request)
+        if self.behave == "full":
+            await responder.send(503, b"", "text/plain", {"Not-Executed": "1"})
+            return
+        self._on_run(request)
+        headers = {"Request-Id": request.headers_by_name["request-id"]}
+        sealed = {**headers, "Response-Seal": f"seal-{self.id}"}
+        if self.behave == "answer":
+            await responder.send(200, b"booked", "text/plain", sealed)
+        elif self.behave == "fail":
+            await responder.send(500, b"failed", "text/plain", sealed)
+        elif self.behave == "other":
+            other = {**sealed, "Request-Id": "another"}
+            await responder.send(200, b"of another", "text/plain", other)
+        elif self.behave == "short":
+            await responder.start(200, "text/plain", sealed)
+            await responder.send_part(b"boo")
+        elif self.behave == "silent":
+            await curio.sleep(_SILENCE_S)
+        elif self.behave == "unsealed":
+            await responder.send(200, b"booked", "text/plain", headers)
--- /dev/null
+++ b/hibiscustiller/standins/_programs.py
@@ -0,0 +1,234 @@
+"""The platform's stand-ins as programs of their own, so that each can be killed.
+
+A server writes its entry under a lease, as a server on the platform does: the entry
+goes when the process has been away for the lease's time.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from collections.abc import Sequence
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from hibiscustiller.exceptions import StoreUnavailableError, TransportError
+from hibiscustiller.platform import LeaseExpiredError, LeaseId, MetadataStore
+from hibiscustiller.settings import Address, parse_address
+from hibiscustiller.standins._layered_engine import (
+    LayeredEngineStandin,
+    PipelineMember,
+)
+from hibiscustiller.standins._layered_engine import Path as PipelinePath
+from hibiscustiller.standins._metadata_store import MetadataStoreStandin
+from hibiscustiller.standins._plain_server import PlainServerStandin
+from hibiscustiller.utils import Clock, SystemClock, log_event
+from hibiscustiller.wire import HttpClient, HttpRequest, wait_at_most
+from hibiscustiller.wire._sockets import is_readable
+
+# Three renewals fit, as on the platform.
+_ENTRY_TTL = timedelta(seconds=3)
+_RENEWAL_PERIOD = timedelta(seconds=1)
+_STORE_TIMEOUT = timedelta(seconds=1)
+_MEMBER_TIMEOUT = timedelta(milliseconds=500)
+_MAX_VALUE_BYTES = 1 << 20
+
+
+class RunRecord:
+    """Appends what runs at a server to a file that outlives its process.
+
+    :param path: file that several processes append to.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+
+    def note(self, **values: object) -> None:
+        """Append a line of JSON; a kill cannot divide it."""
+        os.write(self._file, json.dumps(values).encode() + b"\n")
+
+
+class _EntryKeeper:
+    """Keeps entries in a store of another process."""
+
+    def __init__(self, store: MetadataStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._wanted: dict[str, bytes] = {}
+        self._written: dict[str, bytes] = {}
+        self._lease: LeaseId | None = None
+        self._is_changed = curio.UniversalEvent()
+
+    def put(self, key: str, value: Any) -> None:
+        """Write an entry soon."""
+        self._wanted[key] = json.dumps(value).encode()
+        self._is_changed.set()
+
+    async def run(self) -> None:
+        """Write entries and renew their lease until cancelled."""
+        while True:
+            try:
+                await self._write_all()
+            except (StoreUnavailableError, LeaseExpiredError) as error:
+                log_event("entry_not_written", level="warning", reason=error)
+            try:
+                await wait_at_most(_RENEWAL_PERIOD, self._is_changed.wait())
+            except TimeoutError:
+                # The lease is due for renewal.
+                pass
+            self._is_changed.clear()
+
+    async def _write_all(self) -> None:
+        if self._lease is None or not await self._store.keep_alive(self._lease):
+            self._written.clear()
+            self._lease = await self._store.grant_lease(_ENTRY_TTL)
+        for key, value in self._wanted.items():
+            if self._written.get(key) == value:
+                continue
+            found = await self._store.get(key)
+            revision = 0 if found is None else found.revision
+            outcome = await self._store.compare_and_swap(
+                key, value, revision, self._lease
+            )
+            if outcome.is_swapped:
+                self._written[key] = value
+
+
+class _RemoteMember:
+    """An engine in another process, with a connection that ends when it does."""
+
+    def __init__(self, sock: Any, layers: tuple[int, int]) -> None:
+        self._sock = sock
+        self._layers = layers
+
+    @property
+    def is_alive(self) -> bool:
+        return not is_readable(self._sock)
+
+    def holds(self, first: int, end: int) -> bool:
+        return self._layers[0] <= first and end <= self._layers[1]
+
+    async def leave(self) -> None:
+        await self._sock.close()
+
+
+class _MemberFinder:
+    """Finds the engines of pipelines that begin at this process's engine."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+        self.engine: LayeredEngineStandin | None = None
+
+    async def find(self, path: PipelinePath) -> Sequence[PipelineMember | None]:
+        members: list[PipelineMember | None] = [self.engine]
+        for address, _, _ in path[1:]:
+            members.append(await self._connect(parse_address(address)))
+        return members
+
+    async def _connect(self, address: Address) -> _RemoteMember | None:
+        try:
+            answer = await self._client.request(
+                address, "GET", "/member", timeout=_MEMBER_TIMEOUT
+            )
+            sock = await curio.open_connection(address.host, address.port)
+        except (TransportError, OSError) as error:
+            log_event("member_unreachable", address=address, reason=error)
+            return None
+        first, end = answer.read_json()["layers"]
+        return _RemoteMember(sock, (first, end))
+
+
+async def run_metadata_store(port: int) -> None:
+    """Run a store until it is killed; SIGUSR1 drops its history."""
+    store = MetadataStoreStandin(SystemClock(), Address("127.0.0.1", port))
+    signal.signal(signal.SIGUSR1, lambda number, frame: store.forget_history())
+    await store.start()
+    while True:
+        await curio.sleep(0.2)
+        store.expire_leases()
+
+
+async def run_engine(
+    server_id: str,
+    port: int,
+    public_address: Address,
+    store_address: Address,
+    domain: str,
+    kind: str,
+    record_path: Path,
+) -> None:
+    """Run an engine until it is killed."""
+    clock = SystemClock()
+    client = HttpClient(clock)
+    record = RunRecord(record_path)
+    keeper = _make_keeper(client, store_address, clock)
+    finder = _MemberFinder(client)
+
+    def note_run(request: HttpRequest, path: PipelinePath) -> None:
+        _note_request(record, server_id, request, path=path)
+
+    finder.engine = LayeredEngineStandin(
+        server_id,
+        keeper,
+        {},
+        zone=domain,
+        kind=kind,
+        address=Address("127.0.0.1", port),
+        public_address=public_address,
+        born=_read_milliseconds(clock),
+        find_members=finder.find,
+        on_run=note_run,
+    )
+    await finder.engine.start()
+    await keeper.run()
+
+
+async def run_plain_server(
+    server_id: str,
+    port: int,
+    public_address: Address,
+    store_address: Address,
+    record_path: Path,
+) -> None:
+    """Run a server of the plain service until it is killed."""
+    clock = SystemClock()
+    record = RunRecord(record_path)
+    keeper = _make_keeper(HttpClient(clock), store_address, clock)
+    server = PlainServerStandin(
+        server_id,
+        keeper,
+        address=Address("127.0.0.1", port),
+        public_address=public_address,
+        born=_read_milliseconds(clock),
+        on_run=lambda request: _note_request(record, server_id, request),
+    )
+    await server.start()
+    await keeper.run()
+
+
+def _make_keeper(client: HttpClient, address: Address, clock: Clock) -> _EntryKeeper:
+    store = MetadataStore(client, address, _STORE_TIMEOUT, _MAX_VALUE_BYTES)
+    return _EntryKeeper(store, clock)
+
+
+def _note_request(
+    record: RunRecord, server_id: str, request: HttpRequest, **values: object
+) -> None:
+    headers = request.headers_by_name
+    record.note(
+        server=server_id,
+        request=headers["request-id"],
+        target=request.target.decode("latin-1"),
+        organisation=headers.get("tenant"),
+        has_key="authorization" in headers,
+        last_event=headers.get("last-event-id"),
+        **values,
+    )
+
+
+def _read_milliseconds(clock: Clock) -> int:
+    return int(clock.now().timestamp() * 1000)
