--- a/hibiscustiller/ingress/tests/soak/faults.py
+++ b/hibiscustiller/ingress/tests/soak/faults.py
@@ -157,7 +157,11 @@
     # Backend servers.
 
     async def _with_server(self, act):
-        server_id = self._choose(self._site.servers_by_id)
+        # Engines are more, yet only plain servers run what must run once.
+        prefix = self._random_state.choice(("e", "p"))
+        server_id = self._choose(
+            [key for key in self._site.servers_by_id if key.startswith(prefix)]
+        )
         if server_id is None:
             return
         self._busy.add(server_id)
--- a/hibiscustiller/ingress/tests/soak/run.py
+++ b/hibiscustiller/ingress/tests/soak/run.py
@@ -14,7 +14,7 @@
 from hibiscustiller.ingress.tests.soak.faults import Faults
 from hibiscustiller.ingress.tests.soak.site import Site, make_version
 
-_CALLERS = 8
+_CALLERS = 16
 _SERIES = 3
 # After the last fault everything works again within this time.
 _RECOVERY_S = 12.0
--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -14,7 +14,6 @@
 # Stages of a pipeline: address, first layer and the one after the last.
 Path = list[tuple[str, int, int]]
 
-_EVENT_PERIOD_S = 0.01
 _STALL_S = 2.0
 
 
@@ -64,6 +63,7 @@
     :param store: where it keeps its entry.
     :param engines_by_address: all engines of the test.
     :param event_count: events of each answer.
+    :param event_period_s: time between two events.
     :param address: where it listens.
     :param public_address: where others reach it; its own address by default.
     :param born: start of its process, in ms.
@@ -82,6 +82,7 @@
         zone: str = "north",
         kind: str = "large",
         event_count: int = 20,
+        event_period_s: float = 0.01,
         address: Address | None = None,
         public_address: Address | None = None,
         born: int = 1,
@@ -100,6 +101,7 @@
         self._zone = zone
         self._kind = kind
         self._event_count = event_count
+        self._event_period_s = event_period_s
         self.layers = (0, 0)
         self.order_count = 0
         self.orders: list[dict[str, Any]] = []
@@ -234,7 +236,7 @@
                 await responder.send_part(b"id: %d\nda" % number)
                 return
             await responder.send_part(make_event(number))
-            await curio.sleep(_EVENT_PERIOD_S)
+            await curio.sleep(self._event_period_s)
         await responder.finish()
 
 
--- a/hibiscustiller/standins/_plain_server.py
+++ b/hibiscustiller/standins/_plain_server.py
@@ -23,6 +23,7 @@
     :param address: where it listens.
     :param public_address: where others reach it; its own address by default.
     :param born: start of its process, in ms.
+    :param work_s: time between the start of a request and its answer.
     :param on_run: called when a request begins to run.
     """
 
@@ -36,6 +37,7 @@
         address: Address | None = None,
         public_address: Address | None = None,
         born: int = 1,
+        work_s: float = 0.0,
         on_run: Callable[[HttpRequest], None] = lambda request: None,
     ) -> None:
         self.id = server_id
@@ -43,6 +45,7 @@
         self._service = service
         self._public_address = public_address
         self._born = born
+        self._work_s = work_s
         self._on_run = on_run
         self.behave = behave
         self.requests: list[HttpRequest] = []
@@ -78,6 +81,7 @@
             await responder.send(503, b"", "text/plain", {"Not-Executed": "1"})
             return
         self._on_run(request)
+        await curio.sleep(self._work_s)
         headers = {"Request-Id": request.headers_by_name["request-id"]}
         sealed = {**headers, "Response-Seal": f"seal-{self.id}"}
         if self.behave == "answer":
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -36,6 +36,9 @@
 _STORE_TIMEOUT = timedelta(seconds=1)
 _MEMBER_TIMEOUT = timedelta(milliseconds=500)
 _MAX_VALUE_BYTES = 1 << 20
+# Long enough for faults to meet requests at work.
+_EVENT_PERIOD_S = 0.04
+_WORK_S = 0.1
 
 
 class RunRecord:
@@ -177,6 +180,7 @@
         {},
         zone=domain,
         kind=kind,
+        event_period_s=_EVENT_PERIOD_S,
         address=Address("127.0.0.1", port),
         public_address=public_address,
         born=_read_milliseconds(clock),
@@ -204,6 +208,7 @@
         address=Address("127.0.0.1", port),
         public_address=public_address,
         born=_read_milliseconds(clock),
+        work_s=_WORK_S,
         on_run=lambda request: _note_request(record, server_id, request),
     )
     await server.start()
