--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -34,9 +34,9 @@
 _WATCH_WAIT = timedelta(seconds=20)
 # Changes within this time share an answer; the bound on a change is two seconds. It
 # grows with the fleet, since each router makes these calls.
-_WATCH_SPACING = timedelta(milliseconds=120)
-_WATCH_SPACING_PER_ROUTER = timedelta(milliseconds=4)
-_LONGEST_WATCH_SPACING = timedelta(milliseconds=400)
+_WATCH_SPACING = timedelta(milliseconds=90)
+_WATCH_SPACING_PER_ROUTER = timedelta(milliseconds=9)
+_LONGEST_WATCH_SPACING = timedelta(milliseconds=700)
 _FIRST_RETRY = timedelta(milliseconds=100)
 # A change must be in force within two seconds, also if watches alone fail.
 _LONGEST_RETRY = timedelta(milliseconds=400)
@@ -172,23 +172,23 @@
             return Err(error)
 
     async def _read_all(self) -> None:
-        """Read every key of interest, at or after one revision."""
-        servers = await self._store.read_prefix(SERVER_PREFIX)
-        routers = await self._store.read_prefix(ROUTER_PREFIX)
-        holder = await self._store.get(HOLDER_KEY)
-        document = await self._store.get(DOCUMENT_KEY)
+        """Read every key, at or after one revision."""
+        # Pages of all keys together are fewer calls than those of each prefix.
+        found = await self._store.read_prefix(_ALL_KEYS)
         self._note_answer()
-        if document is not None:
-            self._apply_document(document.value, document.revision)
-        self._view.replace_servers(self._decode_servers(servers.items))
+        servers = [
+            change for change in found.items if change.key.startswith(SERVER_PREFIX)
+        ]
+        self._view.replace_servers(self._decode_servers(servers))
         for router_id in list(self._view.peers_by_id):
             self._view.remove_peer(router_id)
-        for change in routers.items:
-            self._apply(change)
-        self._view.has_holder = holder is not None
-        # The first read is the oldest; what changed since then is told again.
-        self._revision = servers.revision
-        log_event("store_read", revision=self._revision, servers=len(servers.items))
+        self._view.has_holder = False
+        for change in found.items:
+            if not change.key.startswith(SERVER_PREFIX):
+                self._apply(change)
+        # The first page is the oldest; what changed since then is told again.
+        self._revision = found.revision
+        log_event("store_read", revision=self._revision, servers=len(servers))
 
     def _note_answer(self) -> None:
         self._failures = 0
