Leave out engines that refuse although not full; a stopping router stays out of control

Change: an engine that refuses twice in a row with less than half of its memory known to be in use is left out for a second, then twice as long each time, and the others are told; pipelines are formed anew without it. A request with no other pipeline takes one formed from the engines that did not refuse it. A router that stops does not stand for the lease.

--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -26,6 +26,14 @@
 # store has told so. Others get the requests meanwhile.
 _REFUSAL_LIFE = timedelta(milliseconds=400)
 _RECHECK_PERIOD = timedelta(milliseconds=500)
+# A server that refuses this often in a row although it has room is leaving or gives up
+# its layers. The store may be away, and not tell.
+_LEAVING_REFUSALS = 2
+# Such a server is tried again after this time, and after twice as long each time.
+_FIRST_LEAVE = timedelta(seconds=1)
+_LONGEST_LEAVE = timedelta(seconds=8)
+# Routers of a large fleet report every one and a half seconds.
+_PEER_LIFE = timedelta(seconds=2)
 
 
 @dataclass
@@ -40,8 +48,23 @@
     is_dead: bool
 
 
+@dataclass
+class _Refusals:
+    """Refusals in a row of a server that has room.
+
+    :param entry: what the store told of it; a changed entry begins anew.
+    :param leaves: how often it was taken to be leaving.
+    :param left_out_until: end of the present time without requests.
+    """
+
+    entry: BackendServer
+    count: int = 0
+    leaves: int = 0
+    left_out_until: timedelta = timedelta(0)
+
+
 class ServerHealth:
-    """Reachability of backend servers.
+    """Reachability of backend servers, and which of them take requests.
 
     :param get_server: returns what is known of a server.
     :param on_change: called after a server was lost or regained.
@@ -60,16 +83,85 @@
         self._checked_at: dict[ServerId, timedelta] = {}
         self._checks: dict[ServerId, curio.Event] = {}
         self._refused_until: dict[ServerId, timedelta] = {}
+        self._refusals: dict[ServerId, _Refusals] = {}
+        # Servers that other routers take to be leaving, and until when.
+        self._told: dict[ServerId, tuple[BackendServer, timedelta]] = {}
 
     def is_usable(self, server: BackendServer) -> bool:
+        """Tell whether a server can be reached and is not taken to be leaving."""
+        return self.is_reachable(server) and not self._is_leaving(server)
+
+    def is_reachable(self, server: BackendServer) -> bool:
         """Tell whether a server is not known to be unreachable."""
         outage = self._outages.get(server.id)
         # A new incarnation under the same id has not been seen to fail.
         return outage is None or outage.born != server.born
 
-    def note_refusal(self, server_id: ServerId) -> None:
-        """Record that a server did not take a request."""
-        self._refused_until[server_id] = self._clock.monotonic() + _REFUSAL_LIFE
+    def note_refusal(self, server: BackendServer, has_room: bool) -> None:
+        """Record that a server did not take a request.
+
+        :param has_room: whether it is known to be far from full.
+        """
+        now = self._clock.monotonic()
+        self._refused_until[server.id] = now + _REFUSAL_LIFE
+        if not has_room:
+            return
+        refusals = self._refusals.get(server.id)
+        if refusals is None or refusals.entry != server:
+            refusals = self._refusals[server.id] = _Refusals(server)
+        refusals.count += 1
+        if refusals.count < _LEAVING_REFUSALS or now < refusals.left_out_until:
+            return
+        time = min(_LONGEST_LEAVE, _FIRST_LEAVE * 2**refusals.leaves)
+        # The next refusal after that time is enough.
+        refusals.leaves = min(refusals.leaves + 1, 10)
+        refusals.left_out_until = now + time
+        log_event(
+            "server_refuses",
+            level="warning",
+            server=server.id,
+            refusals=refusals.count,
+            left_out=time,
+        )
+        self._on_change()
+
+    def note_taken(self, server_ids: Iterable[ServerId]) -> None:
+        """Record that servers run a request."""
+        for server_id in server_ids:
+            self._refusals.pop(server_id, None)
+
+    def list_leaving(self) -> list[ServerId]:
+        """Return the servers that this router itself takes to be leaving."""
+        now = self._clock.monotonic()
+        return [
+            server_id
+            for server_id, refusals in self._refusals.items()
+            if now < refusals.left_out_until
+        ]
+
+    def note_told(self, server_ids: Iterable[ServerId]) -> None:
+        """Take over which servers another router takes to be leaving."""
+        until = self._clock.monotonic() + _PEER_LIFE
+        is_news = False
+        for server_id in server_ids:
+            server = self._get_server(server_id)
+            if server is not None:
+                is_news |= self.is_usable(server)
+                self._told[server_id] = (server, until)
+        if is_news:
+            self._on_change()
+
+    def _is_leaving(self, server: BackendServer) -> bool:
+        now = self._clock.monotonic()
+        refusals = self._refusals.get(server.id)
+        if refusals is not None and refusals.entry == server:
+            if now < refusals.left_out_until:
+                return True
+        told = self._told.get(server.id)
+        if told is not None and now >= told[1]:
+            del self._told[server.id]
+            return False
+        return told is not None and told[0] == server
 
     def list_refusing(self) -> set[ServerId]:
         """Return the servers that refused a request just now."""
@@ -84,7 +176,7 @@
         return [
             server_id
             for server_id in self._outages
-            if (server := self._get_server(server_id)) and not self.is_usable(server)
+            if (server := self._get_server(server_id)) and not self.is_reachable(server)
         ]
 
     async def check(self, servers: Iterable[BackendServer]) -> bool:
@@ -96,7 +188,7 @@
         async with curio.TaskGroup() as group:
             for server in servers:
                 await group.spawn(self._check_one, server)
-        return all(self.is_usable(server) for server in servers)
+        return all(self.is_reachable(server) for server in servers)
 
     async def check_ids(self, server_ids: Iterable[ServerId]) -> None:
         """Check servers that another router could not reach."""
@@ -109,7 +201,7 @@
             await self._clock.sleep(_RECHECK_PERIOD)
             for server_id in list(self._outages):
                 server = self._get_server(server_id)
-                if server is None or self.is_usable(server):
+                if server is None or self.is_reachable(server):
                     self._outages.pop(server_id, None)
                 elif not self._outages[server_id].is_dead:
                     await self.check([server])
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 
 import curio
@@ -20,6 +20,7 @@
     EngineLoad,
     Pipeline,
     PipelineChoice,
+    find_cheapest,
     find_pipelines,
 )
 from hibiscustiller.utils import (
@@ -115,7 +116,12 @@
             EngineGroup(
                 service.engine,
                 tuple(
-                    self._list_usable(service, self._view.list_servers(service.name))
+                    self._list_usable(
+                        service,
+                        self._view.list_servers(service.name),
+                        # A load for an engine that only refuses for a moment is lost.
+                        self._health.is_reachable,
+                    )
                 ),
             )
             for service in self._list_services()
@@ -156,12 +162,26 @@
             self._client,
             admission,
             choice,
+            self._load,
             self._health,
             self._get_budget(service.name),
+            lambda excluded: self._find_detour(service.name, excluded),
             self.count_routers,
             self._metrics,
         )
 
+    def _find_detour(
+        self, name: ServiceName, excluded: Collection[ServerId]
+    ) -> Pipeline | None:
+        document = self._view.document
+        service = None if document is None else document.services_by_name.get(name)
+        if service is None or service.engine is None:
+            return None
+        usable = self._list_usable(service, self._view.list_servers(name))
+        return find_cheapest(
+            service.engine, [server for server in usable if server.id not in excluded]
+        )
+
     def _find_pipelines(self, service: ServiceSpec) -> None:
         assert service.engine is not None
         usable = self._list_usable(service, self._view.list_servers(service.name))
@@ -174,15 +194,18 @@
         self._metrics.gauge(f"pipelines.{service.name}", len(pipelines))
 
     def _list_usable(
-        self, service: ServiceSpec, servers: Sequence[BackendServer]
+        self,
+        service: ServiceSpec,
+        servers: Sequence[BackendServer],
+        is_usable: Callable[[BackendServer], bool] | None = None,
     ) -> list[BackendServer]:
-        """Return the engines that can be reached and are of a known kind."""
+        """Return the engines that can be used and are of a known kind."""
         assert service.engine is not None
+        is_usable = is_usable or self._health.is_usable
         return [
             server
             for server in servers
-            if server.kind in service.engine.kinds_by_name
-            and self._health.is_usable(server)
+            if server.kind in service.engine.kinds_by_name and is_usable(server)
         ]
 
     def _is_watcher(self, server_id: ServerId) -> bool:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from datetime import timedelta
 from enum import Enum
 from typing import Any
@@ -23,7 +23,9 @@
 from hibiscustiller.layers import (
     Admission,
     Demand,
+    EngineLoad,
     Grant,
+    Pipeline,
     PipelineChoice,
     check_pipeline,
 )
@@ -48,6 +50,9 @@
 # is for the prompt to be read at another pipeline.
 _GIVE_UP_AFTER = timedelta(milliseconds=1300)
 _RETRY_AFTER = timedelta(milliseconds=700)
+# Reports of the other routers lag. An engine that is known to be used less than this
+# does not refuse for want of room.
+_ROOM_SHARE = 0.5
 # The share of an answer that is held on average while it is written.
 _ANSWER_SHARE = 0.5
 _NOBODY = OrganisationId("")
@@ -69,6 +74,8 @@
 class StreamForwarder:
     """Forwards streams to the engines of one service.
 
+    :param find_detour: finds a pipeline without some servers, whatever pipelines
+        there are; None if there is none.
     :param count_routers: returns how many routers share the budget of repeats.
     """
 
@@ -77,14 +84,18 @@
         client: HttpClient,
         admission: Admission,
         choice: PipelineChoice,
+        load: EngineLoad,
         health: ServerHealth,
         budget: RepeatBudget,
+        find_detour: Callable[[Collection[ServerId]], Pipeline | None],
         count_routers: Callable[[], int],
         metrics: Metrics,
     ) -> None:
+        self.find_detour = find_detour
         self.client = client
         self.admission = admission
         self.choice = choice
+        self.load = load
         self.health = health
         self.budget = budget
         self.count_routers = count_routers
@@ -214,9 +225,13 @@
             return None
         refusing = self._forwarder.health.list_refusing()
         admission = self._forwarder.admission
-        return admission.replace(self._demand, self._lost | refusing) or (
-            admission.replace(self._demand, self._lost)
-        )
+        grant = admission.replace(self._demand, self._lost | refusing)
+        grant = grant or admission.replace(self._demand, self._lost)
+        if grant is not None:
+            return grant
+        # Each pipeline has a stage that does not serve; the others may form one.
+        detour = self._forwarder.find_detour(self._lost)
+        return None if detour is None else admission.take(detour, self._demand)
 
     def _check_repeat(self, outcome: _Outcome) -> Refusal | None:
         """Return why the request may not be sent again; None if it may."""
@@ -280,9 +295,10 @@
 
     def _find_lost_stages(self, grant: Grant) -> bool:
         """Tell whether an engine of the pipeline is known to be lost."""
-        is_usable = self._forwarder.health.is_usable
+        # An engine that is leaving goes on with what it has.
+        is_reachable = self._forwarder.health.is_reachable
         servers = [stage.server for stage in grant.pipeline.stages]
-        lost = {server.id for server in servers if not is_usable(server)}
+        lost = {server.id for server in servers if not is_reachable(server)}
         self._lost |= lost
         return bool(lost)
 
@@ -305,14 +321,18 @@
     def _note_refusing_server(self, grant: Grant, address: object) -> None:
         """Leave out the server that refused, for this request."""
         at_fault = [
-            stage.server.id
+            stage.server
             for stage in grant.pipeline.stages
             if stage.server.address == address
         ]
-        refusing = at_fault or [grant.pipeline.entry.id]
-        self._lost.update(refusing)
-        for server_id in refusing:
-            self._forwarder.health.note_refusal(server_id)
+        refusing = at_fault or [grant.pipeline.entry]
+        forwarder, spec = self._forwarder, self._context.service.engine
+        assert spec is not None
+        for server in refusing:
+            self._lost.add(server.id)
+            share = forwarder.load.find_used_share(spec, server)
+            forwarder.health.note_refusal(server, share < _ROOM_SHARE)
+            self._context.log("attempt_refused", server=server.id, used_share=share)
 
     async def _pass_whole(self, exchange: Exchange) -> _Outcome:
         """Pass on an answer that is no stream, if nothing was sent yet."""
@@ -345,7 +365,7 @@
                 gap = (now - last_at) / len(events)
                 self._forwarder.choice.note_gap(grant.pipeline, gap)
             last_at = now
-            await self._send_events(exchange, events)
+            await self._send_events(exchange, events, grant)
         if splitter.rest:
             message = "the stream ended within an event"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
@@ -374,8 +394,11 @@
             new.append(event)
         return new
 
-    async def _send_events(self, exchange: Exchange, events: list[Event]) -> None:
+    async def _send_events(
+        self, exchange: Exchange, events: list[Event], grant: Grant
+    ) -> None:
         self._may_have_run = True
+        self._forwarder.health.note_taken(grant.pipeline.server_ids)
         if not self._event_count:
             self._forwarder.metrics.timing("first_event", self._context.age)
         await self._start_answer(exchange)
--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -181,6 +181,27 @@
         assert answer.body == WHOLE_STREAM
 
 
+async def test_engines_that_leave_while_the_store_is_away_are_left_out():
+    """Guards against repeats used up on pipelines that each have a leaving engine."""
+    ids = ("a0", "a1", "b0", "b1")
+    async with World(ids, ("north", "north", "east", "east"), "small") as world:
+        a0, a1, b0, b1 = world.engines
+        await world.wait_for_pipelines(2)
+        for engine in world.engines:
+            assert engine.layers in ((0, 4), (4, 8))
+        world.store.faults.is_down = True
+        first = next(e for e in (a0, a1) if e.layers == (0, 4))
+        last = next(e for e in (b0, b1) if e.layers == (4, 8))
+        first.faults.is_full = last.faults.is_full = True
+        statuses = [(await world.request("/chat/1")).status for _ in range(12)]
+        assert statuses == [200] * 12, statuses
+        # Each leaving engine is found by two refusals, and asked again after a second.
+        assert len(first.requests) <= 4
+        # They are tried again, and used once they take requests.
+        first.faults.is_full = last.faults.is_full = False
+        await world.wait_for_pipelines(2)
+
+
 async def test_stream_of_another_request_does_not_reach_the_caller():
     """Guards against an answer at the wrong caller."""
     async with World(("e0",), ("north",)) as world:
--- a/hibiscustiller/ingress/tests/test_health.py
+++ b/hibiscustiller/ingress/tests/test_health.py
@@ -66,6 +66,46 @@
     await bench.server.close()
 
 
+async def test_refusing_server_is_left_out_longer_each_time():
+    """Guards against repeats that go to a server which is leaving, again and again."""
+    bench = Bench()
+    health = ServerHealth(
+        bench.clock, lambda server_id: bench.engine, bench._note_change
+    )
+    health.note_refusal(bench.engine, has_room=False)
+    health.note_refusal(bench.engine, has_room=False)
+    health.note_refusal(bench.engine, has_room=True)
+    assert health.is_usable(bench.engine)
+    health.note_refusal(bench.engine, has_room=True)
+    assert not health.is_usable(bench.engine)
+    # What it runs goes on, and layers are still placed on it.
+    assert health.is_reachable(bench.engine)
+    assert health.list_leaving() == ["e"] and bench.changes == 1
+    await curio.sleep(1.05)
+    assert health.is_usable(bench.engine)
+    health.note_refusal(bench.engine, has_room=True)
+    await curio.sleep(1.05)
+    assert not health.is_usable(bench.engine)
+    # Changed layers are another matter.
+    assert health.is_usable(replace(bench.engine, layers=LayerRange(0, 40)))
+    health.note_taken(["e"])
+    assert health.is_usable(bench.engine) and health.list_leaving() == []
+
+
+async def test_peers_tell_of_leaving_servers_for_a_while():
+    """Guards against each router finding out by refusals of its own, or for ever."""
+    bench = Bench()
+    health = ServerHealth(
+        bench.clock, lambda server_id: bench.engine, bench._note_change
+    )
+    health.note_told(["e"])
+    assert not health.is_usable(bench.engine) and bench.changes == 1
+    # What others tell is not told to others.
+    assert health.list_leaving() == []
+    await curio.sleep(2.05)
+    assert health.is_usable(bench.engine)
+
+
 async def test_plain_server_is_usable_once_it_accepts_again():
     """Guards against a restarted plain server that nobody uses."""
     bench = Bench()
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -7,6 +7,7 @@
     Pipeline,
     Stage,
     check_pipeline,
+    find_cheapest,
     find_pipelines,
 )
 from hibiscustiller.layers._placement import plan_covers, plan_layers
@@ -24,6 +25,7 @@
     "PipelineChoice",
     "Stage",
     "check_pipeline",
+    "find_cheapest",
     "find_pipelines",
     "plan_covers",
     "plan_layers",
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -144,9 +144,14 @@
                 must_have_room=must_have_room,
             )
             if pipeline is not None:
-                return self._take(pipeline, demand.tokens)
+                return self.take(pipeline, demand)
         return None
 
+    def take(self, pipeline: Pipeline, demand: Demand) -> Grant:
+        """Take a place in a pipeline whether or not it has room."""
+        self._load.add(pipeline, demand.tokens)
+        return Grant(pipeline, demand.tokens)
+
     async def release(self, grant: Grant) -> None:
         """Return a place."""
         self._load.remove(grant.pipeline, grant.tokens)
@@ -168,11 +173,7 @@
         pipeline = self._choice.choose(
             demand.tokens, demand.target_gap, self._list_refusing()
         )
-        return None if pipeline is None else self._take(pipeline, demand.tokens)
-
-    def _take(self, pipeline: Pipeline, tokens: float) -> Grant:
-        self._load.add(pipeline, tokens)
-        return Grant(pipeline, tokens)
+        return None if pipeline is None else self.take(pipeline, demand)
 
     def _estimate_wait(self, demand: Demand) -> timedelta:
         self._update_rate(0.0)
--- a/hibiscustiller/layers/_load.py
+++ b/hibiscustiller/layers/_load.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from hibiscustiller.fleet import EngineSpec
+from hibiscustiller.fleet import BackendServer, EngineSpec
 from hibiscustiller.layers._capacity import count_token_layers
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.utils import Clock, RouterId, ServerId
@@ -94,6 +94,15 @@
             rooms.append((capacity * _USABLE_SHARE - used) / stage.layers.width)
         return min(rooms)
 
+    def find_used_share(self, spec: EngineSpec, server: BackendServer) -> float:
+        """Return the share of an engine's request memory or entries in use."""
+        kind = spec.kinds_by_name[server.kind]
+        capacity = count_token_layers(spec, kind, server.layers.width)
+        use = self.get(server.id)
+        if capacity <= 0:
+            return 1.0
+        return max(use.token_layers / capacity, use.entered / spec.slots)
+
     def count_sequences(self, spec: EngineSpec, pipeline: Pipeline) -> float:
         """Estimate how many requests write at a pipeline's busiest engine."""
         return max(
--- a/hibiscustiller/layers/_placer.py
+++ b/hibiscustiller/layers/_placer.py
@@ -82,6 +82,7 @@
         self._clock = clock
         self._get_election_delay = get_election_delay
         self._renewal_period = renewal_period
+        self._is_ending = False
         self._renewed_at = timedelta(0)
         self._free_since: timedelta | None = None
         self._pending: dict[ServerId, _Pending] = {}
@@ -93,7 +94,7 @@
 
     async def run(self) -> None:
         """Stand for the lease, and place layers while it is held."""
-        while True:
+        while not self._is_ending:
             try:
                 if self._lease.term is None:
                     await self._stand()
@@ -104,7 +105,8 @@
             await self._clock.sleep(_TICK)
 
     async def release(self) -> None:
-        """Let another router take over at once."""
+        """Let another router take over at once, and do not stand again."""
+        self._is_ending = True
         await self._lease.release()
 
     async def _stand(self) -> None:
@@ -119,6 +121,9 @@
         # A failed attempt waits for its turn again.
         self._free_since = None
         if await self._lease.acquire():
+            if self._is_ending:
+                await self._lease.release()
+                return
             self._renewed_at = self._clock.monotonic()
             self._pending.clear()
 
--- a/hibiscustiller/layers/tests/test_placer.py
+++ b/hibiscustiller/layers/tests/test_placer.py
@@ -39,6 +39,7 @@
         ]
         self.client = HttpClient(self.clock)
         self.tasks = []
+        self.placers_by_name = {}
 
     async def __aenter__(self):
         await self.standin.start()
@@ -84,6 +85,7 @@
             SECOND / 2,
         )
         self.tasks.append(await curio.spawn(placer.run))
+        self.placers_by_name[name] = placer
         return lease
 
     @property
@@ -101,6 +103,16 @@
                 await curio.sleep(0.01)
 
 
+async def test_stopping_router_does_not_take_the_lease_again():
+    """Guards against a holder that ends in the middle of a placement."""
+    async with Bench() as bench:
+        lease = await bench.start_placer()
+        await bench.wait_until(lambda: lease.term is not None)
+        await bench.placers_by_name["router-1"].release()
+        await curio.sleep(0.6)
+        assert lease.term is None and not bench.has_holder()
+
+
 async def test_engines_get_all_layers_and_no_second_order():
     """Guards against gaps, and against orders that are charged without a need."""
     async with Bench() as bench:
--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -46,7 +46,7 @@
 class LayeredEngineFaults:
     """Faults that a test switches on.
 
-    :param is_full: requests are refused as not run.
+    :param is_full: requests are refused as not run, also as a later stage.
     :param breaks_after: a stream breaks off within the event after this many.
     :param is_of_other_request: answers bear another request's id.
     """
@@ -194,7 +194,7 @@
         try:
             for stage, (address, first, end) in zip(stages, path, strict=True):
                 is_dead = stage is None or not stage.is_alive
-                if self.faults.is_full or is_dead or not stage.holds(first, end):
+                if is_dead or not stage.holds(first, end):
                     headers = {"Not-Executed": "1", "At-Server": address}
                     await responder.send_json(503, {}, headers)
                     return
@@ -212,8 +212,9 @@
         """Nothing is kept for a pipeline within one process."""
 
     def holds(self, first: int, end: int) -> bool:
-        """Tell whether it holds layers."""
-        return self.layers[0] <= first and end <= self.layers[1]
+        """Tell whether it holds layers and takes requests for them."""
+        is_held = self.layers[0] <= first and end <= self.layers[1]
+        return is_held and not self.faults.is_full
 
     async def _stream(
         self,
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -480,6 +480,7 @@
 
     uses: tuple[ServerUse, ...]
     unreachable: tuple[str, ...]
+    leaving: tuple[str, ...]
 
 
 def _write_LoadReport(builder: Any, message: LoadReport) -> None:
@@ -487,12 +488,14 @@
     for index, item in enumerate(message.uses):
         _write_ServerUse(items[index], item)
     builder.unreachable = list(message.unreachable)
+    builder.leaving = list(message.leaving)
 
 
 def _read_LoadReport(reader: Any) -> LoadReport:
     return LoadReport(
         uses=tuple(_read_ServerUse(item) for item in reader.uses),
         unreachable=tuple(reader.unreachable),
+        leaving=tuple(reader.leaving),
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -156,4 +156,6 @@
   uses @0 :List(ServerUse);
   # Servers that the sender could not connect to.
   unreachable @1 :List(Text);
+  # Servers that the sender takes to be leaving, since they refuse although not full.
+  leaving @2 :List(Text);
 }
