Place a domain anew when repairs have left it far from its best

Change: after three seconds without any change, a domain whose new plan repays its loads within 20 s and raises the rate of all pipelines by a tenth is placed anew.

--- a/hibiscustiller/layers/_placement.py
+++ b/hibiscustiller/layers/_placement.py
@@ -27,6 +27,11 @@
 # The same for all pipelines of the domain together.
 _TOTAL_GAIN = 1.03
 _STEPS_TRIED = 4
+# A new plan of a domain must give back the tokens that its loads cost within this time,
+# and must raise the rate of all pipelines by this factor. Engines come and go within
+# tens of seconds on days with trouble.
+_PAYBACK_S = 20.0
+_RESHAPE_GAIN = 1.1
 # A cover over several domains sends activations over their shared link, so it must
 # hold this many requests to be worth that.
 _MIN_SHARED_REQUESTS = 20
@@ -60,6 +65,7 @@
     held_by_id: Mapping[ServerId, LayerRange],
     *,
     may_improve: bool = False,
+    may_reshape: bool = False,
 ) -> dict[ServerId, LayerRange]:
     """Decide the layers of every engine that has to change.
 
@@ -67,6 +73,7 @@
     :param held_by_id: layers that engines hold, or are about to hold.
     :param may_improve: whether one unused engine of a domain may get layers for speed
         alone.
+    :param may_reshape: whether engines that serve may get other layers for speed.
     :returns: new layers by engine; engines that stay as they are are left out.
     """
     changes: dict[ServerId, LayerRange] = {}
@@ -89,6 +96,8 @@
             changes |= found
     if not changes and may_improve:
         changes = _plan_shared_cover(spec, servers, held_by_id)
+    if not changes and may_reshape:
+        changes = _find_reshape(spec, servers, held_by_id)
     return changes
 
 
@@ -255,18 +264,54 @@
                 gain = _measure_rate(spec, stages) / present
                 if gain > _STEP_GAIN:
                     steps.append((gain, server.id, layers))
-    present = sum(_measure_rate(spec, pipeline.stages) for pipeline in pipelines)
+    present = _measure_total(spec, servers, held_by_id)
     for _, server_id, layers in sorted(steps, reverse=True)[:_STEPS_TRIED]:
         # The search for pipelines goes by time alone and may not use the engine. Each
         # step must raise what it finds, or steps could follow each other for ever.
-        holding = _list_holding(servers, {**held_by_id, server_id: layers})
-        found = find_pipelines(spec, holding)
-        after = sum(_measure_rate(spec, pipeline.stages) for pipeline in found)
+        after = _measure_total(spec, servers, {**held_by_id, server_id: layers})
         if after >= _TOTAL_GAIN * present:
             return {server_id: layers}
     return {}
 
 
+def _find_reshape(
+    spec: EngineSpec,
+    servers: Sequence[BackendServer],
+    held_by_id: Mapping[ServerId, LayerRange],
+) -> dict[ServerId, LayerRange]:
+    """Find a new plan for the domain that repairs have left furthest from its best.
+
+    Repairs keep what serves, so that a large engine may end up with a small gap's
+    layers. The whole domain is taken not to serve until the new layers are loaded.
+    """
+    present = _measure_total(spec, servers, held_by_id)
+    best: dict[ServerId, LayerRange] = {}
+    best_gain = 0.0
+    for _, members in sorted(_group_by_domain(servers).items()):
+        held = {s.id: held_by_id[s.id] for s in members if s.id in held_by_id}
+        moves = _list_moves(plan_covers(spec, members, held), held)
+        if not moves:
+            continue
+        after = _measure_total(spec, servers, {**held_by_id, **moves})
+        widest = max(layers.width for layers in moves.values())
+        load_s = spec.load_time.total_seconds() * widest / spec.layers
+        lost = _measure_total(spec, members, held) * load_s
+        gain = (after - present) * _PAYBACK_S - lost
+        if after >= _RESHAPE_GAIN * present and gain > best_gain:
+            best, best_gain = moves, gain
+    return best
+
+
+def _measure_total(
+    spec: EngineSpec,
+    servers: Sequence[BackendServer],
+    held_by_id: Mapping[ServerId, LayerRange],
+) -> float:
+    """Estimate the tokens a second of all pipelines when they are full."""
+    found = find_pipelines(spec, _list_holding(servers, held_by_id))
+    return sum(_measure_rate(spec, pipeline.stages) for pipeline in found)
+
+
 def _list_takeovers(
     spec: EngineSpec, pipeline: Pipeline, server: BackendServer
 ) -> list[LayerRange]:
--- a/hibiscustiller/layers/_placer.py
+++ b/hibiscustiller/layers/_placer.py
@@ -26,6 +26,9 @@
 # A change for speed alone needs this long a time without any other: engines that come
 # together are placed together.
 _CALM_TIME = timedelta(seconds=1)
+# A new plan stops a domain while its layers are loaded, so engines must not have come
+# or gone for longer: replacements follow each other within a second or two.
+_LONG_CALM_TIME = timedelta(seconds=3)
 # Time beyond a load's own until the order is taken to be lost.
 _ORDER_SLACK = timedelta(seconds=4)
 
@@ -149,10 +152,18 @@
         is_calm = not self._pending and now - self._changed_at >= _CALM_TIME
         may_improve = is_calm and is_settled
         # A plan takes tens of milliseconds in a large fleet, and rarely differs.
-        question = (group, tuple(sorted(held.items())), may_improve)
+        quiet_since = max(self._changed_at, self._known_since)
+        may_reshape = may_improve and now - quiet_since >= _LONG_CALM_TIME
+        question = (group, tuple(sorted(held.items())), may_improve, may_reshape)
         if question == self._settled_question:
             return {}
-        changes = plan_layers(group.spec, group.servers, held, may_improve=may_improve)
+        changes = plan_layers(
+            group.spec,
+            group.servers,
+            held,
+            may_improve=may_improve,
+            may_reshape=may_reshape,
+        )
         if changes:
             self._changed_at = now
         else:
--- a/hibiscustiller/layers/tests/test_placement.py
+++ b/hibiscustiller/layers/tests/test_placement.py
@@ -1,6 +1,7 @@
 """Placement of layers on a day without faults, and after losses."""
 
 import sys
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -159,6 +160,36 @@
     assert changes == {}
 
 
+def test_large_engine_with_a_small_gaps_layers_is_placed_anew():
+    """Guards against a release that leaves a domain at half of its rate."""
+    servers = make_domain("north", 1, 10, 3)
+    ranges = [(0, 9), *((25 + 5 * n, 30 + 5 * n) for n in range(10)), (9, 18), (18, 25)]
+    servers = [
+        replace(server, layers=LayerRange(*held))
+        for server, held in zip(servers, [*ranges, (75, 80)], strict=True)
+    ]
+    held = get_held(servers)
+    assert plan_layers(SPEC, servers, held, may_improve=True) == {}
+    changes = plan_layers(SPEC, servers, held, may_improve=True, may_reshape=True)
+    assert changes["north-large-0"].width >= 25
+    # Nearly all engines go on with what they hold.
+    assert len(changes) <= 3
+    servers = apply_changes(servers, changes)
+    assert not find_gaps(SPEC.layers, [s.layers for s in servers], 1)
+
+
+def test_new_plan_must_pay_for_its_loads():
+    """Guards against a domain that stops for seconds for a small gain."""
+    servers = place(make_domain("north", 1, 10, 4))
+    held = get_held(servers)
+    held["north-medium-0"], held["north-medium-1"] = (
+        held["north-medium-1"],
+        held["north-medium-0"],
+    )
+    options = {"may_improve": True, "may_reshape": True}
+    assert plan_layers(SPEC, servers, held, **options) == {}
+
+
 def test_new_plan_keeps_the_order_of_engines():
     """Guards against two equal engines that swap their layers."""
     servers = place(make_domain("east", 2, 4, 4))
@@ -241,7 +272,8 @@
     left = [server for number, server in enumerate(servers) if number not in lost]
     left = place(left)
     steps = 0
-    while changes := plan_layers(SPEC, left, get_held(left), may_improve=True):
+    options = {"may_improve": True, "may_reshape": True}
+    while changes := plan_layers(SPEC, left, get_held(left), **options):
         left = apply_changes(left, changes)
         steps += 1
         assert steps <= 12, changes
