End within the grace time while the store is silent; admit requests around refusing engines

A request was refused as overload while each pipeline had a refusing engine. Change: closing gets a seventh of the grace time, and the removal of the entry at most 0.3 s. If each pipeline has a refusing engine, a request is placed none the less; its attempts go around them.

--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -48,8 +48,11 @@
 _LONGEST_ELECTION_DELAY = timedelta(seconds=3)
 # The balancer asks once a second and needs two misses; new connections come until then.
 _LISTEN_AFTER_STOP = timedelta(seconds=3)
-# Kept free at the end of the grace time for closing.
-_CLOSING_TIME = timedelta(milliseconds=700)
+# Share of the grace time that is kept free for closing. Slow hosts take a second, and
+# are killed at the end of the grace time.
+_CLOSING_SHARE = 1 / 7
+# A store that is away must not hold up the end; entries end with their lease.
+_DEREGISTRATION_TIMEOUT = timedelta(milliseconds=300)
 # Below the descriptors of the smallest hosts, with room for connections to servers.
 _MAX_CONNECTIONS = 3000
 _SMALL_LIMITS = HttpLimits(max_connections=64, max_body_bytes=1024)
@@ -223,7 +226,7 @@
         self.front.announce_end()
         await self._placer.release()
         await self._clock.sleep(min(_LISTEN_AFTER_STOP, self._settings.grace / 2))
-        left = self._settings.grace - _CLOSING_TIME
+        left = self._settings.grace * (1 - _CLOSING_SHARE)
         left -= self._clock.monotonic() - began_at
         try:
             async with curio.timeout_after(max(0.0, left.total_seconds())):
@@ -231,7 +234,9 @@
         except curio.TaskTimeout:
             log_event("stop_cut_requests", level="warning", open=self.front.busy_count)
             await self.front.close()
-        await self._registration.end()
+        await curio.ignore_after(
+            _DEREGISTRATION_TIMEOUT.total_seconds(), self._registration.end()
+        )
         for task in self._tasks:
             await task.cancel()
         await self._readiness.close()
--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -376,5 +376,21 @@
         assert not [key for key in world.store.items if key.startswith("routers/")]
 
 
+async def test_stop_ends_in_time_while_the_store_is_silent():
+    """Guards against a process that is killed because its last call gets no answer."""
+    async with World(("e0",), ("north",)) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(1)
+        # A stream that stands still is open until the end.
+        world.engines[0].faults.is_frozen = True
+        request = await curio.spawn(world.request, "/once/1")
+        await curio.sleep(0.1)
+        world.store.faults.is_silent = True
+        started_at = world.clock.monotonic()
+        await world.gateway.stop()
+        assert world.clock.monotonic() - started_at < timedelta(seconds=3)
+        await request.cancel()
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Set
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -85,7 +85,7 @@
         load: EngineLoad,
         clock: Clock,
         random_state: random.Random,
-        list_refusing: Callable[[], Collection[ServerId]] = frozenset,
+        list_refusing: Callable[[], Set[ServerId]] = frozenset,
     ) -> None:
         self._list_refusing = list_refusing
         self._choice = choice
@@ -170,9 +170,14 @@
             await waiter.is_placed.set()
 
     def _place(self, demand: Demand) -> Grant | None:
-        pipeline = self._choice.choose(
-            demand.tokens, demand.target_gap, self._list_refusing()
-        )
+        refusing = self._list_refusing()
+        if all(
+            not refusing.isdisjoint(pipeline.server_ids)
+            for pipeline in self._choice.pipelines
+        ):
+            # Waiting would not help: the attempt finds a way around them.
+            refusing = frozenset()
+        pipeline = self._choice.choose(demand.tokens, demand.target_gap, refusing)
         return None if pipeline is None else self.take(pipeline, demand)
 
     def _estimate_wait(self, demand: Demand) -> timedelta:
--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -49,11 +49,13 @@
     :param is_full: requests are refused as not run, also as a later stage.
     :param breaks_after: a stream breaks off within the event after this many.
     :param is_of_other_request: answers bear another request's id.
+    :param is_frozen: streams stand still after their first event.
     """
 
     is_full: bool = False
     breaks_after: int | None = None
     is_of_other_request: bool = False
+    is_frozen: bool = False
 
 
 class LayeredEngineStandin:
@@ -237,6 +239,8 @@
                 await responder.send_part(b"id: %d\nda" % number)
                 return
             await responder.send_part(make_event(number))
+            while self.faults.is_frozen:
+                await curio.sleep(self._event_period_s)
             await curio.sleep(self._event_period_s)
         await responder.finish()
 
