--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON = $(VENV)/bin/python
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test lint format generate check-generated bench sweep
+.PHONY: demo test lint format generate check-generated bench sweep soak
 
 $(VENV)/installed: pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -37,3 +37,8 @@
 SEEDS ?= 20
 sweep: $(VENV)/installed
 	$(PYTHON) tools/sweep_faults.py --seeds $(SEEDS)
+
+# The daemons as processes behind proxies, under faults; make soak SEEDS=50 FIRST=1000
+FIRST ?= 1
+soak: $(VENV)/installed
+	$(PYTHON) tools/soak.py --first-seed $(FIRST) --seeds $(SEEDS)
