--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -13,6 +13,7 @@
 import curio
 
 from hibiscustiller.fleet import BackendServer
+from hibiscustiller.ingress._refusals import Refusals
 from hibiscustiller.utils import Clock, ServerId, log_event
 from hibiscustiller.wire import wait_at_most
 
@@ -22,18 +23,7 @@
 _CONNECT_ATTEMPTS = 2
 # A result is good for this long; more streams may stall at the same servers.
 _RESULT_LIFE = timedelta(milliseconds=300)
-# A server that refused is left out for this long: it is full, or it leaves before the
-# store has told so. Others get the requests meanwhile.
-_REFUSAL_LIFE = timedelta(milliseconds=400)
 _RECHECK_PERIOD = timedelta(milliseconds=500)
-# A server that refuses this often in a row although it has room is leaving or gives up
-# its layers. The store may be away, and not tell.
-_LEAVING_REFUSALS = 2
-# Such a server is tried again after this time, and after twice as long each time.
-_FIRST_LEAVE = timedelta(seconds=1)
-_LONGEST_LEAVE = timedelta(seconds=8)
-# Routers of a large fleet report every one and a half seconds.
-_PEER_LIFE = timedelta(seconds=2)
 
 
 @dataclass
@@ -48,21 +38,6 @@
     is_dead: bool
 
 
-@dataclass
-class _Refusals:
-    """Refusals in a row of a server that has room.
-
-    :param entry: what the store told of it; a changed entry begins anew.
-    :param leaves: how often it was taken to be leaving.
-    :param left_out_until: end of the present time without requests.
-    """
-
-    entry: BackendServer
-    count: int = 0
-    leaves: int = 0
-    left_out_until: timedelta = timedelta(0)
-
-
 class ServerHealth:
     """Reachability of backend servers, and which of them take requests.
 
@@ -82,14 +57,11 @@
         self._outages: dict[ServerId, _Outage] = {}
         self._checked_at: dict[ServerId, timedelta] = {}
         self._checks: dict[ServerId, curio.Event] = {}
-        self._refused_until: dict[ServerId, timedelta] = {}
-        self._refusals: dict[ServerId, _Refusals] = {}
-        # Servers that other routers take to be leaving, and until when.
-        self._told: dict[ServerId, tuple[BackendServer, timedelta]] = {}
+        self.refusals = Refusals(clock, get_server, on_change)
 
     def is_usable(self, server: BackendServer) -> bool:
         """Tell whether a server can be reached and is not taken to be leaving."""
-        return self.is_reachable(server) and not self._is_leaving(server)
+        return self.is_reachable(server) and not self.refusals.is_leaving(server)
 
     def is_reachable(self, server: BackendServer) -> bool:
         """Tell whether a server is not known to be unreachable."""
@@ -97,80 +69,6 @@
         # A new incarnation under the same id has not been seen to fail.
         return outage is None or outage.born != server.born
 
-    def note_refusal(self, server: BackendServer, has_room: bool) -> None:
-        """Record that a server did not take a request.
-
-        :param has_room: whether it is known to be far from full.
-        """
-        now = self._clock.monotonic()
-        self._refused_until[server.id] = now + _REFUSAL_LIFE
-        if not has_room:
-            return
-        refusals = self._refusals.get(server.id)
-        if refusals is None or refusals.entry != server:
-            refusals = self._refusals[server.id] = _Refusals(server)
-        refusals.count += 1
-        if refusals.count < _LEAVING_REFUSALS or now < refusals.left_out_until:
-            return
-        time = min(_LONGEST_LEAVE, _FIRST_LEAVE * 2**refusals.leaves)
-        # The next refusal after that time is enough.
-        refusals.leaves = min(refusals.leaves + 1, 10)
-        refusals.left_out_until = now + time
-        log_event(
-            "server_refuses",
-            level="warning",
-            server=server.id,
-            refusals=refusals.count,
-            left_out=time,
-        )
-        self._on_change()
-
-    def note_taken(self, server_ids: Iterable[ServerId]) -> None:
-        """Record that servers run a request."""
-        for server_id in server_ids:
-            self._refusals.pop(server_id, None)
-
-    def list_leaving(self) -> list[ServerId]:
-        """Return the servers that this router itself takes to be leaving."""
-        now = self._clock.monotonic()
-        return [
-            server_id
-            for server_id, refusals in self._refusals.items()
-            if now < refusals.left_out_until
-        ]
-
-    def note_told(self, server_ids: Iterable[ServerId]) -> None:
-        """Take over which servers another router takes to be leaving."""
-        until = self._clock.monotonic() + _PEER_LIFE
-        is_news = False
-        for server_id in server_ids:
-            server = self._get_server(server_id)
-            if server is not None:
-                is_news |= self.is_usable(server)
-                self._told[server_id] = (server, until)
-        if is_news:
-            self._on_change()
-
-    def _is_leaving(self, server: BackendServer) -> bool:
-        now = self._clock.monotonic()
-        refusals = self._refusals.get(server.id)
-        if refusals is not None and refusals.entry == server:
-            if now < refusals.left_out_until:
-                return True
-        told = self._told.get(server.id)
-        if told is not None and now >= told[1]:
-            del self._told[server.id]
-            return False
-        return told is not None and told[0] == server
-
-    def list_refusing(self) -> set[ServerId]:
-        """Return the servers that refused a request just now."""
-        now = self._clock.monotonic()
-        over = [key for key, until in self._refused_until.items() if now >= until]
-        for server_id in over:
-            del self._refused_until[server_id]
-        return set(self._refused_until)
-
     def list_unreachable(self) -> list[ServerId]:
         """Return the servers that cannot be reached."""
         return [
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -156,7 +156,7 @@
             self._load,
             self._clock,
             self._random_state,
-            self._health.list_refusing,
+            self._health.refusals.list_refusing,
         )
         return StreamForwarder(
             self._client,
--- /dev/null
+++ b/hibiscustiller/ingress/_refusals.py
@@ -0,0 +1,138 @@
+"""Which backend servers do not take requests although they can be reached.
+
+A full engine refuses, and so does one that is leaving or gives up its layers. The store
+tells of the latter, but it may be away. A decision without I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hibiscustiller.fleet import BackendServer
+from hibiscustiller.utils import Clock, ServerId, log_event
+
+# A server that refused is left out for this long: it is full, or it leaves before the
+# store has told so. Others get the requests meanwhile.
+_REFUSAL_LIFE = timedelta(milliseconds=400)
+# A server that refuses this often in a row although it has room is leaving.
+_LEAVING_REFUSALS = 2
+# Such a server is tried again after this time, and after twice as long each time.
+_FIRST_LEAVE = timedelta(seconds=1)
+_LONGEST_LEAVE = timedelta(seconds=8)
+_MAX_DOUBLINGS = 3
+# Routers of a large fleet report every one and a half seconds.
+_PEER_LIFE = timedelta(seconds=2)
+
+
+@dataclass
+class _Record:
+    """Refusals in a row of a server that has room.
+
+    :param entry: what the store told of it; a changed entry begins anew.
+    :param leaves: how often it was taken to be leaving.
+    :param left_out_until: end of the present time without requests.
+    """
+
+    entry: BackendServer
+    count: int = 0
+    leaves: int = 0
+    left_out_until: timedelta = timedelta(0)
+
+
+class Refusals:
+    """Refusals that this router met, and what the others tell of theirs.
+
+    :param get_server: returns what is known of a server.
+    :param on_change: called when a server is newly taken to be leaving.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        get_server: Callable[[ServerId], BackendServer | None],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._get_server = get_server
+        self._on_change = on_change
+        self._refused_until: dict[ServerId, timedelta] = {}
+        self._records: dict[ServerId, _Record] = {}
+        # Servers that other routers take to be leaving, and until when.
+        self._told: dict[ServerId, tuple[BackendServer, timedelta]] = {}
+
+    def note_refusal(self, server: BackendServer, has_room: bool) -> None:
+        """Record that a server did not take a request.
+
+        :param has_room: whether it is known to be far from full.
+        """
+        now = self._clock.monotonic()
+        self._refused_until[server.id] = now + _REFUSAL_LIFE
+        if not has_room:
+            return
+        record = self._records.get(server.id)
+        if record is None or record.entry != server:
+            record = self._records[server.id] = _Record(server)
+        record.count += 1
+        if record.count < _LEAVING_REFUSALS or now < record.left_out_until:
+            return
+        time = min(_LONGEST_LEAVE, _FIRST_LEAVE * 2**record.leaves)
+        # After that time a single refusal is enough.
+        record.leaves = min(record.leaves + 1, _MAX_DOUBLINGS)
+        record.left_out_until = now + time
+        log_event(
+            "server_refuses",
+            level="warning",
+            server=server.id,
+            refusals=record.count,
+            left_out=time,
+        )
+        self._on_change()
+
+    def note_taken(self, server_ids: Iterable[ServerId]) -> None:
+        """Record that servers run a request."""
+        for server_id in server_ids:
+            self._records.pop(server_id, None)
+
+    def note_told(self, server_ids: Iterable[ServerId]) -> None:
+        """Take over which servers another router takes to be leaving."""
+        until = self._clock.monotonic() + _PEER_LIFE
+        is_news = False
+        for server_id in server_ids:
+            server = self._get_server(server_id)
+            if server is not None:
+                is_news |= not self.is_leaving(server)
+                self._told[server_id] = (server, until)
+        if is_news:
+            self._on_change()
+
+    def list_refusing(self) -> set[ServerId]:
+        """Return the servers that refused a request just now."""
+        now = self._clock.monotonic()
+        over = [key for key, until in self._refused_until.items() if now >= until]
+        for server_id in over:
+            del self._refused_until[server_id]
+        return set(self._refused_until)
+
+    def list_leaving(self) -> list[ServerId]:
+        """Return the servers that this router itself takes to be leaving."""
+        now = self._clock.monotonic()
+        return [
+            server_id
+            for server_id, record in self._records.items()
+            if now < record.left_out_until
+        ]
+
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Tell whether a server is taken to be leaving."""
+        now = self._clock.monotonic()
+        record = self._records.get(server.id)
+        is_own = record is not None and record.entry == server
+        if is_own and now < record.left_out_until:
+            return True
+        entry, until = self._told.get(server.id, (None, timedelta(0)))
+        if entry is not None and now >= until:
+            del self._told[server.id]
+            return False
+        return entry == server
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -127,7 +127,7 @@
             for server_id, use in self._load.list_own().items()
         )
         unreachable = tuple(self._health.list_unreachable())
-        leaving = tuple(self._health.list_leaving())
+        leaving = tuple(self._health.refusals.list_leaving())
         return encode_message(self._router_id, LoadReport(uses, unreachable, leaving))
 
     async def _take(self, router_id: RouterId, report: LoadReport) -> None:
@@ -140,5 +140,5 @@
         new = [ServerId(key) for key in report.unreachable if key not in known]
         if new:
             await curio.spawn(self._health.check_ids, new, daemon=True)
-        self._health.note_told(ServerId(key) for key in report.leaving)
+        self._health.refusals.note_told(ServerId(key) for key in report.leaving)
         await self._on_report()
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -223,7 +223,7 @@
         limit = max(1, self._context.route.max_attempts)
         if len(set(self._entries) - self._lost) >= limit:
             return None
-        refusing = self._forwarder.health.list_refusing()
+        refusing = self._forwarder.health.refusals.list_refusing()
         admission = self._forwarder.admission
         grant = admission.replace(self._demand, self._lost | refusing)
         grant = grant or admission.replace(self._demand, self._lost)
@@ -331,7 +331,7 @@
         for server in refusing:
             self._lost.add(server.id)
             share = forwarder.load.find_used_share(spec, server)
-            forwarder.health.note_refusal(server, share < _ROOM_SHARE)
+            forwarder.health.refusals.note_refusal(server, share < _ROOM_SHARE)
             self._context.log("attempt_refused", server=server.id, used_share=share)
 
     async def _pass_whole(self, exchange: Exchange) -> _Outcome:
@@ -398,7 +398,7 @@
         self, exchange: Exchange, events: list[Event], grant: Grant
     ) -> None:
         self._may_have_run = True
-        self._forwarder.health.note_taken(grant.pipeline.server_ids)
+        self._forwarder.health.refusals.note_taken(grant.pipeline.server_ids)
         if not self._event_count:
             self._forwarder.metrics.timing("first_event", self._context.age)
         await self._start_answer(exchange)
--- a/hibiscustiller/ingress/tests/test_health.py
+++ b/hibiscustiller/ingress/tests/test_health.py
@@ -72,24 +72,24 @@
     health = ServerHealth(
         bench.clock, lambda server_id: bench.engine, bench._note_change
     )
-    health.note_refusal(bench.engine, has_room=False)
-    health.note_refusal(bench.engine, has_room=False)
-    health.note_refusal(bench.engine, has_room=True)
+    health.refusals.note_refusal(bench.engine, has_room=False)
+    health.refusals.note_refusal(bench.engine, has_room=False)
+    health.refusals.note_refusal(bench.engine, has_room=True)
     assert health.is_usable(bench.engine)
-    health.note_refusal(bench.engine, has_room=True)
+    health.refusals.note_refusal(bench.engine, has_room=True)
     assert not health.is_usable(bench.engine)
     # What it runs goes on, and layers are still placed on it.
     assert health.is_reachable(bench.engine)
-    assert health.list_leaving() == ["e"] and bench.changes == 1
+    assert health.refusals.list_leaving() == ["e"] and bench.changes == 1
     await curio.sleep(1.05)
     assert health.is_usable(bench.engine)
-    health.note_refusal(bench.engine, has_room=True)
+    health.refusals.note_refusal(bench.engine, has_room=True)
     await curio.sleep(1.05)
     assert not health.is_usable(bench.engine)
     # Changed layers are another matter.
     assert health.is_usable(replace(bench.engine, layers=LayerRange(0, 40)))
-    health.note_taken(["e"])
-    assert health.is_usable(bench.engine) and health.list_leaving() == []
+    health.refusals.note_taken(["e"])
+    assert health.is_usable(bench.engine) and health.refusals.list_leaving() == []
 
 
 async def test_peers_tell_of_leaving_servers_for_a_while():
@@ -98,10 +98,10 @@
     health = ServerHealth(
         bench.clock, lambda server_id: bench.engine, bench._note_change
     )
-    health.note_told(["e"])
+    health.refusals.note_told(["e"])
     assert not health.is_usable(bench.engine) and bench.changes == 1
     # What others tell is not told to others.
-    assert health.list_leaving() == []
+    assert health.refusals.list_leaving() == []
     await curio.sleep(2.05)
     assert health.is_usable(bench.engine)
 
--- a/hibiscustiller/ingress/tests/test_soak.py
+++ b/hibiscustiller/ingress/tests/test_soak.py
@@ -8,8 +8,13 @@
 from hibiscustiller.ingress.tests.soak import Soak
 from hibiscustiller.utils._testing import collect_tests
 
-# One run with all faults, and one with those that meet orders at work.
-_SEEDS = ((101, None), (102, ("server-killed", "link-reset", "daemon-stopped")))
+# One run with all faults, one with those that meet orders at work, and one with planned
+# work alone, which must lose nothing.
+_SEEDS = (
+    (101, None),
+    (102, ("server-killed", "link-reset", "daemon-stopped")),
+    (103, ("daemon-stopped", "daemon-reloaded", "configuration-changed")),
+)
 _LENGTH_S = 5.0
 
 
