--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -32,6 +32,10 @@
 # Reports that a router takes in a second, whatever the size of the fleet.
 _MAX_REPORTS_PER_SECOND = 40
 _MAX_DATAGRAM_BYTES = 60000
+# A router that has been silent for so long, and for two of its reports, is taken to
+# hold nothing any more.
+_SHORTEST_LIFE = timedelta(seconds=3)
+_LIFE_PERIODS = 2.5
 
 
 class LoadSharing:
@@ -79,9 +83,9 @@
                 for peer in self._view.peers_by_id.values()
                 if peer.router_id != self._router_id
             ]
-            seconds = len(peers) / _MAX_REPORTS_PER_SECOND
-            await self._wait(max(_SHORTEST_PERIOD, timedelta(seconds=seconds)))
-            self._load.expire_reports()
+            period = find_report_period(len(peers))
+            await self._wait(period)
+            self._load.expire_reports(max(_SHORTEST_LIFE, period * _LIFE_PERIODS))
             data = self._make_report()
             for peer in peers:
                 try:
@@ -142,3 +146,9 @@
             await curio.spawn(self._health.check_ids, new, daemon=True)
         self._health.refusals.note_told(ServerId(key) for key in report.leaving)
         await self._on_report()
+
+
+def find_report_period(peer_count: int) -> timedelta:
+    """Return the time between two reports to each other router."""
+    seconds = peer_count / _MAX_REPORTS_PER_SECOND
+    return max(_SHORTEST_PERIOD, timedelta(seconds=seconds))
--- a/hibiscustiller/ingress/tests/test_health.py
+++ b/hibiscustiller/ingress/tests/test_health.py
@@ -10,12 +10,12 @@
 from hibiscustiller.discovery import FleetView, Peer
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._monitor import EngineMonitor
-from hibiscustiller.ingress._sharing import LoadSharing
+from hibiscustiller.ingress._sharing import LoadSharing, find_report_period
 from hibiscustiller.ingress.tests.fixtures import find_free_port
 from hibiscustiller.layers import EngineLoad, EngineUse
 from hibiscustiller.layers.tests.fixtures import LayerRange, make_engine
 from hibiscustiller.settings import Address
-from hibiscustiller.utils import SystemClock
+from hibiscustiller.utils import ManualClock, SystemClock
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import HttpLimits, HttpServer
 
@@ -248,6 +248,30 @@
         await task.cancel()
 
 
+async def test_reports_of_a_large_fleet_live_until_the_next():
+    """Guards against routers that forget each other between two reports."""
+    clock, lives = ManualClock(), []
+
+    class Load(EngineLoad):
+        def expire_reports(self, life):
+            lives.append(life)
+
+    view = FleetView(clock, 2 * SECOND)
+    for number in range(330):
+        view.apply_peer(Peer(f"r{number}", Address("127.0.0.1", 9)))
+    health = ServerHealth(clock, view.get_server, lambda: None)
+    sharing = LoadSharing(
+        "r0", Address("127.0.0.1", 0), view, Load(clock), health, clock, None
+    )
+    await sharing.start()
+    sharing.hurry()
+    task = await curio.spawn(sharing.send_reports)
+    await curio.sleep(0.1)
+    await task.cancel()
+    await sharing._socket.close()
+    assert lives and lives[0] >= 2 * find_report_period(329) >= 16 * SECOND
+
+
 async def test_garbage_on_the_datagram_port_is_ignored():
     """Guards against a daemon that ends for a datagram of somebody else."""
     engine = make_engine("e", "large", layers=LayerRange(0, 80))
--- a/hibiscustiller/layers/_load.py
+++ b/hibiscustiller/layers/_load.py
@@ -11,8 +11,6 @@
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.utils import Clock, RouterId, ServerId
 
-# A router that has been silent for so long is taken to hold nothing any more.
-_REPORT_LIFE = timedelta(seconds=3)
 # The rest absorbs answers that are longer than expected, and requests that other
 # routers admitted since their last report.
 _USABLE_SHARE = 0.92
@@ -112,13 +110,11 @@
             for stage in pipeline.stages
         )
 
-    def expire_reports(self) -> None:
-        """Forget routers that no longer report."""
+    def expire_reports(self, life: timedelta) -> None:
+        """Forget routers that have been silent for some time."""
         now = self._clock.monotonic()
         old = [
-            router_id
-            for router_id, (at, _) in self._reports.items()
-            if now - at > _REPORT_LIFE
+            router_id for router_id, (at, _) in self._reports.items() if now - at > life
         ]
         for router_id in old:
             self._forget_report(router_id)
--- a/hibiscustiller/layers/_placer.py
+++ b/hibiscustiller/layers/_placer.py
@@ -151,9 +151,9 @@
             return {}
         is_calm = not self._pending and now - self._changed_at >= _CALM_TIME
         may_improve = is_calm and is_settled
-        # A plan takes tens of milliseconds in a large fleet, and rarely differs.
         quiet_since = max(self._changed_at, self._known_since)
         may_reshape = may_improve and now - quiet_since >= _LONG_CALM_TIME
+        # A plan takes tens of milliseconds in a large fleet, and rarely differs.
         question = (group, tuple(sorted(held.items())), may_improve, may_reshape)
         if question == self._settled_question:
             return {}
--- a/hibiscustiller/layers/tests/test_admission.py
+++ b/hibiscustiller/layers/tests/test_admission.py
@@ -272,7 +272,7 @@
     load.take_report("dead", {"a": EngineUse(1000.0, 5)})
     assert load.get("a").entered == 5
     clock.advance(4 * SECOND)
-    load.expire_reports()
+    load.expire_reports(3 * SECOND)
     assert load.get("a").entered == 0
 
 
@@ -297,7 +297,7 @@
     last = {}
     for router_id, uses, seconds in reports:
         clock.advance(timedelta(seconds=seconds))
-        load.expire_reports()
+        load.expire_reports(3 * SECOND)
         last = {r: v for r, v in last.items() if clock.monotonic() - v[0] <= 3 * SECOND}
         uses = {key: EngineUse(float(t), n) for key, (t, n) in uses.items()}
         load.take_report(router_id, uses)
@@ -309,7 +309,7 @@
             )
             assert load.get(server_id) == expected
     clock.advance(timedelta(seconds=4))
-    load.expire_reports()
+    load.expire_reports(3 * SECOND)
     assert load.get("a") == load.get("b") == EngineUse()
 
 
