Search for pipelines and plan covers once in each decision on placement

The step for speed searched twice for the pipelines it already had, and a new plan of a domain was made again for the comparison with what serves.

--- a/hibiscustiller/layers/_placement.py
+++ b/hibiscustiller/layers/_placement.py
@@ -79,9 +79,11 @@
     changes: dict[ServerId, LayerRange] = {}
     without_cover: list[BackendServer] = []
     improvements = []
+    plans: list[tuple[list[BackendServer], list[Cover]]] = []
     for _, members in sorted(_group_by_domain(servers).items()):
         covers = plan_covers(spec, members, held_by_id)
         if covers:
+            plans.append((members, covers))
             changes |= _plan_domain(spec, members, covers, held_by_id)
             if may_improve:
                 improvements.append(_find_step(spec, members, held_by_id, len(covers)))
@@ -97,7 +99,7 @@
     if not changes and may_improve:
         changes = _plan_shared_cover(spec, servers, held_by_id)
     if not changes and may_reshape:
-        changes = _find_reshape(spec, servers, held_by_id)
+        changes = _find_reshape(spec, servers, plans, held_by_id)
     return changes
 
 
@@ -264,7 +266,7 @@
                 gain = _measure_rate(spec, stages) / present
                 if gain > _STEP_GAIN:
                     steps.append((gain, server.id, layers))
-    present = _measure_total(spec, servers, held_by_id)
+    present = _sum_rates(spec, pipelines)
     for _, server_id, layers in sorted(steps, reverse=True)[:_STEPS_TRIED]:
         # The search for pipelines goes by time alone and may not use the engine. Each
         # step must raise what it finds, or steps could follow each other for ever.
@@ -277,25 +279,27 @@
 def _find_reshape(
     spec: EngineSpec,
     servers: Sequence[BackendServer],
+    plans: Iterable[tuple[Sequence[BackendServer], Sequence[Cover]]],
     held_by_id: Mapping[ServerId, LayerRange],
 ) -> dict[ServerId, LayerRange]:
     """Find a new plan for the domain that repairs have left furthest from its best.
 
     Repairs keep what serves, so that a large engine may end up with a small gap's
     layers. The whole domain is taken not to serve until the new layers are loaded.
+
+    :param plans: the engines of each domain and its best covers.
     """
     present = _measure_total(spec, servers, held_by_id)
     best: dict[ServerId, LayerRange] = {}
     best_gain = 0.0
-    for _, members in sorted(_group_by_domain(servers).items()):
-        held = {s.id: held_by_id[s.id] for s in members if s.id in held_by_id}
-        moves = _list_moves(plan_covers(spec, members, held), held)
+    for members, covers in plans:
+        moves = _list_moves(covers, held_by_id)
         if not moves:
             continue
         after = _measure_total(spec, servers, {**held_by_id, **moves})
         widest = max(layers.width for layers in moves.values())
         load_s = spec.load_time.total_seconds() * widest / spec.layers
-        lost = _measure_total(spec, members, held) * load_s
+        lost = _measure_total(spec, members, held_by_id) * load_s
         gain = (after - present) * _PAYBACK_S - lost
         if after >= _RESHAPE_GAIN * present and gain > best_gain:
             best, best_gain = moves, gain
@@ -308,8 +312,11 @@
     held_by_id: Mapping[ServerId, LayerRange],
 ) -> float:
     """Estimate the tokens a second of all pipelines when they are full."""
-    found = find_pipelines(spec, _list_holding(servers, held_by_id))
-    return sum(_measure_rate(spec, pipeline.stages) for pipeline in found)
+    return _sum_rates(spec, find_pipelines(spec, _list_holding(servers, held_by_id)))
+
+
+def _sum_rates(spec: EngineSpec, pipelines: Iterable[Pipeline]) -> float:
+    return sum(_measure_rate(spec, pipeline.stages) for pipeline in pipelines)
 
 
 def _list_takeovers(
