Encode requests in one place; keep the bounds on connections in one place each

The two encoders of the HTTP client differed in their headers only. The share of connections for requests in flight was computed in two functions, and the client's bound on idle connections stood a second time beside it.

--- a/hibiscustiller/ingress/_connections.py
+++ b/hibiscustiller/ingress/_connections.py
@@ -14,16 +14,17 @@
 from hibiscustiller.layers import EngineUse
 
 _IN_FLIGHT_SHARE = 0.5
-# One router has no use for more, whatever a server accepts.
-_MAX_IDLE = 32
 
 
-def count_idle_connections(service: ServiceSpec, router_count: int) -> int:
-    """Return how many idle connections one router may keep to each server."""
+def count_idle_connections(service: ServiceSpec, router_count: int) -> int | None:
+    """Return how many idle connections one router may keep to each server.
+
+    :returns: None if no bound is known.
+    """
     if service.max_connections is None:
-        return _MAX_IDLE
+        return None
     idle = service.max_connections * (1.0 - _IN_FLIGHT_SHARE)
-    return min(_MAX_IDLE, int(idle / max(1, router_count)))
+    return int(idle / max(1, router_count))
 
 
 def has_free_connection(service: ServiceSpec, use: EngineUse) -> bool:
@@ -31,9 +32,8 @@
 
     :param use: the requests of all routers at the server.
     """
-    if service.max_connections is None:
-        return True
-    return use.entered + 1 <= max(1, service.max_connections * _IN_FLIGHT_SHARE)
+    in_flight = _count_in_flight(service)
+    return in_flight is None or use.entered < in_flight
 
 
 def limit_entries(service: ServiceSpec) -> EngineSpec:
@@ -42,7 +42,14 @@
     :param service: a service that runs a model.
     """
     assert service.engine is not None
-    if service.max_connections is None:
+    in_flight = _count_in_flight(service)
+    if in_flight is None:
         return service.engine
-    in_flight = max(1, int(service.max_connections * _IN_FLIGHT_SHARE))
     return replace(service.engine, slots=min(service.engine.slots, in_flight))
+
+
+def _count_in_flight(service: ServiceSpec) -> int | None:
+    """Return how many requests of all routers a server has connections for."""
+    if service.max_connections is None:
+        return None
+    return max(1, int(service.max_connections * _IN_FLIGHT_SHARE))
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -176,7 +176,7 @@
         head_timeout: timedelta,
         is_fresh: bool,
         on_sent: Callable[[], None] | None = None,
-        max_idle: int = _MAX_IDLE_PER_ADDRESS,
+        max_idle: int | None = None,
     ) -> Exchange:
         """Send a request as it is and leave its answer to be read.
 
@@ -185,7 +185,7 @@
         :param is_fresh: as for :meth:`request`.
         :param on_sent: called just before the first byte leaves.
         :param max_idle: idle connections to this address beyond which this one is
-            closed after the answer.
+            closed after the answer, if that is below the client's own bound.
         :returns: the exchange, to be closed by the caller.
         :raises TransportError: if the request could not be sent.
         """
@@ -242,7 +242,7 @@
         address: Address,
         connection: _Connection,
         is_reusable: bool,
-        max_idle: int = _MAX_IDLE_PER_ADDRESS,
+        max_idle: int | None = None,
     ) -> None:
         # Bytes after the answer would be taken for the answer to the next request.
         is_done = (
@@ -250,7 +250,10 @@
             and not connection.state.trailing_data[0]
         )
         idle = self._idle_by_address.get(address, ())
-        if not (is_reusable and is_done and len(idle) < max_idle):
+        bound = _MAX_IDLE_PER_ADDRESS
+        if max_idle is not None:
+            bound = min(bound, max_idle)
+        if not (is_reusable and is_done and len(idle) < bound):
             await connection.close()
             return
         connection.state.start_next_cycle()
@@ -276,7 +279,8 @@
 
     :param client: takes the connection back after a complete answer.
     :param connection: the connection it uses.
-    :param max_idle: idle connections beyond which it is closed instead.
+    :param max_idle: idle connections beyond which it is closed instead, if that is
+        below the client's own bound.
     """
 
     def __init__(
@@ -284,7 +288,7 @@
         client: HttpClient,
         address: Address,
         connection: _Connection,
-        max_idle: int,
+        max_idle: int | None,
     ) -> None:
         self._max_idle = max_idle
         self._client = client
@@ -455,33 +459,38 @@
     :raises TransportError: if it cannot be sent as HTTP; no byte has left.
     """
     fields = {"host": str(address), **headers, "content-length": str(len(body))}
-    state = connection.state
-    try:
-        request = h11.Request(
-            method=method, target=target, headers=list(fields.items())
-        )
-        data = state.send(request) or b""
-        data += state.send(h11.Data(data=body)) or b""
-        return data + (state.send(h11.EndOfMessage()) or b"")
-    except (h11.LocalProtocolError, UnicodeError) as error:
-        raise TransportError(
-            f"{method} {address}: request cannot be sent: {error}", Verdict.NOT_RUN
-        ) from error
+    return _encode_events(
+        connection,
+        f"{method} {address}: ",
+        {"method": method, "target": target, "headers": list(fields.items())},
+        body,
+    )
 
 
 def _encode_raw_request(connection: _Connection, request: RawRequest) -> bytes:
     length = (b"content-length", str(len(request.body)).encode())
     has_body = bool(request.body) or request.method in (b"POST", b"PUT", b"PATCH")
     fields = [*request.fields, *([length] if has_body else [])]
+    head = {"method": request.method, "target": request.target, "headers": fields}
+    return _encode_events(connection, "", head, request.body)
+
+
+def _encode_events(
+    connection: _Connection, label: str, head: dict[str, Any], body: bytes
+) -> bytes:
+    """Encode the head, body and end of a request.
+
+    :param label: names the request in messages.
+    :raises TransportError: if it cannot be sent as HTTP; no byte has left.
+    """
     state = connection.state
     try:
-        head = h11.Request(method=request.method, target=request.target, headers=fields)
-        data = state.send(head) or b""
-        data += state.send(h11.Data(data=request.body)) or b""
+        data = state.send(h11.Request(**head)) or b""
+        data += state.send(h11.Data(data=body)) or b""
         return data + (state.send(h11.EndOfMessage()) or b"")
-    except h11.LocalProtocolError as error:
+    except (h11.LocalProtocolError, UnicodeError) as error:
         raise TransportError(
-            f"request cannot be sent: {error}", Verdict.NOT_RUN
+            f"{label}request cannot be sent: {error}", Verdict.NOT_RUN
         ) from error
 
 
