--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -25,7 +25,7 @@
 )
 from hibiscustiller.settings import parse_address
 from hibiscustiller.utils import Clock, RouterId, ServerId, log_event
-from hibiscustiller.wire import wait_at_most
+from hibiscustiller.wire import wait_for_event
 
 ROUTER_PREFIX = "routers/"
 # One watch of all keys costs one call; keys of other kinds are ignored.
@@ -124,11 +124,7 @@
 
     async def _wait_for_retry(self, delay: timedelta) -> None:
         self._is_asked_to_retry.clear()
-        try:
-            await wait_at_most(delay, self._is_asked_to_retry.wait())
-        except TimeoutError:
-            # Nobody knows better, so the store is tried again.
-            return
+        await wait_for_event(delay, self._is_asked_to_retry)
 
     async def _follow(self) -> None:
         if self._revision is None:
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -33,7 +33,7 @@
     log_event,
     rank_by_rendezvous,
 )
-from hibiscustiller.wire import HttpClient, wait_at_most
+from hibiscustiller.wire import HttpClient, wait_for_event
 
 # Changes of servers come in groups.
 _REFRESH_DELAY = timedelta(milliseconds=20)
@@ -86,7 +86,8 @@
     async def run(self) -> None:
         """Find the pipelines again after changes, until cancelled."""
         while True:
-            await self._wait_until_stale()
+            # After the period leaving servers are left out, without any change.
+            await wait_for_event(_REFRESH_PERIOD, self._is_stale)
             await self._clock.sleep(_REFRESH_DELAY)
             self._is_stale.clear()
             for service in self._list_services():
@@ -216,14 +217,6 @@
             self._watching_by_id[server_id] = (key, self._router_id in watchers)
         return self._watching_by_id[server_id][1]
 
-    async def _wait_until_stale(self) -> None:
-        """Wait for a change, or for the time at which leaving servers are left out."""
-        try:
-            await wait_at_most(_REFRESH_PERIOD, self._is_stale.wait())
-        except TimeoutError:
-            # Nothing changed; the time itself may have.
-            return
-
 
 def _log_pipelines(name: ServiceName, pipelines: Sequence[Pipeline]) -> None:
     log_event(
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -19,7 +19,7 @@
 from hibiscustiller.layers import EngineLoad, EngineUse
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, RouterId, ServerId, log_event
-from hibiscustiller.wire import wait_at_most
+from hibiscustiller.wire import wait_for_event
 from hibiscustiller.wire._messages_generated import (
     LoadReport,
     ServerUse,
@@ -84,7 +84,8 @@
                 if peer.router_id != self._router_id
             ]
             period = find_report_period(len(peers))
-            await self._wait(period)
+            if await wait_for_event(period, self._is_urgent):
+                self._is_urgent.clear()
             self._load.expire_reports(max(_SHORTEST_LIFE, period * _LIFE_PERIODS))
             data = self._make_report()
             for peer in peers:
@@ -102,15 +103,6 @@
         """Send the next report at once: a server was lost."""
         self._is_urgent.set()
 
-    async def _wait(self, period: timedelta) -> None:
-        """Wait for the next report's time."""
-        try:
-            await wait_at_most(period, self._is_urgent.wait())
-        except TimeoutError:
-            # Nothing urgent has happened.
-            return
-        self._is_urgent.clear()
-
     async def take_reports(self) -> None:
         """Take reports until cancelled."""
         while True:
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -23,7 +23,7 @@
     ServerId,
     Verdict,
 )
-from hibiscustiller.wire import wait_at_most
+from hibiscustiller.wire import wait_for_event
 
 # Share of the target latency that a request may wait; the rest is for its prompt.
 _PATIENCE_SHARE = 0.6
@@ -116,10 +116,8 @@
         key = (demand.priority, demand.organisation)
         self._queue.push(*key, demand.tokens, waiter)
         try:
-            await wait_at_most(patience, waiter.is_placed.wait())
-        except TimeoutError:
-            # A place may have been given in the same moment.
-            pass
+            # A place may be given in the moment in which the time is up.
+            await wait_for_event(patience, waiter.is_placed)
         except BaseException:
             self._queue.remove(*key, waiter)
             if waiter.grant is not None:
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -27,7 +27,7 @@
 from hibiscustiller.standins._metadata_store import MetadataStoreStandin
 from hibiscustiller.standins._plain_server import PlainServerStandin
 from hibiscustiller.utils import Clock, SystemClock, log_event
-from hibiscustiller.wire import HttpClient, HttpRequest, wait_at_most
+from hibiscustiller.wire import HttpClient, HttpRequest, wait_for_event
 from hibiscustiller.wire._sockets import is_readable
 
 # Three renewals fit, as on the platform.
@@ -78,11 +78,7 @@
                 await self._write_all()
             except (StoreUnavailableError, LeaseExpiredError) as error:
                 log_event("entry_not_written", level="warning", reason=error)
-            try:
-                await wait_at_most(_RENEWAL_PERIOD, self._is_changed.wait())
-            except TimeoutError:
-                # The lease is due for renewal.
-                pass
+            await wait_for_event(_RENEWAL_PERIOD, self._is_changed)
             self._is_changed.clear()
 
     async def _write_all(self) -> None:
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 on both sides, and the framed messages between routers."""
 
-from hibiscustiller.wire._deadlines import wait_at_most
+from hibiscustiller.wire._deadlines import wait_at_most, wait_for_event
 from hibiscustiller.wire._http_client import (
     AnswerStream,
     Exchange,
@@ -32,4 +32,5 @@
     "describe_refusal",
     "make_refusal_headers",
     "wait_at_most",
+    "wait_for_event",
 ]
--- a/hibiscustiller/wire/_deadlines.py
+++ b/hibiscustiller/wire/_deadlines.py
@@ -35,6 +35,20 @@
         raise TimeoutError(f"no answer within {delay.total_seconds():g} s") from None
 
 
+async def wait_for_event(delay: timedelta, event: Any) -> bool:
+    """Wait for an event for a limited time.
+
+    :param delay: longest wait.
+    :param event: an event of curio's.
+    :returns: whether it was set in time.
+    """
+    try:
+        await wait_at_most(delay, event.wait())
+    except TimeoutError:
+        return False
+    return True
+
+
 @types.coroutine
 def _resume(
     coroutine: Coroutine[Any, Any, Value], trap: Any
