--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -15,7 +15,7 @@
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._refusals import Refusals
 from hibiscustiller.utils import Clock, ServerId, log_event
-from hibiscustiller.wire import wait_at_most
+from hibiscustiller.wire import open_connection
 
 # Connections take about 2 ms. TCP repeats a lost packet only after a second, so a
 # second connection is tried before a server is taken to be away.
@@ -176,10 +176,7 @@
     """
     for attempt in range(1, _CONNECT_ATTEMPTS + 1):
         try:
-            sock = await wait_at_most(
-                _CONNECT_TIMEOUT,
-                curio.open_connection(server.address.host, server.address.port),
-            )
+            sock = await open_connection(server.address, _CONNECT_TIMEOUT)
         except TimeoutError:
             if attempt == _CONNECT_ATTEMPTS:
                 raise
--- a/hibiscustiller/ingress/_monitor.py
+++ b/hibiscustiller/ingress/_monitor.py
@@ -15,8 +15,7 @@
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.utils import Clock, ServerId, log_event
-from hibiscustiller.wire import wait_at_most
-from hibiscustiller.wire._sockets import set_tcp_options
+from hibiscustiller.wire import open_connection, set_tcp_options
 
 _PERIOD = timedelta(milliseconds=250)
 _CONNECT_TIMEOUT = timedelta(milliseconds=500)
@@ -65,11 +64,8 @@
 
     async def _hold(self, server: BackendServer) -> str:
         """Wait until a connection ends; return how it did."""
-        address = server.address
         try:
-            sock = await wait_at_most(
-                _CONNECT_TIMEOUT, curio.open_connection(address.host, address.port)
-            )
+            sock = await open_connection(server.address, _CONNECT_TIMEOUT)
         except OSError as error:
             return f"cannot connect: {error}"
         async with sock:
--- a/hibiscustiller/membership/_links.py
+++ b/hibiscustiller/membership/_links.py
@@ -21,7 +21,7 @@
 from hibiscustiller.membership._timings import MeshTimings
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, RouterId, jittered_delays, log_event
-from hibiscustiller.wire import wait_at_most
+from hibiscustiller.wire import open_connection, wait_at_most
 from hibiscustiller.wire._framing import MAX_FRAME_BYTES, FrameReader
 from hibiscustiller.wire._messages_generated import Hello, Message
 
@@ -197,9 +197,7 @@
         try:
             if router is not None and self.is_cut(router):
                 raise ConnectionError("cut off by a test")
-            sock = await wait_at_most(
-                _CONNECT_TIMEOUT, curio.open_connection(address.host, address.port)
-            )
+            sock = await open_connection(address, _CONNECT_TIMEOUT)
             reader = FrameReader(sock, MAX_GREETING_BYTES)
             try:
                 greeting = greet_as_dialler(sock, reader, self._make_hello(), self._key)
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -27,8 +27,7 @@
 from hibiscustiller.standins._metadata_store import MetadataStoreStandin
 from hibiscustiller.standins._plain_server import PlainServerStandin
 from hibiscustiller.utils import Clock, SystemClock, log_event
-from hibiscustiller.wire import HttpClient, HttpRequest, wait_for_event
-from hibiscustiller.wire._sockets import is_readable
+from hibiscustiller.wire import HttpClient, HttpRequest, is_readable, wait_for_event
 
 # Three renewals fit, as on the platform.
 _ENTRY_TTL = timedelta(seconds=3)
--- a/hibiscustiller/streams/_attempts.py
+++ b/hibiscustiller/streams/_attempts.py
@@ -24,7 +24,12 @@
 )
 from hibiscustiller.streams._requests import Deliver, Progress, StreamRequest
 from hibiscustiller.utils import Clock, ServerId, Verdict, check_invariant, log_event
-from hibiscustiller.wire import AnswerStream, HttpClient, wait_at_most
+from hibiscustiller.wire import (
+    AnswerStream,
+    HttpClient,
+    open_connection,
+    wait_at_most,
+)
 
 Value = TypeVar("Value")
 
@@ -449,8 +454,7 @@
         return True
     [address] = [stage.address for stage in route.stages if stage.server == server]
     try:
-        connection = curio.open_connection(address.host, address.port)
-        sock = await wait_at_most(_PROBE_TIMEOUT, connection)
+        sock = await open_connection(address, _PROBE_TIMEOUT)
     except OSError:
         return True
     await sock.close()
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -17,6 +17,7 @@
     describe_refusal,
     make_refusal_headers,
 )
+from hibiscustiller.wire._sockets import is_readable, open_connection, set_tcp_options
 
 __all__ = [
     "AnswerStream",
@@ -30,7 +31,10 @@
     "RawRequest",
     "Responder",
     "describe_refusal",
+    "is_readable",
     "make_refusal_headers",
+    "open_connection",
+    "set_tcp_options",
     "wait_at_most",
     "wait_for_event",
 ]
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -13,14 +13,13 @@
 from datetime import timedelta
 from typing import Any
 
-import curio
 import h11
 
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, Verdict
 from hibiscustiller.wire._deadlines import wait_at_most
-from hibiscustiller.wire._sockets import is_readable, set_tcp_options
+from hibiscustiller.wire._sockets import is_readable, open_connection, set_tcp_options
 
 _RECEIVE_BYTES = 65536
 # An answer larger than this is refused; a document of 1 MB grows by a third in base64.
@@ -226,10 +225,7 @@
 
     async def _connect(self, address: Address) -> _Connection:
         try:
-            sock = await wait_at_most(
-                self._connect_timeout,
-                curio.open_connection(address.host, address.port),
-            )
+            sock = await open_connection(address, self._connect_timeout)
         except OSError as error:
             raise TransportError(
                 f"cannot connect to {address}: {error}", Verdict.NOT_RUN
--- a/hibiscustiller/wire/_sockets.py
+++ b/hibiscustiller/wire/_sockets.py
@@ -1,10 +1,15 @@
-"""Options and state of TCP sockets."""
+"""Opening, options and state of TCP sockets."""
 
 import select
+from datetime import timedelta
 from typing import Any
 
+import curio
 import curio.socket
 
+from hibiscustiller.settings import Address
+from hibiscustiller.wire._deadlines import wait_at_most
+
 # A connection can fall silent without a reset. Probes on an idle one and the limit on
 # unacknowledged bytes end it within about three seconds.
 _KEEPALIVE_IDLE_S = 1
@@ -13,6 +18,16 @@
 _UNACKNOWLEDGED_LIMIT_MS = 3000
 
 
+async def open_connection(address: Address, timeout: timedelta) -> Any:
+    """Open a TCP connection.
+
+    :raises OSError: if it cannot be opened; a ``TimeoutError`` if the time is up.
+    """
+    return await wait_at_most(
+        timeout, curio.open_connection(address.host, address.port)
+    )
+
+
 def set_tcp_options(sock: Any) -> None:
     """Disable delayed sends and let dead connections fail.
 
