--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -154,6 +154,10 @@
         if self.peers_by_id.pop(router_id, None) is not None:
             self.routers_generation += 1
 
+    def count_routers(self) -> int:
+        """Return how many routers share budgets and servers, this one included."""
+        return max(1, len(self.peers_by_id))
+
     def get_server(self, server_id: ServerId) -> BackendServer | None:
         """Return a server, or None if it is unknown or gone."""
         return self._servers_by_id.get(server_id)
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -88,7 +88,7 @@
             clock,
             self.view.get_server,
             self._note_health_change,
-            lambda: len(self.view.peers_by_id),
+            self.view.count_routers,
         )
         self._make_forwarding()
         self._make_store_parts()
@@ -119,7 +119,7 @@
             PlainServers(settings.domain, self._load, clock, self._random_state),
             self._load,
             self._health,
-            self.models.count_routers,
+            self.view.count_routers,
             self._metrics,
         )
         self._dispatcher = RequestDispatcher(
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -107,10 +107,6 @@
             self._find_pipelines(service)
         return self.forwarders_by_service[service.name]
 
-    def count_routers(self) -> int:
-        """Return how many routers share budgets and engines."""
-        return max(1, len(self._view.peers_by_id))
-
     def list_groups(self) -> list[EngineGroup]:
         """Return the engines that layers can be placed on, by service."""
         return [
@@ -131,13 +127,13 @@
 
     def list_watched(self) -> dict[ServerId, BackendServer]:
         """Return the engines of pipelines that this router watches for the fleet."""
-        stages = [
-            stage.server
+        return {
+            server.id: server
             for forwarder in self.forwarders_by_service.values()
             for pipeline in forwarder.choice.pipelines
-            for stage in pipeline.stages
-        ]
-        return {server.id: server for server in stages if self._is_watcher(server.id)}
+            for server in pipeline.servers
+            if self._is_watcher(server.id)
+        }
 
     def _list_services(self) -> list[ServiceSpec]:
         document = self._view.document
@@ -149,7 +145,7 @@
             self._domain,
             self._load,
             self._clock,
-            self.count_routers,
+            self._view.count_routers,
             self._random_state,
         )
         admission = Admission(
@@ -167,7 +163,7 @@
             self._health,
             self._get_budget(service.name),
             lambda excluded: self._find_detour(service.name, excluded),
-            self.count_routers,
+            self._view.count_routers,
             self._metrics,
         )
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -289,15 +289,14 @@
 
     async def _check_stages(self, grant: Grant) -> None:
         """Find out which engines of the pipeline cannot be reached."""
-        servers = [stage.server for stage in grant.pipeline.stages]
-        await self._forwarder.health.check(servers)
+        await self._forwarder.health.check(grant.pipeline.servers)
         self._find_lost_stages(grant)
 
     def _find_lost_stages(self, grant: Grant) -> bool:
         """Tell whether an engine of the pipeline is known to be lost."""
         # An engine that is leaving goes on with what it has.
         is_reachable = self._forwarder.health.is_reachable
-        servers = [stage.server for stage in grant.pipeline.stages]
+        servers = grant.pipeline.servers
         lost = {server.id for server in servers if not is_reachable(server)}
         self._lost |= lost
         return bool(lost)
@@ -321,9 +320,7 @@
     def _note_refusing_server(self, grant: Grant, address: object) -> None:
         """Leave out the server that refused, for this request."""
         at_fault = [
-            stage.server
-            for stage in grant.pipeline.stages
-            if stage.server.address == address
+            server for server in grant.pipeline.servers if server.address == address
         ]
         refusing = at_fault or [grant.pipeline.entry]
         forwarder, spec = self._forwarder, self._context.service.engine
--- a/hibiscustiller/layers/_pipelines.py
+++ b/hibiscustiller/layers/_pipelines.py
@@ -47,9 +47,14 @@
         return self.stages[0].server
 
     @property
-    def server_ids(self) -> tuple[ServerId, ...]:
+    def servers(self) -> list[BackendServer]:
         """The engines in order."""
-        return tuple(stage.server.id for stage in self.stages)
+        return [stage.server for stage in self.stages]
+
+    @property
+    def server_ids(self) -> tuple[ServerId, ...]:
+        """The ids of the engines in order."""
+        return tuple(server.id for server in self.servers)
 
     def estimate_token_time(
         self, spec: EngineSpec, sequences: float, tokens: float
