--- a/hibiscustiller/ingress/tests/soak/faults.py
+++ b/hibiscustiller/ingress/tests/soak/faults.py
@@ -100,19 +100,30 @@
         free = [key for key in keys if key not in self._busy]
         return self._random_state.choice(free) if free else None
 
-    # Daemons.
+    async def _occupy(self, key, act, *, is_planned=False):
+        """Act on what no other fault may touch meanwhile, and note the span.
 
-    async def _with_daemon(self, act, *, is_planned=False):
-        number = self._choose(range(len(self._site.daemons)))
-        if number is None:
+        :param key: names it; None if all of its kind are occupied.
+        """
+        if key is None or key in self._busy:
             return
-        self._busy.add(number)
+        self._busy.add(key)
         began_at = time.monotonic()
         try:
-            await act(number, self._site.daemons[number])
+            await act()
         finally:
-            self._busy.discard(number)
-            self._note(number, began_at, is_planned=is_planned)
+            self._busy.discard(key)
+            self._note(key, began_at, is_planned=is_planned)
+
+    # Daemons.
+
+    async def _with_daemon(self, act, *, is_planned=False):
+        number = self._choose(range(len(self._site.daemons)))
+        await self._occupy(
+            number,
+            lambda: act(number, self._site.daemons[number]),
+            is_planned=is_planned,
+        )
 
     async def _start_daemon(self, number, program):
         program.start()
@@ -162,18 +173,13 @@
         server_id = self._choose(
             [key for key in self._site.servers_by_id if key.startswith(prefix)]
         )
-        if server_id is None:
-            return
-        self._busy.add(server_id)
-        began_at = time.monotonic()
-        try:
-            await act(
+        await self._occupy(
+            server_id,
+            lambda: act(
                 self._site.servers_by_id[server_id],
                 self._site.proxies_by_server[server_id],
-            )
-        finally:
-            self._busy.discard(server_id)
-            self._note(server_id, began_at)
+            ),
+        )
 
     async def _kill_server(self):
         async def act(program, proxy):
@@ -196,15 +202,12 @@
     # The store and the ways to it.
 
     async def _pause_store(self):
-        if _STORE in self._busy:
-            return
-        self._busy.add(_STORE)
-        began_at = time.monotonic()
-        self._site.store.pause()
-        await curio.sleep(self._draw_time(3.0))
-        self._site.store.resume()
-        self._busy.discard(_STORE)
-        self._note(_STORE, began_at)
+        async def act():
+            self._site.store.pause()
+            await curio.sleep(self._draw_time(3.0))
+            self._site.store.resume()
+
+        await self._occupy(_STORE, act)
 
     async def _drop_history(self):
         began_at = time.monotonic()
@@ -220,24 +223,14 @@
         await self._with_link(act, only_store=True)
 
     async def _with_link(self, act, *, only_store=False):
-        links = {f"link-{n}": n for n in range(len(self._site.daemons))}
+        proxies = {
+            f"link-{number}": self._site.proxies_by_daemon[program.name]
+            for number, program in enumerate(self._site.daemons)
+        }
         if not only_store:
-            links |= {server_id: server_id for server_id in self._site.servers_by_id}
-        key = self._choose(links)
-        if key is None:
-            return
-        proxies = self._site.proxies_by_daemon
-        if key in self._site.proxies_by_server:
-            proxy = self._site.proxies_by_server[key]
-        else:
-            proxy = proxies[self._site.daemons[links[key]].name]
-        self._busy.add(key)
-        began_at = time.monotonic()
-        try:
-            await act(proxy)
-        finally:
-            self._busy.discard(key)
-            self._note(key, began_at)
+            proxies |= self._site.proxies_by_server
+        key = self._choose(proxies)
+        await self._occupy(key, lambda: act(proxies[key]))
 
     async def _delay_link(self):
         async def act(proxy):
@@ -268,13 +261,10 @@
     # The operator.
 
     async def _change_configuration(self):
-        if "configuration" in self._busy:
-            return
-        self._busy.add("configuration")
-        try:
+        async def act():
             version = self._callers.written_version + 1
             self._callers.written_version = version
             await self._site.write_document(make_version(version))
             self._callers.accepted_at_by_version[version] = time.monotonic()
-        finally:
-            self._busy.discard("configuration")
+
+        await self._occupy("configuration", act, is_planned=True)
