End answers without an end in time

Cause: each receive had the whole time of a head or a body anew, and interim answers were not counted, so that a server which sends a byte now and then held a request beyond its route's timeout. A stalled stream lasted for as long as bytes came that complete no event. Change: a head, a body and a whole answer have one deadline each; interim answers are counted; other tasks get a turn beside a fast sender. The silence of an engine counts from its last whole event, and lasts in proportion to the time after which the caller leaves, so that streams of patient callers are not cut; the next attempt avoids the pipeline that was silent.

--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from hibiscustiller.exceptions import TransportError
+from hibiscustiller.fleet import IngressRoute
 from hibiscustiller.ingress._budget import RepeatBudget
 from hibiscustiller.ingress._connections import count_idle_connections
 from hibiscustiller.ingress._context import (
@@ -46,9 +47,14 @@
 # A stream that paused for so long has its stages checked, and again after each such
 # time. Pauses of a full pipeline stay below it.
 _CHECK_PERIOD = timedelta(milliseconds=240)
-# Without any event the caller leaves after two seconds at the earliest; what is left
-# is for the prompt to be read at another pipeline.
-_GIVE_UP_AFTER = timedelta(milliseconds=1300)
+# Without any event a caller leaves after the longest of these: a time, a number of
+# target latencies, a number of target gaps.
+_SHORTEST_PATIENCE = timedelta(seconds=2)
+_PATIENCE_LATENCIES = 4
+_PATIENCE_GAPS = 8
+# Share of it after which a silent pipeline is given up; what is left is for the prompt
+# to be read at another one.
+_GIVE_UP_SHARE = 0.65
 _RETRY_AFTER = timedelta(milliseconds=700)
 # Reports of the other routers lag. An engine that is known to be used less than this
 # does not refuse for want of room.
@@ -170,10 +176,15 @@
         self._demand = demand
         self._last_event = context.facts.last_event
         self._lost: set[ServerId] = set()
+        # Servers of pipelines that were given up for their silence.
+        self._silent: set[ServerId] = set()
         self._entries: list[ServerId] = []
         self._may_have_run = False
         self._attempts = 0
         self._event_count = 0
+        # Since when the present attempt has brought no whole event.
+        self._silent_since = timedelta(0)
+        self._give_up_after = _find_give_up_time(context.route)
 
     async def run(self, grant: Grant) -> Refusal | None:
         """Run attempts until the answer is complete.
@@ -225,10 +236,10 @@
             return None
         refusing = self._forwarder.health.refusals.list_refusing()
         admission = self._forwarder.admission
-        grant = admission.replace(self._demand, self._lost | refusing)
-        grant = grant or admission.replace(self._demand, self._lost)
-        if grant is not None:
-            return grant
+        for avoided in (self._silent | refusing, refusing, set()):
+            grant = admission.replace(self._demand, self._lost | avoided)
+            if grant is not None:
+                return grant
         # Each pipeline has a stage that does not serve; the others may form one.
         detour = self._forwarder.find_detour(self._lost)
         return None if detour is None else admission.take(detour, self._demand)
@@ -256,6 +267,7 @@
         assert context.service.engine is not None
         check_pipeline(context.service.engine, pipeline)
         self._attempts += 1
+        self._silent_since = context.clock.monotonic()
         stages = tuple((s.server.address, s.layers) for s in pipeline.stages)
         request = context.make_server_request(pipeline.entry, stages, self._last_event)
         try:
@@ -363,6 +375,7 @@
                 self._forwarder.choice.note_gap(grant.pipeline, gap)
             last_at = now
             await self._send_events(exchange, events, grant)
+            self._silent_since = clock.monotonic()
         if splitter.rest:
             message = "the stream ended within an event"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
@@ -410,30 +423,43 @@
             await _send(self._responder.start_fields(exchange.status, fields))
 
     async def _wait_for(self, read: Callable, grant: Grant):
-        """Wait for an engine; find out why if it is silent for long.
+        """Wait for an engine; find out why if it brings no event for long.
+
+        Bytes that do not complete an event do not count, or an engine that sends one
+        now and then would never be given up.
 
         :raises TransportError: if a stage is lost or the silence is too long.
         :raises TimeoutError: if the request's time is up.
         """
         context = self._context
-        silent_since = context.clock.monotonic()
-        next_check = _CHECK_PERIOD
+        next_check = context.clock.monotonic() + _CHECK_PERIOD
         while True:
             left = context.time_left
             if left <= timedelta(0):
                 raise TimeoutError("the request's time is up")
-            try:
-                return await read(min(left, _LOOK_PERIOD))
-            except TimeoutError:
-                silence = context.clock.monotonic() - silent_since
-            if silence >= next_check:
+            now = context.clock.monotonic()
+            silence = now - self._silent_since
+            if silence >= self._give_up_after and context.route.is_resumable:
+                self._silent.update(grant.pipeline.server_ids)
+                message = f"no event for {silence.total_seconds():.2f} s"
+                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+            if now >= next_check:
                 next_check += _CHECK_PERIOD
                 await self._check_stages(grant)
             if self._find_lost_stages(grant):
                 raise TransportError("a stage is lost", Verdict.MAY_HAVE_RUN)
-            if silence >= _GIVE_UP_AFTER and context.route.is_resumable:
-                message = f"no event for {silence.total_seconds():.2f} s"
-                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+            try:
+                return await read(min(left, _LOOK_PERIOD))
+            except TimeoutError:
+                continue
+
+
+def _find_give_up_time(route: IngressRoute) -> timedelta:
+    """Return how long an engine may bring no event before another is tried."""
+    patience = max(_SHORTEST_PATIENCE, route.target_latency * _PATIENCE_LATENCIES)
+    if route.target_gap is not None:
+        patience = max(patience, route.target_gap * _PATIENCE_GAPS)
+    return patience * _GIVE_UP_SHARE
 
 
 async def _send(coroutine: Coroutine[Any, Any, None]) -> None:
--- /dev/null
+++ b/hibiscustiller/ingress/tests/test_endless_answers.py
@@ -0,0 +1,94 @@
+"""Callers beside a server that sends bytes without an end get answers in time."""
+
+import sys
+
+import curio
+
+from hibiscustiller.ingress.tests.fixtures import World
+from hibiscustiller.standins import DrippingServer, EndlessAnswer
+from hibiscustiller.utils._testing import collect_tests
+
+# The route's timeout is 0.6 s; half a second later every answer must have come.
+LIMIT_S = 1.1
+
+
+def write_plain_entry(world, server_id, server):
+    entry = {
+        "service": "orders",
+        "address": str(server.address),
+        "zone": "north",
+        "slots": 6,
+        "state": "ready",
+        "born": 1,
+    }
+    world.store.put(f"servers/{server_id}", entry)
+
+
+async def test_booking_at_an_endless_server_ends_in_time_and_may_have_run():
+    """Guards against a caller that waits beyond its route's timeout, or asks again."""
+    async with World() as world:
+        # Just after the first read a missing server may return.
+        await curio.sleep(2.4)
+        for plain in world.plain:
+            world.store.delete(f"servers/{plain.id}")
+        for answer in EndlessAnswer:
+            for period_s in (0.0, 0.03):
+                async with DrippingServer(answer, period_s) as server:
+                    await _check_booking(world, server, f"{answer.value}-{period_s}")
+
+
+async def _check_booking(world, server, server_id):
+    write_plain_entry(world, server_id, server)
+    view = world.gateway.view
+    await world.wait_until(
+        lambda: [s.id for s in view.list_servers("orders")] == [server_id]
+    )
+    began_at = await curio.clock()
+    reply = await world.request("/book/1")
+    age_s = await curio.clock() - began_at
+    assert reply.status in (502, 504), (server_id, reply)
+    assert reply.is_complete
+    assert age_s < LIMIT_S, (server_id, age_s)
+    assert server.request_count == 1
+    async with curio.timeout_after(2.0):
+        while server.open_count:
+            await curio.sleep(0.01)
+    world.store.delete(f"servers/{server_id}")
+
+
+async def test_repeatable_request_passes_beside_an_endless_server():
+    """Guards against a sound server that is not tried, and requests that wait."""
+    async with World() as world, DrippingServer(EndlessAnswer.HEAD, 0.02) as server:
+        write_plain_entry(world, "drip", server)
+        view = world.gateway.view
+        await world.wait_until(lambda: len(view.list_servers("orders")) == 3)
+        for number in range(12):
+            reply = await world.request(f"/stock/{number}", method="GET", body=b"")
+            assert reply.status == 200, number
+
+
+async def test_stream_goes_on_elsewhere_when_an_engine_only_drips():
+    """Guards against a stalled stream that lasts since a byte comes now and then."""
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        async with DrippingServer(EndlessAnswer.EVENT, 0.05) as server:
+            entry = world.store.items["servers/e0"]
+            address = str(world.engines[0].address).encode()
+            value = entry.value.replace(address, str(server.address).encode())
+            world.store.put("servers/e0", value)
+            choice = world.gateway.models.forwarders_by_service["engines"].choice
+            await world.wait_until(
+                lambda: any(p.entry.address == server.address for p in choice.pipelines)
+            )
+            for number in range(4):
+                began_at = await curio.clock()
+                reply = await world.request(f"/chat/{number}")
+                assert (reply.status, reply.is_complete) == (200, True), reply
+                # Callers leave after two seconds without an event.
+                assert await curio.clock() - began_at < 2.0
+            assert server.request_count > 0
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/standins/__init__.py
+++ b/hibiscustiller/standins/__init__.py
@@ -1,6 +1,7 @@
 """Small stand-ins for the platform and the backend servers."""
 
 from hibiscustiller.standins._booking import BookingFaults, BookingStandin
+from hibiscustiller.standins._dripping_server import DrippingServer, EndlessAnswer
 from hibiscustiller.standins._engine import EngineFaults, EngineOptions, EngineStandin
 from hibiscustiller.standins._fleet import (
     MODEL,
@@ -31,6 +32,8 @@
     "TEAM_KEYS_BY_ID",
     "BookingFaults",
     "BookingStandin",
+    "DrippingServer",
+    "EndlessAnswer",
     "EngineFaults",
     "EngineOptions",
     "EngineStandin",
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -13,6 +13,7 @@
 from datetime import timedelta
 from typing import Any
 
+import curio
 import h11
 
 from hibiscustiller.exceptions import TransportError
@@ -27,6 +28,10 @@
 # Servers commonly close idle connections after a minute or less.
 _MAX_IDLE = timedelta(seconds=20)
 _MAX_IDLE_PER_ADDRESS = 32
+# A server sends one or two; one that goes on has no answer.
+_MAX_INTERIM_ANSWERS = 20
+# Bytes that arrive without end must not keep other tasks waiting.
+_RECEIVES_PER_TURN = 20
 
 
 @dataclass(frozen=True)
@@ -65,7 +70,7 @@
     def __init__(
         self, clock: Clock, connect_timeout: timedelta = timedelta(seconds=1)
     ) -> None:
-        self._clock = clock
+        self.clock = clock
         self._connect_timeout = connect_timeout
         self._idle_by_address: dict[Address, deque[_Connection]] = {}
 
@@ -155,7 +160,7 @@
                 connection, address, method, target, body, headers or {}
             )
             await wait_at_most(next_byte_timeout, connection.sock.sendall(data))
-            await stream.read_head()
+            await wait_at_most(next_byte_timeout, stream.read_head())
         except BaseException as error:
             await connection.close()
             if isinstance(error, TransportError):
@@ -217,7 +222,7 @@
             connection = idle.pop()
             if not idle:
                 del self._idle_by_address[address]
-            age = self._clock.monotonic() - connection.idle_since
+            age = self.clock.monotonic() - connection.idle_since
             if age < _MAX_IDLE and not is_readable(connection.sock):
                 return connection
             await connection.close()
@@ -253,7 +258,7 @@
             await connection.close()
             return
         connection.state.start_next_cycle()
-        connection.idle_since = self._clock.monotonic()
+        connection.idle_since = self.clock.monotonic()
         self._idle_by_address.setdefault(address, deque()).append(connection)
 
 
@@ -294,16 +299,24 @@
         self.fields: tuple[tuple[bytes, bytes], ...] = ()
         self.is_ended = False
         self._is_reusable = False
+        self._interim_count = 0
+        self._receive_count = 0
 
     async def read_head(self, timeout: timedelta) -> None:
         """Read status and headers.
 
+        :param timeout: longest wait for the whole head, however its bytes arrive.
         :raises TransportError: if the connection fails or ends.
         :raises TimeoutError: if there is no answer in time; it may be read again.
         """
-        event = await self._next_event(timeout)
+        deadline = self._client.clock.monotonic() + timeout
+        event = await self._next_event(deadline)
         while isinstance(event, h11.InformationalResponse):
-            event = await self._next_event(timeout)
+            self._interim_count += 1
+            if self._interim_count > _MAX_INTERIM_ANSWERS:
+                message = f"{self._address}: interim answers without end"
+                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+            event = await self._next_event(deadline)
         self.status = event.status_code
         self.fields = tuple(
             (bytes(name), bytes(value)) for name, value in event.headers
@@ -318,7 +331,7 @@
         """
         if self.is_ended:
             return None
-        event = await self._next_event(timeout)
+        event = await self._next_event(self._client.clock.monotonic() + timeout)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         self.is_ended = True
@@ -326,9 +339,14 @@
         return None
 
     async def read_body(self, timeout: timedelta, max_bytes: int) -> bytes:
-        """Read the whole body; see :meth:`read_part`."""
+        """Read the whole body; see :meth:`read_part`.
+
+        :param timeout: longest wait for all of it.
+        """
+        clock = self._client.clock
+        deadline = clock.monotonic() + timeout
         body = bytearray()
-        while (part := await self.read_part(timeout)) is not None:
+        while (part := await self.read_part(deadline - clock.monotonic())) is not None:
             body += part
             if len(body) > max_bytes:
                 raise TransportError("answer too large", Verdict.MAY_HAVE_RUN)
@@ -342,14 +360,25 @@
             self._address, connection, is_reusable, self._max_idle
         )
 
-    async def _next_event(self, timeout: timedelta) -> Any:
+    async def _next_event(self, deadline: timedelta) -> Any:
+        """Read until the next event of the answer.
+
+        :param deadline: on the client's monotonic clock. Each receive has what is left
+            of it, so that a byte now and then does not extend the wait.
+        """
         state = self._connection.state
         try:
             while (event := state.next_event()) is h11.NEED_DATA:
+                left = deadline - self._client.clock.monotonic()
+                if left <= timedelta(0):
+                    raise TimeoutError("the time for the answer is up")
                 data = await wait_at_most(
-                    timeout, self._connection.sock.recv(_RECEIVE_BYTES)
+                    left, self._connection.sock.recv(_RECEIVE_BYTES)
                 )
                 state.receive_data(data)
+                self._receive_count += 1
+                if self._receive_count % _RECEIVES_PER_TURN == 0:
+                    await curio.sleep(0)
         except TimeoutError:
             raise
         except (OSError, h11.RemoteProtocolError) as error:
@@ -392,7 +421,9 @@
     async def read_head(self) -> None:
         """Read status and headers."""
         event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(_MAX_INTERIM_ANSWERS):
+            if not isinstance(event, h11.InformationalResponse):
+                break
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError(f"expected an answer, got {event!r}")
