--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -11,11 +11,11 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+from hibiscustiller.discovery._view import Peer
 from hibiscustiller.discovery._watcher import ROUTER_PREFIX
 from hibiscustiller.exceptions import StoreUnavailableError
 from hibiscustiller.platform import LeaseExpiredError, LeaseId, MetadataStore
-from hibiscustiller.settings import Address
-from hibiscustiller.utils import Clock, DomainId, RouterId, log_event
+from hibiscustiller.utils import Clock, log_event
 
 # Peers count a router that died for this long; its reports end at once.
 _TTL = timedelta(seconds=8)
@@ -31,9 +31,7 @@
 class Registration:
     """Keeps this router's entry.
 
-    :param router_id: this router.
-    :param domain: where it is.
-    :param address: where it takes datagrams of other routers.
+    :param peer: what the other routers need to know of this one.
     :param store: the platform's store.
     :param clock: source of time.
     :param on_return: called when the store answers again, or after a freeze.
@@ -42,17 +40,20 @@
 
     def __init__(
         self,
-        router_id: RouterId,
-        domain: DomainId,
-        address: Address,
+        peer: Peer,
         store: MetadataStore,
         clock: Clock,
         on_return: Callable[[], Awaitable[None]],
         is_follower: Callable[[], bool],
     ) -> None:
         self._is_follower = is_follower
-        self._key = f"{ROUTER_PREFIX}{router_id}"
-        self._value = json.dumps({"address": str(address), "domain": domain}).encode()
+        self._key = f"{ROUTER_PREFIX}{peer.router_id}"
+        values = {
+            "address": str(peer.address),
+            "domain": peer.domain,
+            "capacity": peer.capacity,
+        }
+        self._value = json.dumps(values).encode()
         self._store = store
         self._clock = clock
         self._on_return = on_return
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -33,11 +33,13 @@
     """Another router.
 
     :param address: where it takes datagrams of routers.
+    :param capacity: processor time of its host, in cores.
     """
 
     router_id: RouterId
     address: Address
     domain: DomainId
+    capacity: float = 1.0
 
 
 class FleetView:
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -335,7 +335,8 @@
             values = json.loads(change.value)
             address = parse_address(values["address"])
             domain = DomainId(values["domain"])
+            capacity = float(values["capacity"])
         except (ValueError, KeyError, TypeError) as error:
             log_event("entry_unreadable", level="warning", reason=repr(error))
             return
-        self._view.apply_peer(Peer(router_id, address, domain))
+        self._view.apply_peer(Peer(router_id, address, domain, capacity))
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -250,6 +250,7 @@
     :param retry_slack: repeats allowed in the window besides, over all daemons.
     :param min_lease: shortest lease of the store.
     :param max_value_bytes: longest value that the store takes.
+    :param capacity: processor time of the host, in cores.
     :param is_first_start: whether the whole system starts for the first time.
     """
 
@@ -267,4 +268,5 @@
     retry_slack: float
     min_lease: timedelta
     max_value_bytes: int
+    capacity: float = 1.0
     is_first_start: bool = False
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -12,6 +12,7 @@
     ChangeLog,
     FleetView,
     FleetWatcher,
+    Peer,
     Registration,
     StoreRelay,
 )
@@ -110,10 +111,13 @@
         settings, clock = self._settings, self._clock
         client = HttpClient(clock, _CONNECT_TIMEOUT)
         budgets = RepeatBudgets(settings, clock)
+        inner = Address(settings.ip, settings.inner_ports[0])
+        self._datagrams = DatagramSocket(settings.router_id, inner)
         self.models = ModelServices(
             settings.router_id,
             settings.domain,
             self.view,
+            self._datagrams,
             self._load,
             self._health,
             client,
@@ -163,8 +167,6 @@
             lambda: self._registration.is_reachable,
             _FIRST_READ_DELAY if settings.is_first_start else timedelta(0),
         )
-        inner = Address(settings.ip, settings.inner_ports[0])
-        self._datagrams = DatagramSocket(settings.router_id, inner)
         self._relay = StoreRelay(
             settings.router_id,
             settings.domain,
@@ -183,11 +185,15 @@
             self._health,
             clock,
             self.models.dispatch,
+            self.models.list_givers,
         )
         self._registration = Registration(
-            settings.router_id,
-            settings.domain,
-            inner,
+            Peer(
+                settings.router_id,
+                self._datagrams.address,
+                settings.domain,
+                settings.capacity,
+            ),
             store,
             clock,
             self._note_store_returned,
@@ -243,6 +249,8 @@
             self._relay.run,
             self._sharing.send_reports,
             self.models.run,
+            self.models.place_server.run,
+            self.models.place_client.run,
         ):
             self._tasks.append(await curio.spawn(run, daemon=True))
         log_event(
@@ -258,6 +266,7 @@
         began_at = self._clock.monotonic()
         self._is_ending = True
         self.front.announce_end()
+        self.models.place_server.is_ending = True
         await self._placer.release()
         await self._clock.sleep(min(_LISTEN_AFTER_STOP, self._settings.grace / 2))
         left = self._settings.grace * (1 - _CLOSING_SHARE)
@@ -307,6 +316,15 @@
                 ]
                 for name, forwarder in self.models.forwarders_by_service.items()
             },
+            "places": {
+                "given": self.models.place_server.held_count,
+                "held": self.models.place_client.held_count,
+                "gives_out": [
+                    f"{service}/{domain}"
+                    for service, domain in self.models.list_shares()
+                    if self.models.place_client.is_giver(domain)
+                ],
+            },
             "in_flight": {
                 server_id: use.entered
                 for server_id, use in self._load.list_own().items()
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -20,6 +20,9 @@
     EngineLoad,
     Pipeline,
     PipelineChoice,
+    PlaceClient,
+    PlaceServer,
+    SharedAdmission,
     find_cheapest,
     find_pipelines,
 )
@@ -33,7 +36,7 @@
     ServiceName,
     log_event,
 )
-from hibiscustiller.wire import HttpClient, wait_for_event
+from hibiscustiller.wire import DatagramSocket, HttpClient, wait_for_event
 
 # Changes of servers come in groups.
 _REFRESH_DELAY = timedelta(milliseconds=20)
@@ -56,6 +59,7 @@
         router_id: RouterId,
         domain: DomainId,
         view: FleetView,
+        datagrams: DatagramSocket,
         load: EngineLoad,
         health: ServerHealth,
         client: HttpClient,
@@ -80,6 +84,53 @@
         # What the pipelines of a service were found from.
         self._found_from: dict[ServiceName, object] = {}
         self.forwarders_by_service: dict[ServiceName, StreamForwarder] = {}
+        self._local_admissions: list[Admission] = []
+        # Admission to the pipelines of each domain, for all routers.
+        self._admissions: dict[tuple[ServiceName, DomainId], Admission] = {}
+        self.place_server = PlaceServer(
+            datagrams, self.get_admission, view.get_server, clock
+        )
+        self.place_client = PlaceClient(
+            router_id,
+            view,
+            datagrams,
+            self.place_server,
+            self.get_admission,
+            self.list_shares,
+            clock,
+            random_state,
+            metrics,
+        )
+
+    def get_admission(self, service: ServiceName, domain: DomainId) -> Admission | None:
+        """Return the admission to a service's pipelines in a domain, for all routers.
+
+        :returns: None if the service is not known.
+        """
+        forwarder = self.forwarders_by_service.get(service)
+        if forwarder is None:
+            return None
+        key = (service, domain)
+        if key not in self._admissions:
+            self._admissions[key] = self._make_admission(forwarder.choice, domain)
+        return self._admissions[key]
+
+    def list_shares(self) -> list[tuple[ServiceName, DomainId]]:
+        """Return the services and the domains in which they have pipelines."""
+        return [
+            (name, domain)
+            for name, forwarder in self.forwarders_by_service.items()
+            for domain in sorted({p.entry.domain for p in forwarder.choice.pipelines})
+        ]
+
+    def list_givers(self) -> set[RouterId]:
+        """Return the routers that give out places, if they do so for the others."""
+        if not self.place_client.is_shared:
+            return set()
+        givers = [
+            self.place_client.list_givers(domain) for _, domain in self.list_shares()
+        ]
+        return {routers[0] for routers in givers if routers}
 
     def note_change(self) -> None:
         """Find the pipelines again soon."""
@@ -99,8 +150,8 @@
 
     async def dispatch(self) -> None:
         """Give places to waiting requests."""
-        for forwarder in list(self.forwarders_by_service.values()):
-            await forwarder.admission.dispatch()
+        for admission in [*self._local_admissions, *self._admissions.values()]:
+            await admission.dispatch()
 
     def get_forwarder(self, service: ServiceSpec) -> StreamForwarder:
         """Return the forwarder of a service, new if it is not known yet."""
@@ -150,12 +201,15 @@
             self._view.count_routers,
             self._random_state,
         )
-        admission = Admission(
+        local = self._make_admission(choice, None)
+        self._local_admissions.append(local)
+        admission = SharedAdmission(
+            service.name,
+            self._domain,
+            local,
             choice,
-            self._load,
-            self._clock,
+            self.place_client,
             self._random_state,
-            self._health.refusals.list_refusing,
         )
         return StreamForwarder(
             self._client,
@@ -169,6 +223,18 @@
             self._metrics,
         )
 
+    def _make_admission(
+        self, choice: PipelineChoice, domain: DomainId | None
+    ) -> Admission:
+        return Admission(
+            choice,
+            self._load,
+            self._clock,
+            self._random_state,
+            self._health.refusals.list_refusing,
+            domain,
+        )
+
     def _find_detour(
         self, name: ServiceName, excluded: Collection[ServerId]
     ) -> Pipeline | None:
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from datetime import timedelta
 
 import curio
@@ -26,6 +26,11 @@
 _SHORTEST_PERIOD = timedelta(milliseconds=200)
 # Reports that a router takes in a second, whatever the size of the fleet.
 _MAX_REPORTS_PER_SECOND = 40
+# A router that chooses for the others hears of all within this time. It needs little:
+# what it has given out itself is in no report but its own.
+_GIVER_PERIOD = timedelta(seconds=1)
+# Timers are late by some milliseconds.
+_NEARLY = 0.99
 # A router that has been silent for so long, and for two of its reports, is taken to
 # hold nothing any more.
 _SHORTEST_LIFE = timedelta(seconds=3)
@@ -37,6 +42,7 @@
 
     :param datagrams: carries the reports.
     :param on_report: called after another router's report was taken.
+    :param list_givers: returns the routers that choose for the others.
     """
 
     def __init__(
@@ -48,7 +54,9 @@
         health: ServerHealth,
         clock: Clock,
         on_report: Callable[[], Awaitable[None]],
+        list_givers: Callable[[], Collection[RouterId]] = tuple,
     ) -> None:
+        self._list_givers = list_givers
         self._router_id = router_id
         self._datagrams = datagrams
         self._view = view
@@ -61,6 +69,8 @@
 
     async def send_reports(self) -> None:
         """Send reports until cancelled."""
+        told_all_at = self._clock.monotonic()
+        used_engines = False
         while True:
             peers = [
                 peer
@@ -68,9 +78,21 @@
                 if peer.router_id != self._router_id
             ]
             period = find_report_period(len(peers))
-            if await wait_for_event(period, self._is_urgent):
-                self._is_urgent.clear()
+            is_urgent = await wait_for_event(
+                min(period, _GIVER_PERIOD), self._is_urgent
+            )
+            self._is_urgent.clear()
             self._load.expire_reports(max(_SHORTEST_LIFE, period * _LIFE_PERIODS))
+            now = self._clock.monotonic()
+            if is_urgent or now - told_all_at >= period * _NEARLY:
+                told_all_at = now
+            else:
+                # Routers that choose for the others need to know more often what
+                # this one has chosen itself.
+                is_told = used_engines or self._uses_engines
+                givers = self._list_givers() if is_told else ()
+                peers = [peer for peer in peers if peer.router_id in givers]
+            used_engines = self._uses_engines
             data = self._datagrams.encode(self._make_report())
             for peer in peers:
                 await self._datagrams.send(peer.address, data)
@@ -79,6 +101,10 @@
         """Send the next report at once: a server was lost."""
         self._is_urgent.set()
 
+    @property
+    def _uses_engines(self) -> bool:
+        return any(use.token_layers for use in self._load.list_own().values())
+
     def _make_report(self) -> LoadReport:
         uses = tuple(
             ServerUse(server_id, round(use.token_layers), use.entered)
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -22,12 +22,12 @@
 from hibiscustiller.ingress._events import Event, EventSplitter
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.layers import (
-    Admission,
     Demand,
     EngineLoad,
     Grant,
     Pipeline,
     PipelineChoice,
+    SharedAdmission,
     check_pipeline,
 )
 from hibiscustiller.platform import make_caller_fields, read_answer_facts
@@ -88,7 +88,7 @@
     def __init__(
         self,
         client: HttpClient,
-        admission: Admission,
+        admission: SharedAdmission,
         choice: PipelineChoice,
         load: EngineLoad,
         health: ServerHealth,
@@ -198,7 +198,7 @@
             refusal = self._check_repeat(outcome)
             if refusal is not None:
                 return refusal
-            again = self._find_other()
+            again = await self._find_other()
             if again is None:
                 return self._fail("no other pipeline is left")
             self._forwarder.metrics.count(f"streams.repeated.{outcome.value}")
@@ -225,7 +225,7 @@
         )
         return outcome
 
-    def _find_other(self) -> Grant | None:
+    async def _find_other(self) -> Grant | None:
         """Find a pipeline for the next attempt.
 
         A server that already ran the request may run it again; others only up to the
@@ -237,7 +237,7 @@
         refusing = self._forwarder.health.refusals.list_refusing()
         admission = self._forwarder.admission
         for avoided in (self._silent | refusing, refusing, set()):
-            grant = admission.replace(self._demand, self._lost | avoided)
+            grant = await admission.replace(self._demand, self._lost | avoided)
             if grant is not None:
                 return grant
         # Each pipeline has a stage that does not serve; the others may form one.
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -10,6 +10,8 @@
     find_cheapest,
     find_pipelines,
 )
+from hibiscustiller.layers._place_client import PlaceClient, SharedAdmission
+from hibiscustiller.layers._place_server import PlaceServer
 from hibiscustiller.layers._placement import plan_covers, plan_layers
 from hibiscustiller.layers._placer import EngineGroup, LayerPlacer
 
@@ -23,6 +25,9 @@
     "LayerPlacer",
     "Pipeline",
     "PipelineChoice",
+    "PlaceClient",
+    "PlaceServer",
+    "SharedAdmission",
     "Stage",
     "check_pipeline",
     "find_cheapest",
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -17,6 +17,7 @@
 from hibiscustiller.layers._queue import FairQueue
 from hibiscustiller.utils import (
     Clock,
+    DomainId,
     OrganisationId,
     Refusal,
     RefusalReason,
@@ -26,7 +27,7 @@
 from hibiscustiller.wire import wait_for_event
 
 # Share of the target latency that a request may wait; the rest is for its prompt.
-_PATIENCE_SHARE = 0.6
+PATIENCE_SHARE = 0.6
 # Callers that are refused together must not return together.
 _FIRST_RETURN = timedelta(seconds=1.5)
 _LAST_RETURN = timedelta(seconds=4.5)
@@ -56,10 +57,16 @@
 
 @dataclass
 class Grant:
-    """A place in a pipeline; returned by :meth:`Admission.release`."""
+    """A place in a pipeline; returned by :meth:`Admission.release`.
+
+    :param admission: what has given it; None if another router has.
+    :param place_id: its number there.
+    """
 
     pipeline: Pipeline
     tokens: float
+    admission: Admission | None = None
+    place_id: int = 0
 
 
 @dataclass(eq=False)
@@ -77,6 +84,7 @@
     :param clock: source of time.
     :param random_state: spreads the returns of refused callers.
     :param list_refusing: returns engines that refused a request just now.
+    :param domain: only pipelines whose first engine is there are used; None for all.
     """
 
     def __init__(
@@ -86,7 +94,9 @@
         clock: Clock,
         random_state: random.Random,
         list_refusing: Callable[[], Set[ServerId]] = frozenset,
+        domain: DomainId | None = None,
     ) -> None:
+        self._domain = domain
         self._list_refusing = list_refusing
         self._choice = choice
         self._load = load
@@ -101,17 +111,20 @@
         """Requests that wait for a place."""
         return len(self._queue)
 
+    def try_admit(self, demand: Demand) -> Grant | None:
+        """Give a free place; None if there is none or others wait for it."""
+        return None if len(self._queue) else self._place(demand)
+
     async def admit(self, demand: Demand) -> Result[Grant, Refusal]:
         """Wait for a place, or refuse at once what would wait too long."""
-        if not self._choice.pipelines:
-            return Err(self._refuse(demand, RefusalReason.NO_ROUTE, "no pipeline"))
-        if not len(self._queue):
-            grant = self._place(demand)
-            if grant is not None:
-                return Ok(grant)
-        patience = demand.target_latency * _PATIENCE_SHARE
+        if not self._choice.list_pipelines(self._domain):
+            return Err(self.refuse(demand, RefusalReason.NO_ROUTE, "no pipeline"))
+        grant = self.try_admit(demand)
+        if grant is not None:
+            return Ok(grant)
+        patience = demand.target_latency * PATIENCE_SHARE
         if self._estimate_wait(demand) > patience:
-            return Err(self._refuse(demand, RefusalReason.OVERLOADED, "queue is long"))
+            return Err(self.refuse(demand, RefusalReason.OVERLOADED, "queue is long"))
         waiter = _Waiter(demand)
         key = (demand.priority, demand.organisation)
         self._queue.push(*key, demand.tokens, waiter)
@@ -125,7 +138,7 @@
             raise
         if waiter.grant is None:
             self._queue.remove(*key, waiter)
-            return Err(self._refuse(demand, RefusalReason.OVERLOADED, "no place"))
+            return Err(self.refuse(demand, RefusalReason.OVERLOADED, "no place"))
         return Ok(waiter.grant)
 
     def replace(self, demand: Demand, excluded: Collection[ServerId]) -> Grant | None:
@@ -140,6 +153,7 @@
                 demand.target_gap,
                 excluded,
                 must_have_room=must_have_room,
+                domain=self._domain,
             )
             if pipeline is not None:
                 return self.take(pipeline, demand)
@@ -147,8 +161,12 @@
 
     def take(self, pipeline: Pipeline, demand: Demand) -> Grant:
         """Take a place in a pipeline whether or not it has room."""
-        self._load.add(pipeline, demand.tokens)
-        return Grant(pipeline, demand.tokens)
+        return self.adopt(pipeline, demand.tokens)
+
+    def adopt(self, pipeline: Pipeline, tokens: float) -> Grant:
+        """Count a place that is in use."""
+        self._load.add(pipeline, tokens)
+        return Grant(pipeline, tokens, self)
 
     async def release(self, grant: Grant) -> None:
         """Return a place."""
@@ -167,15 +185,27 @@
             waiter.grant = grant
             await waiter.is_placed.set()
 
+    def count_free_tokens(self) -> float:
+        """Return how many more tokens the pipelines can hold; 0 while requests wait."""
+        spec = self._choice.spec
+        if spec is None or len(self._queue):
+            return 0.0
+        return sum(
+            max(0.0, self._load.find_room(spec, pipeline))
+            for pipeline in self._choice.list_pipelines(self._domain)
+        )
+
     def _place(self, demand: Demand) -> Grant | None:
         refusing = self._list_refusing()
         if all(
             not refusing.isdisjoint(pipeline.server_ids)
-            for pipeline in self._choice.pipelines
+            for pipeline in self._choice.list_pipelines(self._domain)
         ):
             # Waiting would not help: the attempt finds a way around them.
             refusing = frozenset()
-        pipeline = self._choice.choose(demand.tokens, demand.target_gap, refusing)
+        pipeline = self._choice.choose(
+            demand.tokens, demand.target_gap, refusing, domain=self._domain
+        )
         return None if pipeline is None else self.take(pipeline, demand)
 
     def _estimate_wait(self, demand: Demand) -> timedelta:
@@ -197,7 +227,8 @@
         # With this factor the sum of decaying terms equals a steady rate.
         self._released_rate += tokens * math.log(2) / half_life
 
-    def _refuse(self, demand: Demand, reason: RefusalReason, message: str) -> Refusal:
+    def refuse(self, demand: Demand, reason: RefusalReason, message: str) -> Refusal:
+        """Make a refusal with a time at which to come back."""
         spread = (_LAST_RETURN - _FIRST_RETURN) * self._random_state.random()
         longest = max(demand.time_left * _RETURN_SHARE, timedelta(0))
         retry_after = min(_FIRST_RETURN + spread, longest)
--- a/hibiscustiller/layers/_choice.py
+++ b/hibiscustiller/layers/_choice.py
@@ -1,8 +1,9 @@
 """Which pipeline a request takes: the one that will write it fastest and has room.
 
 In a large fleet the reports of other routers are a second old or more. If all took the
-best pipeline, they would fill it together, so each then takes the better of two drawn
-at random.
+best pipeline, they would fill it together, so a router that chooses among all of them
+takes the better of two drawn at random. One that gives out the places of a domain
+knows them all.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 _OBSERVATION_LIFE = timedelta(seconds=2)
 _OBSERVATION_WEIGHT = 0.15
 # Up to this many routers, reports are at most 0.3 s old.
-_MAX_CLOSE_ROUTERS = 12
+MAX_CLOSE_ROUTERS = 12
 _DRAWN = 2
 # A pipeline whose pauses come close to the target has no room for more requests.
 _GAP_SHARE = 0.8
@@ -67,6 +68,12 @@
             key: value for key, value in self._observed.items() if key in known
         }
 
+    def list_pipelines(self, domain: DomainId | None) -> tuple[Pipeline, ...]:
+        """Return the pipelines that begin in a domain; None for all."""
+        if domain is None:
+            return self.pipelines
+        return tuple(p for p in self.pipelines if p.entry.domain == domain)
+
     def choose(
         self,
         tokens: float,
@@ -74,6 +81,7 @@
         excluded: Collection[ServerId] = (),
         *,
         must_have_room: bool = True,
+        domain: DomainId | None = None,
     ) -> Pipeline | None:
         """Return the pipeline that should be fastest.
 
@@ -81,15 +89,17 @@
         :param target_gap: longest pause between events that is still in time.
         :param excluded: engines that must not be used.
         :param must_have_room: whether a pipeline without room may not be used.
+        :param domain: only pipelines that begin there are used; None for all.
         """
         candidates = [
             (time, pipeline)
-            for pipeline in self.pipelines
+            for pipeline in self.list_pipelines(domain)
             if not any(stage.server.id in excluded for stage in pipeline.stages)
             and (time := self._find_time(pipeline, tokens, target_gap, must_have_room))
             is not None
         ]
-        if self._count_routers() > _MAX_CLOSE_ROUTERS and len(candidates) > _DRAWN:
+        is_blind = domain is None and self._count_routers() > MAX_CLOSE_ROUTERS
+        if is_blind and len(candidates) > _DRAWN:
             candidates = self._random_state.sample(candidates, _DRAWN)
         if not candidates:
             return None
--- /dev/null
+++ b/hibiscustiller/layers/_place_client.py
@@ -0,0 +1,450 @@
+"""Asks for places in pipelines where other routers give them out."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+import curio
+from result import Err, Ok, Result
+
+from hibiscustiller.discovery import FleetView
+from hibiscustiller.layers._admission import PATIENCE_SHARE, Admission, Demand, Grant
+from hibiscustiller.layers._choice import MAX_CLOSE_ROUTERS, PipelineChoice
+from hibiscustiller.layers._pipelines import Pipeline
+from hibiscustiller.layers._place_messages import (
+    PlaceStatus,
+    pack_demand,
+    pack_stages,
+    unpack_stages,
+)
+from hibiscustiller.layers._place_server import PlaceServer
+from hibiscustiller.settings import Address
+from hibiscustiller.utils import (
+    Clock,
+    DomainId,
+    Metrics,
+    Refusal,
+    RefusalReason,
+    RouterId,
+    ServerId,
+    ServiceName,
+    Verdict,
+    log_event,
+    rank_by_rendezvous,
+)
+from hibiscustiller.wire import DatagramSocket, wait_at_most
+from hibiscustiller.wire._messages_generated import (
+    HeldPlace,
+    PlaceAnswer,
+    PlaceHoldings,
+    PlaceRelease,
+    PlaceSummary,
+)
+
+# An answer takes a few milliseconds, and longer where the other router is busy.
+_ANSWER_TIMEOUT = timedelta(milliseconds=60)
+# After the second router that gives no answer the choice is made here.
+_MAX_ASKED = 2
+# The other router bounds the wait; its answer may be on its way.
+_WAIT_SLACK = timedelta(milliseconds=100)
+# A router that gave no answer is asked again after this time.
+_REST = timedelta(seconds=1)
+_HOLDINGS_PERIOD = timedelta(seconds=1)
+# Summaries come with the confirmations; two may be lost.
+_SUMMARY_LIFE = timedelta(seconds=3.2)
+# Another domain is asked only if it has room for several such requests: its own come
+# first, and the summary is a second old.
+_ROOMS = 4
+
+
+@dataclass
+class _Place:
+    """A place that another router has given.
+
+    :param giver: that router.
+    """
+
+    service: ServiceName
+    domain: DomainId
+    giver: RouterId
+    grant: Grant
+
+
+class PlaceClient:
+    """This router's places, and its questions for more.
+
+    :param router_id: this router.
+    :param view: tells who the other routers are.
+    :param server: gives out the places of the domains that are this router's part.
+    :param get_admission: as for :class:`PlaceServer`.
+    :param list_shares: returns the services and domains that have pipelines.
+    """
+
+    def __init__(
+        self,
+        router_id: RouterId,
+        view: FleetView,
+        datagrams: DatagramSocket,
+        server: PlaceServer,
+        get_admission: Callable[[ServiceName, DomainId], Admission | None],
+        list_shares: Callable[[], Collection[tuple[ServiceName, DomainId]]],
+        clock: Clock,
+        random_state: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.router_id = router_id
+        self._view = view
+        self._datagrams = datagrams
+        self._server = server
+        self._get_admission = get_admission
+        self._list_shares = list_shares
+        self._clock = clock
+        self._metrics = metrics
+        # Numbers of an earlier process of this router must not be used again.
+        self._last_id = random_state.getrandbits(62)
+        self._answers_by_id: dict[int, curio.Queue] = {}
+        self._places_by_id: dict[int, _Place] = {}
+        self._rests_until_by_id: dict[RouterId, timedelta] = {}
+        self._givers_by_domain: dict[DomainId, list[RouterId]] = {}
+        self._givers_generation = -1
+        self._summaries: dict[
+            tuple[ServiceName, DomainId], tuple[timedelta, float]
+        ] = {}
+        datagrams.register(PlaceAnswer, self._take_answer)
+        datagrams.register(PlaceSummary, self._take_summary)
+
+    @property
+    def is_shared(self) -> bool:
+        """Whether the fleet is too large for each router to choose by reports."""
+        return self._view.count_routers() > MAX_CLOSE_ROUTERS
+
+    @property
+    def held_count(self) -> int:
+        """Places that other routers have given."""
+        return len(self._places_by_id)
+
+    def is_giver(self, domain: DomainId) -> bool:
+        """Tell whether this router gives out a domain's places."""
+        givers = self.list_givers(domain)
+        return self.is_shared and bool(givers) and givers[0] == self.router_id
+
+    def list_givers(self, domain: DomainId) -> list[RouterId]:
+        """Return the routers to ask for a domain's places, the preferred one first."""
+        generation = self._view.routers_generation
+        if generation != self._givers_generation:
+            self._givers_generation = generation
+            self._givers_by_domain.clear()
+        if domain not in self._givers_by_domain:
+            self._givers_by_domain[domain] = self._rank_givers(domain)
+        now = self._clock.monotonic()
+        return [
+            router_id
+            for router_id in self._givers_by_domain[domain]
+            if self._rests_until_by_id.get(router_id, timedelta(0)) <= now
+        ]
+
+    def _rank_givers(self, domain: DomainId) -> list[RouterId]:
+        """Order a domain's routers: the strongest hosts go first."""
+        peers_by_id = self._view.peers_by_id
+        near = [key for key, peer in peers_by_id.items() if peer.domain == domain]
+        ranked = rank_by_rendezvous(f"places/{domain}", near or peers_by_id)
+        return sorted(ranked, key=lambda key: -peers_by_id[key].capacity)
+
+    async def run(self) -> None:
+        """Confirm places that are held, and tell of free ones, until cancelled."""
+        while True:
+            await self._clock.sleep(_HOLDINGS_PERIOD)
+            if self.is_shared or self._places_by_id:
+                await self._confirm()
+                await self._summarise()
+
+    async def ask(
+        self,
+        demand: Demand,
+        service: ServiceName,
+        domain: DomainId,
+        *,
+        may_wait: bool,
+        excluded: Sequence[ServerId] | None = None,
+    ) -> Result[Grant, Refusal] | None:
+        """Ask for a place in a domain's pipelines.
+
+        :param excluded: as for :func:`pack_demand`.
+        :returns: None if there is no answer, or no room for what may not wait.
+        """
+        for router_id in self.list_givers(domain)[:_MAX_ASKED]:
+            if router_id == self.router_id:
+                return await self._admit(demand, service, domain, may_wait, excluded)
+            status, result = await self._exchange(
+                router_id, demand, service, domain, may_wait, excluded
+            )
+            if status is PlaceStatus.NO_ROOM:
+                return None
+            if result is not None:
+                return result
+        self._metrics.count("places.unanswered")
+        return None
+
+    async def release(self, grant: Grant) -> None:
+        """Return a place."""
+        place = self._places_by_id.pop(grant.place_id, None)
+        if place is not None:
+            await self._send(place.giver, PlaceRelease(grant.place_id))
+
+    async def _admit(
+        self,
+        demand: Demand,
+        service: ServiceName,
+        domain: DomainId,
+        may_wait: bool,
+        excluded: Sequence[ServerId] | None,
+    ) -> Result[Grant, Refusal] | None:
+        """Give a place to a request of this router."""
+        admission = self._get_admission(service, domain)
+        if admission is None:
+            return None
+        if excluded is not None:
+            grant = admission.replace(demand, excluded)
+        elif may_wait:
+            return await admission.admit(demand)
+        else:
+            grant = admission.try_admit(demand)
+        return None if grant is None else Ok(grant)
+
+    async def _exchange(
+        self,
+        giver: RouterId,
+        demand: Demand,
+        service: ServiceName,
+        domain: DomainId,
+        may_wait: bool,
+        excluded: Sequence[ServerId] | None,
+    ) -> tuple[PlaceStatus | None, Result[Grant, Refusal] | None]:
+        """Ask one router; the status is None if it gives no answer."""
+        self._last_id += 1
+        place_id = self._last_id
+        answers = self._answers_by_id[place_id] = curio.Queue()
+        request = pack_demand(
+            demand, place_id, service, domain, may_wait=may_wait, excluded=excluded
+        )
+        try:
+            await self._send(giver, request)
+            answer = await wait_at_most(_ANSWER_TIMEOUT, answers.get())
+            if answer.status == PlaceStatus.WAITING:
+                wait = demand.target_latency * PATIENCE_SHARE + _WAIT_SLACK
+                answer = await wait_at_most(wait, answers.get())
+        except TimeoutError:
+            self._note_silent(giver)
+            return None, None
+        except BaseException:
+            # The caller has left; what is given meanwhile is returned.
+            await self._send(giver, PlaceRelease(place_id))
+            raise
+        finally:
+            del self._answers_by_id[place_id]
+        return await self._read_answer(answer, giver, demand, service, domain)
+
+    async def _read_answer(
+        self,
+        answer: PlaceAnswer,
+        giver: RouterId,
+        demand: Demand,
+        service: ServiceName,
+        domain: DomainId,
+    ) -> tuple[PlaceStatus | None, Result[Grant, Refusal] | None]:
+        status = PlaceStatus(answer.status)
+        if status is PlaceStatus.REFUSED:
+            refusal = Refusal(
+                RefusalReason.OVERLOADED,
+                Verdict.NOT_RUN,
+                "no place",
+                timedelta(milliseconds=answer.retry_after_ms),
+            )
+            return status, Err(refusal)
+        if status is PlaceStatus.ASK_ANOTHER:
+            self._note_silent(giver)
+        if status is not PlaceStatus.PLACED:
+            return status, None
+        pipeline = unpack_stages(answer.stages, self._view.get_server)
+        if pipeline is None or not _is_held(pipeline):
+            # What this router knows of the engines differs for a moment.
+            await self._send(giver, PlaceRelease(answer.place_id))
+            return PlaceStatus.NO_ROOM, None
+        grant = Grant(pipeline, demand.tokens, place_id=answer.place_id)
+        place = _Place(service, domain, giver, grant)
+        self._places_by_id[answer.place_id] = place
+        return status, Ok(grant)
+
+    async def _take_answer(
+        self, router_id: RouterId, address: Address, answer: PlaceAnswer
+    ) -> None:
+        answers = self._answers_by_id.get(answer.place_id)
+        if answers is not None:
+            await answers.put(answer)
+        elif (
+            answer.status == PlaceStatus.PLACED
+            and answer.place_id not in self._places_by_id
+        ):
+            # It came too late.
+            release = self._datagrams.encode(PlaceRelease(answer.place_id))
+            await self._datagrams.send(address, release)
+
+    async def _take_summary(
+        self, router_id: RouterId, address: Address, summary: PlaceSummary
+    ) -> None:
+        key = (ServiceName(summary.service), DomainId(summary.domain))
+        self._summaries[key] = (self._clock.monotonic(), summary.free_tokens)
+
+    def get_free_tokens(self, service: ServiceName, domain: DomainId) -> float | None:
+        """Return the room in a domain's pipelines; None if it is not known."""
+        at, free = self._summaries.get((service, domain), (None, 0.0))
+        if at is None or self._clock.monotonic() - at > _SUMMARY_LIFE:
+            return None
+        return free
+
+    async def _summarise(self) -> None:
+        """Tell all routers how much room there is where this router gives it out."""
+        for service, domain in self._list_shares():
+            admission = self._get_admission(service, domain)
+            if admission is None or not self.is_giver(domain):
+                continue
+            free = admission.count_free_tokens()
+            data = self._datagrams.encode(PlaceSummary(service, domain, free))
+            for peer in list(self._view.peers_by_id.values()):
+                await self._datagrams.send(peer.address, data)
+
+    def _note_silent(self, giver: RouterId) -> None:
+        log_event("place_giver_failed", level="warning", router=giver)
+        self._rests_until_by_id[giver] = self._clock.monotonic() + _REST
+
+    async def _confirm(self) -> None:
+        """Tell the routers that give out places which ones are held here."""
+        places_by_giver: dict[RouterId, list[HeldPlace]] = {}
+        for place_id, place in self._places_by_id.items():
+            givers = self.list_givers(place.domain)
+            if givers and place.giver not in givers[:1]:
+                # Another router has taken over.
+                place.giver = givers[0]
+            pipeline = place.grant.pipeline
+            held = HeldPlace(
+                place_id,
+                place.service,
+                place.domain,
+                place.grant.tokens,
+                pack_stages(pipeline),
+            )
+            places_by_giver.setdefault(place.giver, []).append(held)
+        for giver, places in places_by_giver.items():
+            await self._send(giver, PlaceHoldings(tuple(places)))
+
+    async def _send(self, router_id: RouterId, message) -> None:
+        peer = self._view.peers_by_id.get(router_id)
+        if peer is not None:
+            await self._datagrams.send(peer.address, self._datagrams.encode(message))
+
+
+class SharedAdmission:
+    """Admission to a service's pipelines, wherever their places are given out.
+
+    :param local: admission by what this router knows itself, for a small fleet and
+        where no other router answers.
+    :param domain: where this router is; its pipelines are preferred.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        domain: DomainId,
+        local: Admission,
+        choice: PipelineChoice,
+        client: PlaceClient,
+        random_state: random.Random,
+    ) -> None:
+        self._random_state = random_state
+        self._service = service
+        self._domain = domain
+        self._local = local
+        self._choice = choice
+        self._client = client
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait at this router for a place."""
+        return self._local.waiting_count
+
+    async def admit(self, demand: Demand) -> Result[Grant, Refusal]:
+        """Wait for a place, or refuse at once what would wait too long."""
+        if not self._client.is_shared or not self._choice.pipelines:
+            return await self._local.admit(demand)
+        for domain, may_wait in self._list_domains(demand):
+            result = await self._client.ask(
+                demand, self._service, domain, may_wait=may_wait
+            )
+            if result is not None:
+                return result
+        return await self._local.admit(demand)
+
+    async def replace(
+        self, demand: Demand, excluded: Collection[ServerId]
+    ) -> Grant | None:
+        """Find a place for a request that has lost its own; it does not wait."""
+        if not self._client.is_shared:
+            return self._local.replace(demand, excluded)
+        pipeline = self._choice.choose(demand.tokens, demand.target_gap, excluded)
+        if pipeline is not None:
+            result = await self._client.ask(
+                demand,
+                self._service,
+                pipeline.entry.domain,
+                may_wait=False,
+                excluded=tuple(excluded),
+            )
+            if isinstance(result, Ok):
+                return result.ok_value
+        return self._local.replace(demand, excluded)
+
+    def take(self, pipeline: Pipeline, demand: Demand) -> Grant:
+        """Take a place in a pipeline whether or not it has room."""
+        return self._local.take(pipeline, demand)
+
+    async def release(self, grant: Grant) -> None:
+        """Return a place."""
+        if grant.admission is not None:
+            await grant.admission.release(grant)
+        else:
+            await self._client.release(grant)
+
+    def _list_domains(self, demand: Demand) -> list[tuple[DomainId, bool]]:
+        """Return the domains to ask, and whether the request may wait there."""
+        domains = sorted({p.entry.domain for p in self._choice.pipelines})
+        free_by_domain = {
+            domain: self._client.get_free_tokens(self._service, domain)
+            for domain in domains
+        }
+        home = self._domain
+        if home not in free_by_domain:
+            home = max(domains, key=lambda domain: free_by_domain[domain] or 0.0)
+        asked = []
+        free = free_by_domain[home]
+        if free is None or free > 0:
+            asked.append((home, False))
+        others = {
+            domain: free
+            for domain, free in free_by_domain.items()
+            if domain != home and free is not None and free > _ROOMS * demand.tokens
+        }
+        if others:
+            # All routers of a full domain must not go to the same other one.
+            chosen = self._random_state.choices(list(others), list(others.values()))
+            asked.append((chosen[0], False))
+        if asked == [(home, False)]:
+            return [(home, True)]
+        return [*asked, (home, True)]
+
+
+def _is_held(pipeline: Pipeline) -> bool:
+    """Tell whether each engine holds its stage's layers, as far as is known here."""
+    return all(stage.server.layers.covers(stage.layers) for stage in pipeline.stages)
--- /dev/null
+++ b/hibiscustiller/layers/_place_messages.py
@@ -0,0 +1,96 @@
+"""Demands and pipelines as messages between routers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from enum import IntEnum
+
+from hibiscustiller.fleet import BackendServer, LayerRange
+from hibiscustiller.layers._admission import Demand
+from hibiscustiller.layers._pipelines import Pipeline, Stage
+from hibiscustiller.utils import (
+    DomainId,
+    OrganisationId,
+    ServerId,
+    ServiceName,
+)
+from hibiscustiller.wire._messages_generated import PlaceRequest, PlaceStage
+
+_MS = timedelta(milliseconds=1)
+
+
+class PlaceStatus(IntEnum):
+    """What a router that gives out places answers."""
+
+    PLACED = 0
+    WAITING = 1
+    REFUSED = 2
+    NO_ROOM = 3
+    ASK_ANOTHER = 4
+
+
+def pack_demand(
+    demand: Demand,
+    place_id: int,
+    service: ServiceName,
+    domain: DomainId,
+    *,
+    may_wait: bool,
+    excluded: Sequence[ServerId] | None = None,
+) -> PlaceRequest:
+    """Make the request for a place.
+
+    :param excluded: servers that a stream which has begun must not use; None for a
+        request that begins.
+    """
+    gap = demand.target_gap
+    return PlaceRequest(
+        place_id=place_id,
+        service=service,
+        domain=domain,
+        priority=demand.priority,
+        organisation=demand.organisation,
+        tokens=demand.tokens,
+        target_latency_ms=demand.target_latency // _MS,
+        target_gap_ms=0 if gap is None else max(1, gap // _MS),
+        time_left_ms=max(0, demand.time_left // _MS),
+        may_wait=may_wait,
+        is_begun=excluded is not None,
+        excluded=tuple(excluded or ()),
+    )
+
+
+def unpack_demand(request: PlaceRequest) -> Demand:
+    """Return what a request for a place needs."""
+    gap = request.target_gap_ms
+    return Demand(
+        priority=request.priority,
+        organisation=OrganisationId(request.organisation),
+        tokens=request.tokens,
+        target_latency=request.target_latency_ms * _MS,
+        target_gap=gap * _MS if gap else None,
+        time_left=request.time_left_ms * _MS,
+    )
+
+
+def pack_stages(pipeline: Pipeline) -> tuple[PlaceStage, ...]:
+    """Return a pipeline's stages."""
+    return tuple(
+        PlaceStage(stage.server.id, stage.layers.first, stage.layers.end)
+        for stage in pipeline.stages
+    )
+
+
+def unpack_stages(
+    stages: Sequence[PlaceStage],
+    get_server: Callable[[ServerId], BackendServer | None],
+) -> Pipeline | None:
+    """Return the pipeline; None if this router does not know one of its servers."""
+    found = []
+    for stage in stages:
+        server = get_server(ServerId(stage.server_id))
+        if server is None:
+            return None
+        found.append(Stage(server, LayerRange(stage.first, stage.end)))
+    return Pipeline(tuple(found)) if found else None
--- /dev/null
+++ b/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
@@ -0,0 +1,316 @@
+"""Hundreds of small loads at many routers that share a few pipelines.
+
+Each router has two or three of some hundred requests, so what it knows itself says
+nothing about which pipelines have room, who waits elsewhere, or who goes first.
+"""
+
+import random
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import curio
+from result import Ok
+
+from hibiscustiller.discovery import FleetView, Peer
+from hibiscustiller.discovery.tests.fixtures import MemoryDatagrams
+from hibiscustiller.layers import (
+    Admission,
+    Demand,
+    EngineLoad,
+    PipelineChoice,
+    PlaceClient,
+    PlaceServer,
+    SharedAdmission,
+    find_pipelines,
+)
+from hibiscustiller.layers.tests.fixtures import MS, SPEC, LayerRange, make_engine
+from hibiscustiller.settings import Address
+from hibiscustiller.utils import Metrics, SystemClock
+from hibiscustiller.utils._testing import collect_tests
+
+SECOND = timedelta(seconds=1)
+DOMAINS = ("north", "east")
+# A pipeline of each domain, with room for some 50 requests of the usual size.
+ENGINES = [
+    make_engine(f"{domain}-{number}", "large", domain, LayerRange(*layers))
+    for domain in DOMAINS
+    for number, layers in enumerate(((0, 27), (27, 54), (54, 80)))
+]
+# Share of the places that must be in use before a request is refused.
+MIN_USED_SHARE = 0.95
+# How long the fleet is asked for twice its places.
+PRESS_S = 2.0
+
+
+class Member:
+    """One router."""
+
+    def __init__(self, fleet, number):
+        self.router_id = f"r{number}"
+        clock = SystemClock()
+        random_state = random.Random(number)
+        domain = DOMAINS[number % 2]
+        self.view = FleetView(clock, 2 * SECOND)
+        self.view.replace_servers(ENGINES)
+        self.load = EngineLoad(clock)
+        self.choice = PipelineChoice(
+            domain, self.load, clock, self.view.count_routers, random_state
+        )
+        self.choice.replace(SPEC, find_pipelines(SPEC, ENGINES))
+        self.admissions = {
+            name: Admission(self.choice, self.load, clock, random_state, domain=name)
+            for name in (None, *DOMAINS)
+        }
+        address = Address("127.0.0.1", 1000 + number)
+        self.datagrams = MemoryDatagrams(fleet, self.router_id, address)
+
+        def get_admission(service, name):
+            return self.admissions[name]
+
+        self.server = PlaceServer(
+            self.datagrams, get_admission, self.view.get_server, clock
+        )
+        self.client = PlaceClient(
+            self.router_id,
+            self.view,
+            self.datagrams,
+            self.server,
+            get_admission,
+            lambda: [("engines", name) for name in DOMAINS],
+            clock,
+            random_state,
+            Metrics(),
+        )
+        self.admission = SharedAdmission(
+            "engines",
+            domain,
+            self.admissions[None],
+            self.choice,
+            self.client,
+            random_state,
+        )
+        self.tasks = []
+
+    async def start(self, members):
+        for member in members:
+            number = int(member.router_id[1:])
+            self.view.apply_peer(
+                Peer(member.router_id, member.datagrams.address, DOMAINS[number % 2])
+            )
+        for run in (self.server.run, self.client.run):
+            self.tasks.append(await curio.spawn(run, daemon=True))
+
+    async def kill(self):
+        """End without a word, as a process that is killed."""
+        tasks, self.tasks = self.tasks, []
+        for task in tasks:
+            await task.cancel()
+
+
+@dataclass
+class Fleet:
+    """Routers before the engines, with datagrams that may be lost."""
+
+    size: int = 60
+    loss: float = 0.0
+    random_state: random.Random = field(default_factory=lambda: random.Random(3))
+
+    def __post_init__(self):
+        self.members = [Member(self, number) for number in range(self.size)]
+        self.members_by_address = {m.datagrams.address: m for m in self.members}
+
+    async def __aenter__(self):
+        for member in self.members:
+            await member.start(self.members)
+        return self
+
+    async def __aexit__(self, *args):
+        for member in self.members:
+            await member.kill()
+
+    def find_giver(self, domain):
+        """Return the router that gives out a domain's places."""
+        router_id = self.members[0].client.list_givers(domain)[0]
+        return next(m for m in self.members if m.router_id == router_id)
+
+    def count_given(self):
+        """Return the places that routers have given and not taken back."""
+        return sum(
+            member.load.get(engine.id).entered
+            for member in self.members
+            if member.tasks
+            for engine in ENGINES
+        )
+
+
+def count_places():
+    """Return how many requests of the usual size all pipelines hold."""
+    clock = SystemClock()
+    load = EngineLoad(clock)
+    pipelines = find_pipelines(SPEC, ENGINES)
+    return sum(
+        int(load.find_room(SPEC, pipeline) / SPEC.usual_tokens)
+        for pipeline in pipelines
+    )
+
+
+def make_demand(priority=0, organisation="one", target=300):
+    return Demand(
+        priority,
+        organisation,
+        SPEC.usual_tokens,
+        target * MS,
+        None,
+        20 * SECOND,
+    )
+
+
+async def hold(member, demand, time_s, outcomes):
+    """Ask for a place and hold it for some time."""
+    began_at = member.client._clock.monotonic()
+    admitted = await member.admission.admit(demand)
+    waited = member.client._clock.monotonic() - began_at
+    outcomes.append((demand, isinstance(admitted, Ok), waited))
+    if isinstance(admitted, Ok):
+        await curio.sleep(time_s)
+        await member.admission.release(admitted.ok_value)
+
+
+async def run_all(tasks):
+    for task in tasks:
+        await task.join()
+
+
+async def test_every_place_is_used_before_a_request_is_refused():
+    """Guards against refusals while another router knows of free places.
+
+    At 195 routers a report is five seconds old, and streams last one or two.
+    """
+    places = count_places()
+    async with Fleet() as fleet:
+        outcomes, tasks = [], []
+        for number in range(places + 40):
+            member = fleet.members[number % fleet.size]
+            tasks.append(await curio.spawn(hold, member, make_demand(), 1.0, outcomes))
+            await curio.sleep(0.001)
+        await curio.sleep(0.3)
+        given = fleet.count_given()
+        refused = sum(not is_placed for _, is_placed, _ in outcomes)
+        await run_all(tasks)
+    assert refused > 0
+    assert MIN_USED_SHARE * places <= given <= places
+
+
+async def press(fleet, make_next_demand):
+    """Ask for twice the places that become free; return what was placed at the end."""
+    outcomes, tasks = [], []
+    hold_s = 0.5
+    total = round(2 * count_places() / hold_s * PRESS_S)
+    began_at = await curio.clock()
+    for number in range(total):
+        late_s = began_at + PRESS_S * number / total - await curio.clock()
+        if late_s > 0:
+            await curio.sleep(late_s)
+        member = fleet.random_state.choice(fleet.members)
+        demand = make_next_demand(number)
+        # Equal times would make the places free in waves.
+        time_s = fleet.random_state.uniform(0.0, 2 * hold_s)
+        tasks.append(await curio.spawn(hold, member, demand, time_s, outcomes))
+        if number == total // 3:
+            # From here on all places are in use.
+            del outcomes[:]
+    await run_all(tasks)
+    return outcomes
+
+
+async def test_urgent_requests_go_first_wherever_they_arrive():
+    """Guards against urgent work behind less urgent work of other routers."""
+    async with Fleet() as fleet:
+        outcomes = await press(fleet, lambda number: make_demand(number % 2))
+    placed = Counter(demand.priority for demand, is_placed, _ in outcomes if is_placed)
+    assert placed[0] >= 3 * placed[1] > 0, placed
+
+
+async def test_organisations_share_the_places_of_the_fleet():
+    """Guards against an organisation that gets more by asking many routers."""
+
+    def make_next_demand(number):
+        return make_demand(0, "small" if number % 4 == 0 else "large")
+
+    async with Fleet() as fleet:
+        outcomes = await press(fleet, make_next_demand)
+    asked = Counter(demand.organisation for demand, _, _ in outcomes)
+    placed = Counter(d.organisation for d, is_placed, _ in outcomes if is_placed)
+    # The small one asks for half of the places, its fair share.
+    assert placed["small"] >= 0.9 * asked["small"], (placed, asked)
+
+
+async def test_no_place_is_lost_with_a_datagram():
+    """Guards against places that nobody holds and nobody can use again."""
+    async with Fleet(loss=0.15) as fleet:
+        outcomes, tasks = [], []
+        for number in range(200):
+            member = fleet.members[number % fleet.size]
+            tasks.append(await curio.spawn(hold, member, make_demand(), 0.2, outcomes))
+            await curio.sleep(0.005)
+        await run_all(tasks)
+        async with curio.timeout_after(5):
+            while fleet.count_given():
+                await curio.sleep(0.05)
+    assert sum(is_placed for _, is_placed, _ in outcomes) >= 0.9 * len(outcomes)
+
+
+async def test_another_router_takes_over_with_what_is_held():
+    """Guards against a killed router whose successor gives out used places again."""
+    places = count_places()
+    async with Fleet() as fleet:
+        outcomes, tasks = [], []
+        for number in range(places):
+            member = fleet.members[number % fleet.size]
+            tasks.append(await curio.spawn(hold, member, make_demand(), 5.0, outcomes))
+            await curio.sleep(0.001)
+        await curio.sleep(0.1)
+        victim = fleet.find_giver("north")
+        before = fleet.count_given()
+        held = sum(
+            place.giver == victim.router_id
+            for member in fleet.members
+            for place in member.client._places_by_id.values()
+        )
+        await victim.kill()
+        # Requests find out that it is gone, and the holders tell its successor.
+        for number in range(0, fleet.size, 2):
+            if fleet.members[number].tasks:
+                demand = make_demand(target=100)
+                await curio.spawn(
+                    hold, fleet.members[number], demand, 0.1, [], daemon=True
+                )
+        await curio.sleep(1.6)
+        after = fleet.count_given()
+        for task in tasks:
+            await task.cancel()
+    # What the victim gave to itself ends with it.
+    assert held > 0
+    assert after >= 0.9 * (before - 3)
+
+
+async def test_answers_do_not_wait_for_a_router_that_is_gone():
+    """Guards against a first event that is late by several timeouts."""
+    async with Fleet() as fleet:
+        for domain in DOMAINS:
+            await fleet.find_giver(domain).kill()
+        outcomes = []
+        tasks = [
+            await curio.spawn(hold, member, make_demand(), 0.1, outcomes)
+            for member in fleet.members
+            if member.tasks
+        ]
+        await run_all(tasks)
+    assert all(is_placed for _, is_placed, _ in outcomes)
+    assert max(waited for _, _, waited in outcomes) < 300 * MS
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -80,9 +80,15 @@
             milliseconds=store.get("ttl_min_ms", _DEFAULT_MIN_LEASE_MS)
         ),
         max_value_bytes=int(store["value_bytes"]),
+        capacity=_read_capacity(values.get("limits", {})),
         is_first_start=bool(values.get("bootstrap", False)),
     )
 
 
 def _read_ms(values: Mapping[str, Any], name: str) -> timedelta:
     return timedelta(milliseconds=values[name])
+
+
+def _read_capacity(limits: Mapping[str, Any]) -> float:
+    # A share of a core that is so many times as fast as a usual one.
+    return float(limits.get("cpu_share", 1.0)) * float(limits.get("cores", 1))
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -576,6 +576,197 @@
     )
 
 
+@dataclass(frozen=True)
+class PlaceRequest:
+    """A ``PlaceRequest`` message."""
+
+    place_id: int
+    service: str
+    domain: str
+    priority: int
+    organisation: str
+    tokens: float
+    target_latency_ms: int
+    target_gap_ms: int
+    time_left_ms: int
+    may_wait: bool
+    is_begun: bool
+    excluded: tuple[str, ...]
+
+
+def _write_PlaceRequest(builder: Any, message: PlaceRequest) -> None:
+    builder.placeId = message.place_id
+    builder.service = message.service
+    builder.domain = message.domain
+    builder.priority = message.priority
+    builder.organisation = message.organisation
+    builder.tokens = message.tokens
+    builder.targetLatencyMs = message.target_latency_ms
+    builder.targetGapMs = message.target_gap_ms
+    builder.timeLeftMs = message.time_left_ms
+    builder.mayWait = message.may_wait
+    builder.isBegun = message.is_begun
+    builder.excluded = list(message.excluded)
+
+
+def _read_PlaceRequest(reader: Any) -> PlaceRequest:
+    return PlaceRequest(
+        place_id=reader.placeId,
+        service=reader.service,
+        domain=reader.domain,
+        priority=reader.priority,
+        organisation=reader.organisation,
+        tokens=reader.tokens,
+        target_latency_ms=reader.targetLatencyMs,
+        target_gap_ms=reader.targetGapMs,
+        time_left_ms=reader.timeLeftMs,
+        may_wait=reader.mayWait,
+        is_begun=reader.isBegun,
+        excluded=tuple(reader.excluded),
+    )
+
+
+@dataclass(frozen=True)
+class PlaceStage:
+    """A ``PlaceStage`` message."""
+
+    server_id: str
+    first: int
+    end: int
+
+
+def _write_PlaceStage(builder: Any, message: PlaceStage) -> None:
+    builder.serverId = message.server_id
+    builder.first = message.first
+    builder.end = message.end
+
+
+def _read_PlaceStage(reader: Any) -> PlaceStage:
+    return PlaceStage(
+        server_id=reader.serverId,
+        first=reader.first,
+        end=reader.end,
+    )
+
+
+@dataclass(frozen=True)
+class PlaceAnswer:
+    """A ``PlaceAnswer`` message."""
+
+    place_id: int
+    status: int
+    stages: tuple[PlaceStage, ...]
+    retry_after_ms: int
+
+
+def _write_PlaceAnswer(builder: Any, message: PlaceAnswer) -> None:
+    builder.placeId = message.place_id
+    builder.status = message.status
+    items = builder.init("stages", len(message.stages))
+    for index, item in enumerate(message.stages):
+        _write_PlaceStage(items[index], item)
+    builder.retryAfterMs = message.retry_after_ms
+
+
+def _read_PlaceAnswer(reader: Any) -> PlaceAnswer:
+    return PlaceAnswer(
+        place_id=reader.placeId,
+        status=reader.status,
+        stages=tuple(_read_PlaceStage(item) for item in reader.stages),
+        retry_after_ms=reader.retryAfterMs,
+    )
+
+
+@dataclass(frozen=True)
+class PlaceRelease:
+    """A ``PlaceRelease`` message."""
+
+    place_id: int
+
+
+def _write_PlaceRelease(builder: Any, message: PlaceRelease) -> None:
+    builder.placeId = message.place_id
+
+
+def _read_PlaceRelease(reader: Any) -> PlaceRelease:
+    return PlaceRelease(
+        place_id=reader.placeId,
+    )
+
+
+@dataclass(frozen=True)
+class HeldPlace:
+    """A ``HeldPlace`` message."""
+
+    place_id: int
+    service: str
+    domain: str
+    tokens: float
+    stages: tuple[PlaceStage, ...]
+
+
+def _write_HeldPlace(builder: Any, message: HeldPlace) -> None:
+    builder.placeId = message.place_id
+    builder.service = message.service
+    builder.domain = message.domain
+    builder.tokens = message.tokens
+    items = builder.init("stages", len(message.stages))
+    for index, item in enumerate(message.stages):
+        _write_PlaceStage(items[index], item)
+
+
+def _read_HeldPlace(reader: Any) -> HeldPlace:
+    return HeldPlace(
+        place_id=reader.placeId,
+        service=reader.service,
+        domain=reader.domain,
+        tokens=reader.tokens,
+        stages=tuple(_read_PlaceStage(item) for item in reader.stages),
+    )
+
+
+@dataclass(frozen=True)
+class PlaceHoldings:
+    """A ``PlaceHoldings`` message."""
+
+    places: tuple[HeldPlace, ...]
+
+
+def _write_PlaceHoldings(builder: Any, message: PlaceHoldings) -> None:
+    items = builder.init("places", len(message.places))
+    for index, item in enumerate(message.places):
+        _write_HeldPlace(items[index], item)
+
+
+def _read_PlaceHoldings(reader: Any) -> PlaceHoldings:
+    return PlaceHoldings(
+        places=tuple(_read_HeldPlace(item) for item in reader.places),
+    )
+
+
+@dataclass(frozen=True)
+class PlaceSummary:
+    """A ``PlaceSummary`` message."""
+
+    service: str
+    domain: str
+    free_tokens: float
+
+
+def _write_PlaceSummary(builder: Any, message: PlaceSummary) -> None:
+    builder.service = message.service
+    builder.domain = message.domain
+    builder.freeTokens = message.free_tokens
+
+
+def _read_PlaceSummary(reader: Any) -> PlaceSummary:
+    return PlaceSummary(
+        service=reader.service,
+        domain=reader.domain,
+        free_tokens=reader.freeTokens,
+    )
+
+
 Message = (
     Hello
     | HelloProof
@@ -593,6 +784,11 @@
     | LoadReport
     | FollowRequest
     | StoreChanges
+    | PlaceRequest
+    | PlaceAnswer
+    | PlaceRelease
+    | PlaceHoldings
+    | PlaceSummary
 )
 
 _WRITERS: dict[type, tuple[str, Any]] = {
@@ -612,6 +808,11 @@
     LoadReport: ("loadReport", _write_LoadReport),
     FollowRequest: ("followRequest", _write_FollowRequest),
     StoreChanges: ("storeChanges", _write_StoreChanges),
+    PlaceRequest: ("placeRequest", _write_PlaceRequest),
+    PlaceAnswer: ("placeAnswer", _write_PlaceAnswer),
+    PlaceRelease: ("placeRelease", _write_PlaceRelease),
+    PlaceHoldings: ("placeHoldings", _write_PlaceHoldings),
+    PlaceSummary: ("placeSummary", _write_PlaceSummary),
 }
 _READERS: dict[str, Any] = {
     "hello": _read_Hello,
@@ -630,6 +831,11 @@
     "loadReport": _read_LoadReport,
     "followRequest": _read_FollowRequest,
     "storeChanges": _read_StoreChanges,
+    "placeRequest": _read_PlaceRequest,
+    "placeAnswer": _read_PlaceAnswer,
+    "placeRelease": _read_PlaceRelease,
+    "placeHoldings": _read_PlaceHoldings,
+    "placeSummary": _read_PlaceSummary,
 }
 
 
--- a/hibiscustiller/wire/messages.capnp
+++ b/hibiscustiller/wire/messages.capnp
@@ -21,6 +21,11 @@
     loadReport @14 :LoadReport;
     followRequest @15 :FollowRequest;
     storeChanges @16 :StoreChanges;
+    placeRequest @17 :PlaceRequest;
+    placeAnswer @18 :PlaceAnswer;
+    placeRelease @19 :PlaceRelease;
+    placeHoldings @20 :PlaceHoldings;
+    placeSummary @21 :PlaceSummary;
   }
 }
 
@@ -187,3 +192,63 @@
   storeReturnedMs @4 :UInt64;
   changes @5 :List(StoreChange);
 }
+
+# Asks the router that gives out a failure domain's pipelines for a place in one.
+struct PlaceRequest {
+  # Chosen by the sender; a repeated request has the same one.
+  placeId @0 :UInt64;
+  service @1 :Text;
+  domain @2 :Text;
+  priority @3 :UInt8;
+  organisation @4 :Text;
+  tokens @5 :Float64;
+  targetLatencyMs @6 :UInt32;
+  # 0 if the route has none.
+  targetGapMs @7 :UInt32;
+  timeLeftMs @8 :UInt32;
+  # Whether the request may wait for a place.
+  mayWait @9 :Bool;
+  # A stream that has begun; it may go beyond the usual limit, and does not wait.
+  isBegun @10 :Bool;
+  # Servers that must not be used.
+  excluded @11 :List(Text);
+}
+
+struct PlaceStage {
+  serverId @0 :Text;
+  first @1 :UInt16;
+  end @2 :UInt16;
+}
+
+struct PlaceAnswer {
+  placeId @0 :UInt64;
+  # 0 placed, 1 waiting, 2 refused, 3 no room, 4 ask another router.
+  status @1 :UInt8;
+  stages @2 :List(PlaceStage);
+  retryAfterMs @3 :UInt32;
+}
+
+struct PlaceRelease {
+  placeId @0 :UInt64;
+}
+
+struct HeldPlace {
+  placeId @0 :UInt64;
+  service @1 :Text;
+  domain @2 :Text;
+  tokens @3 :Float64;
+  stages @4 :List(PlaceStage);
+}
+
+# All places of the sender in some domains' pipelines; places that are not listed have
+# been returned.
+struct PlaceHoldings {
+  places @0 :List(HeldPlace);
+}
+
+# Room in the pipelines of a failure domain, told by the router that gives it out.
+struct PlaceSummary {
+  service @0 :Text;
+  domain @1 :Text;
+  freeTokens @2 :Float64;
+}
