Let an organisation's own queue decide how long it waits

Cause: a request was refused when its class's queue was long, whoever stood in it, so that one organisation with many requests kept others from the queue in which all get places in turn (57 of 100 requests of a small organisation were placed, as of the large one, though it asked for half of the places). Change: the expected wait counts other organisations' requests only as far as they go first.

--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -210,7 +210,9 @@
 
     def _estimate_wait(self, demand: Demand) -> timedelta:
         self._update_rate(0.0)
-        ahead, share = self._queue.estimate_share(demand.priority)
+        ahead, share = self._queue.estimate_share(
+            demand.priority, demand.organisation, demand.tokens
+        )
         if not ahead:
             return timedelta(0)
         rate = self._released_rate * share
--- a/hibiscustiller/layers/_queue.py
+++ b/hibiscustiller/layers/_queue.py
@@ -21,7 +21,6 @@
 @dataclass
 class _ClassQueue(Generic[Item]):
     served: float = 0.0
-    queued_tokens: float = 0.0
     waiting_by_organisation: dict[OrganisationId, deque[tuple[float, Item]]] = field(
         default_factory=dict
     )
@@ -56,7 +55,6 @@
             served = queue.served_by_organisation.get(organisation, least)
             queue.served_by_organisation[organisation] = max(served, least)
         waiting.append((tokens, item))
-        queue.queued_tokens += tokens
 
     def peek(self) -> tuple[float, Item] | None:
         """Return the tokens and the item of the request that is next."""
@@ -89,20 +87,35 @@
                 self._take(queue, organisation, position)
                 return
 
-    def estimate_share(self, priority: int) -> tuple[float, float]:
-        """Return what a new request of a class would wait for.
+    def estimate_share(
+        self, priority: int, organisation: OrganisationId, tokens: float
+    ) -> tuple[float, float]:
+        """Return what a new request would wait for.
 
-        :returns: tokens queued before it, and its class's share of what gets free.
+        Organisations get places in turn, so that a long queue of one of them is not
+        ahead of another's first request.
+
+        :returns: tokens that get places before it, and its class's share of what gets
+            free.
         """
         queue = self._by_priority.get(priority)
-        ahead = 0.0 if queue is None else queue.queued_tokens
+        ahead = 0.0
+        if queue is not None:
+            queued_by_organisation = {
+                other: sum(size for size, _ in waiting)
+                for other, waiting in queue.waiting_by_organisation.items()
+            }
+            own = queued_by_organisation.pop(organisation, 0.0)
+            ahead = own + sum(
+                min(queued, own + tokens) for queued in queued_by_organisation.values()
+            )
         weights = [
             self._get_weight(other)
             for other, candidate in self._by_priority.items()
             if candidate.waiting_by_organisation and other != priority
         ]
-        own = self._get_weight(priority)
-        return ahead, own / (own + sum(weights))
+        weight = self._get_weight(priority)
+        return ahead, weight / (weight + sum(weights))
 
     def _get_weight(self, priority: int) -> float:
         return _RANK_FACTOR**priority
@@ -127,10 +140,6 @@
         self, queue: _ClassQueue[Item], organisation: OrganisationId, position: int
     ) -> None:
         waiting = queue.waiting_by_organisation[organisation]
-        tokens, _ = waiting[position]
         del waiting[position]
-        queue.queued_tokens -= tokens
         if not waiting:
             del queue.waiting_by_organisation[organisation]
-        if not queue.waiting_by_organisation:
-            queue.queued_tokens = 0.0
