--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -237,7 +237,7 @@
         servers = [
             change for change in found.items if change.key.startswith(SERVER_PREFIX)
         ]
-        self._view.replace_servers(self._decode_servers(servers))
+        self._view.replace_allocators(self._decode_servers(servers))
         # The first page is the oldest; what changed since then is told again.
         log_event("store_read", revision=found.revision, servers=len(servers))
         await self._apply_batch(self._find_difference(found))
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -195,7 +195,7 @@
             self._health,
             clock,
             self.models.dispatch,
-            self.models.list_givers,
+            self.models.list_allocators,
         )
         self._registration = Registration(
             Peer(
@@ -259,7 +259,7 @@
             self._relay.run,
             self._sharing.send_reports,
             self.models.run,
-            self.models.place_server.run,
+            self.models.place_allocator.run,
             self.models.place_client.run,
         ):
             self._tasks.append(await curio.spawn(run, daemon=True))
@@ -276,7 +276,7 @@
         began_at = self._clock.monotonic()
         self._is_ending = True
         self.front.announce_end()
-        self.models.place_server.is_ending = True
+        self.models.place_allocator.is_ending = True
         await self._placer.release()
         await self._clock.sleep(min(_LISTEN_AFTER_STOP, self._settings.grace / 2))
         left = self._settings.grace * (1 - _CLOSING_SHARE)
@@ -327,12 +327,12 @@
                 for name, forwarder in self.models.forwarders_by_service.items()
             },
             "places": {
-                "given": self.models.place_server.held_count,
+                "given": self.models.place_allocator.held_count,
                 "held": self.models.place_client.held_count,
                 "gives_out": [
                     f"{service}/{domain}"
                     for service, domain in self.models.list_shares()
-                    if self.models.place_client.is_giver(domain)
+                    if self.models.place_client.is_allocator(domain)
                 ],
             },
             "in_flight": {
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -20,8 +20,8 @@
     EngineLoad,
     Pipeline,
     PipelineChoice,
+    PlaceAllocator,
     PlaceClient,
-    PlaceServer,
     SharedAdmission,
     find_cheapest,
     find_pipelines,
@@ -87,14 +87,13 @@
         self._local_admissions: list[Admission] = []
         # Admission to the pipelines of each domain, for all routers.
         self._admissions: dict[tuple[ServiceName, DomainId], Admission] = {}
-        self.place_server = PlaceServer(
+        self.place_allocator = PlaceAllocator(
             datagrams, self.get_admission, view.get_server, clock
         )
         self.place_client = PlaceClient(
             router_id,
             view,
             datagrams,
-            self.place_server,
             self.get_admission,
             self.list_shares,
             clock,
@@ -123,14 +122,15 @@
             for domain in sorted({p.entry.domain for p in forwarder.choice.pipelines})
         ]
 
-    def list_givers(self) -> set[RouterId]:
+    def list_allocators(self) -> set[RouterId]:
         """Return the routers that give out places, if they do so for the others."""
         if not self.place_client.is_shared:
             return set()
-        givers = [
-            self.place_client.list_givers(domain) for _, domain in self.list_shares()
+        allocators = [
+            self.place_client.list_allocators(domain)
+            for _, domain in self.list_shares()
         ]
-        return {routers[0] for routers in givers if routers}
+        return {routers[0] for routers in allocators if routers}
 
     def note_change(self) -> None:
         """Find the pipelines again soon."""
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -28,7 +28,7 @@
 _MAX_REPORTS_PER_SECOND = 40
 # A router that chooses for the others hears of all within this time. It needs little:
 # what it has given out itself is in no report but its own.
-_GIVER_PERIOD = timedelta(seconds=1)
+_ALLOCATOR_PERIOD = timedelta(seconds=1)
 # Timers are late by some milliseconds.
 _NEARLY = 0.99
 # A router that has been silent for so long, and for two of its reports, is taken to
@@ -42,7 +42,7 @@
 
     :param datagrams: carries the reports.
     :param on_report: called after another router's report was taken.
-    :param list_givers: returns the routers that choose for the others.
+    :param list_allocators: returns the routers that choose for the others.
     """
 
     def __init__(
@@ -54,9 +54,9 @@
         health: ServerHealth,
         clock: Clock,
         on_report: Callable[[], Awaitable[None]],
-        list_givers: Callable[[], Collection[RouterId]] = tuple,
+        list_allocators: Callable[[], Collection[RouterId]] = tuple,
     ) -> None:
-        self._list_givers = list_givers
+        self._list_allocators = list_allocators
         self._router_id = router_id
         self._datagrams = datagrams
         self._view = view
@@ -79,7 +79,7 @@
             ]
             period = find_report_period(len(peers))
             is_urgent = await wait_for_event(
-                min(period, _GIVER_PERIOD), self._is_urgent
+                min(period, _ALLOCATOR_PERIOD), self._is_urgent
             )
             self._is_urgent.clear()
             self._load.expire_reports(max(_SHORTEST_LIFE, period * _LIFE_PERIODS))
@@ -90,8 +90,8 @@
                 # Routers that choose for the others need to know more often what
                 # this one has chosen itself.
                 is_told = used_engines or self._uses_engines
-                givers = self._list_givers() if is_told else ()
-                peers = [peer for peer in peers if peer.router_id in givers]
+                allocators = self._list_allocators() if is_told else ()
+                peers = [peer for peer in peers if peer.router_id in allocators]
             used_engines = self._uses_engines
             data = self._datagrams.encode(self._make_report())
             for peer in peers:
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -10,8 +10,8 @@
     find_cheapest,
     find_pipelines,
 )
+from hibiscustiller.layers._place_allocator import PlaceAllocator
 from hibiscustiller.layers._place_client import PlaceClient, SharedAdmission
-from hibiscustiller.layers._place_server import PlaceServer
 from hibiscustiller.layers._placement import plan_covers, plan_layers
 from hibiscustiller.layers._placer import EngineGroup, LayerPlacer
 
@@ -26,7 +26,7 @@
     "Pipeline",
     "PipelineChoice",
     "PlaceClient",
-    "PlaceServer",
+    "PlaceAllocator",
     "SharedAdmission",
     "Stage",
     "check_pipeline",
--- a/hibiscustiller/layers/_place_server.py
+++ b/hibiscustiller/layers/_place_allocator.py
@@ -54,7 +54,7 @@
     confirmed_at: timedelta
 
 
-class PlaceServer:
+class PlaceAllocator:
     """The places that this router has given out.
 
     :param get_admission: returns the admission to a service's pipelines in a domain;
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -20,7 +20,6 @@
     pack_stages,
     unpack_stages,
 )
-from hibiscustiller.layers._place_server import PlaceServer
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     Clock,
@@ -63,12 +62,12 @@
 class _Place:
     """A place that another router has given.
 
-    :param giver: that router.
+    :param allocator: that router.
     """
 
     service: ServiceName
     domain: DomainId
-    giver: RouterId
+    allocator: RouterId
     grant: Grant
 
 
@@ -77,8 +76,8 @@
 
     :param router_id: this router.
     :param view: tells who the other routers are.
-    :param server: gives out the places of the domains that are this router's part.
-    :param get_admission: as for :class:`PlaceServer`.
+    :param get_admission: as for :class:`PlaceAllocator`; for the domains whose places
+        this router gives out itself.
     :param list_shares: returns the services and domains that have pipelines.
     :param answer_timeout: longest wait for another router's first answer.
     """
@@ -88,7 +87,6 @@
         router_id: RouterId,
         view: FleetView,
         datagrams: DatagramSocket,
-        server: PlaceServer,
         get_admission: Callable[[ServiceName, DomainId], Admission | None],
         list_shares: Callable[[], Collection[tuple[ServiceName, DomainId]]],
         clock: Clock,
@@ -100,7 +98,6 @@
         self.router_id = router_id
         self._view = view
         self._datagrams = datagrams
-        self._server = server
         self._get_admission = get_admission
         self._list_shares = list_shares
         self._clock = clock
@@ -126,12 +123,12 @@
         """Places that other routers have given."""
         return len(self._places_by_id)
 
-    def is_giver(self, domain: DomainId) -> bool:
+    def is_allocator(self, domain: DomainId) -> bool:
         """Tell whether this router gives out a domain's places."""
-        givers = self.list_givers(domain)
-        return self.is_shared and bool(givers) and givers[0] == self.router_id
+        allocators = self.list_allocators(domain)
+        return self.is_shared and bool(allocators) and allocators[0] == self.router_id
 
-    def list_givers(self, domain: DomainId) -> list[RouterId]:
+    def list_allocators(self, domain: DomainId) -> list[RouterId]:
         """Return the routers to ask for a domain's places, the preferred one first."""
         now = self._clock.monotonic()
         return [
@@ -162,7 +159,7 @@
         :param excluded: as for :func:`pack_demand`.
         :returns: None if there is no answer, or no room for what may not wait.
         """
-        for router_id in self.list_givers(domain)[:_MAX_ASKED]:
+        for router_id in self.list_allocators(domain)[:_MAX_ASKED]:
             if router_id == self.router_id:
                 return await self._admit(demand, service, domain, may_wait, excluded)
             status, result = await self._exchange(
@@ -179,7 +176,7 @@
         """Return a place."""
         place = self._places_by_id.pop(grant.place_id, None)
         if place is not None:
-            await self._send(place.giver, PlaceRelease(grant.place_id))
+            await self._send(place.allocator, PlaceRelease(grant.place_id))
 
     async def _admit(
         self,
@@ -203,7 +200,7 @@
 
     async def _exchange(
         self,
-        giver: RouterId,
+        allocator: RouterId,
         demand: Demand,
         service: ServiceName,
         domain: DomainId,
@@ -218,26 +215,26 @@
             demand, place_id, service, domain, may_wait=may_wait, excluded=excluded
         )
         try:
-            await self._send(giver, request)
+            await self._send(allocator, request)
             answer = await wait_at_most(self._answer_timeout, answers.get())
             if answer.status == PlaceStatus.WAITING:
                 wait = demand.target_latency * PATIENCE_SHARE + _WAIT_SLACK
                 answer = await wait_at_most(wait, answers.get())
         except TimeoutError:
-            self._note_silent(giver)
+            self._note_silent(allocator)
             return None, None
         except BaseException:
             # The caller has left; what is given meanwhile is returned.
-            await self._send(giver, PlaceRelease(place_id))
+            await self._send(allocator, PlaceRelease(place_id))
             raise
         finally:
             del self._answers_by_id[place_id]
-        return await self._read_answer(answer, giver, demand, service, domain)
+        return await self._read_answer(answer, allocator, demand, service, domain)
 
     async def _read_answer(
         self,
         answer: PlaceAnswer,
-        giver: RouterId,
+        allocator: RouterId,
         demand: Demand,
         service: ServiceName,
         domain: DomainId,
@@ -252,16 +249,16 @@
             )
             return status, Err(refusal)
         if status is PlaceStatus.ASK_ANOTHER:
-            self._note_silent(giver)
+            self._note_silent(allocator)
         if status is not PlaceStatus.PLACED:
             return status, None
         pipeline = unpack_stages(answer.stages, self._view.get_server)
         if pipeline is None or not _is_held(pipeline):
             # What this router knows of the engines differs for a moment.
-            await self._send(giver, PlaceRelease(answer.place_id))
+            await self._send(allocator, PlaceRelease(answer.place_id))
             return PlaceStatus.NO_ROOM, None
         grant = Grant(pipeline, demand.tokens, place_id=answer.place_id)
-        place = _Place(service, domain, giver, grant)
+        place = _Place(service, domain, allocator, grant)
         self._places_by_id[answer.place_id] = place
         return status, Ok(grant)
 
@@ -296,25 +293,25 @@
         """Tell all routers how much room there is where this router gives it out."""
         for service, domain in self._list_shares():
             admission = self._get_admission(service, domain)
-            if admission is None or not self.is_giver(domain):
+            if admission is None or not self.is_allocator(domain):
                 continue
             free = admission.count_free_tokens()
             data = self._datagrams.encode(PlaceSummary(service, domain, free))
             for peer in list(self._view.peers_by_id.values()):
                 await self._datagrams.send(peer.address, data)
 
-    def _note_silent(self, giver: RouterId) -> None:
-        log_event("place_giver_failed", level="warning", router=giver)
-        self._rests_until_by_id[giver] = self._clock.monotonic() + _REST
+    def _note_silent(self, allocator: RouterId) -> None:
+        log_event("allocator_failed", level="warning", router=allocator)
+        self._rests_until_by_id[allocator] = self._clock.monotonic() + _REST
 
     async def _confirm(self) -> None:
         """Tell the routers that give out places which ones are held here."""
-        places_by_giver: dict[RouterId, list[HeldPlace]] = {}
+        places_by_allocator: dict[RouterId, list[HeldPlace]] = {}
         for place_id, place in self._places_by_id.items():
-            givers = self.list_givers(place.domain)
-            if givers and place.giver not in givers[:1]:
+            allocators = self.list_allocators(place.domain)
+            if allocators and place.allocator not in allocators[:1]:
                 # Another router has taken over.
-                place.giver = givers[0]
+                place.allocator = allocators[0]
             pipeline = place.grant.pipeline
             held = HeldPlace(
                 place_id,
@@ -323,9 +320,9 @@
                 place.grant.tokens,
                 pack_stages(pipeline),
             )
-            places_by_giver.setdefault(place.giver, []).append(held)
-        for giver, places in places_by_giver.items():
-            await self._send(giver, PlaceHoldings(tuple(places)))
+            places_by_allocator.setdefault(place.allocator, []).append(held)
+        for allocator, places in places_by_allocator.items():
+            await self._send(allocator, PlaceHoldings(tuple(places)))
 
     async def _send(self, router_id: RouterId, message) -> None:
         peer = self._view.peers_by_id.get(router_id)
--- a/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
+++ b/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
@@ -20,8 +20,8 @@
     Demand,
     EngineLoad,
     PipelineChoice,
+    PlaceAllocator,
     PlaceClient,
-    PlaceServer,
     SharedAdmission,
     find_pipelines,
 )
@@ -53,7 +53,7 @@
         random_state = random.Random(number)
         domain = DOMAINS[number % 2]
         self.view = FleetView(clock, 2 * SECOND)
-        self.view.replace_servers(ENGINES)
+        self.view.replace_allocators(ENGINES)
         self.load = EngineLoad(clock)
         self.choice = PipelineChoice(
             domain, self.load, clock, self.view.count_routers, random_state
@@ -69,14 +69,13 @@
         def get_admission(service, name):
             return self.admissions[name]
 
-        self.server = PlaceServer(
+        self.server = PlaceAllocator(
             self.datagrams, get_admission, self.view.get_server, clock
         )
         self.client = PlaceClient(
             self.router_id,
             self.view,
             self.datagrams,
-            self.server,
             get_admission,
             lambda: [("engines", name) for name in DOMAINS],
             clock,
@@ -133,9 +132,9 @@
         for member in self.members:
             await member.kill()
 
-    def find_giver(self, domain):
+    def find_allocator(self, domain):
         """Return the router that gives out a domain's places."""
-        router_id = self.members[0].client.list_givers(domain)[0]
+        router_id = self.members[0].client.list_allocators(domain)[0]
         return next(m for m in self.members if m.router_id == router_id)
 
     def count_given(self):
@@ -275,10 +274,10 @@
             tasks.append(await curio.spawn(hold, member, make_demand(), 5.0, outcomes))
             await curio.sleep(0.001)
         await curio.sleep(0.1)
-        victim = fleet.find_giver("north")
+        victim = fleet.find_allocator("north")
         before = fleet.count_given()
         held = sum(
-            place.giver == victim.router_id
+            place.allocator == victim.router_id
             for member in fleet.members
             for place in member.client._places_by_id.values()
         )
@@ -303,7 +302,7 @@
     """Guards against a first event that is late by several timeouts."""
     async with Fleet(answer_timeout=60 * MS) as fleet:
         for domain in DOMAINS:
-            await fleet.find_giver(domain).kill()
+            await fleet.find_allocator(domain).kill()
         outcomes = []
         tasks = [
             await curio.spawn(hold, member, make_demand(), 0.1, outcomes)
