Place a domain anew only when its engines have settled

Change: repairs by unused engines go on at once; a domain that they cannot repair waits until engines have not come or gone for 0.7 s, and for 1.5 s at most.

--- a/hibiscustiller/layers/_placement.py
+++ b/hibiscustiller/layers/_placement.py
@@ -64,6 +64,7 @@
     servers: Sequence[BackendServer],
     held_by_id: Mapping[ServerId, LayerRange],
     *,
+    may_move: bool = True,
     may_improve: bool = False,
     may_reshape: bool = False,
 ) -> dict[ServerId, LayerRange]:
@@ -71,6 +72,8 @@
 
     :param servers: the usable engines.
     :param held_by_id: layers that engines hold, or are about to hold.
+    :param may_move: whether a domain that unused engines cannot repair may be placed
+        anew.
     :param may_improve: whether one unused engine of a domain may get layers for speed
         alone.
     :param may_reshape: whether engines that serve may get other layers for speed.
@@ -84,7 +87,7 @@
         covers = plan_covers(spec, members, held_by_id)
         if covers:
             plans.append((members, covers))
-            changes |= _plan_domain(spec, members, covers, held_by_id)
+            changes |= _plan_domain(spec, members, covers, held_by_id, may_move)
             if may_improve:
                 improvements.append(_find_step(spec, members, held_by_id, len(covers)))
         else:
@@ -92,7 +95,7 @@
     # Domains that are too small for a cover of their own share one.
     covers = plan_covers(spec, without_cover, held_by_id)
     if covers:
-        changes |= _plan_domain(spec, without_cover, covers, held_by_id)
+        changes |= _plan_domain(spec, without_cover, covers, held_by_id, may_move)
     if not changes:
         for found in improvements:
             changes |= found
@@ -167,6 +170,7 @@
     servers: Sequence[BackendServer],
     covers: Sequence[Cover],
     held_by_id: Mapping[ServerId, LayerRange],
+    may_move: bool = True,
 ) -> dict[ServerId, LayerRange]:
     held = {
         server.id: held_by_id[server.id]
@@ -182,7 +186,7 @@
         repair = _fill_gaps(spec, gaps, spares, floor)
         if repair is not None:
             return repair
-    return _list_moves(covers, held)
+    return _list_moves(covers, held) if may_move else {}
 
 
 def _plan_shared_cover(
--- a/hibiscustiller/layers/_placer.py
+++ b/hibiscustiller/layers/_placer.py
@@ -21,6 +21,9 @@
 # have to be changed at the price of its loads.
 _SETTLING_TIME = timedelta(milliseconds=700)
 _CALL_TIMEOUT = timedelta(milliseconds=800)
+# A domain that cannot be repaired waits for the engines to settle before it is placed
+# anew, but not longer: during a release they never do.
+_LONGEST_MOVE_DELAY = timedelta(seconds=1.5)
 # An engine that is busy, or refused an order, is asked again after this time.
 _RETRY_AFTER = timedelta(milliseconds=600)
 # A change for speed alone needs this long a time without any other: engines that come
@@ -93,6 +96,8 @@
         self._known_ids: frozenset[ServerId] = frozenset()
         self._known_since = timedelta(0)
         self._changed_at = timedelta(0)
+        # Since when a domain has waited to be placed anew.
+        self._move_wanted_since: timedelta | None = None
         # The last question to which the answer was that nothing has to change.
         self._settled_question: object = None
 
@@ -155,16 +160,28 @@
         quiet_since = max(self._changed_at, self._known_since)
         may_reshape = may_improve and now - quiet_since >= _LONG_CALM_TIME
         # A plan takes tens of milliseconds in a large fleet, and rarely differs.
-        question = (group, tuple(sorted(held.items())), may_improve, may_reshape)
+        may_move = is_settled or self._has_waited_to_move(now)
+        question = (
+            group,
+            tuple(sorted(held.items())),
+            may_move,
+            may_improve,
+            may_reshape,
+        )
         if question == self._settled_question:
             return {}
         changes = plan_layers(
             group.spec,
             group.servers,
             held,
+            may_move=may_move,
             may_improve=may_improve,
             may_reshape=may_reshape,
         )
+        if may_move:
+            self._move_wanted_since = None
+        elif self._move_wanted_since is None:
+            self._move_wanted_since = now
         if changes:
             self._changed_at = now
         else:
@@ -175,6 +192,10 @@
             if server_id not in self._pending
         }
 
+    def _has_waited_to_move(self, now: timedelta) -> bool:
+        since = self._move_wanted_since
+        return since is not None and now - since >= _LONGEST_MOVE_DELAY
+
     def _list_held(
         self, group: EngineGroup, now: timedelta
     ) -> dict[ServerId, LayerRange]:
