Tell many changes in several messages, and dead engines without a connection

Change: messages follow each other; a source that does not reach the store is left for half a second, and a router follows the store only after 1.2 s without a sound answer; a refused connection is told with the start of the process that has ended; a keeper is new only after a change of keeper. Streams look for lost stages every 40 ms.

--- a/hibiscustiller/discovery/_change_log.py
+++ b/hibiscustiller/discovery/_change_log.py
@@ -69,6 +69,7 @@
 
 
 def _keep_newest(items: Sequence[Change]) -> tuple[Change, ...]:
-    """Leave out changes that a later change of the same key replaces."""
+    """Leave out changes that a later one of the same key replaces; in order."""
     newest_by_key = {change.key: change for change in items}
-    return tuple(change for change in items if newest_by_key[change.key] is change)
+    newest = [change for change in items if newest_by_key[change.key] is change]
+    return tuple(sorted(newest, key=lambda change: change.revision))
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -11,6 +11,7 @@
 
 import random
 import zlib
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -42,6 +43,8 @@
 # Longer messages to many routers would fill the link of a small host, be lost, and be
 # asked for again; what they hold is read from the store instead.
 _MAX_MESSAGE_BYTES = 8000
+# What a change takes besides its key and its value.
+_CHANGE_BYTES = 40
 # A lost change is asked for after this time. It grows with the fleet to bound the
 # datagrams of a follower, and stays well below the bound on a new configuration.
 _ASK_PERIOD = timedelta(milliseconds=300)
@@ -49,10 +52,14 @@
 _LONGEST_ASK_PERIOD = timedelta(milliseconds=700)
 # One datagram may be lost.
 _MAX_UNANSWERED = 2
-# A second silent source is tried before the store.
-_MAX_FAILED_SOURCES = 2
-# A source that failed is tried again after this time.
+# Without a source that reaches the store for this time, and for two questions, a router
+# follows the store itself.
+_SOUND_LIMIT = timedelta(seconds=1.2)
+_SOUND_PERIODS = 2.5
+# A source that fell silent is tried again after this time.
 _SOURCE_REST = timedelta(seconds=4)
+# A source that does not reach the store may do so again soon: it opens its watch anew.
+_SHORT_REST = timedelta(milliseconds=500)
 # A router that had to follow the store itself does so for at least this time.
 _SHORTEST_DIRECT = timedelta(seconds=3)
 # Routers whose last request is older than this number of periods have ended or have
@@ -113,7 +120,8 @@
         self._subscribers_by_id: dict[RouterId, _Subscriber] = {}
         self._source: RouterId | None = None
         self._unanswered = 0
-        self._failed_sources = 0
+        # When a router that reaches the store last answered.
+        self._sound_at = clock.monotonic()
         self._rests_until_by_id: dict[RouterId, timedelta] = {}
         self._direct_until = timedelta(0)
         datagrams.register(FollowRequest, self._take_request)
@@ -158,12 +166,12 @@
             self._source = self._choose_source(followers, prefers_near=False)
         else:
             if self._unanswered >= _MAX_UNANSWERED:
-                self._failed_sources += 1
-                self._note_failed_source("no answer")
+                self._note_failed_source("no answer", _SOURCE_REST)
             if self._source not in followers or self._is_resting(self._source):
                 self._source = self._choose_source(followers)
                 self._unanswered = 0
-            if self._source is None or self._failed_sources >= _MAX_FAILED_SOURCES:
+            limit = max(_SOUND_LIMIT, self._get_period() * _SOUND_PERIODS)
+            if self._clock.monotonic() - self._sound_at > limit:
                 await self._follow_directly()
         await self._ask()
 
@@ -193,6 +201,14 @@
             and not self._is_resting(router_id)
             and (peer := self._view.peers_by_id.get(router_id)) is not None
         ]
+        if not usable:
+            # All of them failed just now; any may be the first to be back.
+            usable = [
+                peer
+                for router_id in followers
+                if router_id != self._router_id
+                and (peer := self._view.peers_by_id.get(router_id)) is not None
+            ]
         if not usable:
             return None
         near = [peer for peer in usable if peer.domain == self._domain and prefers_near]
@@ -204,7 +220,7 @@
         until = self._rests_until_by_id.get(router_id, timedelta(0))
         return self._clock.monotonic() < until
 
-    def _note_failed_source(self, reason: str) -> None:
+    def _note_failed_source(self, reason: str, rest: timedelta) -> None:
         if self._source is None:
             return
         log_event(
@@ -214,7 +230,7 @@
             reason=reason,
             revision=self._watcher.revision,
         )
-        until = self._clock.monotonic() + _SOURCE_REST
+        until = self._clock.monotonic() + rest
         self._rests_until_by_id[self._source] = until
         self._source = None
         self._unanswered = 0
@@ -223,7 +239,6 @@
         if not self._watcher.is_direct:
             log_event("following_store", reason="no source")
         self._direct_until = self._clock.monotonic() + _SHORTEST_DIRECT
-        self._failed_sources = 0
         await self._watcher.set_direct(True)
 
     async def _take_request(
@@ -234,48 +249,61 @@
         subscriber = _Subscriber(address, request.revision, self._clock.monotonic())
         if self._watcher.is_following:
             self._subscribers_by_id[router_id] = subscriber
-        data = self._encode_changes(request.revision)
         subscriber.revision = max(request.revision, self._watcher.revision)
-        await self._datagrams.send(address, data)
+        for data in self._encode_changes(request.revision):
+            await self._datagrams.send(address, data)
 
     async def _pass_on(self) -> None:
         """Send new changes to the routers that asked lately."""
         now = self._clock.monotonic()
         life = self._get_period() * _SUBSCRIPTION_PERIODS
         # Most of them have the same revision.
-        data_by_revision: dict[int, bytes] = {}
+        messages_by_revision: dict[int, list[bytes]] = {}
         for router_id, subscriber in list(self._subscribers_by_id.items()):
             if now - subscriber.heard_at > life:
                 del self._subscribers_by_id[router_id]
                 continue
-            if subscriber.revision >= self._watcher.revision:
+            after, subscriber.revision = subscriber.revision, self._watcher.revision
+            if after >= subscriber.revision:
                 continue
-            if subscriber.revision not in data_by_revision:
-                data = self._encode_changes(subscriber.revision)
-                data_by_revision[subscriber.revision] = data
-            data = data_by_revision[subscriber.revision]
-            subscriber.revision = self._watcher.revision
-            await self._datagrams.send(subscriber.address, data)
-
-    def _encode_changes(self, after: int) -> bytes:
-        watcher = self._watcher
-        batch = self._log.collect(after, watcher.revision)
-        data = self._datagrams.encode(self._make_message(after, batch))
-        if len(data) > _MAX_MESSAGE_BYTES:
-            data = self._datagrams.encode(self._make_message(after, None))
-        return data
-
-    def _make_message(self, after: int, batch: ChangeBatch | None) -> StoreChanges:
+            if after not in messages_by_revision:
+                messages_by_revision[after] = self._encode_changes(after)
+            for data in messages_by_revision[after]:
+                await self._datagrams.send(subscriber.address, data)
+
+    def _encode_changes(self, after: int) -> list[bytes]:
+        """Encode what comes after a revision, in messages that follow each other."""
+        to = self._watcher.revision
+        batch = self._log.collect(after, to)
+        if batch is None:
+            return [self._encode_message(after, to, None)]
+        messages = []
+        for changes in _split_changes(
+            [self._pack_change(change, after) for change in batch.items]
+        ):
+            # A later message holds the newest version of each key that this one lacks.
+            is_last = not changes or changes[-1].revision >= batch.items[-1].revision
+            until = to if is_last else changes[-1].revision
+            messages.append(self._encode_message(after, until, changes))
+            after = until
+        if any(len(data) > _MAX_MESSAGE_BYTES for data in messages):
+            return [self._encode_message(batch.after, to, None)]
+        return messages
+
+    def _encode_message(
+        self, after: int, to: int, changes: Sequence[StoreChange] | None
+    ) -> bytes:
+        """Encode a message; without changes it says that they cannot be told."""
         age = self._view.store_return_age
-        items = () if batch is None else batch.items
-        return StoreChanges(
+        message = StoreChanges(
             after,
-            self._watcher.revision,
+            to,
             self._watcher.is_following,
-            batch is None,
+            changes is None,
             0 if age is None else max(1, age // timedelta(milliseconds=1)),
-            tuple(self._pack_change(change, after) for change in items),
+            tuple(changes or ()),
         )
+        return self._datagrams.encode(message)
 
     def _pack_change(self, change: Change, after: int) -> StoreChange:
         """Encode a change for a router that has what was before it."""
@@ -311,11 +339,11 @@
     ) -> None:
         if not message.following:
             if router_id == self._source and not self._watcher.is_direct:
-                self._note_failed_source("it does not follow the store")
-                await self._keep_source()
+                self._note_failed_source("it does not follow the store", _SHORT_REST)
             return
+        self._sound_at = self._clock.monotonic()
         if router_id == self._source:
-            self._unanswered = self._failed_sources = 0
+            self._unanswered = 0
         if message.store_returned_ms:
             age = timedelta(milliseconds=message.store_returned_ms)
             self._view.note_store_returned(age)
@@ -345,3 +373,19 @@
         is_follower = self._router_id in self._list_followers()
         if is_due and is_ahead and not is_follower:
             await self._watcher.set_direct(False)
+
+
+def _split_changes(changes: Sequence[StoreChange]) -> Iterator[list[StoreChange]]:
+    """Divide changes, in order, into parts that fit into a message; at least one."""
+    part: list[StoreChange] = []
+    size = 0
+    for change in changes:
+        added = len(change.key) + len(change.value) + _CHANGE_BYTES
+        # Changes of one revision belong together.
+        may_split = part and part[-1].revision != change.revision
+        if may_split and size + added > _MAX_MESSAGE_BYTES:
+            yield part
+            part, size = [], 0
+        part.append(change)
+        size += added
+    yield part
--- a/hibiscustiller/discovery/tests/test_few_followers_of_the_store.py
+++ b/hibiscustiller/discovery/tests/test_few_followers_of_the_store.py
@@ -91,6 +91,34 @@
                 await curio.sleep(0.05)
 
 
+async def test_many_changes_at_once_need_no_read():
+    """Guards against routers that all read the store when all engines change.
+
+    At full size 191 of 195 routers read it again when the layers had been placed: the
+    changes did not fit into one message.
+    """
+    async with Fleet(12) as fleet:
+        calls = fleet.store.calls
+        for number in range(300):
+            fleet.store.put(f"servers/s{number}", make_entry())
+        await fleet.wait_for_all(CHANGE_LIMIT_S)
+        for member in fleet.members:
+            assert len(member.view.list_servers("orders")) == 301
+        assert fleet.store.calls - calls <= 3 * 4
+
+
+async def test_a_short_cut_of_all_watches_is_left_to_the_followers():
+    """Guards against a read of each router whenever the store cuts its watches."""
+    async with Fleet(24) as fleet:
+        followers = fleet.direct
+        for _ in range(3):
+            fleet.store.turned_away = {m.router_id for m in followers}
+            await curio.sleep(0.3)
+            fleet.store.turned_away = set()
+            await curio.sleep(1.0)
+            assert fleet.direct == followers
+
+
 async def test_missing_entries_are_kept_everywhere_after_an_outage():
     """Guards against servers taken for lost by routers that only hear of the store.
 
--- a/hibiscustiller/ingress/_budget.py
+++ b/hibiscustiller/ingress/_budget.py
@@ -33,6 +33,8 @@
 # An answer takes a few milliseconds, and longer where the keeper is busy.
 _ANSWER_TIMEOUT = timedelta(milliseconds=60)
 _MAX_ASKED = 2
+# A router becomes the keeper when another one is known to have ended.
+_PART_PERIOD = timedelta(seconds=1)
 
 
 class SlidingCount:
@@ -100,26 +102,18 @@
     def __init__(self, slack: float, window: timedelta, clock: Clock) -> None:
         self._slack = slack
         self._window = window
-        self._clock = clock
         self._repeats = SlidingCount(window, clock)
-        self._first_asked_at: timedelta | None = None
-        self._last_asked_at = timedelta(0)
 
-    def try_repeat(self, heard_share: float) -> bool:
+    def try_repeat(self, heard_share: float, kept_for: timedelta) -> bool:
         """Count a repeat if there is one left.
 
         :param heard_share: share of the routers that this one hears. While the network
             is split, each side has a keeper, and the two together must not exceed
             the budget.
+        :param kept_for: how long this router has been the keeper.
         """
-        now = self._clock.monotonic()
-        was_away = now - self._last_asked_at > self._window
-        if self._first_asked_at is None or was_away:
-            # Another router may have been the keeper until now.
-            self._first_asked_at = now
-        self._last_asked_at = now
         allowed = _KEPT_SHARE * self._slack * min(1.0, heard_share)
-        if now - self._first_asked_at < self._window:
+        if kept_for < self._window:
             allowed *= _NEW_KEEPER_FACTOR
         if self._repeats.count() + 1 > allowed:
             return False
@@ -156,9 +150,24 @@
         # Late answers to an earlier process of this router must not count.
         self._last_id = random_state.getrandbits(62)
         self._answers_by_id: dict[int, curio.Queue] = {}
+        self._keeper_since: timedelta | None = None
         datagrams.register(RepeatRequest, self._take_request)
         datagrams.register(RepeatAnswer, self._take_answer)
 
+    async def run(self) -> None:
+        """Note since when this router has been the keeper, until cancelled."""
+        while True:
+            self.update_part()
+            await self._clock.sleep(_PART_PERIOD)
+
+    def update_part(self) -> None:
+        """Find out whether this router is the keeper."""
+        keepers = self._view.rank_by_capacity("repeats")
+        if keepers[:1] != [self._settings.router_id]:
+            self._keeper_since = None
+        elif self._keeper_since is None:
+            self._keeper_since = self._clock.monotonic()
+
     def note_request(self, name: ServiceName) -> None:
         """Count a caller's request to a service."""
         self._get_share(name).note_request()
@@ -197,7 +206,10 @@
                 settings.retry_slack, settings.retry_window, self._clock
             )
         heard = (self._count_heard() + 1) / self._view.count_routers()
-        return self._kept_by_service[name].try_repeat(heard)
+        kept_for = timedelta(0)
+        if self._keeper_since is not None:
+            kept_for = self._clock.monotonic() - self._keeper_since
+        return self._kept_by_service[name].try_repeat(heard, kept_for)
 
     async def _ask(self, keeper: RouterId, name: ServiceName) -> bool | None:
         """Ask the keeper; None if it does not answer."""
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -113,7 +113,7 @@
         client = HttpClient(clock, _CONNECT_TIMEOUT)
         inner = Address(settings.ip, settings.inner_ports[0])
         self._datagrams = DatagramSocket(settings.router_id, inner)
-        budgets = RepeatBudgets(
+        self._budgets = budgets = RepeatBudgets(
             settings,
             self.view,
             self._datagrams,
@@ -258,6 +258,7 @@
             self._datagrams.run,
             self._relay.run,
             self._sharing.send_reports,
+            self._budgets.run,
             self.models.run,
             self.models.place_allocator.run,
             self.models.place_client.run,
@@ -361,9 +362,11 @@
             idle_timeout=limits.idle_timeout,
         )
 
-    def _note_health_change(self) -> None:
+    def _note_health_change(self, is_own_finding: bool) -> None:
         self.models.note_change()
-        self._sharing.hurry()
+        # What was told by another router has been told to all.
+        if is_own_finding:
+            self._sharing.hurry()
 
     async def _note_store_returned(self) -> None:
         self.view.note_store_returned()
--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -48,7 +48,8 @@
     """Reachability of backend servers, and which of them take requests.
 
     :param get_server: returns what is known of a server.
-    :param on_change: called after a server was lost or regained.
+    :param on_change: called after a server was lost or regained, with whether this
+        router has found it out itself.
     :param count_routers: returns how many routers share what they find.
     """
 
@@ -56,7 +57,7 @@
         self,
         clock: Clock,
         get_server: Callable[[ServerId], BackendServer | None],
-        on_change: Callable[[], None],
+        on_change: Callable[[bool], None],
         count_routers: Callable[[], int] = lambda: 1,
     ) -> None:
         self._count_routers = count_routers
@@ -67,7 +68,7 @@
         self._checked_at: dict[ServerId, timedelta] = {}
         self._heard_at: dict[ServerId, timedelta] = {}
         self._checks: dict[ServerId, curio.Event] = {}
-        self.refusals = Refusals(clock, get_server, on_change)
+        self.refusals = Refusals(clock, get_server, lambda: on_change(True))
 
     def is_usable(self, server: BackendServer) -> bool:
         """Tell whether a server can be reached and is not taken to be leaving."""
@@ -87,6 +88,24 @@
             if (server := self._get_server(server_id)) and not self.is_reachable(server)
         ]
 
+    def list_dead(self) -> dict[ServerId, int]:
+        """Return the servers whose process has ended, with its start."""
+        return {
+            server_id: outage.born
+            for server_id in self.list_unreachable()
+            if (outage := self._outages[server_id]).is_dead
+        }
+
+    def note_dead(self, server_id: ServerId, born: int) -> None:
+        """Record that a server's process has ended, as another router found out.
+
+        A refused connection is certain, so it need not be tried from here as well.
+        """
+        server = self._get_server(server_id)
+        if server is not None and server.born == born and self.is_reachable(server):
+            error = ConnectionRefusedError("refused a connection of another router")
+            self._note_lost(server, is_dead=True, error=error, is_told=True)
+
     async def check(self, servers: Iterable[BackendServer]) -> bool:
         """Connect to servers whose state is not known from just now.
 
@@ -152,9 +171,15 @@
         if outage is not None and not outage.is_dead:
             del self._outages[server.id]
             log_event("server_reachable", server=server.id)
-            self._on_change()
+            self._on_change(True)
 
-    def _note_lost(self, server: BackendServer, is_dead: bool, error: OSError) -> None:
+    def _note_lost(
+        self,
+        server: BackendServer,
+        is_dead: bool,
+        error: OSError,
+        is_told: bool = False,
+    ) -> None:
         before = self._outages.get(server.id)
         if before == _Outage(server.born, is_dead):
             return
@@ -166,7 +191,7 @@
             is_dead=is_dead,
             reason=error,
         )
-        self._on_change()
+        self._on_change(not is_told)
 
 
 async def _try_connect(server: BackendServer) -> None:
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -18,6 +18,7 @@
 from hibiscustiller.utils import Clock, RouterId, ServerId
 from hibiscustiller.wire import DatagramSocket, wait_for_event
 from hibiscustiller.wire._messages_generated import (
+    DeadServer,
     LoadReport,
     ServerUse,
 )
@@ -112,7 +113,11 @@
         )
         unreachable = tuple(self._health.list_unreachable())
         leaving = tuple(self._health.refusals.list_leaving())
-        return LoadReport(uses, unreachable, leaving)
+        dead = tuple(
+            DeadServer(server_id, born)
+            for server_id, born in self._health.list_dead().items()
+        )
+        return LoadReport(uses, unreachable, leaving, dead)
 
     async def _take(
         self, router_id: RouterId, address: Address, report: LoadReport
@@ -122,6 +127,8 @@
             for use in report.uses
         }
         self._load.take_report(router_id, uses)
+        for server in report.dead:
+            self._health.note_dead(ServerId(server.server_id), server.born)
         known = set(self._health.list_unreachable())
         new = [ServerId(key) for key in report.unreachable if key not in known]
         if new:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -43,7 +43,7 @@
 
 _OK = 200
 # A paused stream looks this often whether one of its stages is known to be lost.
-_LOOK_PERIOD = timedelta(milliseconds=60)
+_LOOK_PERIOD = timedelta(milliseconds=40)
 # A stream that paused for so long has its stages checked, and again after each such
 # time. Pauses of a full pipeline stay below it.
 _CHECK_PERIOD = timedelta(milliseconds=240)
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -474,6 +474,26 @@
     )
 
 
+@dataclass(frozen=True)
+class DeadServer:
+    """A ``DeadServer`` message."""
+
+    server_id: str
+    born: int
+
+
+def _write_DeadServer(builder: Any, message: DeadServer) -> None:
+    builder.serverId = message.server_id
+    builder.born = message.born
+
+
+def _read_DeadServer(reader: Any) -> DeadServer:
+    return DeadServer(
+        server_id=reader.serverId,
+        born=reader.born,
+    )
+
+
 @dataclass(frozen=True)
 class LoadReport:
     """A ``LoadReport`` message."""
@@ -481,6 +501,7 @@
     uses: tuple[ServerUse, ...]
     unreachable: tuple[str, ...]
     leaving: tuple[str, ...]
+    dead: tuple[DeadServer, ...]
 
 
 def _write_LoadReport(builder: Any, message: LoadReport) -> None:
@@ -489,6 +510,9 @@
         _write_ServerUse(items[index], item)
     builder.unreachable = list(message.unreachable)
     builder.leaving = list(message.leaving)
+    items = builder.init("dead", len(message.dead))
+    for index, item in enumerate(message.dead):
+        _write_DeadServer(items[index], item)
 
 
 def _read_LoadReport(reader: Any) -> LoadReport:
@@ -496,6 +520,7 @@
         uses=tuple(_read_ServerUse(item) for item in reader.uses),
         unreachable=tuple(reader.unreachable),
         leaving=tuple(reader.leaving),
+        dead=tuple(_read_DeadServer(item) for item in reader.dead),
     )
 
 
--- a/hibiscustiller/wire/messages.capnp
+++ b/hibiscustiller/wire/messages.capnp
@@ -167,6 +167,14 @@
   unreachable @1 :List(Text);
   # Servers that the sender takes to be leaving, since they refuse although not full.
   leaving @2 :List(Text);
+  # Servers whose process has ended: their hosts refused a connection.
+  dead @3 :List(DeadServer);
+}
+
+struct DeadServer {
+  serverId @0 :Text;
+  # Start of the process that has ended, in Unix milliseconds.
+  born @1 :UInt64;
 }
 
 # Asks a router for the store's changes after a revision.
