--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -308,11 +308,14 @@
     def _find_lost_stages(self, grant: Grant) -> bool:
         """Tell whether an engine of the pipeline is known to be lost."""
         # An engine that is leaving goes on with what it has.
-        is_reachable = self._forwarder.health.is_reachable
-        servers = grant.pipeline.servers
-        lost = {server.id for server in servers if not is_reachable(server)}
+        health, servers = self._forwarder.health, grant.pipeline.servers
+        lost = {server.id for server in servers if not health.is_reachable(server)}
         self._lost |= lost
-        return bool(lost)
+        if self._context.route.is_resumable:
+            return bool(lost)
+        # A host that cannot be reached for a moment may go on with what it runs, and
+        # this stream cannot be had again.
+        return not lost.isdisjoint(health.list_dead())
 
     async def _read_answer(self, exchange: Exchange, grant: Grant) -> _Outcome:
         await self._wait_for(exchange.read_head, grant)
@@ -447,7 +450,8 @@
             if now >= next_check:
                 next_check += _CHECK_PERIOD
                 await self._check_stages(grant)
-            if self._find_lost_stages(grant):
+            # Events that arrive say more than a connection that failed.
+            if silence >= _LOOK_PERIOD and self._find_lost_stages(grant):
                 raise TransportError("a stage is lost", Verdict.MAY_HAVE_RUN)
             try:
                 return await read(min(left, _LOOK_PERIOD))
