--- a/hibiscustiller/layers/_place_messages.py
+++ b/hibiscustiller/layers/_place_messages.py
@@ -53,7 +53,7 @@
         organisation=demand.organisation,
         tokens=demand.tokens,
         target_latency_ms=demand.target_latency // _MS,
-        target_gap_ms=0 if gap is None else max(1, gap // _MS),
+        longest_gap_ms=0 if gap is None else max(1, gap // _MS),
         time_left_ms=max(0, demand.time_left // _MS),
         may_wait=may_wait,
         is_begun=excluded is not None,
@@ -63,7 +63,7 @@
 
 def unpack_demand(request: PlaceRequest) -> Demand:
     """Return what a request for a place needs."""
-    gap = request.target_gap_ms
+    gap = request.longest_gap_ms
     return Demand(
         priority=request.priority,
         organisation=OrganisationId(request.organisation),
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -615,7 +615,7 @@
     organisation: str
     tokens: float
     target_latency_ms: int
-    target_gap_ms: int
+    longest_gap_ms: int
     time_left_ms: int
     may_wait: bool
     is_begun: bool
@@ -630,7 +630,7 @@
     builder.organisation = message.organisation
     builder.tokens = message.tokens
     builder.targetLatencyMs = message.target_latency_ms
-    builder.targetGapMs = message.target_gap_ms
+    builder.longestGapMs = message.longest_gap_ms
     builder.timeLeftMs = message.time_left_ms
     builder.mayWait = message.may_wait
     builder.isBegun = message.is_begun
@@ -646,7 +646,7 @@
         organisation=reader.organisation,
         tokens=reader.tokens,
         target_latency_ms=reader.targetLatencyMs,
-        target_gap_ms=reader.targetGapMs,
+        longest_gap_ms=reader.longestGapMs,
         time_left_ms=reader.timeLeftMs,
         may_wait=reader.mayWait,
         is_begun=reader.isBegun,
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -216,7 +216,7 @@
   tokens @5 :Float64;
   targetLatencyMs @6 :UInt32;
   # 0 if the route has none.
-  targetGapMs @7 :UInt32;
+  longestGapMs @7 :UInt32;
   timeLeftMs @8 :UInt32;
   # Whether the request may wait for a place.
   mayWait @9 :Bool;
