--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -54,12 +54,12 @@
 _MAX_UNANSWERED = 2
 # Without a source that reaches the store for this time, and for two questions, a router
 # follows the store itself.
-_SOUND_LIMIT = timedelta(seconds=1.2)
-_SOUND_PERIODS = 2.5
+_CONFIRMATION_LIMIT = timedelta(seconds=1.2)
+_CONFIRMATION_PERIODS = 2.5
 # A source that fell silent is tried again after this time.
-_SOURCE_REST = timedelta(seconds=4)
+_SOURCE_BACKOFF = timedelta(seconds=4)
 # A source that does not reach the store may do so again soon: it opens its watch anew.
-_SHORT_REST = timedelta(milliseconds=500)
+_SHORT_BACKOFF = timedelta(milliseconds=500)
 # A router that had to follow the store itself does so for at least this time.
 _SHORTEST_DIRECT = timedelta(seconds=3)
 # Routers whose last request is older than this number of periods have ended or have
@@ -121,8 +121,8 @@
         self._source: RouterId | None = None
         self._unanswered = 0
         # When a router that reaches the store last answered.
-        self._sound_at = clock.monotonic()
-        self._rests_until_by_id: dict[RouterId, timedelta] = {}
+        self._confirmed_at = clock.monotonic()
+        self._backoff_until_by_id: dict[RouterId, timedelta] = {}
         self._direct_until = timedelta(0)
         datagrams.register(FollowRequest, self._take_request)
         datagrams.register(StoreChanges, self._take_changes)
@@ -166,12 +166,12 @@
             self._source = self._choose_source(followers, prefers_near=False)
         else:
             if self._unanswered >= _MAX_UNANSWERED:
-                self._note_failed_source("no answer", _SOURCE_REST)
-            if self._source not in followers or self._is_resting(self._source):
+                self._note_failed_source("no answer", _SOURCE_BACKOFF)
+            if self._source not in followers or self._is_backing_off(self._source):
                 self._source = self._choose_source(followers)
                 self._unanswered = 0
-            limit = max(_SOUND_LIMIT, self._get_period() * _SOUND_PERIODS)
-            if self._clock.monotonic() - self._sound_at > limit:
+            limit = max(_CONFIRMATION_LIMIT, self._get_period() * _CONFIRMATION_PERIODS)
+            if self._clock.monotonic() - self._confirmed_at > limit:
                 await self._follow_directly()
         await self._ask()
 
@@ -194,33 +194,26 @@
 
         :param prefers_near: whether one of this domain goes first.
         """
-        usable = [
+        others = [
             peer
             for router_id in followers
             if router_id != self._router_id
-            and not self._is_resting(router_id)
             and (peer := self._view.peers_by_id.get(router_id)) is not None
         ]
-        if not usable:
-            # All of them failed just now; any may be the first to be back.
-            usable = [
-                peer
-                for router_id in followers
-                if router_id != self._router_id
-                and (peer := self._view.peers_by_id.get(router_id)) is not None
-            ]
+        # If all of them failed just now, any may be the first to be back.
+        usable = [p for p in others if not self._is_backing_off(p.router_id)] or others
         if not usable:
             return None
         near = [peer for peer in usable if peer.domain == self._domain and prefers_near]
         return self._random_state.choice(near or usable).router_id
 
-    def _is_resting(self, router_id: RouterId | None) -> bool:
+    def _is_backing_off(self, router_id: RouterId | None) -> bool:
         if router_id is None:
             return False
-        until = self._rests_until_by_id.get(router_id, timedelta(0))
+        until = self._backoff_until_by_id.get(router_id, timedelta(0))
         return self._clock.monotonic() < until
 
-    def _note_failed_source(self, reason: str, rest: timedelta) -> None:
+    def _note_failed_source(self, reason: str, backoff: timedelta) -> None:
         if self._source is None:
             return
         log_event(
@@ -230,8 +223,8 @@
             reason=reason,
             revision=self._watcher.revision,
         )
-        until = self._clock.monotonic() + rest
-        self._rests_until_by_id[self._source] = until
+        until = self._clock.monotonic() + backoff
+        self._backoff_until_by_id[self._source] = until
         self._source = None
         self._unanswered = 0
 
@@ -339,9 +332,9 @@
     ) -> None:
         if not message.following:
             if router_id == self._source and not self._watcher.is_direct:
-                self._note_failed_source("it does not follow the store", _SHORT_REST)
+                self._note_failed_source("it does not follow the store", _SHORT_BACKOFF)
             return
-        self._sound_at = self._clock.monotonic()
+        self._confirmed_at = self._clock.monotonic()
         if router_id == self._source:
             self._unanswered = 0
         if message.store_returned_ms:
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -49,7 +49,7 @@
 # The other router bounds the wait; its answer may be on its way.
 _WAIT_SLACK = timedelta(milliseconds=100)
 # A router that gave no answer is asked again after this time.
-_REST = timedelta(seconds=1)
+_BACKOFF = timedelta(seconds=1)
 _HOLDINGS_PERIOD = timedelta(seconds=1)
 # Summaries come with the confirmations; two may be lost.
 _SUMMARY_LIFE = timedelta(seconds=3.2)
@@ -106,7 +106,7 @@
         self._last_id = random_state.getrandbits(62)
         self._answers_by_id: dict[int, curio.Queue] = {}
         self._places_by_id: dict[int, _Place] = {}
-        self._rests_until_by_id: dict[RouterId, timedelta] = {}
+        self._backoff_until_by_id: dict[RouterId, timedelta] = {}
         self._summaries: dict[
             tuple[ServiceName, DomainId], tuple[timedelta, float]
         ] = {}
@@ -134,7 +134,7 @@
         return [
             router_id
             for router_id in self._view.rank_by_capacity(f"places/{domain}", domain)
-            if self._rests_until_by_id.get(router_id, timedelta(0)) <= now
+            if self._backoff_until_by_id.get(router_id, timedelta(0)) <= now
         ]
 
     async def run(self) -> None:
@@ -221,7 +221,7 @@
                 wait = demand.target_latency * PATIENCE_SHARE + _WAIT_SLACK
                 answer = await wait_at_most(wait, answers.get())
         except TimeoutError:
-            self._note_silent(allocator)
+            self._note_unresponsive(allocator)
             return None, None
         except BaseException:
             # The caller has left; what is given meanwhile is returned.
@@ -249,7 +249,7 @@
             )
             return status, Err(refusal)
         if status is PlaceStatus.ASK_ANOTHER:
-            self._note_silent(allocator)
+            self._note_unresponsive(allocator)
         if status is not PlaceStatus.PLACED:
             return status, None
         pipeline = unpack_stages(answer.stages, self._view.get_server)
@@ -300,9 +300,9 @@
             for peer in list(self._view.peers_by_id.values()):
                 await self._datagrams.send(peer.address, data)
 
-    def _note_silent(self, allocator: RouterId) -> None:
+    def _note_unresponsive(self, allocator: RouterId) -> None:
         log_event("allocator_failed", level="warning", router=allocator)
-        self._rests_until_by_id[allocator] = self._clock.monotonic() + _REST
+        self._backoff_until_by_id[allocator] = self._clock.monotonic() + _BACKOFF
 
     async def _confirm(self) -> None:
         """Tell the routers that give out places which ones are held here."""
