--- a/hibiscustiller/ingress/tests/test_health.py
+++ b/hibiscustiller/ingress/tests/test_health.py
@@ -18,6 +18,7 @@
 from hibiscustiller.utils import ManualClock, SystemClock
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import DatagramSocket, HttpLimits, HttpServer
+from hibiscustiller.wire._messages_generated import FollowRequest
 
 SECOND = timedelta(seconds=1)
 
@@ -293,6 +294,26 @@
     assert lives and lives[0] >= 2 * find_report_period(329) >= 16 * SECOND
 
 
+async def test_a_message_that_fails_does_not_end_the_others():
+    """Guards against a daemon that is deaf after one message it cannot handle."""
+    engine = make_engine("e", "large", layers=LayerRange(0, 80))
+    first, second = Member("one", engine), Member("two", engine)
+    tasks = await first.start([second]) + await second.start([first])
+
+    async def fail(router_id, address, message):
+        raise ZeroDivisionError
+
+    second.datagrams.register(FollowRequest, fail)
+    data = first.datagrams.encode(FollowRequest(1))
+    await first.datagrams.send(second.datagrams.address, data)
+    first.load.add_plain("e", 2)
+    async with curio.timeout_after(3):
+        while second.load.get("e").entered != 2:
+            await curio.sleep(0.01)
+    for task in tasks:
+        await task.cancel()
+
+
 async def test_garbage_on_the_datagram_port_is_ignored():
     """Guards against a daemon that ends for a datagram of somebody else."""
     engine = make_engine("e", "large", layers=LayerRange(0, 80))
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -11,9 +11,10 @@
     find_pipelines,
 )
 from hibiscustiller.layers._place_allocator import PlaceAllocator
-from hibiscustiller.layers._place_client import PlaceClient, SharedAdmission
+from hibiscustiller.layers._place_client import PlaceClient
 from hibiscustiller.layers._placement import plan_covers, plan_layers
 from hibiscustiller.layers._placer import EngineGroup, LayerPlacer
+from hibiscustiller.layers._shared_admission import SharedAdmission
 
 __all__ = [
     "Admission",
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -12,7 +12,7 @@
 
 from hibiscustiller.discovery import FleetView
 from hibiscustiller.layers._admission import PATIENCE_SHARE, Admission, Demand, Grant
-from hibiscustiller.layers._choice import MAX_CLOSE_ROUTERS, PipelineChoice
+from hibiscustiller.layers._choice import MAX_CLOSE_ROUTERS
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._place_messages import (
     PlaceStatus,
@@ -53,9 +53,6 @@
 _HOLDINGS_PERIOD = timedelta(seconds=1)
 # Summaries come with the confirmations; two may be lost.
 _SUMMARY_LIFE = timedelta(seconds=3.2)
-# Another domain is asked only if it has room for several such requests: its own come
-# first, and the summary is a second old.
-_ROOMS = 4
 
 
 @dataclass
@@ -338,105 +335,6 @@
             await self._datagrams.send(peer.address, self._datagrams.encode(message))
 
 
-class SharedAdmission:
-    """Admission to a service's pipelines, wherever their places are given out.
-
-    :param local: admission by what this router knows itself, for a small fleet and
-        where no other router answers.
-    :param domain: where this router is; its pipelines are preferred.
-    """
-
-    def __init__(
-        self,
-        service: ServiceName,
-        domain: DomainId,
-        local: Admission,
-        choice: PipelineChoice,
-        client: PlaceClient,
-        random_state: random.Random,
-    ) -> None:
-        self._random_state = random_state
-        self._service = service
-        self._domain = domain
-        self._local = local
-        self._choice = choice
-        self._client = client
-
-    @property
-    def waiting_count(self) -> int:
-        """Requests that wait at this router for a place."""
-        return self._local.waiting_count
-
-    async def admit(self, demand: Demand) -> Result[Grant, Refusal]:
-        """Wait for a place, or refuse at once what would wait too long."""
-        if not self._client.is_shared or not self._choice.pipelines:
-            return await self._local.admit(demand)
-        for domain, may_wait in self._list_domains(demand):
-            result = await self._client.ask(
-                demand, self._service, domain, may_wait=may_wait
-            )
-            if result is not None:
-                return result
-        return await self._local.admit(demand)
-
-    async def replace(
-        self, demand: Demand, excluded: Collection[ServerId]
-    ) -> Grant | None:
-        """Find a place for a request that has lost its own; it does not wait."""
-        if not self._client.is_shared:
-            return self._local.replace(demand, excluded)
-        pipeline = self._choice.choose(demand.tokens, demand.target_gap, excluded)
-        if pipeline is not None:
-            result = await self._client.ask(
-                demand,
-                self._service,
-                pipeline.entry.domain,
-                may_wait=False,
-                excluded=tuple(excluded),
-            )
-            if isinstance(result, Ok):
-                return result.ok_value
-        return self._local.replace(demand, excluded)
-
-    def take(self, pipeline: Pipeline, demand: Demand) -> Grant:
-        """Take a place in a pipeline whether or not it has room."""
-        return self._local.take(pipeline, demand)
-
-    async def release(self, grant: Grant) -> None:
-        """Return a place."""
-        if grant.admission is not None:
-            await grant.admission.release(grant)
-        else:
-            await self._client.release(grant)
-
-    def _list_domains(self, demand: Demand) -> list[tuple[DomainId, bool]]:
-        """Return the domains to ask, and whether the request may wait there."""
-        domains = sorted({p.entry.domain for p in self._choice.pipelines})
-        free_by_domain = {
-            domain: self._client.get_free_tokens(self._service, domain)
-            for domain in domains
-        }
-        home = self._domain
-        if home not in free_by_domain:
-            home = max(domains, key=lambda domain: free_by_domain[domain] or 0.0)
-        asked = []
-        free = free_by_domain[home]
-        if free is None or free > 0:
-            asked.append((home, False))
-        others = {
-            domain: free
-            for domain, free in free_by_domain.items()
-            if domain != home and free is not None and free > _ROOMS * demand.tokens
-        }
-        if others:
-            # All routers of a full domain must not go to the same other one.
-            chosen = self._random_state.choices(list(others), list(others.values()))
-            asked.append((chosen[0], False))
-        if asked == [(home, False)]:
-            return [(home, True)]
-        return [*asked, (home, True)]
-
-
 def _is_held(pipeline: Pipeline) -> bool:
     """Tell whether each engine holds its stage's layers, as far as is known here."""
     return all(stage.server.layers.covers(stage.layers) for stage in pipeline.stages)
--- a/hibiscustiller/wire/_datagrams.py
+++ b/hibiscustiller/wire/_datagrams.py
@@ -81,4 +81,19 @@
                 continue
             handler = self._handlers_by_type.get(type(message))
             if handler is not None:
-                await handler(RouterId(router_id), Address(*sender), message)
+                await self._handle(handler, RouterId(router_id), sender, message)
+
+    async def _handle(
+        self, handler: DatagramHandler, router_id: RouterId, sender: Any, message: Any
+    ) -> None:
+        try:
+            await handler(router_id, Address(*sender), message)
+        except Exception as error:
+            # One message must not end the taking of all others.
+            log_event(
+                "datagram_failed",
+                level="error",
+                sender=router_id,
+                kind=type(message).__name__,
+                reason=repr(error),
+            )
