Read the store's keys from pages that may be old, and the changes since then

A daemon's first read took nine pages at 195 daemons, each a full call; most of the calls to the store were these. Pages that may be old cost a tenth and are not counted toward the store's rate limit. A watch from their revision, which is linearizable, brings them up to date before anything is used; without the history the keys are read as before. A watch that ends empty although the revision has risen is a lost history.

--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -33,6 +33,8 @@
 ROUTER_PREFIX = "routers/"
 # One watch of all keys costs one call; keys of other kinds are ignored.
 _ALL_KEYS = ""
+# The shortest wait that the store takes: the answer holds what has changed already.
+_NO_WAIT = timedelta(milliseconds=1)
 # Each call is charged. A silent connection is found by TCP probes, not by this.
 _WATCH_WAIT = timedelta(seconds=20)
 # Changes within this time share an answer; the bound on a change is two seconds. It
@@ -244,8 +246,7 @@
         """Read every key, at or after one revision."""
         self._is_reading = True
         try:
-            # Pages of all keys together are fewer calls than those of each prefix.
-            found = await self._store.read_prefix(_ALL_KEYS)
+            found = await self._read_keys()
         finally:
             self._is_reading = False
         self._note_answer()
@@ -258,6 +259,20 @@
         log_event("store_read", revision=found.revision, servers=len(servers))
         await self._apply_batch(self._find_difference(found))
 
+    async def _read_keys(self) -> Changes:
+        """Return every key as it is now.
+
+        Pages that may be old cost a tenth, so they are read together with the changes
+        since then. Pages of all keys are fewer than those of each prefix.
+        """
+        old = await self._store.read_prefix(_ALL_KEYS, may_be_old=True)
+        try:
+            newer = await self._store.wait_changes(_ALL_KEYS, old.revision, _NO_WAIT)
+        except HistoryLostError as error:
+            log_event("history_lost", level="warning", reason=error)
+            return await self._store.read_prefix(_ALL_KEYS)
+        return _merge_changes(old, newer)
+
     def _find_difference(self, found: Changes) -> ChangeBatch:
         """Return what differs between the keys found and those known."""
         keys = {change.key for change in found.items}
@@ -367,3 +382,18 @@
             log_event("entry_unreadable", level="warning", reason=repr(error))
             return
         self._view.apply_peer(Peer(router_id, address, domain, capacity))
+
+
+def _merge_changes(old: Changes, newer: Changes) -> Changes:
+    """Bring keys up to date by the changes after their revision.
+
+    A key's page may have been read later than the oldest one, so that some of the
+    changes are older than what it holds.
+    """
+    changes_by_key = {change.key: change for change in old.items}
+    for change in newer.items:
+        known = changes_by_key.get(change.key)
+        if known is None or change.revision > known.revision:
+            changes_by_key[change.key] = change
+    kept = (c for c in changes_by_key.values() if c.value is not None)
+    return Changes(tuple(kept), newer.revision)
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -14,12 +14,15 @@
     StoreRelay,
 )
 from hibiscustiller.exceptions import StoreUnavailableError
-from hibiscustiller.platform import Change, Changes
+from hibiscustiller.platform import Change, Changes, HistoryLostError
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import SystemClock, Verdict
 from hibiscustiller.wire._messages_generated import decode_message, encode_message
 
 SECOND = timedelta(seconds=1)
+# As the store divides its keys, and what a read that may be old costs.
+PAGE_KEYS = 50
+OLD_PAGE_PRICE = 0.1
 
 
 def make_entry(state="ready"):
@@ -43,7 +46,10 @@
 
     def __init__(self):
         self.calls = 0
+        self.price = 0.0
+        self.old_state = None
         self.revision = 1
+        self.first_revision = 1
         self.values_by_key = {}
         self.history = []
         self.turned_away = set()
@@ -58,6 +64,15 @@
         else:
             self.values_by_key[key] = change
 
+    def hold_back_old_reads(self):
+        """Answer reads that may be old with the present state from now on."""
+        self.old_state = dict(self.values_by_key), self.revision
+
+    def forget_history(self):
+        """Lose the changes up to now."""
+        self.first_revision = self.revision
+        self.history.clear()
+
 
 class StoreClient:
     """One router's calls to the store."""
@@ -66,19 +81,26 @@
         self.store = store
         self.router_id = router_id
 
-    def _note_call(self):
+    def _note_call(self, price=1.0):
         self.store.calls += 1
+        self.store.price += price
         if self.router_id in self.store.turned_away:
             raise StoreUnavailableError("turned away", Verdict.NOT_RUN)
 
-    async def read_prefix(self, prefix):
-        self._note_call()
+    async def read_prefix(self, prefix, *, may_be_old=False):
+        pages = 1 + len(self.store.values_by_key) // PAGE_KEYS
+        for _ in range(pages):
+            self._note_call(OLD_PAGE_PRICE if may_be_old else 1.0)
         await curio.sleep(0.004)
-        items = tuple(self.store.values_by_key.values())
-        return Changes(items, self.store.revision)
+        values_by_key, revision = self.store.values_by_key, self.store.revision
+        if may_be_old and self.store.old_state is not None:
+            values_by_key, revision = self.store.old_state
+        return Changes(tuple(values_by_key.values()), revision)
 
     async def wait_changes(self, prefix, after, wait):
         self._note_call()
+        if after < self.store.first_revision:
+            raise HistoryLostError(after)
         until = await curio.clock() + wait.total_seconds()
         while self.store.revision <= after and await curio.clock() < until:
             await curio.sleep(0.01)
@@ -186,6 +208,14 @@
         for member in self.members:
             await member.kill()
 
+    def restart(self, member):
+        """Return a new process in the place of a member, which has not started yet."""
+        member.tasks.clear()
+        number = self.members.index(member)
+        self.members[number] = Member(self, number)
+        self.members_by_address[member.datagrams.address] = self.members[number]
+        return self.members[number]
+
     @property
     def live(self):
         return [member for member in self.members if member.tasks]
--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -94,21 +94,24 @@
             "get", "GET", _make_target("/kv-key", key=key), read, accepted=(404,)
         )
 
-    async def read_prefix(self, prefix: str) -> Changes:
+    async def read_prefix(self, prefix: str, *, may_be_old: bool = False) -> Changes:
         """Read all keys that begin with a prefix.
 
-        :returns: the entries as changes, and the revision of the first page, from
+        :param may_be_old: whether the keys may be some seconds old. Such a read costs
+            a tenth and is not counted toward the store's rate limit.
+        :returns: the entries as changes, and the revision of the oldest page, from
             which a watch misses nothing.
         """
         items: list[Change] = []
         revision: int | None = None
         after = ""
         while True:
-            values = await self._read_page(prefix, after)
+            values = await self._read_page(prefix, after, may_be_old)
             page = [_read_change(item) for item in values["items"]]
             items += page
-            # Pages are read at different revisions; the first one is the oldest.
-            revision = values["current_rev"] if revision is None else revision
+            # Pages are read at different revisions.
+            found = values["current_rev"]
+            revision = found if revision is None else min(revision, found)
             if not values["has_more"] or not page:
                 return Changes(tuple(items), revision)
             after = page[-1].key
@@ -134,7 +137,11 @@
                 raise HistoryLostError(after_revision)
             values = answer.read_json()
             items = tuple(_read_change(item) for item in values["events"])
-            return Changes(items, int(values["current_rev"]))
+            revision = int(values["current_rev"])
+            # The store may tell of a dropped history with the next change only.
+            if not prefix and not items and revision > after_revision:
+                raise HistoryLostError(after_revision)
+            return Changes(items, revision)
 
         timeout = wait + _WATCH_SLACK
         return await self._call(
@@ -201,8 +208,14 @@
             accepted=(_NOT_FOUND,),
         )
 
-    async def _read_page(self, prefix: str, after: str) -> dict[str, Any]:
-        fields = {"prefix": prefix, **({"after": after} if after else {})}
+    async def _read_page(
+        self, prefix: str, after: str, may_be_old: bool
+    ) -> dict[str, Any]:
+        fields: dict[str, object] = {"prefix": prefix}
+        if after:
+            fields["after"] = after
+        if may_be_old:
+            fields["serializable"] = 1
 
         def read(answer: HttpAnswer) -> dict[str, Any]:
             values = answer.read_json()
--- a/hibiscustiller/platform/tests/test_metadata_store.py
+++ b/hibiscustiller/platform/tests/test_metadata_store.py
@@ -44,6 +44,20 @@
         assert found.revision == bench.standin.revision
 
 
+async def test_pages_that_may_be_old_name_their_own_revision():
+    """Guards against changes that are missed after a read of old pages."""
+    async with Bench() as bench:
+        for number in range(60):
+            bench.standin.put(f"servers/{number:03}", b"x")
+        bench.standin.hold_back_old_reads()
+        revision = bench.standin.revision
+        bench.standin.delete("servers/001")
+        old = await bench.store.read_prefix("servers/", may_be_old=True)
+        assert (len(old.items), old.revision) == (60, revision)
+        found = await bench.store.read_prefix("servers/")
+        assert (len(found.items), found.revision) == (59, revision + 1)
+
+
 async def test_watch_tells_writes_and_deletions():
     """Guards against changes that are missed or told twice."""
     async with Bench() as bench:
@@ -72,6 +86,20 @@
         raise AssertionError("the gap was not told")
 
 
+async def test_lost_history_is_told_when_nothing_follows_it():
+    """Guards against a gap that stays unknown until the next change."""
+    async with Bench() as bench:
+        bench.standin.faults.tells_loss_late = True
+        start = bench.standin.revision
+        bench.standin.put("a", b"1")
+        bench.standin.forget_history()
+        try:
+            await bench.store.wait_changes("", start, SECOND / 50)
+        except HistoryLostError:
+            return
+        raise AssertionError("the gap was not told")
+
+
 async def test_swap_returns_what_was_found_instead():
     """Guards against a second holder of a lease."""
     async with Bench() as bench:
--- a/hibiscustiller/standins/_metadata_store.py
+++ b/hibiscustiller/standins/_metadata_store.py
@@ -58,6 +58,8 @@
         self.calls = 0
         self.revision = 1
         self.items: dict[str, _Item] = {}
+        # What reads that may be old find; None for the present state.
+        self._old_state: tuple[dict[str, _Item], int] | None = None
         self._history: list[dict[str, Any]] = []
         self._first_revision = 1
         self._leases: dict[int, tuple[timedelta, timedelta]] = {}
@@ -103,6 +105,10 @@
         self._history.clear()
         self._first_revision = self.revision
 
+    def hold_back_old_reads(self) -> None:
+        """Answer reads that may be old with the present state from now on."""
+        self._old_state = dict(self.items), self.revision
+
     def expire_leases(self) -> None:
         """End leases whose time is up; every call does so too."""
         now = self._clock.monotonic()
@@ -138,14 +144,17 @@
 
     def _make_page(self, query: Any) -> dict[str, Any]:
         after = query.get("after", "")
+        items, revision = self.items, self.revision
+        if query.get("serializable") == "1" and self._old_state is not None:
+            items, revision = self._old_state
         keys = sorted(
-            key for key in self.items if key.startswith(query["prefix"]) and key > after
+            key for key in items if key.startswith(query["prefix"]) and key > after
         )
         page = keys[:_PAGE_ITEMS]
         return {
-            "items": [_encode(key, self.items[key]) for key in page],
+            "items": [_encode(key, items[key]) for key in page],
             "has_more": len(keys) > len(page),
-            "current_rev": self.revision,
+            "current_rev": revision,
         }
 
     async def _answer_watch(self, query: Any, responder: Responder) -> None:
