Leave watches to the followers from the start, and ask a store that is away less often

Now a follower that may have missed something asks for what has changed already, and other daemons retry every 1.3 s.

--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import random
 import time
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -22,8 +23,13 @@
 _PERIOD = timedelta(seconds=2.5)
 # A router that follows the store for others has to notice sooner that it is away.
 _FOLLOWER_PERIOD = timedelta(seconds=1)
-# A store that is away is asked more often: everything waits for its return.
-_RETRY_PERIOD = timedelta(milliseconds=400)
+# A store that is away is asked more often by those on whom the others wait.
+_FOLLOWER_RETRY_PERIOD = timedelta(milliseconds=400)
+# Refused calls are charged as well. An entry that lapsed must be back within two
+# seconds of the store's return.
+_RETRY_PERIOD = timedelta(seconds=1.3)
+# Share by which the retry periods of different routers differ.
+_RETRY_JITTER = 0.25
 # A tick that comes so late means that the process or its host stood still.
 _FREEZE = timedelta(seconds=2)
 
@@ -35,7 +41,8 @@
     :param store: the platform's store.
     :param clock: source of time.
     :param on_return: called when the store answers again, or after a freeze.
-    :param is_follower: tells whether this router follows the store.
+    :param is_follower: tells whether this router follows the store for others.
+    :param random_state: spreads the retries of many routers.
     """
 
     def __init__(
@@ -45,7 +52,9 @@
         clock: Clock,
         on_return: Callable[[], Awaitable[None]],
         is_follower: Callable[[], bool],
+        random_state: random.Random,
     ) -> None:
+        self._random_state = random_state
         self._is_follower = is_follower
         self._key = f"{ROUTER_PREFIX}{peer.router_id}"
         values = {
@@ -75,9 +84,11 @@
                 await self._on_return()
 
     def _get_period(self) -> timedelta:
-        if not self.is_reachable:
-            return _RETRY_PERIOD
-        return _FOLLOWER_PERIOD if self._is_follower() else _PERIOD
+        is_follower = self._is_follower()
+        if self.is_reachable:
+            return _FOLLOWER_PERIOD if is_follower else _PERIOD
+        period = _FOLLOWER_RETRY_PERIOD if is_follower else _RETRY_PERIOD
+        return period * self._random_state.uniform(1 - _RETRY_JITTER, 1 + _RETRY_JITTER)
 
     async def end(self) -> None:
         """Remove the entry."""
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import curio
+
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
 from hibiscustiller.discovery._deltas import apply_delta, make_delta
 from hibiscustiller.discovery._view import FleetView, Peer
@@ -120,6 +122,7 @@
         self._subscribers_by_id: dict[RouterId, _Subscriber] = {}
         self._source: RouterId | None = None
         self._unanswered = 0
+        self._is_read = curio.Event()
         # When a router that reaches the store last answered.
         self._confirmed_at = clock.monotonic()
         self._backoff_until_by_id: dict[RouterId, timedelta] = {}
@@ -133,11 +136,18 @@
         """The router that tells this one of changes; None if it needs none."""
         return None if self._watcher.is_direct else self._source
 
+    @property
+    def is_follower(self) -> bool:
+        """Whether this router is one of those that follow the store for the others."""
+        return self._router_id in self._list_followers()
+
     async def run(self) -> None:
         """Keep a source, or follow the store, until cancelled."""
+        await self._is_read.wait()
+        # What was read is current.
+        self._confirmed_at = self._clock.monotonic()
         while True:
-            if self._watcher.has_read:
-                await self._keep_source()
+            await self._keep_source()
             self._view.drop_missing()
             # Routers that start together must not ask together.
             share = 0.9 + 0.2 * self._random_state.random()
@@ -159,7 +169,7 @@
 
     async def _keep_source(self) -> None:
         followers = self._list_followers()
-        if self._router_id in followers:
+        if self.is_follower:
             # A follower whose watch has fallen silent learns it from the others, one
             # after the other.
             await self._watcher.set_direct(True)
@@ -248,6 +258,7 @@
 
     async def _pass_on(self) -> None:
         """Send new changes to the routers that asked lately."""
+        await self._is_read.set()
         now = self._clock.monotonic()
         life = self._get_period() * _SUBSCRIPTION_PERIODS
         # Most of them have the same revision.
@@ -363,8 +374,7 @@
         """Stop following the store if a source is good enough again."""
         is_due = self._clock.monotonic() >= self._direct_until
         is_ahead = revision >= self._watcher.revision
-        is_follower = self._router_id in self._list_followers()
-        if is_due and is_ahead and not is_follower:
+        if is_due and is_ahead and not self.is_follower:
             await self._watcher.set_direct(False)
 
 
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -89,6 +89,8 @@
         self._revisions_by_key: dict[str, int] = {}
         self._versions_by_key: dict[str, deque[tuple[int, bytes]]] = {}
         self._must_read = True
+        # Whether changes since the revision may be missing without any sign of it.
+        self._must_catch_up = False
         self._is_reading = False
         self._wait_task: curio.Task | None = None
         self._is_woken = curio.Event()
@@ -108,7 +110,8 @@
     @property
     def is_following(self) -> bool:
         """Whether this router follows the store itself, and reaches it."""
-        return self.is_direct and not self.is_cut_off and not self._must_read
+        is_current = not (self.is_cut_off or self._must_read or self._must_catch_up)
+        return self.is_direct and is_current
 
     def find_version(self, key: str, revision: int) -> tuple[int, bytes] | None:
         """Return a large value as it was at a revision, with its own revision.
@@ -128,8 +131,7 @@
         if is_direct == self.is_direct:
             return
         self.is_direct = is_direct
-        # What happened since is not known for certain without reading.
-        self._must_read = is_direct
+        self._must_catch_up = is_direct
         log_event("store_role_changed", is_direct=is_direct, revision=self.revision)
         await self.restart()
 
@@ -162,8 +164,13 @@
     async def _step(self) -> None:
         if self._must_read:
             await self._read_all()
+            # Meanwhile this router may find that it can leave the watch to others.
+            await self._wait_for_wake(self._get_spacing())
+        elif self._must_catch_up:
+            self._must_catch_up = not await self._follow_once(_NO_WAIT)
         elif self.is_direct:
-            await self._follow_once()
+            if await self._follow_once(_WATCH_WAIT):
+                await self._clock.sleep(self._get_spacing())
         else:
             await self._wait_for_wake(_IDLE_WAIT)
 
@@ -176,19 +183,19 @@
         )
         self.is_cut_off = True
         self._failures += 1
-        # A store that cut a watch may have dropped its history, and tells so only with
-        # the next change. The keys are read, so that nothing waits for that.
-        self._must_read = True
+        # A store that cut a watch may have dropped its history, and a watch that waits
+        # learns so only with the next change. One that does not wait learns it at once.
+        self._must_catch_up = True
 
     def _choose_delay(self) -> timedelta:
-        """Return the pause before the next attempt, with full jitter."""
+        """Return the pause before the next attempt, with jitter."""
         longest = _LONGEST_RETRY
         if not self._is_store_reachable():
             longest = _LONGEST_RETRY_WITHOUT_STORE
         # Bounded before the power, which grows without end.
         doublings = min(self._failures, 10)
         bound = min(longest, _FIRST_RETRY * 2**doublings)
-        return bound * self._random_state.random()
+        return bound * self._random_state.uniform(0.5, 1)
 
     async def restart(self) -> None:
         """Give up the waiting call; its connection may be dead."""
@@ -206,20 +213,21 @@
         await wait_for_event(delay, self._is_woken)
         self._is_woken.clear()
 
-    async def _follow_once(self) -> None:
+    async def _follow_once(self, wait: timedelta) -> bool:
+        """Take the next changes; False if the call was given up for a restart."""
         after = self.revision
-        changes = await self._wait(after)
+        changes = await self._wait(after, wait)
         if changes is None:
-            return
+            return False
         self._note_answer()
         # Other routers may have told of a part of them meanwhile.
         await self._apply_batch(ChangeBatch(after, changes.revision, changes.items))
         self._view.drop_missing()
-        await self._clock.sleep(self._get_spacing())
+        return True
 
-    async def _wait(self, revision: int) -> Changes | None:
+    async def _wait(self, revision: int, wait: timedelta) -> Changes | None:
         """Wait for changes; None if the call was given up for a restart."""
-        task = await curio.spawn(self._try_wait, revision)
+        task = await curio.spawn(self._try_wait, revision, wait)
         self._wait_task = task
         try:
             await task.wait()
@@ -235,10 +243,12 @@
             raise outcome.err_value
         return outcome.ok_value
 
-    async def _try_wait(self, revision: int) -> Result[Changes, StoreUnavailableError]:
+    async def _try_wait(
+        self, revision: int, wait: timedelta
+    ) -> Result[Changes, StoreUnavailableError]:
         # A task that ends with an exception is logged as crashed.
         try:
-            return Ok(await self._store.wait_changes(_ALL_KEYS, revision, _WATCH_WAIT))
+            return Ok(await self._store.wait_changes(_ALL_KEYS, revision, wait))
         except StoreUnavailableError as error:
             return Err(error)
 
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -207,7 +207,8 @@
             store,
             clock,
             self._note_store_returned,
-            lambda: self._watcher.is_direct,
+            lambda: self._relay.is_follower,
+            self._random_state,
         )
         lease = ControlLease(
             settings.router_id,
