Keep requests by datagram and back-off of silent routers in one place each

PendingRequests and BackedOff replace two copies each in the budget of repeats, the client of places and the relay; a PlaceQuery carries the five values that were passed through three functions.

--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -25,6 +25,7 @@
 from hibiscustiller.platform import Change
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
+    BackedOff,
     Clock,
     DomainId,
     RouterId,
@@ -125,7 +126,7 @@
         self._is_read = curio.Event()
         # When a router that reaches the store last answered.
         self._confirmed_at = clock.monotonic()
-        self._backoff_until_by_id: dict[RouterId, timedelta] = {}
+        self._backed_off: BackedOff[RouterId] = BackedOff(clock)
         self._direct_until = timedelta(0)
         datagrams.register(FollowRequest, self._take_request)
         datagrams.register(StoreChanges, self._take_changes)
@@ -177,7 +178,7 @@
         else:
             if self._unanswered >= _MAX_UNANSWERED:
                 self._note_failed_source("no answer", _SOURCE_BACKOFF)
-            if self._source not in followers or self._is_backing_off(self._source):
+            if self._source not in followers or self._source in self._backed_off:
                 self._source = self._choose_source(followers)
                 self._unanswered = 0
             limit = max(_CONFIRMATION_LIMIT, self._get_period() * _CONFIRMATION_PERIODS)
@@ -211,18 +212,12 @@
             and (peer := self._view.peers_by_id.get(router_id)) is not None
         ]
         # If all of them failed just now, any may be the first to be back.
-        usable = [p for p in others if not self._is_backing_off(p.router_id)] or others
+        usable = [p for p in others if p.router_id not in self._backed_off] or others
         if not usable:
             return None
         near = [peer for peer in usable if peer.domain == self._domain and prefers_near]
         return self._random_state.choice(near or usable).router_id
 
-    def _is_backing_off(self, router_id: RouterId | None) -> bool:
-        if router_id is None:
-            return False
-        until = self._backoff_until_by_id.get(router_id, timedelta(0))
-        return self._clock.monotonic() < until
-
     def _note_failed_source(self, reason: str, backoff: timedelta) -> None:
         if self._source is None:
             return
@@ -233,8 +228,7 @@
             reason=reason,
             revision=self._watcher.revision,
         )
-        until = self._clock.monotonic() + backoff
-        self._backoff_until_by_id[self._source] = until
+        self._backed_off.add(self._source, backoff)
         self._source = None
         self._unanswered = 0
 
--- a/hibiscustiller/ingress/_budget.py
+++ b/hibiscustiller/ingress/_budget.py
@@ -13,13 +13,11 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import curio
-
 from hibiscustiller.discovery import FleetView
 from hibiscustiller.fleet import HostSettings
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, Metrics, RouterId, ServiceName
-from hibiscustiller.wire import DatagramSocket, wait_at_most
+from hibiscustiller.wire import DatagramSocket, PendingRequests
 from hibiscustiller.wire._messages_generated import RepeatAnswer, RepeatRequest
 
 # What is left absorbs requests that are counted in another window by the platform.
@@ -147,9 +145,7 @@
         self._metrics = metrics
         self._by_service: dict[ServiceName, RepeatBudget] = {}
         self._kept_by_service: dict[ServiceName, KeptBudget] = {}
-        # Late answers to an earlier process of this router must not count.
-        self._last_id = random_state.getrandbits(62)
-        self._answers_by_id: dict[int, curio.Queue] = {}
+        self._pending = PendingRequests(random_state)
         self._keeper_since: timedelta | None = None
         datagrams.register(RepeatRequest, self._take_request)
         datagrams.register(RepeatAnswer, self._take_answer)
@@ -213,18 +209,15 @@
 
     async def _ask(self, keeper: RouterId, name: ServiceName) -> bool | None:
         """Ask the keeper; None if it does not answer."""
-        self._last_id += 1
-        request_id = self._last_id
-        answers = self._answers_by_id[request_id] = curio.Queue()
         address = self._view.peers_by_id[keeper].address
-        try:
-            data = self._datagrams.encode(RepeatRequest(request_id, name))
+        with self._pending.open() as request:
+            data = self._datagrams.encode(RepeatRequest(request.id, name))
             await self._datagrams.send(address, data)
-            return await wait_at_most(_ANSWER_TIMEOUT, answers.get())
-        except TimeoutError:
-            return None
-        finally:
-            del self._answers_by_id[request_id]
+            try:
+                answer = await request.wait(_ANSWER_TIMEOUT)
+            except TimeoutError:
+                return None
+            return answer.granted
 
     async def _take_request(
         self, router_id: RouterId, address: Address, request: RepeatRequest
@@ -236,6 +229,4 @@
     async def _take_answer(
         self, router_id: RouterId, address: Address, answer: RepeatAnswer
     ) -> None:
-        answers = self._answers_by_id.get(answer.request_id)
-        if answers is not None:
-            await answers.put(answer.granted)
+        await self._pending.take(answer.request_id, answer)
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -256,12 +256,13 @@
         if found_from == self._found_from.get(service.name):
             return
         self._found_from[service.name] = found_from
-        pipelines = find_pipelines(service.engine, usable, leaving)
+        found = find_pipelines(service.engine, usable, leaving)
         choice = self.forwarders_by_service[service.name].choice
-        if pipelines != choice.pipelines:
-            _log_pipelines(service.name, pipelines)
-        choice.replace(limit_entries(service), pipelines)
-        self._metrics.gauge(f"pipelines.{service.name}", len(pipelines))
+        before = choice.pipelines
+        choice.replace(limit_entries(service), found)
+        if choice.pipelines != before:
+            _log_pipelines(service.name, choice.pipelines, len(found))
+        self._metrics.gauge(f"pipelines.{service.name}", len(choice.pipelines))
 
     def _list_usable(
         self,
@@ -286,10 +287,13 @@
         return self._router_id in self._ring.choose(server_id, _WATCHERS_PER_ENGINE)
 
 
-def _log_pipelines(name: ServiceName, pipelines: Sequence[Pipeline]) -> None:
+def _log_pipelines(
+    name: ServiceName, pipelines: Sequence[Pipeline], found_count: int
+) -> None:
     log_event(
         "pipelines_changed",
         service=name,
         count=len(pipelines),
+        found=found_count,
         stages=",".join(str(len(pipeline.stages)) for pipeline in pipelines),
     )
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -3,37 +3,37 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from datetime import timedelta
 
-import curio
 from result import Err, Ok, Result
 
 from hibiscustiller.discovery import FleetView
-from hibiscustiller.layers._admission import PATIENCE_SHARE, Admission, Demand, Grant
+from hibiscustiller.layers._admission import PATIENCE_SHARE, Admission, Grant
 from hibiscustiller.layers._choice import MAX_CLOSE_ROUTERS
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._place_messages import (
+    PlaceQuery,
     PlaceStatus,
-    pack_demand,
+    pack_query,
     pack_stages,
     unpack_stages,
 )
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
+    BackedOff,
     Clock,
     DomainId,
     Metrics,
     Refusal,
     RefusalReason,
     RouterId,
-    ServerId,
     ServiceName,
     Verdict,
     log_event,
 )
-from hibiscustiller.wire import DatagramSocket, wait_at_most
+from hibiscustiller.wire import DatagramSocket, PendingRequests
 from hibiscustiller.wire._messages_generated import (
     HeldPlace,
     PlaceAnswer,
@@ -99,11 +99,9 @@
         self._list_shares = list_shares
         self._clock = clock
         self._metrics = metrics
-        # Numbers of an earlier process of this router must not be used again.
-        self._last_id = random_state.getrandbits(62)
-        self._answers_by_id: dict[int, curio.Queue] = {}
+        self._pending = PendingRequests(random_state)
         self._places_by_id: dict[int, _Place] = {}
-        self._backoff_until_by_id: dict[RouterId, timedelta] = {}
+        self._backed_off: BackedOff[RouterId] = BackedOff(clock)
         self._summaries: dict[
             tuple[ServiceName, DomainId], tuple[timedelta, float]
         ] = {}
@@ -127,12 +125,8 @@
 
     def list_allocators(self, domain: DomainId) -> list[RouterId]:
         """Return the routers to ask for a domain's places, the preferred one first."""
-        now = self._clock.monotonic()
-        return [
-            router_id
-            for router_id in self._view.rank_by_capacity(f"places/{domain}", domain)
-            if self._backoff_until_by_id.get(router_id, timedelta(0)) <= now
-        ]
+        ranked = self._view.rank_by_capacity(f"places/{domain}", domain)
+        return [router_id for router_id in ranked if router_id not in self._backed_off]
 
     async def run(self) -> None:
         """Confirm places that are held, and tell of free ones, until cancelled."""
@@ -142,26 +136,15 @@
                 await self._confirm()
                 await self._summarise()
 
-    async def ask(
-        self,
-        demand: Demand,
-        service: ServiceName,
-        domain: DomainId,
-        *,
-        may_wait: bool,
-        excluded: Sequence[ServerId] | None = None,
-    ) -> Result[Grant, Refusal] | None:
+    async def ask(self, query: PlaceQuery) -> Result[Grant, Refusal] | None:
         """Ask for a place in a domain's pipelines.
 
-        :param excluded: as for :func:`pack_demand`.
         :returns: None if there is no answer, or no room for what may not wait.
         """
-        for router_id in self.list_allocators(domain)[:_MAX_ASKED]:
+        for router_id in self.list_allocators(query.domain)[:_MAX_ASKED]:
             if router_id == self.router_id:
-                return await self._admit(demand, service, domain, may_wait, excluded)
-            status, result = await self._exchange(
-                router_id, demand, service, domain, may_wait, excluded
-            )
+                return await self._admit(query)
+            status, result = await self._exchange(router_id, query)
             if status is PlaceStatus.NO_ROOM:
                 return None
             if result is not None:
@@ -175,66 +158,41 @@
         if place is not None:
             await self._send(place.allocator, PlaceRelease(grant.place_id))
 
-    async def _admit(
-        self,
-        demand: Demand,
-        service: ServiceName,
-        domain: DomainId,
-        may_wait: bool,
-        excluded: Sequence[ServerId] | None,
-    ) -> Result[Grant, Refusal] | None:
+    async def _admit(self, query: PlaceQuery) -> Result[Grant, Refusal] | None:
         """Give a place to a request of this router."""
-        admission = self._get_admission(service, domain)
+        admission = self._get_admission(query.service, query.domain)
         if admission is None:
             return None
-        if excluded is not None:
-            grant = admission.replace(demand, excluded)
-        elif may_wait:
-            return await admission.admit(demand)
+        if query.excluded is not None:
+            grant = admission.replace(query.demand, query.excluded)
+        elif query.may_wait:
+            return await admission.admit(query.demand)
         else:
-            grant = admission.try_admit(demand)
+            grant = admission.try_admit(query.demand)
         return None if grant is None else Ok(grant)
 
     async def _exchange(
-        self,
-        allocator: RouterId,
-        demand: Demand,
-        service: ServiceName,
-        domain: DomainId,
-        may_wait: bool,
-        excluded: Sequence[ServerId] | None,
+        self, allocator: RouterId, query: PlaceQuery
     ) -> tuple[PlaceStatus | None, Result[Grant, Refusal] | None]:
         """Ask one router; the status is None if it gives no answer."""
-        self._last_id += 1
-        place_id = self._last_id
-        answers = self._answers_by_id[place_id] = curio.Queue()
-        request = pack_demand(
-            demand, place_id, service, domain, may_wait=may_wait, excluded=excluded
-        )
-        try:
-            await self._send(allocator, request)
-            answer = await wait_at_most(self._answer_timeout, answers.get())
-            if answer.status == PlaceStatus.WAITING:
-                wait = demand.target_latency * PATIENCE_SHARE + _WAIT_SLACK
-                answer = await wait_at_most(wait, answers.get())
-        except TimeoutError:
-            self._note_unresponsive(allocator)
-            return None, None
-        except BaseException:
-            # The caller has left; what is given meanwhile is returned.
-            await self._send(allocator, PlaceRelease(place_id))
-            raise
-        finally:
-            del self._answers_by_id[place_id]
-        return await self._read_answer(answer, allocator, demand, service, domain)
+        with self._pending.open() as request:
+            try:
+                await self._send(allocator, pack_query(query, request.id))
+                answer = await request.wait(self._answer_timeout)
+                if answer.status == PlaceStatus.WAITING:
+                    patience = query.demand.target_latency * PATIENCE_SHARE
+                    answer = await request.wait(patience + _WAIT_SLACK)
+            except TimeoutError:
+                self._note_unresponsive(allocator)
+                return None, None
+            except BaseException:
+                # The caller has left; what is given meanwhile is returned.
+                await self._send(allocator, PlaceRelease(request.id))
+                raise
+        return await self._read_answer(answer, allocator, query)
 
     async def _read_answer(
-        self,
-        answer: PlaceAnswer,
-        allocator: RouterId,
-        demand: Demand,
-        service: ServiceName,
-        domain: DomainId,
+        self, answer: PlaceAnswer, allocator: RouterId, query: PlaceQuery
     ) -> tuple[PlaceStatus | None, Result[Grant, Refusal] | None]:
         status = PlaceStatus(answer.status)
         if status is PlaceStatus.REFUSED:
@@ -254,21 +212,17 @@
             # What this router knows of the engines differs for a moment.
             await self._send(allocator, PlaceRelease(answer.place_id))
             return PlaceStatus.NO_ROOM, None
-        grant = Grant(pipeline, demand.tokens, place_id=answer.place_id)
-        place = _Place(service, domain, allocator, grant)
+        grant = Grant(pipeline, query.demand.tokens, place_id=answer.place_id)
+        place = _Place(query.service, query.domain, allocator, grant)
         self._places_by_id[answer.place_id] = place
         return status, Ok(grant)
 
     async def _take_answer(
         self, router_id: RouterId, address: Address, answer: PlaceAnswer
     ) -> None:
-        answers = self._answers_by_id.get(answer.place_id)
-        if answers is not None:
-            await answers.put(answer)
-        elif (
-            answer.status == PlaceStatus.PLACED
-            and answer.place_id not in self._places_by_id
-        ):
+        is_awaited = await self._pending.take(answer.place_id, answer)
+        is_placed = answer.status == PlaceStatus.PLACED
+        if not is_awaited and is_placed and answer.place_id not in self._places_by_id:
             # It came too late.
             release = self._datagrams.encode(PlaceRelease(answer.place_id))
             await self._datagrams.send(address, release)
@@ -299,7 +253,7 @@
 
     def _note_unresponsive(self, allocator: RouterId) -> None:
         log_event("allocator_failed", level="warning", router=allocator)
-        self._backoff_until_by_id[allocator] = self._clock.monotonic() + _BACKOFF
+        self._backed_off.add(allocator, _BACKOFF)
 
     async def _confirm(self) -> None:
         """Tell the routers that give out places which ones are held here."""
--- a/hibiscustiller/layers/_place_messages.py
+++ b/hibiscustiller/layers/_place_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import IntEnum
 
@@ -30,34 +31,40 @@
     ASK_ANOTHER = 4
 
 
-def pack_demand(
-    demand: Demand,
-    place_id: int,
-    service: ServiceName,
-    domain: DomainId,
-    *,
-    may_wait: bool,
-    excluded: Sequence[ServerId] | None = None,
-) -> PlaceRequest:
-    """Make the request for a place.
+@dataclass(frozen=True)
+class PlaceQuery:
+    """A demand, and where a place is wanted for it.
 
+    :param domain: the place is in a pipeline that begins there.
+    :param may_wait: whether the request may wait for a place.
     :param excluded: servers that a stream which has begun must not use; None for a
         request that begins.
     """
+
+    demand: Demand
+    service: ServiceName
+    domain: DomainId
+    may_wait: bool
+    excluded: tuple[ServerId, ...] | None = None
+
+
+def pack_query(query: PlaceQuery, place_id: int) -> PlaceRequest:
+    """Make the request for a place."""
+    demand, excluded = query.demand, query.excluded
     gap = demand.target_gap
     return PlaceRequest(
         place_id=place_id,
-        service=service,
-        domain=domain,
+        service=query.service,
+        domain=query.domain,
         priority=demand.priority,
         organisation=demand.organisation,
         tokens=demand.tokens,
         target_latency_ms=demand.target_latency // _MS,
         longest_gap_ms=0 if gap is None else max(1, gap // _MS),
         time_left_ms=max(0, demand.time_left // _MS),
-        may_wait=may_wait,
+        may_wait=query.may_wait,
         is_begun=excluded is not None,
-        excluded=tuple(excluded or ()),
+        excluded=excluded or (),
     )
 
 
--- a/hibiscustiller/layers/_shared_admission.py
+++ b/hibiscustiller/layers/_shared_admission.py
@@ -11,6 +11,7 @@
 from hibiscustiller.layers._choice import PipelineChoice
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._place_client import PlaceClient
+from hibiscustiller.layers._place_messages import PlaceQuery
 from hibiscustiller.utils import DomainId, Refusal, ServerId, ServiceName
 
 # Another domain is asked only if it has room for several such requests: its own come
@@ -52,9 +53,8 @@
         if not self._client.is_shared or not self._choice.pipelines:
             return await self._local.admit(demand)
         for domain, may_wait in self._list_domains(demand):
-            result = await self._client.ask(
-                demand, self._service, domain, may_wait=may_wait
-            )
+            query = PlaceQuery(demand, self._service, domain, may_wait)
+            result = await self._client.ask(query)
             if result is not None:
                 return result
         return await self._local.admit(demand)
@@ -68,11 +68,13 @@
         pipeline = self._choice.choose(demand.tokens, demand.target_gap, excluded)
         if pipeline is not None:
             result = await self._client.ask(
-                demand,
-                self._service,
-                pipeline.entry.domain,
-                may_wait=False,
-                excluded=tuple(excluded),
+                PlaceQuery(
+                    demand,
+                    self._service,
+                    pipeline.entry.domain,
+                    may_wait=False,
+                    excluded=tuple(excluded),
+                )
             )
             if isinstance(result, Ok):
                 return result.ok_value
--- a/hibiscustiller/utils/__init__.py
+++ b/hibiscustiller/utils/__init__.py
@@ -1,6 +1,6 @@
 """Ids, clocks, verdicts, logs, metrics and other parts used everywhere."""
 
-from hibiscustiller.utils._backoff import jittered_delays
+from hibiscustiller.utils._backoff import BackedOff, jittered_delays
 from hibiscustiller.utils._bounded_logs import BoundedHandler
 from hibiscustiller.utils._clock import Clock, ManualClock, SystemClock
 from hibiscustiller.utils._hashing import HashRing, hash_secret, rank_by_rendezvous
@@ -25,6 +25,7 @@
 from hibiscustiller.utils._verdicts import Refusal, RefusalReason, Verdict
 
 __all__ = [
+    "BackedOff",
     "BoundedHandler",
     "ClassName",
     "Clock",
--- a/hibiscustiller/utils/_backoff.py
+++ b/hibiscustiller/utils/_backoff.py
@@ -3,6 +3,11 @@
 import random
 from collections.abc import Iterator
 from datetime import timedelta
+from typing import Generic, TypeVar
+
+from hibiscustiller.utils._clock import Clock
+
+Key = TypeVar("Key")
 
 
 def jittered_delays(
@@ -20,3 +25,22 @@
     while True:
         yield bound * random_state.random()
         bound = min(limit, bound * 2)
+
+
+class BackedOff(Generic[Key]):
+    """Who failed just now and is left alone for a while.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._until_by_key: dict[Key, timedelta] = {}
+
+    def __contains__(self, key: Key) -> bool:
+        until = self._until_by_key.get(key)
+        return until is not None and self._clock.monotonic() < until
+
+    def add(self, key: Key, duration: timedelta) -> None:
+        """Leave someone alone for some time from now."""
+        self._until_by_key[key] = self._clock.monotonic() + duration
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 on both sides, and the framed messages between routers."""
 
-from hibiscustiller.wire._datagrams import MAX_DATAGRAM_BYTES, DatagramSocket
+from hibiscustiller.wire._datagrams import DatagramSocket, PendingRequests
 from hibiscustiller.wire._deadlines import wait_at_most, wait_for_event
 from hibiscustiller.wire._http_client import (
     AnswerStream,
@@ -21,7 +21,6 @@
 from hibiscustiller.wire._sockets import is_readable, open_connection, set_tcp_options
 
 __all__ = [
-    "MAX_DATAGRAM_BYTES",
     "AnswerStream",
     "DatagramSocket",
     "Exchange",
@@ -31,6 +30,7 @@
     "HttpLimits",
     "HttpRequest",
     "HttpServer",
+    "PendingRequests",
     "RawRequest",
     "Responder",
     "describe_refusal",
--- a/hibiscustiller/wire/_datagrams.py
+++ b/hibiscustiller/wire/_datagrams.py
@@ -5,7 +5,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from datetime import timedelta
 from typing import Any
 
 import curio
@@ -14,6 +17,7 @@
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import RouterId, log_event
+from hibiscustiller.wire._deadlines import wait_at_most
 from hibiscustiller.wire._messages_generated import (
     Message,
     decode_message,
@@ -21,7 +25,7 @@
 )
 
 # Below the longest datagram of UDP over IPv4, with room for headers.
-MAX_DATAGRAM_BYTES = 60000
+_MAX_DATAGRAM_BYTES = 60000
 
 DatagramHandler = Callable[[RouterId, Address, Any], Awaitable[None]]
 
@@ -71,7 +75,7 @@
     async def run(self) -> None:
         """Take messages until cancelled."""
         while True:
-            data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            data, sender = await self._socket.recvfrom(_MAX_DATAGRAM_BYTES)
             try:
                 router_id, message = decode_message(data)
             except WireFormatError as error:
@@ -97,3 +101,56 @@
                 kind=type(message).__name__,
                 reason=repr(error),
             )
+
+
+class PendingRequest:
+    """A request to another router whose answers are awaited.
+
+    :param request_id: its number, which answers repeat.
+    """
+
+    def __init__(self, request_id: int) -> None:
+        self.id = request_id
+        self._answers: curio.Queue = curio.Queue()
+
+    async def wait(self, timeout: timedelta) -> Any:
+        """Return the next answer.
+
+        :raises TimeoutError: if none comes in time; the request or its answer may be
+            lost.
+        """
+        return await wait_at_most(timeout, self._answers.get())
+
+    async def put(self, answer: Message) -> None:
+        """Hand over an answer."""
+        await self._answers.put(answer)
+
+
+class PendingRequests:
+    """The requests to other routers that are not answered yet, by number.
+
+    :param random_state: source of the first number.
+    """
+
+    def __init__(self, random_state: random.Random) -> None:
+        # Late answers to an earlier process of this router must not count.
+        self._last_id = random_state.getrandbits(62)
+        self._by_id: dict[int, PendingRequest] = {}
+
+    @contextmanager
+    def open(self) -> Iterator[PendingRequest]:
+        """Take answers to a new request until the block ends."""
+        self._last_id += 1
+        request = self._by_id[self._last_id] = PendingRequest(self._last_id)
+        try:
+            yield request
+        finally:
+            del self._by_id[request.id]
+
+    async def take(self, request_id: int, answer: Message) -> bool:
+        """Hand over an answer; False if nobody waits for it any more."""
+        request = self._by_id.get(request_id)
+        if request is None:
+            return False
+        await request.put(answer)
+        return True
