Read current pages when watches fail and reads work

The changes since old pages come by a watch, so a store that cuts all watches kept the old configuration in force. After two failed watches the keys are read from current pages, as before.

--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -35,6 +35,8 @@
 _ALL_KEYS = ""
 # The shortest wait that the store takes: the answer holds what has changed already.
 _NO_WAIT = timedelta(milliseconds=1)
+# After so many failed watches in a row, keys are read instead.
+_MAX_FAILED_WATCHES = 2
 # Each call is charged. A silent connection is found by TCP probes, not by this.
 _WATCH_WAIT = timedelta(seconds=20)
 # Changes within this time share an answer; the bound on a change is two seconds. It
@@ -64,7 +66,8 @@
     :param log: keeps what was applied, for other routers.
     :param clock: source of waiting.
     :param random_state: spreads the retries of many hosts.
-    :param is_store_reachable: tells whether other calls to the store succeed.
+    :param may_retry_soon: tells whether other calls to the store succeed, or other
+        routers wait for this one.
     :param first_read_delay: pause before the first read.
     """
 
@@ -75,12 +78,14 @@
         log: ChangeLog,
         clock: Clock,
         random_state: random.Random,
-        is_store_reachable: Callable[[], bool] = lambda: False,
+        may_retry_soon: Callable[[], bool] = lambda: False,
         first_read_delay: timedelta = timedelta(0),
     ) -> None:
         self._first_read_delay = first_read_delay
-        self._is_store_reachable = is_store_reachable
+        self._may_retry_soon = may_retry_soon
         self._failures = 0
+        # Watches that have failed since the last one that did not.
+        self._failed_watches = 0
         self._store = store
         self._view = view
         self._log = log
@@ -183,18 +188,23 @@
         )
         self.is_cut_off = True
         self._failures += 1
-        # A store that cut a watch may have dropped its history, and a watch that waits
-        # learns so only with the next change. One that does not wait learns it at once.
-        self._must_catch_up = True
+        if self._failed_watches >= _MAX_FAILED_WATCHES:
+            # The store may cut all watches and still answer reads.
+            self._must_read = True
+        else:
+            # A store that cut a watch may have dropped its history, and a watch that
+            # waits learns so only with the next change; one that does not, at once.
+            self._must_catch_up = True
 
     def _choose_delay(self) -> timedelta:
         """Return the pause before the next attempt, with jitter."""
-        longest = _LONGEST_RETRY
-        if not self._is_store_reachable():
-            longest = _LONGEST_RETRY_WITHOUT_STORE
         # Bounded before the power, which grows without end.
         doublings = min(self._failures, 10)
-        bound = min(longest, _FIRST_RETRY * 2**doublings)
+        bound = _FIRST_RETRY * 2**doublings
+        if self._may_retry_soon():
+            return min(_LONGEST_RETRY, bound) * self._random_state.random()
+        # Full jitter would ask half as late on average.
+        bound = min(_LONGEST_RETRY_WITHOUT_STORE, bound)
         return bound * self._random_state.uniform(0.5, 1)
 
     async def restart(self) -> None:
@@ -240,7 +250,9 @@
             return None
         outcome = task.result
         if isinstance(outcome, Err):
+            self._failed_watches += 1
             raise outcome.err_value
+        self._failed_watches = 0
         return outcome.ok_value
 
     async def _try_wait(
@@ -260,7 +272,7 @@
         finally:
             self._is_reading = False
         self._note_answer()
-        self._must_read = False
+        self._must_read = self._must_catch_up = False
         servers = [
             change for change in found.items if change.key.startswith(SERVER_PREFIX)
         ]
@@ -276,12 +288,15 @@
         since then. Pages of all keys are fewer than those of each prefix.
         """
         old = await self._store.read_prefix(_ALL_KEYS, may_be_old=True)
-        try:
-            newer = await self._store.wait_changes(_ALL_KEYS, old.revision, _NO_WAIT)
-        except HistoryLostError as error:
-            log_event("history_lost", level="warning", reason=error)
-            return await self._store.read_prefix(_ALL_KEYS)
-        return _merge_changes(old, newer)
+        if self._failed_watches < _MAX_FAILED_WATCHES:
+            try:
+                newer = await self._wait(old.revision, _NO_WAIT)
+            except StoreUnavailableError as error:
+                log_event("changes_unknown", level="warning", reason=error)
+            else:
+                if newer is not None:
+                    return _merge_changes(old, newer)
+        return await self._store.read_prefix(_ALL_KEYS)
 
     def _find_difference(self, found: Changes) -> ChangeBatch:
         """Return what differs between the keys found and those known."""
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -177,7 +177,7 @@
             log,
             clock,
             random_state,
-            lambda: self.registration.is_reachable,
+            lambda: self.registration.is_reachable or self.relay.is_follower,
         )
         address = Address("127.0.0.1", 1000 + number)
         self.datagrams = MemoryDatagrams(fleet, self.router_id, address)
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -174,7 +174,7 @@
             log,
             clock,
             self._random_state,
-            lambda: self._registration.is_reachable,
+            lambda: self._registration.is_reachable or self._relay.is_follower,
             _FIRST_READ_DELAY if settings.is_first_start else timedelta(0),
         )
         self._relay = StoreRelay(
