--- a/hibiscustiller/discovery/__init__.py
+++ b/hibiscustiller/discovery/__init__.py
@@ -3,6 +3,7 @@
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
 from hibiscustiller.discovery._registration import Registration
 from hibiscustiller.discovery._relay import StoreRelay, choose_followers
+from hibiscustiller.discovery._snapshots import SnapshotExchange
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.discovery._watcher import FleetWatcher
 
@@ -13,6 +14,7 @@
     "FleetWatcher",
     "Peer",
     "Registration",
+    "SnapshotExchange",
     "StoreRelay",
     "choose_followers",
 ]
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -136,7 +136,7 @@
             return False
         return self._clock.monotonic() - self._first_read_at >= _RETURN_TIME
 
-    def replace_allocators(self, servers: Iterable[BackendServer]) -> None:
+    def replace_servers(self, servers: Iterable[BackendServer]) -> None:
         """Take a complete list of servers."""
         if self._first_read_at is None:
             self._first_read_at = self._clock.monotonic()
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -91,7 +91,8 @@
         self._log = log
         self._clock = clock
         self._random_state = random_state
-        self._revisions_by_key: dict[str, int] = {}
+        # The last change of each key that exists.
+        self._changes_by_key: dict[str, Change] = {}
         self._versions_by_key: dict[str, deque[tuple[int, bytes]]] = {}
         self._must_read = True
         # Whether changes since the revision may be missing without any sign of it.
@@ -146,6 +147,18 @@
             self._must_read = True
             await self.restart()
 
+    def make_snapshot(self) -> Changes:
+        """Return every key as it is known here."""
+        return Changes(tuple(self._changes_by_key.values()), self.revision)
+
+    async def adopt(self, snapshot: Changes) -> None:
+        """Begin with what another router knows, while the store cannot be read."""
+        if not self.has_read:
+            log_event("snapshot_adopted", revision=snapshot.revision)
+            await self._take_all(snapshot)
+            self._must_read, self._must_catch_up = False, True
+            await self.restart()
+
     async def take_batch(self, batch: ChangeBatch) -> None:
         """Apply changes that another router has seen, if they join the revision."""
         joins = batch.after == self.revision < batch.to
@@ -273,10 +286,14 @@
             self._is_reading = False
         self._note_answer()
         self._must_read = self._must_catch_up = False
+        await self._take_all(found)
+
+    async def _take_all(self, found: Changes) -> None:
+        """Take every key as it is now."""
         servers = [
             change for change in found.items if change.key.startswith(SERVER_PREFIX)
         ]
-        self._view.replace_allocators(self._decode_servers(servers))
+        self._view.replace_servers(self._decode_servers(servers))
         # The first page is the oldest; what changed since then is told again.
         log_event("store_read", revision=found.revision, servers=len(servers))
         await self._apply_batch(self._find_difference(found))
@@ -303,13 +320,13 @@
         keys = {change.key for change in found.items}
         removed = [
             Change(key, None, found.revision)
-            for key in self._revisions_by_key
+            for key in self._changes_by_key
             if key not in keys
         ]
         changed = [
             change
             for change in found.items
-            if change.revision > self._revisions_by_key.get(change.key, 0)
+            if change.revision > self._get_revision(change.key)
         ]
         return ChangeBatch(
             self.revision, found.revision, (*changed, *removed), is_difference=True
@@ -331,17 +348,21 @@
             await listener()
 
     def _apply_new(self, change: Change) -> None:
-        if change.revision <= self._revisions_by_key.get(change.key, 0):
+        if change.revision <= self._get_revision(change.key):
             return
         if change.value is None:
             self._versions_by_key.pop(change.key, None)
-            if self._revisions_by_key.pop(change.key, None) is None:
+            if self._changes_by_key.pop(change.key, None) is None:
                 return
         else:
-            self._revisions_by_key[change.key] = change.revision
+            self._changes_by_key[change.key] = change
             self._keep_version(change)
         self._apply(change)
 
+    def _get_revision(self, key: str) -> int:
+        known = self._changes_by_key.get(key)
+        return 0 if known is None else known.revision
+
     def _keep_version(self, change: Change) -> None:
         """Keep a large value, for differences from it."""
         assert change.value is not None
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -252,6 +252,8 @@
     :param max_value_bytes: longest value that the store takes.
     :param capacity: processor time of the host, in cores.
     :param is_first_start: whether the whole system starts for the first time.
+    :param inner: where the requests of other routers are served; None if nowhere.
+    :param seeds: where some other routers serve those; they may be down.
     """
 
     router_id: RouterId
@@ -270,3 +272,5 @@
     max_value_bytes: int
     capacity: float = 1.0
     is_first_start: bool = False
+    inner: Address | None = None
+    seeds: tuple[Address, ...] = ()
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -14,6 +14,7 @@
     FleetWatcher,
     Peer,
     Registration,
+    SnapshotExchange,
     StoreRelay,
 )
 from hibiscustiller.fleet import ClientLimits, HostSettings
@@ -168,6 +169,9 @@
             self._metrics,
         )
         log = ChangeLog()
+        first_read_delay = timedelta(0)
+        if settings.is_first_start:
+            first_read_delay = _FIRST_READ_DELAY
         self._watcher = FleetWatcher(
             store,
             self.view,
@@ -175,7 +179,7 @@
             clock,
             self._random_state,
             lambda: self._registration.is_reachable or self._relay.is_follower,
-            _FIRST_READ_DELAY if settings.is_first_start else timedelta(0),
+            first_read_delay,
         )
         self._relay = StoreRelay(
             settings.router_id,
@@ -197,6 +201,14 @@
             self.models.dispatch,
             self.models.list_allocators,
         )
+        self._snapshots = SnapshotExchange(
+            settings.seeds,
+            settings.inner,
+            self._watcher,
+            HttpClient(clock, _CONNECT_TIMEOUT),
+            clock,
+            first_read_delay,
+        )
         self._registration = Registration(
             Peer(
                 settings.router_id,
@@ -240,6 +252,11 @@
         self._readiness = HttpServer(
             settings.readiness, self._handle_readiness, _SMALL_LIMITS, "readiness"
         )
+        self._inner: HttpServer | None = None
+        if settings.inner is not None:
+            self._inner = HttpServer(
+                settings.inner, self._snapshots.handle, _SMALL_LIMITS, "inner"
+            )
         # Limits of a new document apply before its first request.
         self.view.subscribe(self._dispatcher.take_document)
 
@@ -247,11 +264,14 @@
         """Listen, and start to follow the store."""
         await self._datagrams.start()
         await self._readiness.start()
+        if self._inner is not None:
+            await self._inner.start()
         await self.front.start()
         await self.inspection.start()
         for run in (
             self.inspection.run,
             self._watcher.run,
+            self._snapshots.run,
             self._registration.run,
             self._placer.run,
             self._health.run,
@@ -295,6 +315,8 @@
         for task in self._tasks:
             await task.cancel()
         await self._readiness.close()
+        if self._inner is not None:
+            await self._inner.close()
         await self.inspection.stop()
         log_event("stopped", router=self._settings.router_id)
 
--- a/hibiscustiller/ingress/tests/test_health.py
+++ b/hibiscustiller/ingress/tests/test_health.py
@@ -221,7 +221,7 @@
         clock = SystemClock()
         self.name = name
         self.view = FleetView(clock, 2 * SECOND)
-        self.view.replace_allocators([engine])
+        self.view.replace_servers([engine])
         self.load = EngineLoad(clock)
         self.health = ServerHealth(clock, self.view.get_server, self._note)
         address = Address("127.0.0.1", find_free_port())
--- a/hibiscustiller/ingress/tests/test_parts.py
+++ b/hibiscustiller/ingress/tests/test_parts.py
@@ -101,7 +101,7 @@
 def make_view(*servers):
     clock = ManualClock()
     view = FleetView(clock, 2 * SECOND)
-    view.replace_allocators(servers)
+    view.replace_servers(servers)
     return clock, view
 
 
@@ -133,7 +133,7 @@
     a, b = make_engine("a", "large"), make_engine("b", "large")
     clock, view = make_view(a, b)
     view.note_store_returned()
-    view.replace_allocators([])
+    view.replace_servers([])
     assert len(view.list_servers("engines")) == 2
     view.apply_server(a)
     clock.advance(2.5 * SECOND)
--- a/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
+++ b/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
@@ -53,7 +53,7 @@
         random_state = random.Random(number)
         domain = DOMAINS[number % 2]
         self.view = FleetView(clock, 2 * SECOND)
-        self.view.replace_allocators(ENGINES)
+        self.view.replace_servers(ENGINES)
         self.load = EngineLoad(clock)
         self.choice = PipelineChoice(
             domain, self.load, clock, self.view.count_routers, random_state
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -62,6 +62,7 @@
     # "bounds" holds the time limits of the guarantees.
     bounds, store = values["bounds"], values["platform"]
     first_port, last_port = values["port_range"]
+    inner = values["listen"].get("control")
     return HostSettings(
         router_id=RouterId(values["node_name"]),
         domain=DomainId(values["zone"]),
@@ -82,6 +83,8 @@
         max_value_bytes=int(store["value_bytes"]),
         capacity=_read_capacity(values.get("limits", {})),
         is_first_start=bool(values.get("bootstrap", False)),
+        inner=parse_address(inner) if inner else None,
+        seeds=tuple(parse_address(seed) for seed in values.get("seeds") or ()),
     )
 
 
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -604,6 +604,28 @@
     )
 
 
+@dataclass(frozen=True)
+class StoreSnapshot:
+    """A ``StoreSnapshot`` message."""
+
+    revision: int
+    changes: tuple[StoreChange, ...]
+
+
+def _write_StoreSnapshot(builder: Any, message: StoreSnapshot) -> None:
+    builder.revision = message.revision
+    items = builder.init("changes", len(message.changes))
+    for index, item in enumerate(message.changes):
+        _write_StoreChange(items[index], item)
+
+
+def _read_StoreSnapshot(reader: Any) -> StoreSnapshot:
+    return StoreSnapshot(
+        revision=reader.revision,
+        changes=tuple(_read_StoreChange(item) for item in reader.changes),
+    )
+
+
 @dataclass(frozen=True)
 class PlaceRequest:
     """A ``PlaceRequest`` message."""
@@ -862,6 +884,7 @@
     | PlaceSummary
     | RepeatRequest
     | RepeatAnswer
+    | StoreSnapshot
 )
 
 _WRITERS: dict[type, tuple[str, Any]] = {
@@ -888,6 +911,7 @@
     PlaceSummary: ("placeSummary", _write_PlaceSummary),
     RepeatRequest: ("repeatRequest", _write_RepeatRequest),
     RepeatAnswer: ("repeatAnswer", _write_RepeatAnswer),
+    StoreSnapshot: ("storeSnapshot", _write_StoreSnapshot),
 }
 _READERS: dict[str, Any] = {
     "hello": _read_Hello,
@@ -913,6 +937,7 @@
     "placeSummary": _read_PlaceSummary,
     "repeatRequest": _read_RepeatRequest,
     "repeatAnswer": _read_RepeatAnswer,
+    "storeSnapshot": _read_StoreSnapshot,
 }
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -28,6 +28,7 @@
     placeSummary @21 :PlaceSummary;
     repeatRequest @22 :RepeatRequest;
     repeatAnswer @23 :RepeatAnswer;
+    storeSnapshot @24 :StoreSnapshot;
   }
 }
 
@@ -186,7 +187,7 @@
   key @0 :Text;
   revision @1 :UInt64;
   deleted @2 :Bool;
-  # Compressed with zlib.
+  # Compressed with zlib, except in a snapshot, which is compressed as a whole.
   value @3 :Data;
   # The value is the difference from that of this revision; 0 if it is whole.
   baseRevision @4 :UInt64;
@@ -205,6 +206,12 @@
   changes @5 :List(StoreChange);
 }
 
+# Every key of the store as the sender knows it, with whole values.
+struct StoreSnapshot {
+  revision @0 :UInt64;
+  changes @1 :List(StoreChange);
+}
+
 # Asks the router that gives out a failure domain's pipelines for a place in one.
 struct PlaceRequest {
   # Chosen by the sender; a repeated request has the same one.
