Let requests that met several deaths together start again in turns

Now all requests at a death that have met another one start a second apart, in an order on which the routers agree, 0.3 s after the death so that reports have arrived. After a first death nobody waits. A unit test of two routers fails on the former code.

--- a/hibiscustiller/streams/_crashes.py
+++ b/hibiscustiller/streams/_crashes.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import hashlib
+from bisect import bisect_left
 from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -44,10 +45,13 @@
 # A request that is alone at this many deaths is quarantined even if it got past
 # each of them; two are met by chance when hosts fail one after the other.
 _MAX_PASSED_DEATHS = 2
-# Suspects of one death whose quarantine was lifted start again one after the other. A
-# request that crashes servers does so at once; others finish a part of their answer.
+# Suspects that met several deaths together, or whose quarantine was lifted, start again
+# one after the other. A request that crashes servers does so at once; others finish a
+# part of their answer.
 _TURN = timedelta(seconds=1)
 _MAX_TURNS = 3
+# Until then other routers have told which of their requests met the death.
+_REPORT_TIME = timedelta(milliseconds=300)
 _MAX_TEXT = 128
 _MS = timedelta(milliseconds=1)
 _ZERO = timedelta(0)
@@ -315,6 +319,7 @@
             self._review(server)
             return
         self._suspect(fingerprint, server, death, at).position = None
+        self._stagger(death, at)
         self._review(server)
         alone = [
             known
@@ -324,6 +329,30 @@
         if len(alone) > 1:
             self._convict(fingerprint, server, death, at)
 
+    def _list_repeated(self, death: _Death, at: timedelta) -> list[Fingerprint]:
+        """Return the requests at a death that have met another one as well, in order.
+
+        All routers that know of them agree on the order.
+        """
+        return sorted(
+            fingerprint
+            for fingerprint in death.list_together(at)
+            if (suspect := self._find_evidence(fingerprint)) is not None
+            and len(suspect.deaths_by_server) > 1
+        )
+
+    def _stagger(self, death: _Death, at: timedelta) -> None:
+        """Let requests that met several deaths together start again in turns.
+
+        Each router keeps its own suspects apart only. Two of different routers could
+        meet death after death together, so that neither can be blamed.
+        """
+        for number, fingerprint in enumerate(self._list_repeated(death, at)):
+            wait = _REPORT_TIME + min(_MAX_TURNS, number) * _TURN
+            turn = death.met_at[fingerprint] + wait
+            self._turns[fingerprint] = max(turn, self._turns.get(fingerprint, _ZERO))
+        _trim(self._turns, self._capacity)
+
     def _apply_quarantine(
         self, fingerprint: Fingerprint, server: ServerId, age: timedelta
     ) -> None:
@@ -333,6 +362,7 @@
         suspect.position = None
         time = self._quarantine_time - max(age, _ZERO)
         self._quarantine(fingerprint, time, _Conviction(suspect, server, death, at))
+        self._stagger(death, at)
 
     def _convict(
         self,
@@ -381,7 +411,8 @@
         self._quarantine_reports.pop(fingerprint, None)
         self._suspects[fingerprint] = conviction.suspect
         _trim(self._suspects, self._capacity)
-        turn = min(_MAX_TURNS, sorted(together).index(fingerprint))
+        repeated = self._list_repeated(conviction.death, conviction.at)
+        turn = min(_MAX_TURNS, bisect_left(repeated, fingerprint))
         self._turns[fingerprint] = self._clock.monotonic() + turn * _TURN
         _trim(self._turns, self._capacity)
         self._forget_occupied()
@@ -407,6 +438,7 @@
         for fingerprint, position in positions.items():
             self._suspect(fingerprint, server, death, now).position = position
             self._report(fingerprint, server, CrashEvent.SUSPECTED)
+        self._stagger(death, now)
 
     def _find_culprit(
         self, server: ServerId, fingerprints: Collection[Fingerprint]
--- a/hibiscustiller/streams/_runner.py
+++ b/hibiscustiller/streams/_runner.py
@@ -154,8 +154,8 @@
             _FIRST_RETRY_DELAY, _LAST_RETRY_DELAY, self._random_state
         )
         while True:
-            turn = self._registry.get_turn(fingerprint)
-            if turn > timedelta(0):
+            # Other routers' reports may put it off further.
+            while (turn := self._registry.get_turn(fingerprint)) > timedelta(0):
                 await self._clock.sleep(turn)
             quarantine = self._registry.get_quarantine(fingerprint)
             if quarantine is not None:
--- a/hibiscustiller/streams/tests/test_crashes.py
+++ b/hibiscustiller/streams/tests/test_crashes.py
@@ -186,6 +186,43 @@
         assert not registry.is_suspect("innocent")
 
 
+def test_requests_that_meet_several_deaths_together_start_again_in_turns():
+    """Guards against suspects of different routers that meet death after death.
+
+    Seen with seed 43 of the fault runs: a request that crashes engines and two others
+    of another router died at three engines together, so that none could be blamed.
+    """
+    first, clock = _make_registry()
+    second = CrashRegistry(clock)
+    registries_by_name = {"killer": first, "x": second, "y": second}
+
+    def list_turns():
+        found = registries_by_name.items()
+        return sorted(registry.get_turn(name) for name, registry in found)
+
+    for server in ("s1", "s2"):
+        # Suspects share a server here only because they started elsewhere.
+        runs = [second.try_start(name, {name}, 0) for name in "xy"]
+        for run in runs:
+            second.note_ended(run)
+            run.servers = frozenset({server})
+            second._runs_by_server.setdefault(server, set()).add(run)
+        _kill(first, server, *_start(first, "killer", server=server))
+        _kill(second, server, *runs)
+        _exchange(first, second)
+        if server == "s1":
+            # One death is an ordinary failure, after which nobody waits.
+            assert list_turns() == [timedelta(0)] * 3
+    turns = list_turns()
+    assert turns[1] - turns[0] >= timedelta(seconds=1)
+    assert turns[2] - turns[1] >= timedelta(seconds=1)
+    clock.advance(first.get_turn("killer"))
+    _kill(first, "s3", *_start(first, "killer", server="s3"))
+    _exchange(first, second)
+    assert first.get_quarantine("killer") is not None
+    assert second.get_quarantine("killer") is not None
+
+
 def test_quarantine_holds_beside_a_request_without_earlier_deaths():
     """Guards against a killer that is let go because anything ran beside it."""
     registries = first, second = [_make_registry()[0] for _ in range(2)]
