Leave a link too narrow for all to the pipeline with the fewest crossings

Where no pipeline had room for one request, the first one stayed whatever its share of the link, and a share of nothing divided by zero in the choice (found in the reading of the diff; the test fails on the former code).

--- a/hibiscustiller/layers/_choice.py
+++ b/hibiscustiller/layers/_choice.py
@@ -67,7 +67,7 @@
         """Take the pipelines found from a new view of the fleet.
 
         Pipelines for which the link between domains has no room are left out, unless
-        there are no others.
+        there are no others; then the one that gets most of the link stays.
         """
         self.spec = spec
         shares = share_link(spec, pipelines)
@@ -82,7 +82,10 @@
             if limits.get(pipeline.server_ids, math.inf) >= spec.usual_tokens
         )
         self._link_limits = limits
-        self.pipelines = fitting or pipelines[:1]
+        if pipelines and not fitting:
+            widest = max(pipelines, key=lambda pipeline: limits[pipeline.server_ids])
+            fitting = (widest,)
+        self.pipelines = fitting
         known = {pipeline.server_ids for pipeline in self.pipelines}
         self._observed = {
             key: value for key, value in self._observed.items() if key in known
--- a/hibiscustiller/layers/tests/test_full_link_between_domains.py
+++ b/hibiscustiller/layers/tests/test_full_link_between_domains.py
@@ -110,6 +110,23 @@
     assert play(trickle, engines, per_s=1, seconds=1)
 
 
+def test_a_link_too_narrow_for_all_is_left_to_the_fewest_crossings():
+    """Guards against a failure, or no service, where no pipeline has its share."""
+    trickle = replace(SPEC, pipe_mbps=10.0)
+    (once,) = find_pipelines(trickle, make_cover("once", "south", "south", "east"))
+    (twice,) = find_pipelines(trickle, make_cover("twice", "north", "east", "north"))
+    clock = ManualClock()
+    load = EngineLoad(clock)
+    choice = PipelineChoice("north", load, clock)
+    choice.replace(trickle, (twice, once))
+    assert choice.choose(SPEC.usual_tokens, None) == once
+    load.add(once, SPEC.usual_tokens)
+    assert choice.choose(SPEC.usual_tokens, None) is None
+    # A stream that has lost its place may go beyond the limit.
+    found = choice.choose(SPEC.usual_tokens, None, must_have_room=False)
+    assert found == once
+
+
 def test_no_cover_is_loaded_that_the_link_cannot_feed():
     """Guards against loads for spares of several domains that then fill the link."""
     domains = ("north", "east", "south", "west")
--- a/hibiscustiller/utils/tests/test_utils.py
+++ b/hibiscustiller/utils/tests/test_utils.py
@@ -11,6 +11,7 @@
 
 from hibiscustiller.exceptions import InvariantError
 from hibiscustiller.utils import (
+    BackedOff,
     ManualClock,
     Verdict,
     check_invariant,
@@ -107,5 +108,21 @@
     assert lines[1].endswith("level=warning event=known a=1")
 
 
+def test_who_failed_is_left_alone_for_its_time_only():
+    """Guards against a router that is asked again at once, or never again."""
+    clock = ManualClock()
+    backed_off = BackedOff(clock)
+    assert "a" not in backed_off
+    backed_off.add("a", timedelta(seconds=2))
+    assert "a" in backed_off and "b" not in backed_off
+    clock.advance(timedelta(seconds=1))
+    # A later failure counts from its own moment.
+    backed_off.add("a", timedelta(seconds=2))
+    clock.advance(timedelta(seconds=1.5))
+    assert "a" in backed_off
+    clock.advance(timedelta(seconds=1))
+    assert "a" not in backed_off
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
