--- a/hibiscustiller/ingress/tests/test_restart_without_store.py
+++ b/hibiscustiller/ingress/tests/test_restart_without_store.py
@@ -30,7 +30,11 @@
     """Some gateways that know each other's addresses beside one store."""
 
     async def start_gateway(self):
-        self.inner = [Address("127.0.0.1", find_free_port()) for _ in range(COUNT)]
+        # Known before the start. No other socket of this machine uses these addresses,
+        # and connections of other tests may use any port of the usual one.
+        self.inner = [
+            Address(f"127.0.7.{n + 1}", find_free_port()) for n in range(COUNT)
+        ]
         self.gateways = [await self.start_numbered(number) for number in range(COUNT)]
         self.gateway = self.gateways[0]
         await self.wait_until(lambda: all(g.is_ready for g in self.gateways))
