Share the memory and link estimates of a pipeline, and bounded decompression

From reading the whole change again; decisions and figures stay as they are. - The tokens that fit a pipeline and the time of one token were computed in the link's share and in placement although a Pipeline has them: count_memory_tokens beside estimate_token_time.

--- a/hibiscustiller/configuration/_sync.py
+++ b/hibiscustiller/configuration/_sync.py
@@ -43,6 +43,7 @@
     InvariantError,
     SettingsError,
     StoreUnavailableError,
+    WireFormatError,
 )
 from hibiscustiller.membership import PeerTransport
 from hibiscustiller.platform import Entry, KeyValueStore, Watch
@@ -57,7 +58,7 @@
     log_event,
     rank_by_rendezvous,
 )
-from hibiscustiller.wire import wait_at_most
+from hibiscustiller.wire import decompress_bounded, wait_at_most
 from hibiscustiller.wire._messages_generated import (
     ConfigChange,
     ConfigPoint,
@@ -344,7 +345,7 @@
             return
         try:
             sections = parse_sections(_unpack(message.document), f"peer {sender}")
-        except (zlib.error, UnicodeDecodeError, SettingsError) as error:
+        except (WireFormatError, UnicodeDecodeError, SettingsError) as error:
             log_event("configuration_snapshot_unreadable", peer=sender, error=error)
             return
         if self._put_in_force(sections, own.revision, own.digest):
@@ -682,9 +683,4 @@
 
 
 def _unpack(data: bytes) -> str:
-    # The bound keeps a damaged or hostile message from filling the memory.
-    unpacker = zlib.decompressobj()
-    text = unpacker.decompress(data, MAX_DOCUMENT_BYTES * 2)
-    if not unpacker.eof:
-        raise zlib.error("the document is cut off or too large")
-    return text.decode()
+    return decompress_bounded(data, MAX_DOCUMENT_BYTES * 2).decode()
--- a/hibiscustiller/discovery/_deltas.py
+++ b/hibiscustiller/discovery/_deltas.py
@@ -10,7 +10,11 @@
 import zlib
 
 from hibiscustiller.exceptions import WireFormatError
+from hibiscustiller.wire import decompress_bounded
 
+# Some hundred times the keys of a large fleet, and far more than the store's longest
+# value.
+MAX_UNPACKED_BYTES = 32 << 20
 _CUT = b"}"
 _NUMBER_BYTES = 4
 
@@ -46,10 +50,7 @@
 
     :raises WireFormatError: if the delta does not fit the value.
     """
-    try:
-        data = zlib.decompress(delta)
-    except zlib.error as error:
-        raise WireFormatError(f"delta cannot be read: {error}") from error
+    data = decompress_bounded(delta, MAX_UNPACKED_BYTES)
     parts = before.split(_CUT)
     found: list[bytes] = []
     position = 0
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -18,7 +18,11 @@
 import curio
 
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
-from hibiscustiller.discovery._deltas import apply_delta, make_delta
+from hibiscustiller.discovery._deltas import (
+    MAX_UNPACKED_BYTES,
+    apply_delta,
+    make_delta,
+)
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.discovery._watcher import LARGE_VALUE_BYTES, FleetWatcher
 from hibiscustiller.exceptions import WireFormatError
@@ -32,7 +36,7 @@
     log_event,
     rank_by_rendezvous,
 )
-from hibiscustiller.wire import DatagramSocket
+from hibiscustiller.wire import DatagramSocket, decompress_bounded
 from hibiscustiller.wire._messages_generated import (
     FollowRequest,
     StoreChange,
@@ -320,12 +324,14 @@
     def _unpack_change(self, change: StoreChange) -> Change:
         """Decode a change.
 
-        :raises WireFormatError: if it differs from a value that is not known here.
+        :raises WireFormatError: if it is damaged, or differs from a value that is not
+            known here.
         """
         if change.deleted:
             return Change(change.key, None, change.revision)
         if not change.base_revision:
-            return Change(change.key, zlib.decompress(change.value), change.revision)
+            value = decompress_bounded(change.value, MAX_UNPACKED_BYTES)
+            return Change(change.key, value, change.revision)
         base = self._watcher.find_version(change.key, change.base_revision)
         if base is None or base[0] != change.base_revision:
             raise WireFormatError(f"no revision {change.base_revision} of {change.key}")
@@ -356,7 +362,7 @@
             return
         try:
             items = tuple(self._unpack_change(change) for change in message.changes)
-        except (WireFormatError, zlib.error) as error:
+        except WireFormatError as error:
             log_event("change_unreadable", level="warning", reason=error)
             await self._watcher.read_again()
             return
--- a/hibiscustiller/discovery/_snapshots.py
+++ b/hibiscustiller/discovery/_snapshots.py
@@ -14,12 +14,18 @@
 
 import curio
 
+from hibiscustiller.discovery._deltas import MAX_UNPACKED_BYTES
 from hibiscustiller.discovery._watcher import FleetWatcher
 from hibiscustiller.exceptions import TransportError, WireFormatError
 from hibiscustiller.platform import Change, Changes
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, log_event
-from hibiscustiller.wire import HttpClient, HttpRequest, Responder
+from hibiscustiller.wire import (
+    HttpClient,
+    HttpRequest,
+    Responder,
+    decompress_bounded,
+)
 from hibiscustiller.wire._messages_generated import (
     StoreChange,
     StoreSnapshot,
@@ -35,8 +41,6 @@
 _RETRY_PERIOD = timedelta(seconds=1)
 # A snapshot of some hundred servers takes a tenth of this on a slow link.
 _TIMEOUT = timedelta(seconds=1)
-# Some hundred times the keys of a large fleet.
-_MAX_BYTES = 32 << 20
 
 
 class SnapshotExchange:
@@ -118,14 +122,7 @@
 
     :raises WireFormatError: if the bytes are none.
     """
-    reader = zlib.decompressobj()
-    try:
-        encoded = reader.decompress(data, _MAX_BYTES)
-    except zlib.error as error:
-        raise WireFormatError(f"snapshot cannot be read: {error}") from error
-    if not reader.eof:
-        raise WireFormatError("snapshot is cut off or too long")
-    _, message = decode_message(encoded)
+    _, message = decode_message(decompress_bounded(data, MAX_UNPACKED_BYTES))
     if not isinstance(message, StoreSnapshot) or message.revision <= 0:
         raise WireFormatError("the answer is no snapshot")
     items = tuple(
--- a/hibiscustiller/layers/_capacity.py
+++ b/hibiscustiller/layers/_capacity.py
@@ -25,6 +25,14 @@
     return count_token_layers(spec, kind, width) / width if width else 0.0
 
 
+def estimate_transfer_s(spec: EngineSpec, tokens: float) -> float:
+    """Return how long tokens occupy the link between domains at a crossing.
+
+    :returns: seconds.
+    """
+    return tokens * spec.activation_bytes * 8 / (spec.pipe_mbps * 1e6)
+
+
 def find_width(spec: EngineSpec, kind: AcceleratorKind, tokens: float) -> int:
     """Return the most layers that leave room for a number of tokens."""
     layer_bytes = spec.layer_mb * _MB + tokens * spec.layer_token_bytes
--- a/hibiscustiller/layers/_choice.py
+++ b/hibiscustiller/layers/_choice.py
@@ -14,7 +14,7 @@
 from datetime import timedelta
 
 from hibiscustiller.fleet import EngineSpec
-from hibiscustiller.layers._link import count_memory_tokens, share_link
+from hibiscustiller.layers._link import share_link
 from hibiscustiller.layers._load import EngineLoad
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.utils import Clock, DomainId, ServerId
@@ -72,7 +72,7 @@
         self.spec = spec
         shares = share_link(spec, pipelines)
         limits = {
-            pipeline.server_ids: share * count_memory_tokens(spec, pipeline)
+            pipeline.server_ids: share * pipeline.count_memory_tokens(spec)
             for pipeline, share in zip(pipelines, shares, strict=True)
             if share < 1
         }
--- a/hibiscustiller/layers/_link.py
+++ b/hibiscustiller/layers/_link.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from itertools import pairwise
 
 from hibiscustiller.fleet import EngineSpec
-from hibiscustiller.layers._capacity import count_token_layers, estimate_token_time
+from hibiscustiller.layers._capacity import estimate_transfer_s
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.utils import check_invariant
 
@@ -21,18 +22,7 @@
 def count_crossings(pipeline: Pipeline) -> int:
     """Return how often a pipeline goes from one failure domain to another."""
     domains = [server.domain for server in pipeline.servers]
-    return sum(one != other for one, other in zip(domains, domains[1:], strict=False))
-
-
-def count_memory_tokens(spec: EngineSpec, pipeline: Pipeline) -> float:
-    """Return how many tokens fit at every engine of a pipeline."""
-    return min(
-        count_token_layers(
-            spec, spec.kinds_by_name[stage.server.kind], stage.server.layers.width
-        )
-        / stage.layers.width
-        for stage in pipeline.stages
-    )
+    return sum(one != other for one, other in pairwise(domains))
 
 
 def share_link(spec: EngineSpec, pipelines: Sequence[Pipeline]) -> list[float]:
@@ -56,15 +46,10 @@
 
 def _estimate_link_use(spec: EngineSpec, pipeline: Pipeline, crossings: int) -> float:
     """Return the share of time for which a full pipeline would use the link."""
-    requests = min(
-        float(spec.slots), count_memory_tokens(spec, pipeline) / spec.usual_tokens
-    )
-    bits = (spec.usual_prompt + spec.usual_answer) * spec.activation_bytes * 8
-    transfer_s = crossings * bits / (spec.pipe_mbps * 1e6)
-    widths = [
-        (spec.kinds_by_name[stage.server.kind], stage.layers.width)
-        for stage in pipeline.stages
-    ]
-    token_time = estimate_token_time(spec, widths, 1, spec.usual_tokens)
+    tokens = pipeline.count_memory_tokens(spec)
+    requests = min(float(spec.slots), tokens / spec.usual_tokens)
+    moved = spec.usual_prompt + spec.usual_answer
+    transfer_s = crossings * estimate_transfer_s(spec, moved)
+    token_time = pipeline.estimate_token_time(spec, 1, spec.usual_tokens)
     life_s = transfer_s + spec.usual_answer * token_time.total_seconds()
     return requests * transfer_s / life_s
--- a/hibiscustiller/layers/_pipelines.py
+++ b/hibiscustiller/layers/_pipelines.py
@@ -10,7 +10,11 @@
 from datetime import timedelta
 
 from hibiscustiller.fleet import BackendServer, EngineSpec, LayerRange
-from hibiscustiller.layers._capacity import estimate_token_time
+from hibiscustiller.layers._capacity import (
+    count_token_layers,
+    estimate_token_time,
+    estimate_transfer_s,
+)
 from hibiscustiller.utils import ServerId, check_invariant
 
 _START = 0
@@ -56,6 +60,19 @@
         """The ids of the engines in order."""
         return tuple(server.id for server in self.servers)
 
+    def count_memory_tokens(self, spec: EngineSpec) -> float:
+        """Return how many tokens fit at every engine.
+
+        An engine that runs a part of what it holds has room for more.
+        """
+        return min(
+            count_token_layers(
+                spec, spec.kinds_by_name[stage.server.kind], stage.server.layers.width
+            )
+            / stage.layers.width
+            for stage in self.stages
+        )
+
     def estimate_token_time(
         self, spec: EngineSpec, sequences: float, tokens: float
     ) -> timedelta:
@@ -192,9 +209,7 @@
 
 def _estimate_crossing(spec: EngineSpec) -> float:
     """Return the cost of a hop between failure domains, in seconds for a token."""
-    prompt_bits = spec.usual_prompt * spec.activation_bytes * 8
-    transfer = prompt_bits / (spec.pipe_mbps * 1e6)
-    share = transfer / max(1.0, spec.usual_answer)
+    share = estimate_transfer_s(spec, spec.usual_prompt) / max(1.0, spec.usual_answer)
     return spec.domain_delay.total_seconds() + share * _SHARED_LINK_FACTOR
 
 
--- a/hibiscustiller/layers/_placement.py
+++ b/hibiscustiller/layers/_placement.py
@@ -13,7 +13,6 @@
 
 from hibiscustiller.fleet import BackendServer, EngineSpec, LayerRange
 from hibiscustiller.layers._capacity import (
-    count_token_layers,
     count_tokens,
     estimate_token_time,
     find_width,
@@ -277,11 +276,11 @@
     unused_by_kind = {s.kind: s for s in spares if s.id not in used}
     steps = []
     for pipeline in pipelines:
-        present = _measure_rate(spec, pipeline.stages)
+        present = _measure_rate(spec, pipeline)
         for server in unused_by_kind.values():
             for layers in _list_takeovers(spec, pipeline, server):
-                stages = _take_over(pipeline, replace(server, layers=layers))
-                gain = _measure_rate(spec, stages) / present
+                changed = _take_over(pipeline, replace(server, layers=layers))
+                gain = _measure_rate(spec, changed) / present
                 if gain > _STEP_GAIN:
                     steps.append((gain, server.id, layers))
     present = _sum_rates(spec, pipelines)
@@ -336,7 +335,7 @@
 def _sum_rates(spec: EngineSpec, pipelines: Sequence[Pipeline]) -> float:
     shares = share_link(spec, pipelines)
     return sum(
-        share * _measure_rate(spec, pipeline.stages)
+        share * _measure_rate(spec, pipeline)
         for pipeline, share in zip(pipelines, shares, strict=True)
     )
 
@@ -360,8 +359,8 @@
     ]
 
 
-def _take_over(pipeline: Pipeline, server: BackendServer) -> list[Stage]:
-    """Return a pipeline's stages with an engine's layers run by that engine."""
+def _take_over(pipeline: Pipeline, server: BackendServer) -> Pipeline:
+    """Return a pipeline with an engine's layers run by that engine."""
     taken = server.layers
     stages = []
     for stage in pipeline.stages:
@@ -373,21 +372,15 @@
             stages.append(Stage(server, taken))
         if after.width > 0:
             stages.append(Stage(stage.server, after))
-    return stages
+    return Pipeline(tuple(stages))
 
 
-def _measure_rate(spec: EngineSpec, stages: Sequence[Stage]) -> float:
-    """Estimate the tokens a second of stages when their request memory is full."""
-    widths = [
-        (spec.kinds_by_name[stage.server.kind], stage.layers.width) for stage in stages
-    ]
-    # An engine that runs a part of what it holds has room for more tokens.
-    tokens = min(
-        count_token_layers(spec, kind, stage.server.layers.width) / width
-        for stage, (kind, width) in zip(stages, widths, strict=True)
-    )
+def _measure_rate(spec: EngineSpec, pipeline: Pipeline) -> float:
+    """Estimate the tokens a second of a pipeline when its request memory is full."""
+    tokens = pipeline.count_memory_tokens(spec)
     sequences = min(float(spec.slots), tokens / spec.usual_tokens)
-    time = estimate_token_time(spec, widths, sequences, sequences * spec.usual_tokens)
+    held = sequences * spec.usual_tokens
+    time = pipeline.estimate_token_time(spec, sequences, held)
     return sequences / time.total_seconds()
 
 
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -416,7 +416,6 @@
             request = await self._read_or_refuse(connection, sock, responder)
             if request is None:
                 return
-            self._new_tasks.discard(await curio.current_task())
             responder.is_head = request.method == "HEAD"
             responder.should_close = lambda: self._is_ending
             await self._handle_request(request, responder, sock.fileno())
@@ -452,7 +451,9 @@
         self, request: HttpRequest, responder: Responder, fd: int
     ) -> None:
         self._busy_count += 1
-        self._busy_tasks_by_fd[fd] = await curio.current_task()
+        task = await curio.current_task()
+        self._new_tasks.discard(task)
+        self._busy_tasks_by_fd[fd] = task
         try:
             await self.handle(request, responder)
         except TransportError as error:
