--- a/hibiscustiller/configuration/_sync.py
+++ b/hibiscustiller/configuration/_sync.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -58,7 +57,7 @@
     log_event,
     rank_by_rendezvous,
 )
-from hibiscustiller.wire import decompress_bounded, wait_at_most
+from hibiscustiller.wire import compress, decompress_bounded, wait_at_most
 from hibiscustiller.wire._messages_generated import (
     ConfigChange,
     ConfigPoint,
@@ -444,7 +443,7 @@
     def _make_snapshot(self) -> ConfigSnapshot:
         if self._packed[0] != self.digest:
             text = format_sections(self._current.sections)
-            self._packed = (self.digest, zlib.compress(text.encode()))
+            self._packed = (self.digest, compress(text.encode()))
         return ConfigSnapshot(
             revision=self.revision,
             document=self._packed[1],
--- a/hibiscustiller/discovery/_deltas.py
+++ b/hibiscustiller/discovery/_deltas.py
@@ -7,10 +7,8 @@
 
 from __future__ import annotations
 
-import zlib
-
 from hibiscustiller.exceptions import WireFormatError
-from hibiscustiller.wire import decompress_bounded
+from hibiscustiller.wire import compress, decompress_bounded
 
 # Some hundred times the keys of a large fleet, and far more than the store's longest
 # value.
@@ -42,7 +40,7 @@
         for number in (first, count, len(new), len(joined)):
             data += number.to_bytes(_NUMBER_BYTES)
         data += joined
-    return zlib.compress(bytes(data), 1)
+    return compress(bytes(data))
 
 
 def apply_delta(before: bytes, delta: bytes) -> bytes:
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import random
-import zlib
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -36,7 +35,7 @@
     log_event,
     rank_by_rendezvous,
 )
-from hibiscustiller.wire import DatagramSocket, decompress_bounded
+from hibiscustiller.wire import DatagramSocket, compress, decompress_bounded
 from hibiscustiller.wire._messages_generated import (
     FollowRequest,
     StoreChange,
@@ -316,7 +315,7 @@
                 base_revision = base[0]
                 value = make_delta(base[1], value)
         if not base_revision:
-            value = zlib.compress(value, 1)
+            value = compress(value)
         return StoreChange(
             change.key, change.revision, change.value is None, value, base_revision
         )
--- a/hibiscustiller/discovery/_snapshots.py
+++ b/hibiscustiller/discovery/_snapshots.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Collection
 from datetime import timedelta
 
@@ -24,6 +23,7 @@
     HttpClient,
     HttpRequest,
     Responder,
+    compress,
     decompress_bounded,
 )
 from hibiscustiller.wire._messages_generated import (
@@ -114,7 +114,7 @@
         for change in snapshot.items
     )
     data = encode_message("", StoreSnapshot(snapshot.revision, changes))
-    return zlib.compress(data, 1)
+    return compress(data)
 
 
 def decode_snapshot(data: bytes) -> Changes:
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 on both sides, and the framed messages between routers."""
 
-from hibiscustiller.wire._compression import decompress_bounded
+from hibiscustiller.wire._compression import compress, decompress_bounded
 from hibiscustiller.wire._datagrams import DatagramSocket, PendingRequests
 from hibiscustiller.wire._deadlines import wait_at_most, wait_for_event
 from hibiscustiller.wire._http_client import (
@@ -34,6 +34,7 @@
     "PendingRequests",
     "RawRequest",
     "Responder",
+    "compress",
     "decompress_bounded",
     "describe_refusal",
     "is_readable",
--- a/hibiscustiller/wire/_compression.py
+++ b/hibiscustiller/wire/_compression.py
@@ -1,9 +1,17 @@
-"""Decompression of what other routers send."""
+"""Compression of what routers send to each other."""
 
 import zlib
 
 from hibiscustiller.exceptions import WireFormatError
 
+# Higher levels take several times as long for a few per cent of the bytes.
+_LEVEL = 1
+
+
+def compress(data: bytes) -> bytes:
+    """Compress bytes for another router."""
+    return zlib.compress(data, _LEVEL)
+
 
 def decompress_bounded(data: bytes, max_bytes: int) -> bytes:
     """Decompress bytes of zlib.
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -9,8 +9,12 @@
 import capnp
 
 from hibiscustiller.exceptions import WireFormatError
-from hibiscustiller.wire._packing import unpack_message
+from hibiscustiller.wire._compression import compress, decompress_bounded
 
+_WORD_BYTES = 8
+# The largest message is a snapshot of a document of 900 KB. A few compressed bytes can
+# stand for many zeros, so the decompressed size needs a bound of its own.
+_MAX_MESSAGE_BYTES = 4 << 20
 _MIN_TRAVERSED_WORDS = 64
 _SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
 
@@ -952,7 +956,7 @@
     envelope.sender = sender
     name, write = _WRITERS[type(message)]
     write(envelope.init(name), message)
-    return envelope.to_bytes_packed()
+    return compress(envelope.to_bytes())
 
 
 def _get_traversal_limit(words: bytes) -> int:
@@ -971,7 +975,9 @@
     :returns: id of the sending router, and the message.
     :raises WireFormatError: if the bytes are no valid envelope.
     """
-    words = unpack_message(data)
+    words = decompress_bounded(data, _MAX_MESSAGE_BYTES)
+    if len(words) % _WORD_BYTES:
+        raise WireFormatError(f"message of {len(words)} bytes ends within a word")
     try:
         with _SCHEMA.Envelope.from_bytes(
             words, traversal_limit_in_words=_get_traversal_limit(words)
--- a/hibiscustiller/wire/tests/test_messages.py
+++ b/hibiscustiller/wire/tests/test_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import sys
+import zlib
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -48,7 +49,7 @@
 
 
 def test_large_text_survives_the_wire():
-    """Guards against runs of words that are unpacked wrongly."""
+    """Guards against long texts that compression or its bound damages."""
     for text in ("x" * 900_000, "", "\0" * 100_000, "a\0\0\0\0\0\0\0" * 1000):
         message = messages.Leaving(text, 1)
         decoded = messages.decode_message(messages.encode_message("r1", message))
@@ -65,6 +66,10 @@
         b"\xff12345678\x01",
         b"\0\xff" * 100_000,
         ENCODED[0][:-1],
+        zlib.compress(b""),
+        zlib.compress(b"\0" * 7),
+        zlib.compress(b"\0" * 50_000_000),
+        zlib.compress(zlib.decompress(ENCODED[0])[:-8]),
     ]
     for data in cases:
         try:
@@ -97,5 +102,20 @@
     check_decoding(bytes(damaged[: length % (len(damaged) + 1)]))
 
 
+@FUZZ
+@given(
+    st.sampled_from(ENCODED),
+    st.lists(st.tuples(st.integers(0, 999), st.integers(0, 255)), max_size=6),
+    st.integers(0, 999),
+)
+def test_damaged_words_raise_only_wire_format_errors(data, changes, length):
+    """Guards against damage by a hostile sender that compression does not show."""
+    damaged = bytearray(zlib.decompress(data))
+    for position, value in changes:
+        damaged[position % len(damaged)] = value
+    check_decoding(zlib.compress(damaged))
+    check_decoding(zlib.compress(damaged[: length % (len(damaged) + 1)]))
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
