Pass on the length that a server tells in an answer without a body

Cause: answers to HEAD and 304 told a content-length of 0 whatever the server said, and 204 had one at all, which HTTP forbids. Found by the tests of copies behind such answers. Both tests fail without the change.

--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -38,7 +38,7 @@
     ServerId,
     Verdict,
 )
-from hibiscustiller.wire import Exchange, HttpClient, Responder
+from hibiscustiller.wire import Exchange, HttpClient, Responder, find_described_length
 
 # A repeatable request that takes this share of its target goes to a second server.
 _HEDGE_SHARE = 0.6
@@ -175,7 +175,10 @@
             "request_answered", status=answer.status, servers=",".join(attempts.tried)
         )
         await responder.send_fields(
-            answer.status, make_caller_fields(answer.fields), answer.body
+            answer.status,
+            make_caller_fields(answer.fields),
+            answer.body,
+            find_described_length(answer.fields),
         )
 
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -39,7 +39,7 @@
     ServerId,
     Verdict,
 )
-from hibiscustiller.wire import Exchange, HttpClient, Responder
+from hibiscustiller.wire import Exchange, HttpClient, Responder, find_described_length
 
 _OK = 200
 # A paused stream looks this often whether one of its stages is known to be lost.
@@ -359,7 +359,8 @@
         if exchange.status in PROMISING_STATUSES:
             return _Outcome.BROKEN
         fields = make_caller_fields(exchange.fields)
-        await _send(self._responder.send_fields(exchange.status, fields, body))
+        length = find_described_length(exchange.fields)
+        await _send(self._responder.send_fields(exchange.status, fields, body, length))
         return _Outcome.ANSWERED
 
     async def _pass_events(self, exchange: Exchange, grant: Grant) -> _Outcome:
--- a/hibiscustiller/ingress/tests/test_failures_elsewhere.py
+++ b/hibiscustiller/ingress/tests/test_failures_elsewhere.py
@@ -160,6 +160,8 @@
                         # The copy hid the answer of the only server.
                         continue
                     assert answer.status == (200 if method == "HEAD" else 304)
+                    length = str(len(request_id))
+                    assert answer.headers["content-length"] == length
                     assert answer.headers["request-id"] == request_id
                 assert statuses - {502}
             world.store.delete(f"servers/{name}")
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -9,6 +9,7 @@
     HttpAnswer,
     HttpClient,
     RawRequest,
+    find_described_length,
 )
 from hibiscustiller.wire._http_server import (
     Handler,
@@ -37,6 +38,7 @@
     "compress",
     "decompress_bounded",
     "describe_refusal",
+    "find_described_length",
     "is_readable",
     "make_refusal_headers",
     "open_connection",
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -8,7 +8,7 @@
 
 import json
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -546,6 +546,11 @@
             raise h11.RemoteProtocolError("connection closed before the answer")
 
 
+def find_described_length(fields: Iterable[tuple[bytes, bytes]]) -> bytes | None:
+    """Return the value of ``Content-Length``; None if there is none."""
+    return next((value for name, value in fields if name == b"content-length"), None)
+
+
 def _decode_headers(head: h11.Response) -> dict[str, str]:
     return {
         name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -42,7 +42,8 @@
 # CONNECT and unknown methods have no meaning for the services behind the router.
 _METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 # Answers with these statuses have no body, whatever the service behind them sent.
-_BODILESS_STATUSES = (204, 304)
+_NO_CONTENT = 204
+_BODILESS_STATUSES = (_NO_CONTENT, 304)
 _MAX_QUERY_FIELDS = 100
 _BAD_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
 _MAX_JSON_DEPTH_MESSAGE = "JSON is nested too deeply"
@@ -158,16 +159,26 @@
             headers=make_refusal_headers(refusal),
         )
 
-    async def send_fields(self, status: int, fields: Fields, body: bytes = b"") -> None:
+    async def send_fields(
+        self,
+        status: int,
+        fields: Fields,
+        body: bytes = b"",
+        described_length: bytes | None = None,
+    ) -> None:
         """Send a complete answer whose headers were made elsewhere.
 
         :param fields: headers without those that describe the body's framing.
+        :param described_length: the server's ``Content-Length``. An answer that has no
+            body tells how long the body of another one would be.
         :raises TransportError: if the client does not take it.
         """
-        length = (b"content-length", str(len(body)).encode())
         is_bodiless = self.is_head or status in _BODILESS_STATUSES
+        length = described_length if is_bodiless else str(len(body)).encode()
+        if length is not None and status != _NO_CONTENT:
+            fields = [*fields, (b"content-length", length)]
         await self._write(
-            self._make_raw_response(status, [*fields, length]),
+            self._make_raw_response(status, [*fields]),
             h11.Data(data=b"" if is_bodiless else body),
             h11.EndOfMessage(),
         )
--- a/hibiscustiller/wire/tests/test_http_server.py
+++ b/hibiscustiller/wire/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server against clients that are wrong, slow, greedy or gone."""
 
 import json
+import re
 import socket
 import sys
 import tracemalloc
@@ -58,6 +59,11 @@
                 await responder.send_part(part)
             await responder.finish()
             return
+        elif request.path.startswith("/fields/"):
+            status, length = request.path.removeprefix("/fields/").split("-")
+            described = length.encode() or None
+            await responder.send_fields(int(status), [], b"", described)
+            return
         elif request.path == "/wait":
             try:
                 await curio.sleep(30)
@@ -105,6 +111,25 @@
     return b"".join(parts)
 
 
+async def test_answers_without_a_body_pass_on_its_length():
+    """Guards against a length of 0 for what the server says has another, and in 204."""
+    cases = (
+        (b"HEAD", "200-17", b"17"),
+        (b"GET", "304-17", b"17"),
+        (b"GET", "304-", None),
+        (b"GET", "204-17", None),
+        (b"HEAD", "204-", None),
+        (b"GET", "200-17", b"0"),
+    )
+    async with Bench() as bench:
+        for method, path, expected in cases:
+            answer = await bench.exchange(make_get(f"/fields/{path}".encode(), method))
+            assert answer.startswith(b"HTTP/1.1 " + path[:3].encode()), answer
+            found = re.search(rb"content-length: (\d+)", answer.lower())
+            length = None if found is None else found[1]
+            assert length == expected, (method, path, answer)
+
+
 def make_post(body, extra=b"", path=b"/echo"):
     length = str(len(body)).encode()
     head = b"POST " + path + b" HTTP/1.1\r\nhost: a\r\n" + extra
