Follow the store without sources only where it answers

Cause: in a load model of 60 routers with the store away for all (calls counted by kind), every router became a follower within two seconds: 114 watches and 70 reads at the start of the outage, about 40 refused reads a second during it, and at its end 105 pages and 70 watches of the whole fleet. Change: a router whose sources are cut off checks by a renewal of its lease (a tenth of a call), follows the store only if that succeeds, and after an outage gives its sources 1.2 to 1.5 s. The registration and the relay share what is known of the store (StoreReach). Two new tests fail without the change; the second one bounds the other case, a store that is away for the followers only.

--- a/hibiscustiller/discovery/__init__.py
+++ b/hibiscustiller/discovery/__init__.py
@@ -1,6 +1,7 @@
 """What is in force and who is there, kept current from the platform's store."""
 
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
+from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._registration import Registration
 from hibiscustiller.discovery._relay import StoreRelay, choose_followers
 from hibiscustiller.discovery._snapshots import SnapshotExchange
@@ -15,6 +16,7 @@
     "Peer",
     "Registration",
     "SnapshotExchange",
+    "StoreReach",
     "StoreRelay",
     "choose_followers",
 ]
--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._view import Peer
 from hibiscustiller.discovery._watcher import ROUTER_PREFIX
 from hibiscustiller.exceptions import StoreUnavailableError
@@ -43,6 +44,7 @@
     :param on_return: called when the store answers again, or after a freeze.
     :param is_follower: tells whether this router follows the store for others.
     :param random_state: spreads the retries of many routers.
+    :param reach: told of each call's end; it asks for calls as well.
     """
 
     def __init__(
@@ -53,7 +55,9 @@
         on_return: Callable[[], Awaitable[None]],
         is_follower: Callable[[], bool],
         random_state: random.Random,
+        reach: StoreReach,
     ) -> None:
+        self._reach = reach
         self._random_state = random_state
         self._is_follower = is_follower
         self._key = f"{ROUTER_PREFIX}{peer.router_id}"
@@ -69,7 +73,6 @@
         self._lease: LeaseId | None = None
         self._is_written = False
         self._revision = 0
-        self.is_reachable = True
 
     async def run(self) -> None:
         """Write the entry and renew its lease until cancelled."""
@@ -77,7 +80,7 @@
             before = _read_boot_time()
             await self._renew_or_note()
             period = self._get_period()
-            await self._clock.sleep(period)
+            await self._reach.wait_for_check(period)
             pause = _read_boot_time() - before
             if pause > period + _FREEZE:
                 log_event("host_stood_still", level="warning", pause=pause)
@@ -85,7 +88,7 @@
 
     def _get_period(self) -> timedelta:
         is_follower = self._is_follower()
-        if self.is_reachable:
+        if self._reach.is_reachable:
             return _FOLLOWER_PERIOD if is_follower else _PERIOD
         period = _FOLLOWER_RETRY_PERIOD if is_follower else _RETRY_PERIOD
         return period * self._random_state.uniform(1 - _RETRY_JITTER, 1 + _RETRY_JITTER)
@@ -101,15 +104,17 @@
             log_event("registration_end_failed", level="warning", reason=error)
 
     async def _renew_or_note(self) -> None:
+        began_at = self._clock.monotonic()
         try:
             await self._renew()
         except StoreUnavailableError as error:
-            if self.is_reachable:
-                self.is_reachable = False
+            if self._reach.is_reachable:
+                self._reach.note_failure()
                 log_event("store_lost", level="warning", reason=error)
             return
-        if not self.is_reachable:
-            self.is_reachable = True
+        was_reachable = self._reach.is_reachable
+        self._reach.note_answer(began_at)
+        if not was_reachable:
             log_event("store_regained")
             await self._on_return()
 
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -3,8 +3,9 @@
 Each call to the store is charged and counted, so only some routers follow it. Each of
 the others has one of these as its source: it asks the source several times a second
 for what it does not have, and gets new changes at once. A router whose sources fail
-follows the store itself. What a router believes has a revision, and a change is taken
-only if it joins that revision, so that nothing is lost and nothing goes back.
+follows the store itself, if it reaches the store. What a router believes has a
+revision, and a change is taken only if it joins that revision, so that nothing is lost
+and nothing goes back.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
     apply_delta,
     make_delta,
 )
+from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.discovery._watcher import LARGE_VALUE_BYTES, FleetWatcher
 from hibiscustiller.exceptions import WireFormatError
@@ -62,6 +64,8 @@
 # follows the store itself.
 _CONFIRMATION_LIMIT = timedelta(seconds=1.2)
 _CONFIRMATION_PERIODS = 2.5
+# Before that, after this share of the time, it finds out whether it reaches the store.
+_CHECK_SHARE = 0.5
 # A source that fell silent is tried again after this time.
 _SOURCE_BACKOFF = timedelta(seconds=4)
 # A source that does not reach the store may do so again soon: it opens its watch anew.
@@ -100,6 +104,7 @@
     :param watcher: follows the store, or takes what a source tells.
     :param log: changes that the watcher has applied.
     :param datagrams: carries the messages.
+    :param reach: tells whether this router reaches the store.
     """
 
     def __init__(
@@ -112,7 +117,9 @@
         datagrams: DatagramSocket,
         clock: Clock,
         random_state: random.Random,
+        reach: StoreReach,
     ) -> None:
+        self._reach = reach
         self._router_id = router_id
         self._domain = domain
         self._view = view
@@ -129,6 +136,8 @@
         self._is_read = curio.Event()
         # When a router that reaches the store last answered.
         self._confirmed_at = clock.monotonic()
+        # When this router last found that it does not reach the store either.
+        self._cut_off_at = timedelta(0)
         self._backed_off: BackedOff[RouterId] = BackedOff(clock)
         self._direct_until = timedelta(0)
         datagrams.register(FollowRequest, self._take_request)
@@ -184,11 +193,30 @@
             if self._source not in followers or self._source in self._backed_off:
                 self._source = self._choose_source(followers)
                 self._unanswered = 0
-            limit = max(_CONFIRMATION_LIMIT, self._get_period() * _CONFIRMATION_PERIODS)
-            if self._clock.monotonic() - self._confirmed_at > limit:
-                await self._follow_directly()
+            await self._judge_sources()
         await self._ask()
 
+    async def _judge_sources(self) -> None:
+        """Follow the store if no source has reached it for long, and this router does.
+
+        While the store is away for all, each router that tried to follow it would make
+        several calls, and read all keys at its return.
+        """
+        if self._watcher.is_direct:
+            return
+        now = self._clock.monotonic()
+        if not self._reach.is_reachable:
+            self._cut_off_at = now
+            return
+        # After an outage the sources get the time to reach the store again.
+        since = max(self._confirmed_at, self._cut_off_at)
+        limit = max(_CONFIRMATION_LIMIT, self._get_period() * _CONFIRMATION_PERIODS)
+        check_at = since + limit * _CHECK_SHARE
+        if now >= check_at and not self._reach.was_reached_since(check_at):
+            await self._reach.check_soon()
+        elif now - since > limit:
+            await self._follow_directly()
+
     async def _ask(self) -> None:
         peer = self._find_peer(self._source)
         if peer is None:
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections import Counter
 from datetime import timedelta
 
 import curio
@@ -12,6 +13,7 @@
     FleetWatcher,
     Peer,
     Registration,
+    StoreReach,
     StoreRelay,
 )
 from hibiscustiller.exceptions import StoreUnavailableError
@@ -55,6 +57,7 @@
     def __init__(self):
         self.calls = 0
         self.price = 0.0
+        self.calls_by_router = Counter()
         self.old_state = None
         self.revision = 1
         self.first_revision = 1
@@ -92,6 +95,8 @@
 
     def _note_call(self, price=1.0):
         self.store.calls += 1
+        if price == 1.0:
+            self.store.calls_by_router[self.router_id] += 1
         is_refused = self.store.is_down or self.router_id in self.store.turned_away
         # A refused call costs as much as any.
         self.store.price += 1.0 if is_refused else price
@@ -171,13 +176,14 @@
         self.view = FleetView(clock, 2 * SECOND)
         log = ChangeLog()
         store = StoreClient(fleet.store, self.router_id)
+        reach = StoreReach(clock)
         self.watcher = FleetWatcher(
             store,
             self.view,
             log,
             clock,
             random_state,
-            lambda: self.registration.is_reachable or self.relay.is_follower,
+            lambda: reach.is_reachable or self.relay.is_follower,
         )
         address = Address("127.0.0.1", 1000 + number)
         self.datagrams = MemoryDatagrams(fleet, self.router_id, address)
@@ -191,6 +197,7 @@
             self.datagrams,
             clock,
             random_state,
+            reach,
         )
         self.registration = Registration(
             Peer(self.router_id, address, domain),
@@ -199,6 +206,7 @@
             self.watcher.restart,
             lambda: self.relay.is_follower,
             random_state,
+            reach,
         )
         self.watcher.subscribe(self._note_revision)
         self.tasks = []
--- a/hibiscustiller/discovery/tests/test_store_away_for_all.py
+++ b/hibiscustiller/discovery/tests/test_store_away_for_all.py
@@ -10,6 +10,8 @@
 OUTAGE_S = 6.0
 # A change is in force everywhere within this time after the store's return.
 CHANGE_LIMIT_S = 2.0
+# Routers that learn that their sources are still cut off have to follow the store.
+LATE_SOURCES_LIMIT_S = 4.0
 
 
 async def test_an_outage_costs_each_router_a_call_a_second_or_two():
@@ -29,5 +31,41 @@
         await fleet.wait_for_all(CHANGE_LIMIT_S)
 
 
+async def test_an_outage_turns_no_router_into_a_follower():
+    """Guards against watches and reads of the whole fleet when the store is away.
+
+    Watches, full reads and writes have the full price; a router that does not follow
+    the store needs none of them for an outage.
+    """
+    async with Fleet(60) as fleet:
+        followers = {m.router_id for m in fleet.members if m.relay.is_follower}
+        fleet.store.calls_by_router.clear()
+        fleet.store.is_down = True
+        await curio.sleep(OUTAGE_S)
+        assert {member.router_id for member in fleet.direct} == followers
+        fleet.store.is_down = False
+        fleet.store.put("servers/late", make_entry())
+        await fleet.wait_for_all(CHANGE_LIMIT_S)
+        others = set(fleet.store.calls_by_router) - followers
+        calls = sum(fleet.store.calls_by_router[router_id] for router_id in others)
+        # Some may find at its return that their source is still without the store.
+        assert calls <= 0.2 * fleet.size, fleet.store.calls_by_router
+
+
+async def test_routers_follow_a_store_that_is_away_for_the_followers_only():
+    """Guards against an old configuration when the followers return last."""
+    async with Fleet(24) as fleet:
+        followers = {m.router_id for m in fleet.members if m.relay.is_follower}
+        fleet.store.turned_away = {member.router_id for member in fleet.members}
+        await curio.sleep(3.0)
+        assert {member.router_id for member in fleet.direct} == followers
+        fleet.store.turned_away = followers
+        fleet.store.put("servers/late", make_entry())
+        others = [m for m in fleet.members if m.router_id not in followers]
+        async with curio.timeout_after(LATE_SOURCES_LIMIT_S):
+            while any(m.watcher.revision < fleet.store.revision for m in others):
+                await curio.sleep(0.01)
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -15,6 +15,7 @@
     Peer,
     Registration,
     SnapshotExchange,
+    StoreReach,
     StoreRelay,
 )
 from hibiscustiller.fleet import ClientLimits, HostSettings
@@ -172,13 +173,14 @@
         first_read_delay = timedelta(0)
         if settings.is_first_start:
             first_read_delay = _FIRST_READ_DELAY
+        self._reach = StoreReach(clock)
         self._watcher = FleetWatcher(
             store,
             self.view,
             log,
             clock,
             self._random_state,
-            lambda: self._registration.is_reachable or self._relay.is_follower,
+            lambda: self._reach.is_reachable or self._relay.is_follower,
             first_read_delay,
         )
         self._relay = StoreRelay(
@@ -190,6 +192,7 @@
             self._datagrams,
             clock,
             self._random_state,
+            self._reach,
         )
         self._sharing = LoadSharing(
             settings.router_id,
@@ -221,6 +224,7 @@
             self._note_store_returned,
             lambda: self._relay.is_follower,
             self._random_state,
+            self._reach,
         )
         lease = ControlLease(
             settings.router_id,
@@ -332,7 +336,7 @@
             "router": self._settings.router_id,
             "is_ready": self.is_ready,
             "document_version": None if document is None else document.version,
-            "store_reachable": self._registration.is_reachable,
+            "store_reachable": self._reach.is_reachable,
             "watch_reachable": not self._watcher.is_cut_off,
             "follows_store": self._watcher.is_direct,
             "source": self._relay.source,
