--- a/hibiscustiller/discovery/_reach.py
+++ b/hibiscustiller/discovery/_reach.py
@@ -28,8 +28,9 @@
         self.is_reachable = True
 
     def note_failure(self) -> None:
-        """Record a call that failed."""
+        """Record a call that failed; it answers what was asked for meanwhile."""
         self.is_reachable = False
+        self._is_check_due.clear()
 
     def was_reached_since(self, moment: timedelta) -> bool:
         """Tell whether the last call succeeded, and began after a moment."""
--- a/hibiscustiller/discovery/tests/test_store_away_for_all.py
+++ b/hibiscustiller/discovery/tests/test_store_away_for_all.py
@@ -1,10 +1,13 @@
 """The store refuses every router for some seconds; refused calls are charged too."""
 
 import sys
+from datetime import timedelta
 
 import curio
 
+from hibiscustiller.discovery import StoreReach
 from hibiscustiller.discovery.tests.fixtures import Fleet, make_entry
+from hibiscustiller.utils import ManualClock
 from hibiscustiller.utils._testing import collect_tests
 
 OUTAGE_S = 6.0
@@ -67,5 +70,23 @@
                 await curio.sleep(0.01)
 
 
+async def test_a_failed_check_is_not_repeated_at_once():
+    """Guards against two calls where one has told that the store is away."""
+    reach = StoreReach(ManualClock())
+    assert reach.was_reached_since(timedelta(0))
+    await reach.check_soon()
+    reach.note_failure()
+    await reach.check_soon()
+    began_at = await curio.clock()
+    await reach.wait_for_check(timedelta(milliseconds=50))
+    assert await curio.clock() - began_at >= 0.05
+    reach.note_answer(timedelta(seconds=3))
+    assert reach.was_reached_since(timedelta(seconds=3))
+    assert not reach.was_reached_since(timedelta(seconds=4))
+    await reach.check_soon()
+    async with curio.timeout_after(1.0):
+        await reach.wait_for_check(timedelta(seconds=10))
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/platform/tests/test_metadata_store.py
+++ b/hibiscustiller/platform/tests/test_metadata_store.py
@@ -9,10 +9,15 @@
 from hibiscustiller.platform import (
     HistoryLostError,
     LeaseExpiredError,
+    LeaseId,
     MetadataStore,
     ValueTooLargeError,
 )
-from hibiscustiller.standins import MetadataStoreStandin
+from hibiscustiller.standins import (
+    DrippingServer,
+    EndlessAnswer,
+    MetadataStoreStandin,
+)
 from hibiscustiller.utils import ManualClock, SystemClock, Verdict
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import HttpClient
@@ -44,6 +49,30 @@
         assert found.revision == bench.standin.revision
 
 
+async def test_answers_without_end_are_given_up_in_time():
+    """Guards against a router that waits for a store that sends a byte now and then."""
+    calls = {
+        "read": lambda store: store.read_prefix("", may_be_old=True),
+        "watch": lambda store: store.wait_changes("", 1, SECOND / 10),
+        "grant": lambda store: store.grant_lease(SECOND),
+        "renew": lambda store: store.keep_alive(LeaseId(1)),
+        "write": lambda store: store.compare_and_swap("a", b"", 0, LeaseId(1)),
+    }
+    for answer in EndlessAnswer:
+        for name, call in calls.items():
+            client = HttpClient(SystemClock())
+            async with DrippingServer(answer, 0.05) as server:
+                store = MetadataStore(client, server.address, SECOND / 4, 1000)
+                # The time of the call, the wait of a watch, and a late timer.
+                async with curio.timeout_after(2.0):
+                    try:
+                        await call(store)
+                        raise AssertionError(f"accepted: {name} {answer}")
+                    except StoreUnavailableError:
+                        pass
+            await client.close()
+
+
 async def test_pages_that_may_be_old_name_their_own_revision():
     """Guards against changes that are missed after a read of old pages."""
     async with Bench() as bench:
