--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -43,7 +43,7 @@
 # The search grows with the number of engines. A router that is not asked for places
 # needs its own pipelines only while those that are asked do not answer.
 _UNASKED_REFRESH_DELAY = timedelta(milliseconds=250)
-# Leaving servers are left out at most this much after their time.
+# Leaving servers are left out at most this much and a refresh delay after their time.
 _REFRESH_PERIOD = timedelta(milliseconds=250)
 # One more than may be restarted at the same moment as the engine is lost.
 _WATCHERS_PER_ENGINE = 3
