Send complete answers and stream heads in one way

send() and start() repeated what send_fields() and start_fields() do: framing, bodiless statuses and the encoding of headers. They call them now. What differs: an answer of 204 made by send() has no content-length any more, as send_fields() already left it out.

--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -135,14 +135,8 @@
         :raises TransportError: if the client does not take it.
         """
         fields = {"content-type": content_type, **(headers or {})}
-        fields["content-length"] = str(len(body))
-        is_bodiless = self.is_head or status in _BODILESS_STATUSES
-        await self._write(
-            self._make_response(status, fields),
-            h11.Data(data=b"" if is_bodiless else body),
-            h11.EndOfMessage(),
-        )
-        self.is_finished = True
+        length = str(len(body)).encode()
+        await self.send_fields(status, _encode_fields(fields), body, length)
 
     async def send_json(
         self, status: int, value: Any, headers: Mapping[str, str] | None = None
@@ -178,7 +172,7 @@
         if length is not None and status != _NO_CONTENT:
             fields = [*fields, (b"content-length", length)]
         await self._write(
-            self._make_raw_response(status, [*fields]),
+            self._make_response(status, fields),
             h11.Data(data=b"" if is_bodiless else body),
             h11.EndOfMessage(),
         )
@@ -187,15 +181,14 @@
     async def start_fields(self, status: int, fields: Fields) -> None:
         """Start an answer in parts whose headers were made elsewhere."""
         framing = (b"transfer-encoding", b"chunked")
-        await self._write(self._make_raw_response(status, [*fields, framing]))
+        await self._write(self._make_response(status, [*fields, framing]))
 
     async def start(
         self, status: int, content_type: str, headers: Mapping[str, str] | None = None
     ) -> None:
         """Start an answer that is sent in parts."""
         fields = {"content-type": content_type, **(headers or {})}
-        fields["transfer-encoding"] = "chunked"
-        await self._write(self._make_response(status, fields))
+        await self.start_fields(status, _encode_fields(fields))
 
     async def send_part(self, data: bytes) -> None:
         """Send one part of a started answer."""
@@ -207,20 +200,9 @@
         await self._write(h11.EndOfMessage())
         self.is_finished = True
 
-    def _make_response(self, status: int, fields: Mapping[str, str]) -> h11.Response:
-        return self._make_raw_response(
-            status, [(name.encode(), value.encode()) for name, value in fields.items()]
-        )
-
-    def _make_raw_response(
-        self, status: int, fields: list[tuple[bytes, bytes]]
-    ) -> h11.Response:
+    def _make_response(self, status: int, fields: Fields) -> h11.Response:
         self.is_started = True
-        extra = self.extra_headers.items()
-        headers = [
-            *fields,
-            *((name.encode(), value.encode()) for name, value in extra),
-        ]
+        headers = [*fields, *_encode_fields(self.extra_headers)]
         if self.should_close():
             headers.append((b"connection", b"close"))
         return h11.Response(status_code=status, headers=headers)
@@ -239,6 +221,10 @@
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
+def _encode_fields(fields: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
+    return [(name.encode(), value.encode()) for name, value in fields.items()]
+
+
 def describe_refusal(refusal: Refusal) -> dict[str, Any]:
     """Return the JSON body that states a refusal."""
     return {
