--- a/hibiscustiller/discovery/_snapshots.py
+++ b/hibiscustiller/discovery/_snapshots.py
@@ -13,7 +13,6 @@
 
 import curio
 
-from hibiscustiller.discovery._deltas import MAX_UNPACKED_BYTES
 from hibiscustiller.discovery._watcher import FleetWatcher
 from hibiscustiller.exceptions import TransportError, WireFormatError
 from hibiscustiller.platform import Change, Changes
@@ -23,8 +22,6 @@
     HttpClient,
     HttpRequest,
     Responder,
-    compress,
-    decompress_bounded,
 )
 from hibiscustiller.wire._messages_generated import (
     StoreChange,
@@ -113,8 +110,8 @@
         StoreChange(change.key, change.revision, False, change.value or b"", 0)
         for change in snapshot.items
     )
-    data = encode_message("", StoreSnapshot(snapshot.revision, changes))
-    return compress(data)
+    message = StoreSnapshot(snapshot.revision, changes)
+    return encode_message("", message, is_compressed=True)
 
 
 def decode_snapshot(data: bytes) -> Changes:
@@ -122,7 +119,7 @@
 
     :raises WireFormatError: if the bytes are none.
     """
-    _, message = decode_message(decompress_bounded(data, MAX_UNPACKED_BYTES))
+    _, message = decode_message(data)
     if not isinstance(message, StoreSnapshot) or message.revision <= 0:
         raise WireFormatError("the answer is no snapshot")
     items = tuple(
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -9,17 +9,9 @@
 import capnp
 
 from hibiscustiller.exceptions import WireFormatError
-from hibiscustiller.wire._compression import (
-    begins_as_zlib,
-    compress,
-    decompress_bounded,
-)
-from hibiscustiller.wire._packing import unpack_message
+from hibiscustiller.wire._compression import compress
+from hibiscustiller.wire._packing import read_words
 
-_WORD_BYTES = 8
-# The largest message is a snapshot of a document of 900 KB. A few compressed bytes can
-# stand for many zeros, so the decompressed size needs a bound of its own.
-_MAX_MESSAGE_BYTES = 4 << 20
 _MIN_TRAVERSED_WORDS = 64
 _SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
 
@@ -986,13 +978,7 @@
     :returns: id of the sending router, and the message.
     :raises WireFormatError: if the bytes are no valid envelope.
     """
-    # No packed message begins as zlib does: it would have millions of segments.
-    if begins_as_zlib(data):
-        words = decompress_bounded(data, _MAX_MESSAGE_BYTES)
-    else:
-        words = unpack_message(data)
-    if len(words) % _WORD_BYTES:
-        raise WireFormatError(f"message of {len(words)} bytes ends within a word")
+    words = read_words(data)
     try:
         with _SCHEMA.Envelope.from_bytes(
             words, traversal_limit_in_words=_get_traversal_limit(words)
--- a/hibiscustiller/wire/_packing.py
+++ b/hibiscustiller/wire/_packing.py
@@ -1,17 +1,34 @@
-"""Unpacking of Cap'n Proto's packed encoding.
+"""The words of a message, which is compressed or in Cap'n Proto's packed encoding.
 
 pycapnp's own unpacking ends the whole process on truncated input (a C++ exception in
 a destructor), so bytes from another process are unpacked and checked here.
 """
 
 from hibiscustiller.exceptions import WireFormatError
+from hibiscustiller.wire._compression import begins_as_zlib, decompress_bounded
 
 _WORD_BYTES = 8
 # The largest message is a snapshot of a document of 900 KB. Two packed bytes can stand
-# for 2 KB of zeros, so the unpacked size needs a bound of its own.
+# for 2 KB of zeros, and compressed ones for as many, so the unpacked size needs a bound
+# of its own.
 _MAX_UNPACKED_BYTES = 4 << 20
 
 
+def read_words(data: bytes) -> bytes:
+    """Return the words of a message.
+
+    :param data: compressed or packed bytes.
+    :raises WireFormatError: if the bytes are damaged, or hold too many words.
+    """
+    # No packed message begins as zlib does: it would have millions of segments.
+    if not begins_as_zlib(data):
+        return unpack_message(data)
+    words = decompress_bounded(data, _MAX_UNPACKED_BYTES)
+    if len(words) % _WORD_BYTES:
+        raise WireFormatError(f"message of {len(words)} bytes ends within a word")
+    return words
+
+
 def unpack_message(data: bytes) -> bytes:
     """Unpack a message.
 
