Ask once for a candidate's delay, and keep one moment for waiting sources

- The placer asked may_stand() and the election delay, each of which ranked all routers at each tick. find_election_delay() returns None for a router that should not try; the placer's has_holder is as it was before.
- The relay used the moments of the last confirmation and of its own cut only as their maximum; the later one always wins, so one is kept.
- StoreReach had a clock that it did not use.

--- a/hibiscustiller/discovery/_reach.py
+++ b/hibiscustiller/discovery/_reach.py
@@ -6,15 +6,13 @@
 
 import curio
 
-from hibiscustiller.utils import Clock
 from hibiscustiller.wire import wait_for_event
 
 
 class StoreReach:
     """What the renewals of the registration tell the other parts about the store."""
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self) -> None:
         self._is_check_due = curio.Event()
         self._reached_at = timedelta(0)
         self.is_reachable = True
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -134,10 +134,9 @@
         self._source: RouterId | None = None
         self._unanswered = 0
         self._is_read = curio.Event()
-        # When a router that reaches the store last answered.
-        self._confirmed_at = clock.monotonic()
-        # When this router last found that it does not reach the store either.
-        self._cut_off_at = timedelta(0)
+        # When a router that reaches the store last answered, or this one last found
+        # that it does not reach the store either.
+        self._waiting_since = clock.monotonic()
         self._backed_off: BackedOff[RouterId] = BackedOff(clock)
         self._direct_until = timedelta(0)
         datagrams.register(FollowRequest, self._take_request)
@@ -158,7 +157,7 @@
         """Keep a source, or follow the store, until cancelled."""
         await self._is_read.wait()
         # What was read is current.
-        self._confirmed_at = self._clock.monotonic()
+        self._waiting_since = self._clock.monotonic()
         while True:
             await self._keep_source()
             self._view.drop_missing()
@@ -206,15 +205,14 @@
             return
         now = self._clock.monotonic()
         if not self._reach.is_reachable:
-            self._cut_off_at = now
+            # After an outage the sources get the time to reach the store again.
+            self._waiting_since = now
             return
-        # After an outage the sources get the time to reach the store again.
-        since = max(self._confirmed_at, self._cut_off_at)
         limit = max(_CONFIRMATION_LIMIT, self._get_period() * _CONFIRMATION_PERIODS)
-        check_at = since + limit * _CHECK_SHARE
+        check_at = self._waiting_since + limit * _CHECK_SHARE
         if now >= check_at and not self._reach.was_reached_since(check_at):
             await self._reach.check_soon()
-        elif now - since > limit:
+        elif now - self._waiting_since > limit:
             await self._follow_directly()
 
     async def _ask(self) -> None:
@@ -372,7 +370,7 @@
             if router_id == self._source and not self._watcher.is_direct:
                 self._note_failed_source("it does not follow the store", _SHORT_BACKOFF)
             return
-        self._confirmed_at = self._clock.monotonic()
+        self._waiting_since = self._clock.monotonic()
         if router_id == self._source:
             self._unanswered = 0
         if message.store_returned_ms:
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -176,7 +176,7 @@
         self.view = FleetView(clock, 2 * SECOND)
         log = ChangeLog()
         store = StoreClient(fleet.store, self.router_id)
-        reach = StoreReach(clock)
+        reach = StoreReach()
         self.watcher = FleetWatcher(
             store,
             self.view,
--- a/hibiscustiller/discovery/tests/test_store_away_for_all.py
+++ b/hibiscustiller/discovery/tests/test_store_away_for_all.py
@@ -7,7 +7,6 @@
 
 from hibiscustiller.discovery import StoreReach
 from hibiscustiller.discovery.tests.fixtures import Fleet, make_entry
-from hibiscustiller.utils import ManualClock
 from hibiscustiller.utils._testing import collect_tests
 
 OUTAGE_S = 6.0
@@ -72,7 +71,7 @@
 
 async def test_a_failed_check_is_not_repeated_at_once():
     """Guards against two calls where one has told that the store is away."""
-    reach = StoreReach(ManualClock())
+    reach = StoreReach()
     assert reach.was_reached_since(timedelta(0))
     await reach.check_soon()
     reach.note_failure()
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -29,7 +29,7 @@
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServers
 from hibiscustiller.ingress._sharing import LoadSharing
 from hibiscustiller.layers import EngineLoad, LayerPlacer
-from hibiscustiller.leadership import ControlLease, find_election_delay, may_stand
+from hibiscustiller.leadership import ControlLease, find_election_delay
 from hibiscustiller.platform import MetadataStore
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, log_event, rank_by_rendezvous
@@ -168,7 +168,7 @@
         first_read_delay = timedelta(0)
         if settings.is_first_start:
             first_read_delay = _FIRST_READ_DELAY
-        self._reach = StoreReach(clock)
+        self._reach = StoreReach()
         self._watcher = FleetWatcher(
             store,
             self.view,
@@ -231,12 +231,12 @@
         )
         self._placer = LayerPlacer(
             lease,
-            self._may_stand,
+            lambda: self.view.has_holder,
             lambda: self.view.is_settled,
             self.models.list_groups,
             HttpClient(clock, _CONNECT_TIMEOUT),
             clock,
-            lambda: find_election_delay(self._find_election_rank()),
+            self._get_election_delay,
             _RENEWAL_PERIOD,
         )
 
@@ -395,13 +395,8 @@
         await self._store_client.close()
         await self._watcher.restart()
 
-    def _may_stand(self) -> bool:
-        if self.view.has_holder:
-            return False
-        is_reachable = self._reach.is_reachable
-        return may_stand(self._find_election_rank(), is_store_reachable=is_reachable)
-
-    def _find_election_rank(self) -> int:
+    def _get_election_delay(self) -> timedelta | None:
         router_id = self._settings.router_id
         names = {*self.view.peers_by_id, router_id}
-        return rank_by_rendezvous("control", names).index(router_id)
+        rank = rank_by_rendezvous("control", names).index(router_id)
+        return find_election_delay(rank, is_store_reachable=self._reach.is_reachable)
--- a/hibiscustiller/layers/_placer.py
+++ b/hibiscustiller/layers/_placer.py
@@ -63,26 +63,26 @@
     """Plans and orders while this router holds the lease.
 
     :param lease: the control lease.
-    :param may_stand: tells whether the lease seems free and this router may try for it.
+    :param has_holder: tells whether another router is known to hold it.
     :param is_view_settled: tells whether all servers had the time to be known.
     :param list_groups: returns the engines by service.
-    :param get_election_delay: tells how long to wait for a free lease; routers have
-        different delays, so that one call is enough.
+    :param get_election_delay: tells how long to wait for a free lease, or None not to
+        try for it now; routers have different delays, so that one call is enough.
     """
 
     def __init__(
         self,
         lease: ControlLease,
-        may_stand: Callable[[], bool],
+        has_holder: Callable[[], bool],
         is_view_settled: Callable[[], bool],
         list_groups: Callable[[], list[EngineGroup]],
         client: HttpClient,
         clock: Clock,
-        get_election_delay: Callable[[], timedelta],
+        get_election_delay: Callable[[], timedelta | None],
         renewal_period: timedelta,
     ) -> None:
         self._lease = lease
-        self._may_stand = may_stand
+        self._has_holder = has_holder
         self._is_view_settled = is_view_settled
         self._list_groups = list_groups
         self._client = client
@@ -120,12 +120,13 @@
 
     async def _stand(self) -> None:
         now = self._clock.monotonic()
-        if not self._may_stand():
+        delay = None if self._has_holder() else self._get_election_delay()
+        if delay is None:
             self._free_since = None
             return
         if self._free_since is None:
             self._free_since = now
-        if now - self._free_since < self._get_election_delay():
+        if now - self._free_since < delay:
             return
         # A failed attempt waits for its turn again.
         self._free_since = None
--- a/hibiscustiller/layers/tests/test_many_candidates_for_control.py
+++ b/hibiscustiller/layers/tests/test_many_candidates_for_control.py
@@ -5,7 +5,7 @@
 
 from hibiscustiller.exceptions import StoreUnavailableError
 from hibiscustiller.layers import LayerPlacer
-from hibiscustiller.leadership import find_election_delay, may_stand
+from hibiscustiller.leadership import find_election_delay
 from hibiscustiller.utils import ManualClock, Verdict
 from hibiscustiller.utils._testing import collect_tests
 
@@ -66,15 +66,12 @@
     def make_placer(self, rank):
         return LayerPlacer(
             Lease(self.store),
-            lambda: (
-                not self.store.is_holder_known
-                and may_stand(rank, is_store_reachable=self.is_reachable)
-            ),
+            lambda: self.store.is_holder_known,
             lambda: True,
             list,
             None,
             self.clock,
-            lambda: find_election_delay(rank),
+            lambda: find_election_delay(rank, is_store_reachable=self.is_reachable),
             timedelta(seconds=1),
         )
 
--- a/hibiscustiller/layers/tests/test_placer.py
+++ b/hibiscustiller/layers/tests/test_placer.py
@@ -76,7 +76,7 @@
         )
         placer = LayerPlacer(
             lease,
-            lambda: not self.has_holder(),
+            self.has_holder,
             lambda: True,
             self.list_groups,
             self.client,
--- a/hibiscustiller/leadership/__init__.py
+++ b/hibiscustiller/leadership/__init__.py
@@ -1,6 +1,6 @@
 """The lease by which one router controls the engines."""
 
-from hibiscustiller.leadership._election import find_election_delay, may_stand
+from hibiscustiller.leadership._election import find_election_delay
 from hibiscustiller.leadership._lease import (
     FLOOR_KEY,
     HOLDER_KEY,
@@ -22,5 +22,4 @@
     "LeaseStore",
     "Term",
     "find_election_delay",
-    "may_stand",
 ]
--- a/hibiscustiller/leadership/_election.py
+++ b/hibiscustiller/leadership/_election.py
@@ -18,21 +18,17 @@
 _LATE_STEP = timedelta(milliseconds=30)
 
 
-def find_election_delay(rank: int) -> timedelta:
+def find_election_delay(rank: int, *, is_store_reachable: bool) -> timedelta | None:
     """Return how long a router waits for a free lease before it tries to take it.
 
-    :param rank: 0 for the router that tries first.
-    """
-    early = min(rank, _EARLY_CANDIDATES)
-    return _FIRST_DELAY + _STEP * early + _LATE_STEP * (rank - early)
-
-
-def may_stand(rank: int, *, is_store_reachable: bool) -> bool:
-    """Tell whether a router should try for a free lease.
-
     A call to a store that is away is charged as well, so only a few routers go on
     trying, to find it back early.
 
+    :param rank: 0 for the router that tries first.
     :param is_store_reachable: whether this router's last call to it succeeded.
+    :returns: None if the router should not try now.
     """
-    return is_store_reachable or rank < _EARLY_CANDIDATES
+    if rank >= _EARLY_CANDIDATES and not is_store_reachable:
+        return None
+    early = min(rank, _EARLY_CANDIDATES)
+    return _FIRST_DELAY + _STEP * early + _LATE_STEP * (rank - early)
