Log the shared parts of a prompt with each crash of a server

The lines of crashes named a request's fingerprint only. No two requests with the same part are alike, so the lines could not tell a part that crashes servers from requests that happened to run there.

--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -275,6 +275,7 @@
                 fingerprint=fingerprint,
                 servers=",".join(sorted(ended)),
                 events=self._attempt_event_count,
+                parts=",".join(self._context.facts.prompt_parts),
             )
 
     async def _wait_until_retryable(self) -> Refusal | None:
--- a/hibiscustiller/platform/_fields.py
+++ b/hibiscustiller/platform/_fields.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
 from hibiscustiller.fleet import LayerRange
 from hibiscustiller.settings import Address, parse_address
-from hibiscustiller.utils import OrganisationId, RequestId, ServerId
+from hibiscustiller.utils import OrganisationId, PartId, RequestId, ServerId
 
 Field = tuple[bytes, bytes]
 
@@ -25,6 +26,11 @@
 # Tokens of the prompt and the largest number of tokens of the answer.
 _TOKENS = b"token-usage"
 _ANSWER_GUESS = b"length-hint"
+# The parts of the prompt, each with its number of tokens.
+_PROMPT_PARTS = b"prompt-prefix"
+# A prompt has at most this many parts; further ones are ignored.
+_MAX_PROMPT_PARTS = 32
+_PART_ID_PATTERN = re.compile(r"[0-9a-f]{1,64}")
 _SEAL = b"response-seal"
 _NOT_RUN = b"not-executed"
 _FAILED_SERVER = b"at-server"
@@ -59,7 +65,7 @@
 )
 # A caller cannot have these dropped by naming them in its Connection field.
 _END_TO_END = frozenset(
-    {_REQUEST_ID, b"host", b"model", _TOKENS, b"prompt-prefix", _ANSWER_GUESS}
+    {_REQUEST_ID, b"host", b"model", _TOKENS, _PROMPT_PARTS, _ANSWER_GUESS}
 )
 _MAX_PRIORITY = 9
 
@@ -74,6 +80,8 @@
     :param max_answer_tokens: 0 if not told.
     :param estimated_answer_tokens: the caller's estimate; 0 if not told.
     :param last_event: id of the last event that the caller has; None at the start.
+    :param prompt_parts: parts of the prompt that other requests may share, in order. The
+        last part of a prompt is its own and left out.
     """
 
     request_id: RequestId
@@ -83,6 +91,7 @@
     max_answer_tokens: int = 0
     estimated_answer_tokens: int = 0
     last_event: int | None = None
+    prompt_parts: tuple[PartId, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -114,6 +123,7 @@
         max_answer_tokens=_read_int(answer) or 0,
         estimated_answer_tokens=_read_int(by_name.get(_ANSWER_GUESS)) or 0,
         last_event=_read_int(by_name.get(_LAST_EVENT)),
+        prompt_parts=_read_shared_parts(by_name.get(_PROMPT_PARTS, b"")),
     )
 
 
@@ -191,6 +201,12 @@
     return int(text) if text.isdigit() and len(text) <= 15 else None
 
 
+def _read_shared_parts(value: bytes) -> tuple[PartId, ...]:
+    entries = value.decode("latin-1").lower().split(",", _MAX_PROMPT_PARTS)
+    ids = [entry.partition(":")[0].strip() for entry in entries[:-1]]
+    return tuple(PartId(id) for id in ids if _PART_ID_PATTERN.fullmatch(id))
+
+
 def _read_address(value: bytes | None) -> Address | None:
     try:
         return None if value is None else parse_address(value.decode("ascii"))
--- a/hibiscustiller/platform/tests/test_decoding.py
+++ b/hibiscustiller/platform/tests/test_decoding.py
@@ -217,6 +217,18 @@
     assert odd.prompt_tokens == 0
 
 
+def test_shared_prompt_parts():
+    """Guards against a prompt's own part, or malformed ones, counted as shared."""
+
+    def read_parts(value):
+        return read_request_facts([(b"prompt-prefix", value)]).prompt_parts
+
+    assert read_parts(b"5c1e:800, 91BD:410,e440:250") == ("5c1e", "91bd")
+    assert read_parts(b"5c1e:800") == read_parts(b"") == ()
+    assert read_parts(b"\xff:1,:2,5c1e,zz:3,0b:4") == ("5c1e",)
+    assert len(read_parts(b",".join(b"%x:1" % n for n in range(100)))) == 32
+
+
 def test_answer_facts():
     """Guards against an answer taken for a statement that nothing ran."""
     facts = read_answer_facts(503, [(b"request-id", b"7")])
--- a/hibiscustiller/utils/__init__.py
+++ b/hibiscustiller/utils/__init__.py
@@ -11,11 +11,13 @@
 )
 from hibiscustiller.utils._ids import (
     ClassName,
+    CrashId,
     DomainId,
     Fence,
     Fingerprint,
     ModelName,
     OrganisationId,
+    PartId,
     RegionId,
     RequestId,
     Revision,
@@ -36,7 +38,9 @@
     "Clock",
     "DomainId",
     "Fence",
+    "CrashId",
     "Fingerprint",
+    "PartId",
     "HashRing",
     "ManualClock",
     "Metrics",
