--- a/hibiscustiller/platform/_fields.py
+++ b/hibiscustiller/platform/_fields.py
@@ -80,8 +80,8 @@
     :param max_answer_tokens: 0 if not told.
     :param estimated_answer_tokens: the caller's estimate; 0 if not told.
     :param last_event: id of the last event that the caller has; None at the start.
-    :param prompt_parts: parts of the prompt that other requests may share, in order. The
-        last part of a prompt is its own and left out.
+    :param prompt_parts: parts of the prompt that other requests may share, in order.
+        The last part of a prompt is its own and left out.
     """
 
     request_id: RequestId
