Quarantine parts of prompts under which servers crash

Cause: crashes were counted by the fingerprint of a whole request, and nothing that requests share was ever suspected.

Crashes now count by the shared parts of prompts. A crash has one id at all routers; the parts of requests that had not begun their answers are its suspects; an answer that was sent later and begins clears its parts of the crashes known then. After three crashes, each under a request sent after the last one, the part with the most crashes is refused as not run, the last in the prompt among equals. Trials come from one router at a time, and at most five for good. Crashes with such a cause no longer count against other requests.

Records, their updates and their exchange are shared with the history of requests.

--- a/hibiscustiller/ingress/_crash_sharing.py
+++ b/hibiscustiller/ingress/_crash_sharing.py
@@ -1,30 +1,28 @@
 """Exchange of crash records between routers by datagrams.
 
 Most server crashes are not caused by a request, and each adds one crash to the records
-of all requests that ran on the server. Such a record is therefore sent only to the
-aggregators of the request, a few routers that all routers agree on. The aggregators
-merge the records that they receive, and broadcast those with more than one crash.
+of all requests that ran on the server, or of their parts. Such a record is therefore
+sent only to the aggregators of its key, a few routers that all routers agree on. The
+aggregators merge the records that they receive, and broadcast those with more than one
+crash.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
+from typing import Any
 
 import curio
 
 from hibiscustiller.discovery import FleetView, Peer
-from hibiscustiller.ingress._crash_history import CrashHistory, CrashRecord
-from hibiscustiller.ingress._crash_messages import (
-    make_crash_message,
-    read_crash_message,
-)
+from hibiscustiller.ingress._crash_messages import RecordCodec
+from hibiscustiller.ingress._shared_records import SharedRecords
 from hibiscustiller.ingress._sharing import compute_report_period
 from hibiscustiller.settings import Address
-from hibiscustiller.utils import Clock, Fingerprint, RouterId
+from hibiscustiller.utils import Clock, RouterId
 from hibiscustiller.wire import DatagramSocket, wait_for_event
-from hibiscustiller.wire._messages_generated import CrashedRequests
 
 # Two aggregators may be lost together with the server.
 _AGGREGATORS = 3
@@ -43,7 +41,7 @@
 # many packets.
 _MAX_RECORDS = 32
 
-Records = Mapping[Fingerprint, CrashRecord]
+Records = Mapping[str, Any]
 
 
 class CrashSharing:
@@ -52,7 +50,10 @@
     :param router_id: id of this router.
     :param datagrams: carries the records.
     :param view: known routers of the fleet.
-    :param crashes: history that the records are read from and merged into.
+    :param records: records of this router, with the updates to send.
+    :param merge: adds a received record by its key, given whether this router is an
+        aggregator of it.
+    :param codec: converts the records to messages and back.
     :param random_state: chooses the routers that are queried after the start.
     """
 
@@ -61,18 +62,22 @@
         router_id: RouterId,
         datagrams: DatagramSocket,
         view: FleetView,
-        crashes: CrashHistory,
+        records: SharedRecords,
+        merge: Callable[[Any, Any, bool], None],
+        codec: RecordCodec,
         clock: Clock,
         random_state: random.Random,
     ) -> None:
         self._router_id = router_id
         self._datagrams = datagrams
         self._view = view
-        self._crashes = crashes
+        self._records = records
+        self._merge = merge
+        self._codec = codec
         self._clock = clock
         self._random_state = random_state
         self._has_updates = curio.UniversalEvent()
-        datagrams.register(CrashedRequests, self._handle_message)
+        datagrams.register(codec.message_type, self._handle_message)
 
     def request_send(self) -> None:
         """Request that pending updates are sent at once."""
@@ -92,8 +97,9 @@
                 await self._resend_suspects()
 
     async def query_peers(self) -> None:
-        """Query other routers for the records of suspected requests after the start."""
-        data = self._datagrams.encode(CrashedRequests((), is_asking=True))
+        """Query other routers for the records under suspicion after the start."""
+        message = self._codec.encode({}, True, self._clock.monotonic())
+        data = self._datagrams.encode(message)
         round_count = 0
         while round_count < _QUERY_ROUNDS:
             peers = self._list_peers()
@@ -105,29 +111,29 @@
             await self._clock.sleep(_QUERY_PERIOD)
 
     async def _send_updates(self) -> None:
-        records_by_router: dict[RouterId, dict[Fingerprint, CrashRecord]] = {}
-        for update in self._crashes.take_updates(_MAX_RECORDS):
+        records_by_router: dict[RouterId, dict[str, Any]] = {}
+        for update in self._records.take_updates(_MAX_RECORDS):
             receivers: Iterable[RouterId] = self._view.peers_by_id
             if not update.is_broadcast:
-                receivers = self._list_aggregators(update.fingerprint)
+                receivers = self._list_aggregators(update.key)
             for router_id in receivers:
                 records = records_by_router.setdefault(router_id, {})
-                records[update.fingerprint] = update.record
+                records[update.key] = update.record
         for peer in self._list_peers():
             await self._send(peer.address, records_by_router.get(peer.router_id, {}))
-        if self._crashes.has_updates:
+        if self._records.has_updates:
             self.request_send()
 
     async def _resend_suspects(self) -> None:
-        """Send the records of suspected requests to all routers again.
+        """Send the records under suspicion to all routers again.
 
-        Each router sends the records of the requests that it is an aggregator of.
+        Each router sends the records that it is an aggregator of.
         """
-        suspects = self._crashes.list_suspects(_MAX_RECORDS, _RESEND_MAX_AGE)
+        suspects = self._records.list_suspects(_MAX_RECORDS, _RESEND_MAX_AGE)
         aggregated = {
-            fingerprint: record
-            for fingerprint, record in suspects.items()
-            if self._router_id in self._list_aggregators(fingerprint)
+            key: record
+            for key, record in suspects.items()
+            if self._router_id in self._list_aggregators(key)
         }
         for peer in self._list_peers():
             await self._send(peer.address, aggregated)
@@ -135,29 +141,22 @@
     async def _send(self, address: Address, records: Records) -> None:
         if not records:
             return
-        now = self._clock.monotonic()
-        messages = tuple(
-            make_crash_message(fingerprint, record, now)
-            for fingerprint, record in records.items()
-        )
-        data = self._datagrams.encode(CrashedRequests(messages, is_asking=False))
-        await self._datagrams.send(address, data)
+        message = self._codec.encode(records, False, self._clock.monotonic())
+        await self._datagrams.send(address, self._datagrams.encode(message))
 
     async def _handle_message(
-        self, router_id: RouterId, address: Address, message: CrashedRequests
+        self, router_id: RouterId, address: Address, message: Any
     ) -> None:
-        now = self._clock.monotonic()
-        for request in message.requests:
-            fingerprint = Fingerprint(request.fingerprint)
-            record = read_crash_message(request, now)
-            is_aggregator = self._router_id in self._list_aggregators(fingerprint)
-            self._crashes.merge(fingerprint, record, is_aggregator)
+        records = self._codec.decode(message, self._clock.monotonic())
+        for key, record in records.items():
+            is_aggregator = self._router_id in self._list_aggregators(key)
+            self._merge(key, record, is_aggregator)
         if message.is_asking:
-            await self._send(address, self._crashes.list_suspects(_MAX_RECORDS))
+            await self._send(address, self._records.list_suspects(_MAX_RECORDS))
 
     def _list_peers(self) -> list[Peer]:
         peers = self._view.peers_by_id.values()
         return [peer for peer in peers if peer.router_id != self._router_id]
 
-    def _list_aggregators(self, fingerprint: Fingerprint) -> list[RouterId]:
-        return self._view.choose_routers(fingerprint, _AGGREGATORS, self._router_id)
+    def _list_aggregators(self, key: str) -> list[RouterId]:
+        return self._view.choose_routers(key, _AGGREGATORS, self._router_id)
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -14,6 +14,7 @@
 from hibiscustiller.ingress._context import RequestContext, send_refusal
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._model_services import ModelServices
+from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder
 from hibiscustiller.ingress._routes import RouteTable, choose_service
 from hibiscustiller.platform import read_request_facts
@@ -37,6 +38,7 @@
     :param model_services: forwarders of the services that run a model.
     :param plain_forwarder: forwarder of all other services.
     :param crashes: history of requests whose backend servers crashed.
+    :param parts: history of prompt parts under which backend servers crashed.
     :param budgets: retry budgets, which grow with the number of requests.
     :param apply_limits: called with the client limits of each new document.
     """
@@ -47,6 +49,7 @@
         model_services: ModelServices,
         plain_forwarder: PlainForwarder,
         crashes: CrashHistory,
+        parts: PartHistory,
         budgets: RetryBudgets,
         clock: Clock,
         random_state: random.Random,
@@ -57,6 +60,7 @@
         self._model_services = model_services
         self._plain_forwarder = plain_forwarder
         self._crashes = crashes
+        self._parts = parts
         self._budgets = budgets
         self._clock = clock
         self._random_state = random_state
@@ -125,9 +129,17 @@
         service, kind = context.service, context.route.kind.value
         self._budgets.record_request(service.name)
         self._metrics.count(f"requests.{kind}")
-        refusal = await self._crashes.admit(context.fingerprint, context.time_left)
+        refusal = self._parts.check(context.facts.prompt_parts)
+        if refusal is None:
+            refusal = await self._crashes.admit(context.fingerprint, context.time_left)
         if refusal is not None:
-            context.log("crashing_request_stopped", fingerprint=context.fingerprint)
+            context.log(
+                "crashing_request_stopped",
+                fingerprint=context.fingerprint,
+                parts=",".join(context.facts.prompt_parts),
+                detail=refusal.message,
+                retry_after=refusal.retry_after,
+            )
             await self._refuse(context.request, responder, refusal)
             return
         try:
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -21,6 +21,7 @@
 from hibiscustiller.fleet import ClientLimits, HostSettings
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._crash_history import CrashHistory
+from hibiscustiller.ingress._crash_messages import PART_CODEC, REQUEST_CODEC
 from hibiscustiller.ingress._crash_sharing import CrashSharing
 from hibiscustiller.ingress._dispatcher import RequestDispatcher
 from hibiscustiller.ingress._exposition import ExposedMetrics
@@ -28,6 +29,7 @@
 from hibiscustiller.ingress._inspection import InspectionServer
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._monitor import EngineMonitor
+from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServerSelector
 from hibiscustiller.ingress._sharing import LoadSharing
 from hibiscustiller.layers import EngineLoad, LayerPlacer
@@ -105,11 +107,19 @@
             self._handle_health_change,
             self.view.count_routers,
         )
+        router_id = settings.router_id
+        self._parts = PartHistory(
+            clock,
+            self._metrics,
+            lambda key: self.view.choose_routers(key, 1, router_id) == [router_id],
+            lambda: self._part_sharing.request_send(),
+        )
         self._crashes = CrashHistory(
-            settings.router_id,
+            router_id,
             clock,
             self._metrics,
             lambda: self._crash_sharing.request_send(),
+            is_explained=self._parts.is_explained,
         )
         self._build_forwarders()
         self._build_store_clients()
@@ -139,6 +149,7 @@
             self._load,
             self._health,
             self._crashes,
+            self._parts,
             client,
             budgets,
             clock,
@@ -164,6 +175,7 @@
             self.models,
             plain_forwarder,
             self._crashes,
+            self._parts,
             budgets,
             clock,
             self._random_state,
@@ -216,13 +228,21 @@
             self.models.grant_waiting,
             self.models.list_allocators,
         )
-        self._crash_sharing = CrashSharing(
-            settings.router_id,
-            self._datagrams,
-            self.view,
-            self._crashes,
-            clock,
-            self._random_state,
+        self._crash_sharing, self._part_sharing = (
+            CrashSharing(
+                settings.router_id,
+                self._datagrams,
+                self.view,
+                history.records,
+                history.merge,
+                codec,
+                clock,
+                self._random_state,
+            )
+            for history, codec in (
+                (self._crashes, REQUEST_CODEC),
+                (self._parts, PART_CODEC),
+            )
         )
         self._snapshot_exchange = SnapshotExchange(
             settings.seeds,
@@ -312,6 +332,8 @@
             self._load_sharing.send_reports,
             self._crash_sharing.run,
             self._crash_sharing.query_peers,
+            self._part_sharing.run,
+            self._part_sharing.query_peers,
             self._budgets.run,
             self.models.run,
             self.models.place_allocator.run,
@@ -397,6 +419,7 @@
                 ],
             },
             "crashed_requests": self._crashes.describe(),
+            "crashed_parts": self._parts.describe(),
             "in_flight": {
                 server_id: use.entry_count
                 for server_id, use in self._load.get_own_use().items()
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -14,6 +14,7 @@
 from hibiscustiller.ingress._connections import cap_engine_slots
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._health import ServerHealth
+from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._streams import StreamForwarder
 from hibiscustiller.layers import (
     Admission,
@@ -60,6 +61,7 @@
     :param load: load of the engines by all routers.
     :param health: reachability of the servers.
     :param crashes: server crashes by request.
+    :param parts: server crashes by prompt part.
     :param client: HTTP client for the engines.
     :param budgets: retry budgets of the services.
     """
@@ -73,6 +75,7 @@
         load: EngineLoad,
         health: ServerHealth,
         crashes: CrashHistory,
+        parts: PartHistory,
         client: HttpClient,
         budgets: RetryBudgets,
         clock: Clock,
@@ -85,6 +88,7 @@
         self._load = load
         self._health = health
         self._crashes = crashes
+        self._parts = parts
         self._client = client
         self._budgets = budgets
         self._clock = clock
@@ -245,6 +249,7 @@
             self._load,
             self._health,
             self._crashes,
+            self._parts,
             self._budgets,
             lambda excluded: self._find_alternative(service.name, excluded),
             self._view.count_routers,
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -13,7 +13,7 @@
 from result import Err
 
 from hibiscustiller.exceptions import TransportError
-from hibiscustiller.fleet import IngressRoute
+from hibiscustiller.fleet import BackendServer, IngressRoute
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._connections import compute_max_idle_connections
 from hibiscustiller.ingress._context import (
@@ -25,6 +25,7 @@
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._events import Event, EventSplitter
 from hibiscustiller.ingress._health import ServerHealth
+from hibiscustiller.ingress._part_history import PartHistory, compute_crash_id
 from hibiscustiller.layers import (
     Demand,
     EngineLoad,
@@ -92,6 +93,7 @@
     :param selector: the current pipelines of the service.
     :param load: requests in flight at each engine, from all routers.
     :param crashes: history of requests whose backend servers crashed.
+    :param parts: history of prompt parts under which backend servers crashed.
     :param budgets: decides whether a request may be sent to a second server.
     :param find_fallback_pipeline: searches all usable engines but the given ones for a
         pipeline, independently of the pipelines in ``selector``; returns None if these
@@ -108,6 +110,7 @@
         load: EngineLoad,
         health: ServerHealth,
         crashes: CrashHistory,
+        parts: PartHistory,
         budgets: RetryBudgets,
         find_fallback_pipeline: Callable[[Collection[ServerId]], Pipeline | None],
         count_routers: Callable[[], int],
@@ -120,6 +123,7 @@
         self.load = load
         self.health = health
         self.crashes = crashes
+        self.parts = parts
         self.budgets = budgets
         self.count_routers = count_routers
         self.metrics = metrics
@@ -217,6 +221,12 @@
         :returns: the reason why it could not be completed; None if it was.
         """
         while True:
+            # The request may have waited for its place since it was checked first.
+            parts = self._context.facts.prompt_parts
+            refusal = self._forwarder.parts.admit(parts)
+            if refusal is not None:
+                await self._forwarder.admission.release(grant)
+                return self._make_crash_refusal(refusal)
             outcome = await self._run_granted(grant)
             if outcome in (_Outcome.FINISHED, _Outcome.ANSWERED):
                 return None
@@ -231,7 +241,7 @@
 
     async def _run_granted(self, grant: Grant) -> _Outcome:
         context = self._context
-        ended = self._list_ended_servers(grant)
+        ended_before = self._list_ended_servers(grant)
         try:
             outcome = await self._run_attempt(grant)
         except TimeoutError:
@@ -240,7 +250,10 @@
             outcome = _Outcome.BROKEN
         finally:
             await self._forwarder.admission.release(grant)
-        self._record_crash_outcome(outcome, self._list_ended_servers(grant) - ended)
+        ended_servers = self._list_ended_servers(grant)
+        for server_id in ended_before:
+            ended_servers.pop(server_id, None)
+        self._record_crash_outcome(outcome, list(ended_servers.values()))
         context.log(
             "stream_attempt",
             outcome=outcome,
@@ -252,31 +265,43 @@
         )
         return outcome
 
-    def _list_ended_servers(self, grant: Grant) -> set[ServerId]:
+    def _list_ended_servers(self, grant: Grant) -> dict[ServerId, BackendServer]:
         """Return the servers of a pipeline whose process is known to have ended."""
         has_ended = self._forwarder.health.has_ended
-        return {server.id for server in grant.pipeline.servers if has_ended(server)}
+        return {
+            server.id: server for server in grant.pipeline.servers if has_ended(server)
+        }
 
     def _record_crash_outcome(
-        self, outcome: _Outcome, ended: Collection[ServerId]
+        self, outcome: _Outcome, ended: Collection[BackendServer]
     ) -> None:
         """Record whether the request was answered or its servers crashed.
 
         :param ended: servers of the pipeline whose process ended during the attempt.
         """
-        crashes, fingerprint = self._forwarder.crashes, self._context.fingerprint
+        forwarder, context = self._forwarder, self._context
         if outcome in (_Outcome.FINISHED, _Outcome.ANSWERED):
-            crashes.record_answer(fingerprint)
-        elif ended and self._sent_at is not None:
-            has_progress = self._attempt_event_count > 0
-            crashes.record_crash(fingerprint, self._sent_at, has_progress)
-            self._context.log(
-                "attempt_met_crash",
-                fingerprint=fingerprint,
-                servers=",".join(sorted(ended)),
-                events=self._attempt_event_count,
-                parts=",".join(self._context.facts.prompt_parts),
+            forwarder.crashes.record_answer(context.fingerprint)
+            return
+        if not ended or self._sent_at is None:
+            return
+        has_progress = self._attempt_event_count > 0
+        crash_ids = [compute_crash_id(server.id, server.born) for server in ended]
+        parts = context.facts.prompt_parts
+        if not has_progress:
+            forwarder.parts.record_crash(parts, crash_ids, self._sent_at)
+        for crash_id in crash_ids:
+            forwarder.crashes.record_crash(
+                context.fingerprint, self._sent_at, has_progress, crash_id
             )
+        context.log(
+            "attempt_met_crash",
+            fingerprint=context.fingerprint,
+            servers=",".join(sorted(server.id for server in ended)),
+            crashes=",".join(f"{crash_id:016x}" for crash_id in crash_ids),
+            events=self._attempt_event_count,
+            parts=",".join(parts),
+        )
 
     async def _wait_until_retryable(self) -> Refusal | None:
         """Wait until the crash history permits the request to be sent again.
@@ -285,9 +310,11 @@
         """
         context, crashes = self._context, self._forwarder.crashes
         refusal = await crashes.admit(context.fingerprint, context.time_left)
-        if refusal is None or not self._may_have_run:
-            return refusal
-        return self._make_refusal(refusal.message)
+        return None if refusal is None else self._make_crash_refusal(refusal)
+
+    def _make_crash_refusal(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that does not claim that a sent request has not run."""
+        return self._make_refusal(refusal.message) if self._may_have_run else refusal
 
     async def _acquire_next_grant(self) -> Grant | None:
         """Acquire a place at a pipeline for the next attempt.
@@ -517,6 +544,9 @@
         self, exchange: Exchange, events: list[Event], grant: Grant
     ) -> None:
         self._may_have_run = True
+        if not self._attempt_event_count and self._sent_at is not None:
+            parts = self._context.facts.prompt_parts
+            self._forwarder.parts.record_begin(parts, self._sent_at)
         self._forwarder.health.refusals.record_accepted(grant.pipeline.server_ids)
         if not self._event_count:
             self._forwarder.metrics.timing("first_event", self._context.age)
--- a/hibiscustiller/ingress/tests/test_many_changes_of_engines.py
+++ b/hibiscustiller/ingress/tests/test_many_changes_of_engines.py
@@ -18,6 +18,7 @@
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._model_services import ModelServices
+from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.layers import EngineLoad
 from hibiscustiller.layers.tests.fixtures import SPEC, make_engine
 from hibiscustiller.settings import Address
@@ -66,6 +67,7 @@
             EngineLoad(clock),
             ServerHealth(clock, self.view.get_server, lambda is_own_finding: None),
             CrashHistory(self.router_id, clock, self.metrics),
+            PartHistory(clock, self.metrics),
             None,
             None,
             clock,
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -598,6 +598,79 @@
     )
 
 
+@dataclass(frozen=True)
+class SuspectedCrash:
+    """A ``SuspectedCrash`` message."""
+
+    id: int
+    sent_ms: int
+    detected_ms: int
+    is_cleared: bool
+
+
+def _write_SuspectedCrash(builder: Any, message: SuspectedCrash) -> None:
+    builder.id = message.id
+    builder.sentMs = message.sent_ms
+    builder.detectedMs = message.detected_ms
+    builder.isCleared = message.is_cleared
+
+
+def _read_SuspectedCrash(reader: Any) -> SuspectedCrash:
+    return SuspectedCrash(
+        id=reader.id,
+        sent_ms=reader.sentMs,
+        detected_ms=reader.detectedMs,
+        is_cleared=reader.isCleared,
+    )
+
+
+@dataclass(frozen=True)
+class CrashedPart:
+    """A ``CrashedPart`` message."""
+
+    part_id: str
+    position: int
+    crashes: tuple[SuspectedCrash, ...]
+
+
+def _write_CrashedPart(builder: Any, message: CrashedPart) -> None:
+    builder.partId = message.part_id
+    builder.position = message.position
+    items = builder.init("crashes", len(message.crashes))
+    for index, item in enumerate(message.crashes):
+        _write_SuspectedCrash(items[index], item)
+
+
+def _read_CrashedPart(reader: Any) -> CrashedPart:
+    return CrashedPart(
+        part_id=reader.partId,
+        position=reader.position,
+        crashes=tuple(_read_SuspectedCrash(item) for item in reader.crashes),
+    )
+
+
+@dataclass(frozen=True)
+class CrashedParts:
+    """A ``CrashedParts`` message."""
+
+    parts: tuple[CrashedPart, ...]
+    is_asking: bool
+
+
+def _write_CrashedParts(builder: Any, message: CrashedParts) -> None:
+    items = builder.init("parts", len(message.parts))
+    for index, item in enumerate(message.parts):
+        _write_CrashedPart(items[index], item)
+    builder.isAsking = message.is_asking
+
+
+def _read_CrashedParts(reader: Any) -> CrashedParts:
+    return CrashedParts(
+        parts=tuple(_read_CrashedPart(item) for item in reader.parts),
+        is_asking=reader.isAsking,
+    )
+
+
 @dataclass(frozen=True)
 class FollowRequest:
     """A ``FollowRequest`` message."""
@@ -960,6 +1033,7 @@
     | RepeatAnswer
     | StoreSnapshot
     | CrashedRequests
+    | CrashedParts
 )
 
 _WRITERS: dict[type, tuple[str, Any]] = {
@@ -988,6 +1062,7 @@
     RepeatAnswer: ("repeatAnswer", _write_RepeatAnswer),
     StoreSnapshot: ("storeSnapshot", _write_StoreSnapshot),
     CrashedRequests: ("crashedRequests", _write_CrashedRequests),
+    CrashedParts: ("crashedParts", _write_CrashedParts),
 }
 _READERS: dict[str, Any] = {
     "hello": _read_Hello,
@@ -1015,6 +1090,7 @@
     "repeatAnswer": _read_RepeatAnswer,
     "storeSnapshot": _read_StoreSnapshot,
     "crashedRequests": _read_CrashedRequests,
+    "crashedParts": _read_CrashedParts,
 }
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -30,6 +30,7 @@
     repeatAnswer @23 :RepeatAnswer;
     storeSnapshot @24 :StoreSnapshot;
     crashedRequests @25 :CrashedRequests;
+    crashedParts @26 :CrashedParts;
   }
 }
 
@@ -196,6 +197,31 @@
   isAsking @1 :Bool;
 }
 
+# A crash of a server under requests that had not begun their answers; times are ages.
+struct SuspectedCrash {
+  # The same at all routers for one crash.
+  id @0 :UInt64;
+  sentMs @1 :UInt64;
+  detectedMs @2 :UInt64;
+  # Whether an answer to a request with the part has begun after it.
+  isCleared @3 :Bool;
+}
+
+# What the sender knows of a part of prompts under which servers have crashed.
+struct CrashedPart {
+  partId @0 :Text;
+  # Place of the part in prompts; 0 for the first.
+  position @1 :UInt8;
+  crashes @2 :List(SuspectedCrash);
+}
+
+# Sent as a datagram.
+struct CrashedParts {
+  parts @0 :List(CrashedPart);
+  # Whether the sender has started, and asks for what the receiver knows.
+  isAsking @1 :Bool;
+}
+
 struct DeadServer {
   serverId @0 :Text;
   # Start of the process that has ended, in Unix milliseconds.
