Do not take an empty answer or a crash for the end of a stream

Callers could get three events of twenty as a complete stream, where it broke off and the next engine answered 200 with no event, or where the engine of a stream without framing crashed between two events: both connections end like a complete one. An end without an event now counts if a second engine agrees, so that a stream of which the caller has all events still completes; an engine is asked once, where a faulty one was asked up to six times. At the end of an unframed stream the engine's process is checked.

--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -204,6 +204,8 @@
         self._excluded_ids: set[ServerId] = set()
         # Servers of pipelines that were abandoned because they stalled.
         self._stalled_ids: set[ServerId] = set()
+        # Entry servers that ended the stream as complete without an event.
+        self._eventless_ids: set[ServerId] = set()
         self._entry_ids: list[ServerId] = []
         self._may_have_run = False
         self._attempt_count = 0
@@ -512,10 +514,38 @@
         if splitter.rest:
             message = "the stream ended in the middle of an event"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        await self._check_end(exchange, grant)
         await self._start_response(exchange)
         await _send_to_caller(self._responder.finish())
         return _Outcome.FINISHED
 
+    async def _check_end(self, exchange: Exchange, grant: Grant) -> None:
+        """Check that the end of an attempt's stream is the end of the answer.
+
+        :raises TransportError: if more events may follow.
+        """
+        context, entry, health = (
+            self._context,
+            grant.pipeline.entry,
+            self._forwarder.health,
+        )
+        if not exchange.is_framed:
+            # The connection of a crashed process ends like a complete stream.
+            await health.check([entry], since=context.clock.monotonic())
+            if health.has_ended(entry):
+                message = "the server of a stream without framing has ended"
+                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        if self._attempt_event_count:
+            return
+        # Either the caller has all events, or this engine is faulty.
+        is_confirmed = any(key != entry.id for key in self._eventless_ids)
+        if is_confirmed:
+            return
+        self._eventless_ids.add(entry.id)
+        self._excluded_ids.add(entry.id)
+        message = "the stream ended without an event"
+        raise TransportError(message, Verdict.MAY_HAVE_RUN)
+
     def _split(self, splitter: EventSplitter, part: bytes) -> list[Event]:
         try:
             return splitter.feed(part)
--- a/hibiscustiller/ingress/tests/test_broken_answers.py
+++ b/hibiscustiller/ingress/tests/test_broken_answers.py
@@ -1,6 +1,7 @@
 """Answers that are broken off, empty, or the refusal of another request."""
 
 import re
+import socket
 import sys
 
 import curio
@@ -289,7 +290,8 @@
             await use_for_engine(world, "e0", server)
 
             def make_answer(request_id, number):
-                server.socket._socket.close()
+                # Connections are refused from now on, as by a host without the process.
+                server.socket._socket.shutdown(socket.SHUT_RD)
                 return make_stream(request_id, EVENTS)
 
             server.make_answer = make_answer
