--- a/hibiscustiller/ingress/tests/soak/calls.py
+++ b/hibiscustiller/ingress/tests/soak/calls.py
@@ -10,7 +10,7 @@
 from hibiscustiller.ingress.tests.fixtures import KEY, exchange
 from hibiscustiller.ingress.tests.soak.site import make_probe_prefix
 from hibiscustiller.standins import make_event
-from hibiscustiller.standins._programs import CRASH_MARK
+from hibiscustiller.standins._programs import CRASH_MARK, CRASH_PART_MARK
 
 WHOLE_STREAM = b"".join(make_event(number) for number in range(20))
 # Statuses that guarantee that a request has not run and will not run.
@@ -34,6 +34,7 @@
 # request.
 _CRASHING_REQUEST_ATTEMPTS = 14
 _CRASHING_REQUEST_PAUSE_S = (0.2, 0.8)
+_FIRST_PART = "f1"
 
 
 @dataclass
@@ -115,7 +116,23 @@
         self._crashing_request_count += 1
         body = CRASH_MARK + b"%d" % self._crashing_request_count
         kind = self._random_state.choice(("chat", "once", "book", "stock"))
-        for _ in range(_CRASHING_REQUEST_ATTEMPTS):
+        await self._send_repeatedly(lambda number: (kind, body, None))
+
+    async def send_crashing_part(self):
+        """Send different requests with a prompt part that crashes servers."""
+        self._crashing_request_count += 1
+        part = f"{CRASH_PART_MARK}{self._crashing_request_count}"
+        kind = self._random_state.choice(("chat", "once"))
+        await self._send_repeatedly(lambda number: (kind, b"{%d}" % number, part))
+
+    async def _send_repeatedly(self, make_request):
+        """Send requests that crash servers to random daemons.
+
+        :param make_request: returns the kind, body and shared part of a request, given
+            its number.
+        """
+        for number in range(_CRASHING_REQUEST_ATTEMPTS):
+            kind, body, part = make_request(number)
             daemon = self._random_state.randrange(len(self._deployment.front_addresses))
             front = self._deployment.front_addresses[daemon]
             try:
@@ -127,16 +144,17 @@
                     self._random_state.uniform(*_CRASHING_REQUEST_PAUSE_S)
                 )
             async with sock:
-                call = await self.send(sock, daemon, kind, body)
+                call = await self.send(sock, daemon, kind, body, part)
             if call.status == 200 and call.is_complete:
                 self._add_problem(
                     call, "a request that crashes each server was answered"
                 )
 
-    async def send(self, sock, daemon, kind, crash_body=None):
+    async def send(self, sock, daemon, kind, crash_body=None, crash_part=None):
         """Send a request and check its answer.
 
         :param crash_body: body of a request that crashes the servers that run it.
+        :param crash_part: part of its prompt, if that crashes them instead.
         """
         program = self._deployment.daemons[daemon]
         request_id = uuid.UUID(int=self._random_state.getrandbits(128)).hex
@@ -156,6 +174,9 @@
         body = b"" if method == "GET" else b"{}"
         if crash_body is not None:
             method, body = "POST", crash_body
+        # Sound streams share the first part of their prompts.
+        parts = [_FIRST_PART, *([crash_part] if crash_part else []), request_id]
+        prefix = ",".join(f"{part}:20" for part in parts)
         try:
             answer = await exchange(
                 sock,
@@ -164,6 +185,7 @@
                 method=method,
                 key=KEY,
                 body=body,
+                headers=[("prompt-prefix", prefix)],
                 time_limit_s=_CALL_TIMEOUT_S,
             )
         except curio.TaskTimeout:
--- a/hibiscustiller/ingress/tests/soak/faults.py
+++ b/hibiscustiller/ingress/tests/soak/faults.py
@@ -50,6 +50,7 @@
             "server-killed": self._kill_server,
             "server-paused": self._pause_server,
             "request-crashes-servers": self._crash_servers,
+            "part-crashes-servers": self._crash_servers_by_part,
             "store-paused": self._pause_store,
             "store-history-dropped": self._drop_history,
             "store-refused-one": self._refuse_store,
@@ -206,6 +207,11 @@
             "crashing-request", self._callers.repeat_crashing_request
         )
 
+    async def _crash_servers_by_part(self):
+        await self._run_exclusively(
+            "crashing-request", self._callers.send_crashing_part
+        )
+
     async def restart_servers(self):
         """Restart servers that have crashed, until cancelled."""
         while True:
--- a/hibiscustiller/ingress/tests/soak/run.py
+++ b/hibiscustiller/ingress/tests/soak/run.py
@@ -14,6 +14,7 @@
 from hibiscustiller.ingress.tests.soak.calls import NOT_RUN_STATUSES, Callers
 from hibiscustiller.ingress.tests.soak.faults import FaultInjector
 from hibiscustiller.ingress.tests.soak.site import Deployment, make_versioned_document
+from hibiscustiller.standins._programs import CRASH_PART_MARK
 
 _CALLER_COUNT = 16
 _FAULT_SERIES_COUNT = 3
@@ -21,8 +22,10 @@
 _RECOVERY_LIMIT_S = 12.0
 # Memory that the smallest hosts of the platform have for a daemon.
 _MAX_MEMORY_MB = 200.0
-# Number of attempts of a request that may still reach servers once three servers have
-# crashed under it and all connected daemons have had time to receive the crash records.
+# Number of crashes under a request, or a part of prompts, after which few attempts may
+# reach servers once all connected daemons have had time to receive the crash records.
+_CRASHES_OF_REQUEST = 3
+_CRASHES_OF_PART = 5
 _MAX_RETRIES_AFTER_QUARANTINE = 3
 # Time within which connected daemons receive the crash records.
 _CONVERGENCE_LIMIT_S = 3.0
@@ -153,18 +156,21 @@
                 )
 
     def _check_crashes(self):
-        """Check that a request that crashes servers stops reaching them.
+        """Check that requests and parts that crash servers stop reaching them.
 
         Daemons that were disturbed shortly before may not have its crash records yet.
         """
         calls_by_id = {call.request_id: call for call in self.callers.calls}
-        runs_by_body = defaultdict(list)
+        runs_by_cause = defaultdict(list)
         for run in self.deployment.read_runs():
             if run["crash"] is not None:
-                runs_by_body[run["crash"]].append(run)
-        for body, runs in runs_by_body.items():
+                runs_by_cause[run["crash"]].append(run)
+        for cause, runs in runs_by_cause.items():
             times = sorted(run["at"] for run in runs)
-            known_at = (times + [math.inf] * 3)[2] + _CONVERGENCE_LIMIT_S
+            is_part = cause.startswith(CRASH_PART_MARK)
+            count = _CRASHES_OF_PART if is_part else _CRASHES_OF_REQUEST
+            last_at = times[count - 1] if len(times) >= count else math.inf
+            known_at = last_at + _CONVERGENCE_LIMIT_S
             late = [
                 run
                 for run in runs
@@ -173,7 +179,7 @@
             ]
             if len(late) > _MAX_RETRIES_AFTER_QUARANTINE:
                 self.result.problems.append(
-                    f"{body} crashed {len(runs)} servers, "
+                    f"{cause} crashed {len(runs)} servers, "
                     f"{len(late)} after it was known"
                 )
 
--- a/hibiscustiller/ingress/tests/test_soak.py
+++ b/hibiscustiller/ingress/tests/test_soak.py
@@ -10,13 +10,14 @@
 
 # Seeds and their faults: one run with all faults, one with faults that interrupt orders
 # in progress, one with planned operations only, which must lose no answer, and one with
-# requests that crash servers (incident BUDGET) together with faults by which daemons
-# lose or miss crash records.
+# requests that crash servers (incident BUDGET), and one with parts of prompts that do,
+# together with faults by which daemons lose or miss crash records.
 _RUNS = (
     (101, None),
     (102, ("server-killed", "link-reset", "daemon-stopped")),
     (103, ("daemon-stopped", "daemon-reloaded", "configuration-changed")),
     (104, ("request-crashes-servers", "daemon-killed", "store-refused-one")),
+    (105, ("part-crashes-servers", "daemon-killed", "link-reset")),
 )
 _FAULTS_LENGTH_S = 5.0
 
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -42,6 +42,9 @@
 # A server that begins to run a request with it ends; the rest of the body tells such
 # requests apart.
 CRASH_MARK = b"crash-"
+# A shared part of a prompt that begins with it ends servers in the same way, whatever
+# else the request holds.
+CRASH_PART_MARK = "dead"
 
 
 class RunRecord:
@@ -226,11 +229,11 @@
     record: RunRecord, server_id: str, request: HttpRequest, **values: object
 ) -> None:
     headers = request.headers_by_name
-    is_crash = request.body.startswith(CRASH_MARK)
+    crash = _find_crash_cause(request)
     record.note(
         server=server_id,
         at=time.monotonic(),
-        crash=request.body.decode() if is_crash else None,
+        crash=crash,
         request=headers["request-id"],
         target=request.target.decode("latin-1"),
         organisation=headers.get("tenant"),
@@ -238,9 +241,18 @@
         last_event=headers.get("last-event-id"),
         **values,
     )
-    if is_crash:
+    if crash is not None:
         os._exit(1)
 
 
+def _find_crash_cause(request: HttpRequest) -> str | None:
+    """Return the body or the part of a prompt that ends the server, if there is one."""
+    if request.body.startswith(CRASH_MARK):
+        return request.body.decode()
+    entries = request.headers_by_name.get("prompt-prefix", "").split(",")[:-1]
+    ids = [entry.partition(":")[0] for entry in entries]
+    return next((id for id in ids if id.startswith(CRASH_PART_MARK)), None)
+
+
 def _read_milliseconds(clock: Clock) -> int:
     return int(clock.now().timestamp() * 1000)
