--- a/hibiscustiller/ingress/_part_history.py
+++ b/hibiscustiller/ingress/_part_history.py
@@ -376,7 +376,8 @@
             explained_ids.update(crash.id for crash in causes[part])
         for part in causes.keys() - self._causes.keys():
             self._metrics.count("parts.quarantined")
-            log_event("part_quarantined", level="error", part=part)
+            crashes = ",".join(map(_format_id, causes[part]))
+            log_event("part_quarantined", level="error", part=part, crashes=crashes)
         for part in self._causes.keys() - causes.keys():
             log_event("part_released", level="warning", part=part)
         self._causes, self._explained_ids = causes, explained_ids
@@ -423,9 +424,7 @@
         record.asked_at = now
         trial_at = self._compute_trial_time(part)
         left = _RECORD_TTL if trial_at is None else trial_at - now
-        crashes = ",".join(map(_format_id, self._causes[part]))
-        log_event("part_refused", part=part, crashes=crashes)
-        message = "servers crashed one after the other under a part of the prompt"
+        message = f"servers crashed one after the other under part {part} of the prompt"
         return Refusal(
             RefusalReason.CRASHES_SERVERS,
             Verdict.NOT_RUN,
