Check the server's process at the end of a plain answer without framing

A caller got the first three bytes of an answer as a whole one: the connection of a crashed process ends like an answer that has neither a length nor chunks. The test failed before. Streams had the same fault and use the same check.

--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -140,6 +140,11 @@
                 await group.spawn(self._check_server, server, since)
         return all(self.is_reachable(server) for server in servers)
 
+    async def check_ended(self, server: BackendServer) -> bool:
+        """Connect to a server whose connection ended; tell whether it has crashed."""
+        await self.check([server], since=self._clock.monotonic())
+        return self.has_ended(server)
+
     async def check_reported(self, server_ids: Iterable[ServerId]) -> None:
         """Check servers that another router reported as unreachable."""
         now = self._clock.monotonic()
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -333,7 +333,13 @@
             ),
         )
         try:
-            return await self._read_answer(exchange)
+            answer = await self._read_answer(exchange)
+            # The connection of a crashed process ends like an answer without framing.
+            health = self._forwarder.health
+            if not exchange.is_framed and await health.check_ended(server):
+                message = "the server of an answer without framing has ended"
+                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+            return answer
         except TransportError:
             exchange.discard()
             raise
@@ -343,8 +349,7 @@
     async def _check_crash(self, server: BackendServer, started_at: timedelta) -> None:
         """Record a crash if the process of a server that failed has ended."""
         forwarder, context = self._forwarder, self._context
-        await forwarder.health.check([server], since=context.clock.monotonic())
-        if forwarder.health.has_ended(server):
+        if await forwarder.health.check_ended(server):
             forwarder.crashes.record_crash(
                 context.fingerprint, started_at, has_progress=False
             )
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -524,17 +524,11 @@
 
         :raises TransportError: if more events may follow.
         """
-        context, entry, health = (
-            self._context,
-            grant.pipeline.entry,
-            self._forwarder.health,
-        )
-        if not exchange.is_framed:
-            # The connection of a crashed process ends like a complete stream.
-            await health.check([entry], since=context.clock.monotonic())
-            if health.has_ended(entry):
-                message = "the server of a stream without framing has ended"
-                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        entry = grant.pipeline.entry
+        # The connection of a crashed process ends like a complete stream.
+        if not exchange.is_framed and await self._forwarder.health.check_ended(entry):
+            message = "the server of a stream without framing has ended"
+            raise TransportError(message, Verdict.MAY_HAVE_RUN)
         if self._attempt_event_count:
             return
         # Either the caller has all events, or this engine is faulty.
--- a/hibiscustiller/ingress/tests/test_broken_answers.py
+++ b/hibiscustiller/ingress/tests/test_broken_answers.py
@@ -301,5 +301,26 @@
                 assert answer.body.count(b"id:") == 20, answer.body
 
 
+async def test_an_unframed_answer_of_a_crashed_server_reaches_no_caller():
+    """Guards against a part of an answer that looks whole, as its server crashed.
+
+    Without a crash such an answer is complete at the end of its connection.
+    """
+    async with World() as world:
+        async with ScriptedServer(lambda id, number: make_head(id) + b"boo") as server:
+            await use_only(world, server)
+            for path in ("/book/1", "/stock/1"):
+                answer = await world.request(path)
+                assert (answer.status, answer.body) == (200, b"boo"), (path, answer)
+
+            def make_answer(request_id, number):
+                server.socket._socket.shutdown(socket.SHUT_RD)
+                return make_head(request_id) + b"boo"
+
+            server.make_answer = make_answer
+            answer = await world.request("/book/1")
+            assert answer.status == 502, answer
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
