Count a crash by the latest request with the part that was there

Of two requests at a crash, one sent before the previous crash and one after it, the record kept the time of the one that was reported first. A record now names the crashes that were known when a request was sent, and merging them is a union. The new test is that case, in both orders of the reports.

--- a/hibiscustiller/ingress/_crash_messages.py
+++ b/hibiscustiller/ingress/_crash_messages.py
@@ -124,6 +124,7 @@
                     _compute_age_ms(crash.sent_at, now),
                     _compute_age_ms(crash.detected_at, now),
                     crash.is_cleared,
+                    tuple(crash.earlier_ids),
                 )
                 for crash in record.crashes_by_id.values()
             ),
@@ -143,6 +144,7 @@
                     CrashId(crash.id),
                     now - _parse_age(crash.sent_ms),
                     now - _parse_age(crash.detected_ms),
+                    frozenset(map(CrashId, crash.earlier_ids)),
                     crash.is_cleared,
                     learned_at=now,
                 )
--- a/hibiscustiller/ingress/_part_history.py
+++ b/hibiscustiller/ingress/_part_history.py
@@ -60,9 +60,6 @@
 _TRIAL_TIMEOUT = timedelta(seconds=30)
 # Shortest time after which the caller of a refused request may return.
 _MIN_RETRY_AFTER = timedelta(seconds=10)
-# Times that other routers report are late by the transmission time of a datagram, and
-# by more if a router is busy.
-_REPORTED_TIME_ERROR = timedelta(milliseconds=100)
 _RECORD_TTL = timedelta(days=1)
 # A record takes about a kilobyte.
 _MAX_RECORDS = 2048
@@ -85,9 +82,10 @@
 class SuspectedCrash:
     """A crash of a server at which a request with a part had not begun its answer.
 
-    :param sent_at: when the latest such request was sent to the server, on the
+    :param sent_at: when the first such request was sent to the server, on the
         monotonic clock.
     :param detected_at: when the crash was first detected, on the monotonic clock.
+    :param earlier_ids: crashes that were known when such a request was sent.
     :param is_cleared: whether an answer to a request with the part began after it.
     :param learned_at: when this router learned of it, on the monotonic clock.
     """
@@ -95,6 +93,7 @@
     id: CrashId
     sent_at: timedelta
     detected_at: timedelta
+    earlier_ids: frozenset[CrashId]
     is_cleared: bool
     learned_at: timedelta
 
@@ -160,16 +159,18 @@
                 self.crashes_by_id[crash.id] = crash
                 is_new = True
                 continue
-            is_new = is_new or (crash.is_cleared and not known.is_cleared)
-            # The time of sending moves by more than an error of its transmission only,
-            # so that it does not grow as records go round.
-            is_later = crash.sent_at > known.sent_at + _REPORTED_TIME_ERROR
-            self.crashes_by_id[crash.id] = replace(
+            # Reported times are late by the transmission time of a datagram, so the
+            # earlier one is kept: it does not grow as records go round.
+            merged = replace(
                 known,
-                sent_at=crash.sent_at if is_later else known.sent_at,
+                sent_at=min(known.sent_at, crash.sent_at),
                 detected_at=min(known.detected_at, crash.detected_at),
+                earlier_ids=known.earlier_ids | crash.earlier_ids,
                 is_cleared=known.is_cleared or crash.is_cleared,
             )
+            self.crashes_by_id[crash.id] = merged
+            is_new = is_new or merged.is_cleared != known.is_cleared
+            is_new = is_new or merged.earlier_ids != known.earlier_ids
         self._trim()
         return is_new
 
@@ -187,16 +188,20 @@
     """Return how many crashes are evidence of their own.
 
     One failure may crash several servers that run requests with a part. A crash is
-    therefore further evidence only if the request was sent after the previous one.
+    therefore further evidence only if a request was sent after the previous one.
 
     :param crashes: crashes in order of time.
     """
     count = 0
-    previous_at: timedelta | None = None
+    previous: SuspectedCrash | None = None
     for crash in crashes:
-        if previous_at is None or crash.sent_at >= previous_at:
+        if (
+            previous is None
+            or previous.id in crash.earlier_ids
+            or crash.sent_at >= previous.detected_at
+        ):
             count += 1
-            previous_at = crash.detected_at
+            previous = crash
     return count
 
 
@@ -241,12 +246,19 @@
         :param sent_at: when the request was sent, on the monotonic clock.
         """
         now = self._clock.monotonic()
-        crashes_by_id = {
-            id: SuspectedCrash(id, sent_at, now, is_cleared=False, learned_at=now)
-            for id in crash_ids
-        }
+        crash_ids = list(crash_ids)
         for position, part in enumerate(parts):
-            if self._apply(part, PartRecord(position, dict(crashes_by_id))):
+            known = self.records.get(part) or PartRecord()
+            earlier_ids = frozenset(
+                crash.id
+                for crash in known.list_suspected()
+                if crash.learned_at < sent_at
+            )
+            crashes_by_id = {
+                id: SuspectedCrash(id, sent_at, now, earlier_ids, False, now)
+                for id in crash_ids
+            }
+            if self._apply(part, PartRecord(position, crashes_by_id)):
                 self.records.queue_update(part, is_broadcast=False)
 
     def record_begin(self, parts: Iterable[PartId], sent_at: timedelta) -> None:
@@ -423,7 +435,8 @@
         now = self._clock.monotonic()
         record.asked_at = now
         trial_at = self._compute_trial_time(part)
-        left = _RECORD_TTL if trial_at is None else trial_at - now
+        # Callers return after the trial, rather than into the same refusal.
+        left = _RECORD_TTL if trial_at is None else trial_at + _TRIAL_SLOT - now
         message = f"servers crashed one after the other under part {part} of the prompt"
         return Refusal(
             RefusalReason.CRASHES_SERVERS,
--- a/hibiscustiller/ingress/tests/test_part_history.py
+++ b/hibiscustiller/ingress/tests/test_part_history.py
@@ -93,6 +93,23 @@
     assert not bench.is_refused(FIRST)
 
 
+def test_the_latest_request_at_a_crash_makes_it_further_evidence():
+    """Guards against a crash that an earlier request there keeps from counting."""
+    for is_reversed in (False, True):
+        bench, other = Bench(), Bench()
+        waiting_since = bench.clock.monotonic()
+        for number in range(3):
+            crash_id = compute_crash_id(f"p{number}", 1)
+            sent_at = bench.clock.monotonic()
+            bench.clock.advance(50 * MS)
+            for at in sorted((waiting_since, sent_at), reverse=is_reversed):
+                bench.history.record_crash([FIRST, BAD], [crash_id], at)
+            bench.clock.advance(10 * MS)
+        assert bench.is_refused(FIRST, BAD)
+        send_records(bench, other)
+        assert other.is_refused(FIRST, BAD)
+
+
 def test_only_an_answer_sent_after_a_crash_clears_its_parts():
     """Guards against an answer that was on its way when the part turned bad."""
     bench = Bench()
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -606,6 +606,7 @@
     sent_ms: int
     detected_ms: int
     is_cleared: bool
+    earlier_ids: tuple[int, ...]
 
 
 def _write_SuspectedCrash(builder: Any, message: SuspectedCrash) -> None:
@@ -613,6 +614,7 @@
     builder.sentMs = message.sent_ms
     builder.detectedMs = message.detected_ms
     builder.isCleared = message.is_cleared
+    builder.earlierIds = list(message.earlier_ids)
 
 
 def _read_SuspectedCrash(reader: Any) -> SuspectedCrash:
@@ -621,6 +623,7 @@
         sent_ms=reader.sentMs,
         detected_ms=reader.detectedMs,
         is_cleared=reader.isCleared,
+        earlier_ids=tuple(reader.earlierIds),
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -205,6 +205,8 @@
   detectedMs @2 :UInt64;
   # Whether an answer to a request with the part has begun after it.
   isCleared @3 :Bool;
+  # Crashes that were known when such a request was sent.
+  earlierIds @4 :List(UInt64);
 }
 
 # What the sender knows of a part of prompts under which servers have crashed.
