--- a/hibiscustiller/ingress/tests/fixtures.py
+++ b/hibiscustiller/ingress/tests/fixtures.py
@@ -290,6 +290,33 @@
         return await exchange(sock, path, **options)
 
 
+class RawServer:
+    """A server whose subclasses send any bytes in :meth:`serve`."""
+
+    def __init__(self):
+        self.tasks = []
+
+    async def __aenter__(self):
+        self.socket = curio.tcp_server_socket("127.0.0.1", 0)
+        self.address = Address("127.0.0.1", self.socket.getsockname()[1])
+        self.tasks.append(await curio.spawn(self.accept, daemon=True))
+        return self
+
+    async def __aexit__(self, *args):
+        for task in self.tasks:
+            await task.cancel()
+        await self.socket.close()
+
+    async def accept(self):
+        while True:
+            sock, _ = await self.socket.accept()
+            self.tasks.append(await curio.spawn(self.serve, sock, daemon=True))
+
+    async def serve(self, sock):
+        """Serve a connection; it is closed by this method."""
+        raise NotImplementedError
+
+
 async def exchange(
     sock,
     path,
--- a/hibiscustiller/ingress/tests/test_broken_answers.py
+++ b/hibiscustiller/ingress/tests/test_broken_answers.py
@@ -6,9 +6,8 @@
 
 import curio
 
-from hibiscustiller.ingress.tests.fixtures import World
+from hibiscustiller.ingress.tests.fixtures import RawServer, World
 from hibiscustiller.ingress.tests.test_endless_answers import write_plain_entry
-from hibiscustiller.settings import Address
 from hibiscustiller.standins._layered_engine import make_event
 from hibiscustiller.utils._testing import collect_tests
 
@@ -16,7 +15,7 @@
 EVENTS = b"".join(make_event(number) for number in range(EVENT_COUNT))
 
 
-class ScriptedServer:
+class ScriptedServer(RawServer):
     """A server that answers each request with bytes of the test's choice.
 
     :param make_answer: returns the bytes for a request's id and its number on the
@@ -25,26 +24,10 @@
     """
 
     def __init__(self, make_answer, is_closed=True):
+        super().__init__()
         self.make_answer = make_answer
         self.is_closed = is_closed
         self.request_count = 0
-        self.tasks = []
-
-    async def __aenter__(self):
-        self.socket = curio.tcp_server_socket("127.0.0.1", 0)
-        self.address = Address("127.0.0.1", self.socket.getsockname()[1])
-        self.tasks.append(await curio.spawn(self.accept, daemon=True))
-        return self
-
-    async def __aexit__(self, *args):
-        for task in self.tasks:
-            await task.cancel()
-        await self.socket.close()
-
-    async def accept(self):
-        while True:
-            sock, _ = await self.socket.accept()
-            self.tasks.append(await curio.spawn(self.serve, sock, daemon=True))
 
     async def serve(self, sock):
         async with sock:
--- a/hibiscustiller/ingress/tests/test_failures_elsewhere.py
+++ b/hibiscustiller/ingress/tests/test_failures_elsewhere.py
@@ -8,9 +8,8 @@
 import curio
 
 from hibiscustiller.ingress._health import _Outage
-from hibiscustiller.ingress.tests.fixtures import World, exchange
+from hibiscustiller.ingress.tests.fixtures import RawServer, World, exchange
 from hibiscustiller.ingress.tests.test_endless_answers import write_plain_entry
-from hibiscustiller.settings import Address
 from hibiscustiller.utils._testing import collect_tests
 
 SECOND = timedelta(seconds=1)
@@ -36,7 +35,7 @@
     )
 
 
-class DuplicatingServer:
+class DuplicatingServer(RawServer):
     """A plain server that sends each answer twice.
 
     :param timing: when the copy is sent: ``at-once`` after the answer, ``between`` two
@@ -46,26 +45,10 @@
     """
 
     def __init__(self, timing, sent_share=1.0, prefix=b""):
+        super().__init__()
         self.timing = timing
         self.sent_share = sent_share
         self.prefix = prefix
-        self.tasks = []
-
-    async def __aenter__(self):
-        self.socket = curio.tcp_server_socket("127.0.0.1", 0)
-        self.address = Address("127.0.0.1", self.socket.getsockname()[1])
-        self.tasks.append(await curio.spawn(self.accept, daemon=True))
-        return self
-
-    async def __aexit__(self, *args):
-        for task in self.tasks:
-            await task.cancel()
-        await self.socket.close()
-
-    async def accept(self):
-        while True:
-            sock, _ = await self.socket.accept()
-            self.tasks.append(await curio.spawn(self.serve, sock, daemon=True))
 
     async def serve(self, sock):
         pending_copy = b""
