Keep a bad part quarantined that shares a crash with another

Cause: both parts were suspects of one crash. It was explained by the first one, so that the second took two crashes more, and by the second one then, so that the first was released and crashed another engine. One of a part's crashes may now have another known cause.

--- a/hibiscustiller/ingress/_part_history.py
+++ b/hibiscustiller/ingress/_part_history.py
@@ -39,6 +39,9 @@
 # The first part stands in all requests of a kind or a subject, and its refusal stops
 # them all, so it takes more evidence.
 _FIRST_PART_THRESHOLD = 5
+# Two parts at fault may be suspects of the same crash, so that one of the crashes of a
+# part may have another known cause.
+_SHARED_CRASHES = 1
 # Crashes with another cause that a part with a cause behind it may be involved in
 # before it is cleared.
 _COINCIDENCE_MARGIN = 1
@@ -401,9 +404,13 @@
         """
         ranks = {}
         for part, record in self.records.list_suspects().items():
-            crashes = record.list_suspected(explained)
-            if count_separate(crashes) >= _get_threshold(record):
-                ranks[part] = (record.position, len(crashes), part)
+            threshold = _get_threshold(record)
+            remaining = record.list_suspected(explained)
+            if (
+                count_separate(record.list_suspected()) >= threshold
+                and count_separate(remaining) >= threshold - _SHARED_CRASHES
+            ):
+                ranks[part] = (record.position, len(remaining), part)
         most = max((count for _, count, _ in ranks.values()), default=0)
         candidates = [
             part
--- a/hibiscustiller/ingress/tests/test_part_history.py
+++ b/hibiscustiller/ingress/tests/test_part_history.py
@@ -147,6 +147,22 @@
     assert not bench.is_refused(FIRST)
 
 
+def test_bad_parts_that_share_a_crash_are_both_quarantined():
+    """Guards against release of a bad part once another one explains a crash of it.
+
+    Seen in a day with two bad parts, one of which was refused after five crashes, and
+    the other one released then.
+    """
+    bench = Bench()
+    for prompts in ([BAD], [BAD], [BAD, OTHER], [OTHER], [OTHER]):
+        bench.crash(*([FIRST, part] for part in prompts))
+        bench.begin(FIRST)
+    for _ in range(2):
+        assert bench.is_refused(FIRST, BAD)
+        assert bench.is_refused(FIRST, OTHER)
+        bench.crash([FIRST, OTHER])
+
+
 def test_the_part_with_the_most_crashes_is_the_cause():
     """Guards against a refused child or sibling while the bad part is let through."""
     bench = Bench()
