Judge a first part only after the records of the parts behind it

Cause: the records of the parts of a prompt come from different aggregators, and a router that has those of the first part alone finds no other cause. A first part is now judged 200 ms after its latest crash became known.

--- a/hibiscustiller/ingress/_part_history.py
+++ b/hibiscustiller/ingress/_part_history.py
@@ -39,6 +39,9 @@
 # The first part stands in all requests of a kind or a subject, and its refusal stops
 # them all, so it takes more evidence.
 _FIRST_PART_THRESHOLD = 5
+# The records of a prompt's parts come from different aggregators. A first part is not
+# judged before those of the parts behind it have arrived.
+_SETTLING_TIME = timedelta(milliseconds=200)
 # Two parts at fault may be suspects of the same crash, so that one of the crashes of a
 # part may have another known cause.
 _SHARED_CRASHES = 1
@@ -135,6 +138,11 @@
             times.append(self.asked_at)
         return max(times)
 
+    @property
+    def learned_at(self) -> timedelta:
+        """When this router learned of the latest crash, on the monotonic clock."""
+        return max(crash.learned_at for crash in self.crashes_by_id.values())
+
     def list_suspected(
         self, explained: Collection[CrashId] = ()
     ) -> list[SuspectedCrash]:
@@ -403,7 +411,11 @@
         :param explained: crashes that other parts explain.
         """
         ranks = {}
+        settled_at = self._clock.monotonic() - _SETTLING_TIME
         for part, record in self.records.list_suspects().items():
+            if not record.position and record.learned_at > settled_at:
+                self._is_stale = True
+                continue
             threshold = _get_threshold(record)
             remaining = record.list_suspected(explained)
             if (
