Bound the crashes of a part's record as those of a request's

A datagram carries up to 32 records; with 24 crashes each and the crashes known before them it could exceed the largest datagram, which was not sent then.

--- a/hibiscustiller/ingress/_part_history.py
+++ b/hibiscustiller/ingress/_part_history.py
@@ -70,7 +70,8 @@
 _RECORD_TTL = timedelta(days=1)
 # A record takes about a kilobyte.
 _MAX_RECORDS = 2048
-_MAX_CRASHES_PER_RECORD = 24
+# A datagram carries 32 records.
+_MAX_CRASHES_PER_RECORD = 12
 _CRASH_ID_HEX_DIGITS = 16
 # As for an id of a part that a caller sends.
 _MAX_PART_ID_LENGTH = 64
