--- a/hibiscustiller/ingress/_part_history.py
+++ b/hibiscustiller/ingress/_part_history.py
@@ -47,8 +47,8 @@
 # Two parts at fault may be suspects of the same crash, so that one of the crashes of a
 # part may have another known cause.
 _SHARED_CRASHES = 1
-# Crashes with another cause that a part with a cause behind it may be involved in
-# before it is cleared.
+# A sound part may be a suspect of this many crashes more than a part at fault behind it
+# in the prompt, before an answer clears it.
 _COINCIDENCE_MARGIN = 1
 # Trials stop at this number of crashes for good.
 _MAX_CRASHES = 8
@@ -395,7 +395,7 @@
         return True
 
     def _update_causes(self) -> None:
-        """Find the parts that explain the crashes, the one with most crashes first."""
+        """Find the parts that explain the crashes, if records have changed."""
         if not self._is_stale:
             return
         self._is_stale = False
