--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import cached_property
@@ -132,6 +133,17 @@
             return facts.is_not_run
         return facts.is_not_run and facts.request_id == self.facts.request_id
 
+    def log_unanswered(self, servers: Iterable[BackendServer]) -> None:
+        """Log that an attempt ended without an answer, and which processes had it.
+
+        With the ends of processes, this tells under which requests they crashed.
+        """
+        self.log(
+            "attempt_unanswered",
+            fingerprint=self.fingerprint,
+            servers=",".join(f"{server.id}/{server.born}" for server in servers),
+        )
+
     def log(self, event: str, **fields: object) -> None:
         """Log an event of this request, with its id, route and age."""
         log_event(
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -311,6 +311,8 @@
             latency = context.clock.monotonic() - started_at
             failed = answer is None or answer.status >= _FIRST_SERVER_ERROR_STATUS
             forwarder.servers.record_answer(server.id, latency, failed)
+            if answer is None:
+                context.log_unanswered([server])
         return answer
 
     async def _exchange_messages(self, server: BackendServer) -> _Answer:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -252,13 +252,16 @@
     async def _run_granted(self, grant: Grant) -> _Outcome:
         context = self._context
         ended_before = self._list_ended_servers(grant)
+        # An attempt that is cancelled, since its caller has left, has no other outcome.
+        outcome = _Outcome.BROKEN
         try:
             outcome = await self._run_attempt(grant)
         except TimeoutError:
             # The route's or the caller's timeout has expired.
             self._may_have_run = True
-            outcome = _Outcome.BROKEN
         finally:
+            if outcome is _Outcome.BROKEN and self._sent_at is not None:
+                context.log_unanswered(grant.pipeline.servers)
             await self._forwarder.admission.release(grant)
         ended_servers = self._list_ended_servers(grant)
         for server_id in ended_before:
--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -78,8 +78,11 @@
     :param find_members: returns the engines of a pipeline; None for one that cannot
         be reached. By default they are looked up among those of the test.
     :param on_run: called when a request begins to run.
-    :param crashes_on: tells which requests end its process as they begin to run.
+    :param crashes_on: tells which requests end its process.
     :param restart_s: time until it is back after such a request.
+    :param crash_delay_s: time between the start of such a request and the crash, in
+        which there is no event.
+    :param on_crash: called when it crashes.
     """
 
     def __init__(
@@ -101,13 +104,17 @@
         on_run: Callable[[HttpRequest, Path], None] = lambda request, path: None,
         crashes_on: Callable[[HttpRequest], bool] = lambda request: False,
         restart_s: float = 1.0,
+        crash_delay_s: float = 0.0,
+        on_crash: Callable[[], None] = lambda: None,
     ) -> None:
         self._public_address = public_address
         self._born = born
         self._find_members = find_members or self._look_up_members
-        self._on_run = on_run
+        self.on_run = on_run
         self.crashes_on = crashes_on
         self._restart_s = restart_s
+        self.crash_delay_s = crash_delay_s
+        self.on_crash = on_crash
         self.id = server_id
         self._store = store
         self._engines_by_address = engines_by_address
@@ -146,8 +153,16 @@
         self.is_alive = False
         await self.server.close()
 
-    async def crash(self) -> None:
-        """End as a crashed process does, and start again later without layers."""
+    async def crash(self, delay_s: float = 0.0) -> None:
+        """End as a crashed process does, and start again later without layers.
+
+        :param delay_s: time until the crash.
+        """
+        born = self._born
+        await curio.sleep(delay_s)
+        if not self.is_alive or self._born != born:
+            return
+        self.on_crash()
         await self.die()
         await curio.sleep(self._restart_s)
         self._born += 1
@@ -229,7 +244,7 @@
                     await responder.send_json(503, {}, headers)
                     return
             await curio.sleep(self.faults.begins_after_s)
-            self._on_run(request, path)
+            self.on_run(request, path)
             for stage in stages:
                 if stage is not None and not await stage.take_run(request):
                     await curio.sleep(_STALL_S)
@@ -248,7 +263,7 @@
         is_crash = self.crashes_on(request)
         if is_crash:
             # The handler that calls this belongs to what the crash cancels.
-            await curio.spawn(self.crash, daemon=True)
+            await curio.spawn(self.crash, self.crash_delay_s, daemon=True)
         return not is_crash
 
     async def leave(self) -> None:
--- a/hibiscustiller/standins/_plain_server.py
+++ b/hibiscustiller/standins/_plain_server.py
@@ -25,8 +25,12 @@
     :param born: start of its process, in ms.
     :param work_s: time between the start of a request and its answer.
     :param on_run: called when a request begins to run.
-    :param crashes_on: tells which requests end its process as they begin to run.
+    :param crashes_on: tells which requests end its process.
     :param restart_s: time until it is back after such a request.
+    :param crash_delay_s: time between the start of such a request and the crash.
+    :param keeps_connections: whether connections stay open and silent after a crash;
+        the next process listens elsewhere.
+    :param on_crash: called when it crashes.
     """
 
     def __init__(
@@ -43,6 +47,9 @@
         on_run: Callable[[HttpRequest], None] = lambda request: None,
         crashes_on: Callable[[HttpRequest], bool] = lambda request: False,
         restart_s: float = 1.0,
+        crash_delay_s: float = 0.0,
+        keeps_connections: bool = False,
+        on_crash: Callable[[], None] = lambda: None,
     ) -> None:
         self.id = server_id
         self._store = store
@@ -50,25 +57,44 @@
         self._public_address = public_address
         self._born = born
         self._work_s = work_s
-        self._on_run = on_run
         self.crashes_on = crashes_on
-        self._restart_s = restart_s
+        self.restart_s = restart_s
+        self.crash_delay_s = crash_delay_s
+        self.keeps_connections = keeps_connections
+        self.on_crash = on_crash
+        self.on_run = on_run
+        self._is_down = False
         self.behave = behave
         self.requests: list[HttpRequest] = []
-        self.server = HttpServer(
-            address or Address("127.0.0.1", 0), self._handle, HttpLimits(), server_id
-        )
+        self.server = self._make_server(address or Address("127.0.0.1", 0))
+
+    def _make_server(self, address: Address) -> HttpServer:
+        return HttpServer(address, self._handle, HttpLimits(), self.id)
 
     async def start(self) -> None:
         """Start to listen and write its entry."""
         await self.server.start()
         self.write_entry()
 
-    async def crash(self) -> None:
-        """End as a crashed process does, and start again later."""
-        await self.server.close()
-        await curio.sleep(self._restart_s)
+    async def crash(self, delay_s: float = 0.0) -> None:
+        """End as a crashed process does, and start again later.
+
+        :param delay_s: time until the crash.
+        """
+        born = self._born
+        await curio.sleep(delay_s)
+        if self._is_down or self._born != born:
+            return
+        self._is_down = True
+        self.on_crash()
+        if self.keeps_connections:
+            await self.server.stop_accepting()
+            self.server = self._make_server(Address("127.0.0.1", 0))
+        else:
+            await self.server.close()
+        await curio.sleep(self.restart_s)
         self._born += 1
+        self._is_down = False
         await self.start()
 
     def write_entry(self, state: str = "ready") -> None:
@@ -100,9 +126,9 @@
             }
             await responder.send(503, b"", "text/plain", headers)
             return
-        self._on_run(request)
+        self.on_run(request)
         if self.crashes_on(request):
-            await curio.spawn(self.crash, daemon=True)
+            await curio.spawn(self.crash, self.crash_delay_s, daemon=True)
             await curio.sleep(_SILENCE_S)
         await curio.sleep(self._work_s)
         headers = {"Request-Id": request.headers_by_name["request-id"]}
