Send crash records again to aggregators that may lack them

A crash under a request was told to the three aggregators of its record once. If these were killed, replaced or cut off before the next crash, the count began anew, and the request reached servers after its third crash. Class of fault: a fact that is sent once is kept only by processes that may be lost.

The router that observed a crash now sends the record again at doubling intervals, for a minute, and at once when a broadcast shows that the aggregators lack it. There is no datagram for requests under which no server crashed.

--- a/hibiscustiller/ingress/_crash_history.py
+++ b/hibiscustiller/ingress/_crash_history.py
@@ -111,6 +111,11 @@
             times.append(self.answer.answered_at)
         return max(times)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether servers crashed since the latest answer."""
+        return bool(self.list_unanswered())
+
     @property
     def longest_run(self) -> timedelta:
         """Duration of the longest run that ended in a crash; zero if there is none."""
@@ -239,6 +244,7 @@
         update.crashes_by_id[crash.id] = crash
         self._metrics.count("crashes.met")
         self._apply(fingerprint, update)
+        self.records.record_observation(fingerprint)
         self.records.queue_update(fingerprint, self.records.is_suspect(fingerprint))
 
     def record_answer(self, fingerprint: Fingerprint) -> None:
@@ -318,12 +324,15 @@
         count = received.count_consecutive()
         self._apply(fingerprint, received)
         known = self.records.get(fingerprint)
-        if known is None or not is_aggregator:
+        if known is None:
             return
         is_suspect = self.records.is_suspect(fingerprint)
         has_more = is_suspect and known.count_consecutive() > count
-        if has_more or _lacks_answer(received, known):
+        if is_aggregator and (has_more or _lacks_answer(received, known)):
             self.records.queue_update(fingerprint, is_broadcast=True)
+        elif has_more and count >= _QUARANTINE_THRESHOLD - 1:
+            # The aggregators, which sent this, lack a crash that this router observed.
+            self.records.queue_update(fingerprint, is_broadcast=False)
 
     def describe(self) -> dict[str, Any]:
         """Return the suspected requests as JSON values; times are in seconds."""
--- a/hibiscustiller/ingress/_crash_sharing.py
+++ b/hibiscustiller/ingress/_crash_sharing.py
@@ -85,12 +85,14 @@
 
     async def run(self) -> None:
         """Send records until cancelled."""
-        resent_at = self._clock.monotonic()
+        resent_at = queued_at = self._clock.monotonic()
         while True:
             await wait_for_event(_MIN_RESEND_PERIOD, self._has_updates)
             self._has_updates.clear()
             await self._send_updates()
             now = self._clock.monotonic()
+            self._queue_due(queued_at)
+            queued_at = now
             period = compute_report_period(len(self._view.peers_by_id))
             if now - resent_at >= max(_MIN_RESEND_PERIOD, period):
                 resent_at = now
@@ -124,6 +126,17 @@
         if self._records.has_updates:
             self.request_send()
 
+    def _queue_due(self, since: timedelta) -> None:
+        """Queue the records without suspicion whose aggregators may lack them.
+
+        An aggregator that has restarted, or that took over from a lost one, knows
+        nothing of a record that is not under suspicion.
+
+        :param since: time of the previous call, on the monotonic clock.
+        """
+        for key in self._records.list_due(since, _MIN_RESEND_PERIOD, _RESEND_MAX_AGE):
+            self._records.queue_update(key, is_broadcast=False)
+
     async def _resend_suspects(self) -> None:
         """Send the records under suspicion to all routers again.
 
--- a/hibiscustiller/ingress/_part_history.py
+++ b/hibiscustiller/ingress/_part_history.py
@@ -143,6 +143,11 @@
             times.append(self.asked_at)
         return max(times)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the part is not cleared of some crash."""
+        return any(not crash.is_cleared for crash in self.crashes_by_id.values())
+
     @property
     def learned_at(self) -> timedelta:
         """When this router learned of the latest crash, on the monotonic clock."""
@@ -275,6 +280,7 @@
                 for id in crash_ids
             }
             if self._apply(part, PartRecord(position, crashes_by_id)):
+                self.records.record_observation(part)
                 self.records.queue_update(part, is_broadcast=False)
 
     def record_begin(self, parts: Iterable[PartId], sent_at: timedelta) -> None:
@@ -341,7 +347,17 @@
             return
         is_new = self._apply(part, received)
         record = self.records.get(part)
-        if not is_new or not is_aggregator or record is None:
+        if record is None:
+            return
+        if not is_aggregator:
+            count = count_separate(received.list_suspected())
+            known_count = count_separate(record.list_suspected())
+            if known_count > count >= _SOLE_SUSPECT_THRESHOLD:
+                # The aggregators, which sent this, lack a crash that this router
+                # observed.
+                self.records.queue_update(part, is_broadcast=False)
+            return
+        if not is_new:
             return
         if self.records.is_suspect(part) or record.has_cleared_broadcast:
             record.broadcast_ids = {crash.id for crash in record.list_suspected()}
--- a/hibiscustiller/ingress/_shared_records.py
+++ b/hibiscustiller/ingress/_shared_records.py
@@ -20,6 +20,11 @@
         """Time of the latest event in the record, on the monotonic clock."""
         ...
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the record holds crashes that nothing has cleared."""
+        ...
+
 
 Key = TypeVar("Key", bound=str)
 Record = TypeVar("Record", bound=TimedRecord)
@@ -62,6 +67,8 @@
         self._records: OrderedDict[Key, Record] = OrderedDict()
         # Keys under suspicion, the latest last.
         self._suspects: OrderedDict[Key, None] = OrderedDict()
+        # Keys with a crash that this router observed itself, the latest last.
+        self._observed: OrderedDict[Key, None] = OrderedDict()
         # Keys whose records are not sent yet, in order, with whether all routers need
         # them.
         self._pending_updates: dict[Key, bool] = {}
@@ -90,6 +97,12 @@
             self._suspects[key] = None
         self._evict_old()
 
+    def record_observation(self, key: Key) -> None:
+        """Record that this router observed a crash itself."""
+        if key in self._records:
+            self._observed[key] = None
+            self._observed.move_to_end(key)
+
     def queue_update(self, key: Key, is_broadcast: bool) -> None:
         """Queue a record for all routers, or for the aggregators of its key only.
 
@@ -138,6 +151,30 @@
             if max_age is None or record.updated_at >= now - max_age
         }
 
+    def list_due(
+        self, since: timedelta, first_period: timedelta, max_age: timedelta
+    ) -> list[Key]:
+        """Return the observed records without suspicion that are due to be sent again.
+
+        The intervals of a record double, from its latest event on.
+
+        :param since: time of the previous call, on the monotonic clock.
+        :param first_period: time from the event to the first repetition.
+        :param max_age: time from the event after which there is none.
+        """
+        now = self._clock.monotonic()
+        due = []
+        for key in reversed(self._observed):
+            record = self._records[key]
+            age = now - record.updated_at
+            if age > max_age:
+                break
+            count = _count_doublings(age, first_period)
+            previous = _count_doublings(since - record.updated_at, first_period)
+            if count > previous and record.is_open and key not in self._suspects:
+                due.append(key)
+        return due
+
     def _evict_old(self) -> None:
         now = self._clock.monotonic()
         while self._records:
@@ -156,4 +193,10 @@
     def _evict(self, key: Key) -> None:
         del self._records[key]
         self._suspects.pop(key, None)
+        self._observed.pop(key, None)
         self._pending_updates.pop(key, None)
+
+
+def _count_doublings(age: timedelta, first_period: timedelta) -> int:
+    """Return how many repetitions, at doubling intervals, are due at an age."""
+    return max(0, int(age / first_period)).bit_length()
--- a/hibiscustiller/ingress/tests/test_crash_sharing.py
+++ b/hibiscustiller/ingress/tests/test_crash_sharing.py
@@ -169,6 +169,42 @@
         await fleet.wait_for_quarantine(limit_s=1.0)
 
 
+async def test_crashes_count_when_their_aggregators_restart_in_between():
+    """Guards against a count that is lost with the aggregators of its record.
+
+    A record with one crash is known to them and to the router that observed it.
+    """
+    async with Fleet(12) as fleet:
+        aggregator_ids = fleet.routers[0].view.choose_routers(FINGERPRINT, 3, "r0")
+        others = [r for r in fleet.routers if r.router_id not in aggregator_ids]
+        for number in range(3):
+            others[number].record_crash()
+            await curio.sleep(0.1)
+            for router_id in aggregator_ids:
+                await fleet.restart(int(router_id[1:]), range(12))
+            await curio.sleep(0.5)
+        await fleet.wait_for_quarantine()
+
+
+async def test_crashes_count_when_their_aggregators_are_lost():
+    """Guards against a count that is lost with the aggregators of its record."""
+    async with Fleet(12) as fleet:
+        aggregator_ids = fleet.routers[0].view.choose_routers(FINGERPRINT, 3, "r0")
+        others = [r for r in fleet.routers if r.router_id not in aggregator_ids]
+        others[0].record_crash()
+        await curio.sleep(0.1)
+        for router in fleet.routers:
+            if router.router_id in aggregator_ids:
+                await router.kill()
+            else:
+                for router_id in aggregator_ids:
+                    router.view.remove_peer(router_id)
+        fleet.routers = others
+        await curio.sleep(0.4)
+        await fleet.record_crashes_at(others[1:3])
+        await fleet.wait_for_quarantine()
+
+
 async def test_a_router_started_during_a_store_outage_queries_known_peers():
     """Guards against a new router that receives no crash records.
 
@@ -211,6 +247,9 @@
         assert 96 <= sum(fleet.received.values()) <= 3 * 96
         # The platform limits control traffic to 7 KB a second for each router.
         assert fleet.sent_bytes <= 7000 * 330
+        # Each repetition to the aggregators costs no more than the first time.
+        await curio.sleep(3.0)
+        assert sum(fleet.received.values()) <= 3 * 3 * 96
 
 
 def load_tests(loader, tests, pattern):
