Do not take an error of a server for proof that a request is harmless

A caller whose request crashed servers, and got a 500 now and then, reached 27 servers: each 500 cleared the record of the crashes. It shows nothing of the kind, since the run may not have got as far as the place of the crash. Only other answers clear a record.

--- a/hibiscustiller/ingress/_crash_history.py
+++ b/hibiscustiller/ingress/_crash_history.py
@@ -248,7 +248,11 @@
         self.records.queue_update(fingerprint, self.records.is_suspect(fingerprint))
 
     def record_answer(self, fingerprint: Fingerprint) -> None:
-        """Record that a server answered a request in full, which clears the request."""
+        """Record that a server answered a request in full, which clears the request.
+
+        An error of the server is no such answer: the request may not have got as far as
+        the place of the crash.
+        """
         record = self.records.get(fingerprint)
         if record is None or not record.list_unanswered():
             return
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -281,10 +281,7 @@
         if answer.facts.is_not_run:
             return True
         # The cause of a server error may be limited to that server.
-        return (
-            answer.status >= _FIRST_SERVER_ERROR_STATUS
-            and self._context.route.is_repeatable
-        )
+        return _is_server_error(answer) and self._context.route.is_repeatable
 
     async def _try_server(self, server: BackendServer) -> _Answer | None:
         """Make one attempt and record its result; None without a usable answer."""
@@ -294,7 +291,7 @@
         answer = None
         try:
             answer = await self._exchange_messages(server)
-            if not answer.facts.is_not_run:
+            if not answer.facts.is_not_run and not _is_server_error(answer):
                 forwarder.crashes.record_answer(context.fingerprint)
         except TimeoutError as error:
             self._may_have_run = True
@@ -309,7 +306,7 @@
         finally:
             forwarder.load.add_unlayered(server.id, -1)
             latency = context.clock.monotonic() - started_at
-            failed = answer is None or answer.status >= _FIRST_SERVER_ERROR_STATUS
+            failed = answer is None or _is_server_error(answer)
             forwarder.servers.record_answer(server.id, latency, failed)
             if answer is None:
                 context.log_unanswered([server])
@@ -415,6 +412,10 @@
         return Refusal(reason, verdict, message, retry_after)
 
 
+def _is_server_error(answer: _Answer) -> bool:
+    return answer.status >= _FIRST_SERVER_ERROR_STATUS
+
+
 def _check_answer(answer: _Answer, context: RequestContext) -> None:
     """Verify that an answer of a server may be relayed to the caller of a request.
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -76,11 +76,13 @@
 class _Outcome(Enum):
     """Result of an attempt.
 
-    FINISHED is a complete stream, ANSWERED a complete answer that is no stream, NOT_RUN
-    an attempt that certainly did not run, and BROKEN one that may have run.
+    FINISHED is a complete stream, ANSWERED a complete answer that is no stream, FAILED
+    such an answer that is an error of the server, NOT_RUN an attempt that certainly did
+    not run, and BROKEN one that may have run.
     """
 
     FINISHED = "finished"
+    FAILED = "failed"
     NOT_RUN = "not-run"
     BROKEN = "broken"
     ANSWERED = "answered"
@@ -231,7 +233,7 @@
                 await self._forwarder.admission.release(grant)
                 return self._make_crash_refusal(refusal)
             outcome = await self._run_granted(grant)
-            if outcome in (_Outcome.FINISHED, _Outcome.ANSWERED):
+            if outcome in (_Outcome.FINISHED, _Outcome.ANSWERED, _Outcome.FAILED):
                 return None
             refusal = await self._check_retry_allowed(outcome)
             if refusal is not None:
@@ -504,7 +506,7 @@
         await _send_to_caller(
             self._responder.send_fields(exchange.status, fields, body, length)
         )
-        return _Outcome.ANSWERED
+        return _Outcome.FAILED if is_failure else _Outcome.ANSWERED
 
     async def _relay_events(self, exchange: Exchange, grant: Grant) -> _Outcome:
         splitter = EventSplitter()
