Count crashes of servers that come after the attempt has ended

Cause: a crash was looked for only by the attempt whose connection broke. An attempt that timed out asked nobody, and one whose caller left was cancelled. Where copies of a request overlapped, those sent before the previous crash did not count either.

What was sent to a process that has not answered is now kept: until a server answers the request, its deadline has passed, or the process ends, which counts as a crash under the request and its parts. A crash counts if its server was alive after the previous one. The crash of a process has one id at all routers, so copies at one process count once.

--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -61,6 +61,8 @@
         self._leaving_by_id: dict[ServerId, tuple[BackendServer, timedelta]] = {}
         self._document_revision = 0
         self._servers_by_id: dict[ServerId, BackendServer] = {}
+        # The latest process at each address.
+        self._latest_by_address: dict[Address, BackendServer] = {}
         self._missing_until_by_id: dict[ServerId, timedelta] = {}
         self._store_returned_at: timedelta | None = None
         self._first_read_at: timedelta | None = None
@@ -105,6 +107,9 @@
         if previous == server:
             return
         self._servers_by_id[server.id] = server
+        latest = self._latest_by_address.get(server.address)
+        if latest is None or latest.id == server.id or latest.born <= server.born:
+            self._latest_by_address[server.address] = server
         if server.state is ServerState.DRAINING:
             self._record_leaving(server)
         log_event(
@@ -238,6 +243,21 @@
         """Return a server, or None if it is unknown or was removed."""
         return self._servers_by_id.get(server_id)
 
+    def is_replaced(self, server: BackendServer) -> bool:
+        """Tell whether a later process, under another id, has a server's address."""
+        latest = self._latest_by_address.get(server.address)
+        return (
+            latest is not None and latest.id != server.id and latest.born > server.born
+        )
+
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Tell whether a server announced that it leaves, or was removed as such."""
+        current = self._servers_by_id.get(server.id)
+        if current is not None:
+            is_same = current.born == server.born
+            return is_same and current.state is ServerState.DRAINING
+        return server.id in self._leaving_by_id
+
     def list_servers(self, service: ServiceName) -> list[BackendServer]:
         """Return the servers of a service that accept new requests."""
         return [
@@ -272,6 +292,8 @@
     def _drop_server(self, server_id: ServerId) -> None:
         was_missing = self._missing_until_by_id.pop(server_id, None) is not None
         server = self._servers_by_id.pop(server_id)
+        if self._latest_by_address.get(server.address) == server:
+            del self._latest_by_address[server.address]
         if not was_missing and server.state is ServerState.READY:
             self._record_leaving(server)
         log_event("server_gone", server=server_id)
--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -72,6 +72,11 @@
         """Time left until the caller's or the route's timeout; may be negative."""
         return min(self._caller_timeout, self.route.timeout) - self.age
 
+    @property
+    def caller_time_left(self) -> timedelta:
+        """Time left until the caller's deadline, which servers are told."""
+        return self._caller_timeout - self.age
+
     @property
     def timeout_left(self) -> timedelta:
         """Time left, for use as a timeout: always above zero."""
@@ -113,7 +118,7 @@
         organisation = self.organisation
         fields = make_server_fields(
             self.request.fields,
-            time_left=max(_MIN_TIMEOUT, self._caller_timeout - self.age),
+            time_left=max(_MIN_TIMEOUT, self.caller_time_left),
             server_id=server.id,
             organisation=None if organisation is None else organisation.id,
             priority=self.priority if pipeline else None,
--- a/hibiscustiller/ingress/_crash_history.py
+++ b/hibiscustiller/ingress/_crash_history.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Any
 
@@ -69,11 +69,13 @@
 
     :param id: id of the crash, the same at all routers for a crash of an engine.
     :param started_at: when the request was sent to the server, on the monotonic clock.
+    :param alive_at: when the process of the server is known to have run last.
     :param ended_at: when the crash was detected, on the monotonic clock.
     """
 
     id: CrashId
     started_at: timedelta
+    alive_at: timedelta
     ended_at: timedelta
 
 
@@ -128,11 +130,16 @@
         )
 
     def list_unanswered(self) -> list[ServerCrash]:
-        """Return the crashes after the latest answer, in order of time."""
+        """Return the crashes after the latest answer, in order of time.
+
+        A crash of a server that had the request before the answer has another cause.
+        """
         crashes = self.crashes_by_id.values()
         if self.answer is not None:
             crashes = [
-                crash for crash in crashes if crash.ended_at > self.answer.answered_at
+                crash
+                for crash in crashes
+                if crash.started_at >= self.answer.answered_at
             ]
         return sorted(crashes, key=lambda crash: crash.ended_at)
 
@@ -140,15 +147,15 @@
         """Return the consecutive crashes, with no answer in between, in order of time.
 
         One failure may crash several servers that run copies of a request, or that it
-        is sent to again. An attempt is therefore further evidence only if it started
-        some time after the previous crash.
+        is sent to again. A crash is therefore further evidence only if its server was
+        alive some time after the previous crash.
         """
         consecutive: list[ServerCrash] = []
         for crash in self.list_unanswered():
             separation = _CRASH_SEPARATION - _REPORTED_TIME_ERROR
             if (
                 not consecutive
-                or crash.started_at >= consecutive[-1].ended_at + separation
+                or crash.alive_at >= consecutive[-1].ended_at + separation
             ):
                 consecutive.append(crash)
         return consecutive
@@ -169,8 +176,7 @@
         for key, crash in other.crashes_by_id.items():
             known = self.crashes_by_id.get(key)
             is_new = is_new or known is None
-            if known is None or crash.ended_at < known.ended_at:
-                self.crashes_by_id[key] = crash
+            self.crashes_by_id[key] = crash if known is None else _merge(known, crash)
         answer = other.answer
         if answer is not None and (self.answer is None or _supersedes(answer, self)):
             is_new = is_new or self.answer is None or self.answer.id != answer.id
@@ -226,6 +232,7 @@
         started_at: timedelta,
         has_progress: bool,
         crash_id: CrashId | None = None,
+        alive_at: timedelta | None = None,
     ) -> None:
         """Record that a server crashed while it ran a request.
 
@@ -233,6 +240,8 @@
             clock.
         :param has_progress: whether the server had sent a part of the answer.
         :param crash_id: id of the crash; None for an id of its own.
+        :param alive_at: when the process of the server is known to have run last; None
+            if that is when the request was sent.
         """
         now = self._clock.monotonic()
         record = self.records.get(fingerprint) or CrashRecord()
@@ -240,10 +249,16 @@
         is_longer = now - started_at > record.longest_run + _PROGRESS_MARGIN
         if has_progress and record.crashes_by_id and is_longer:
             update.answer = ServerAnswer(self._make_id(), started_at)
-        crash = ServerCrash(crash_id or CrashId(self._make_id()), started_at, now)
+        crash = ServerCrash(
+            crash_id or CrashId(self._make_id()),
+            started_at,
+            alive_at or started_at,
+            now,
+        )
         update.crashes_by_id[crash.id] = crash
+        if not self._apply(fingerprint, update):
+            return
         self._metrics.count("crashes.met")
-        self._apply(fingerprint, update)
         self.records.record_observation(fingerprint)
         self.records.queue_update(fingerprint, self.records.is_suspect(fingerprint))
 
@@ -261,6 +276,11 @@
         self._apply(fingerprint, CrashRecord(answer=answer))
         self.records.queue_update(fingerprint, is_broadcast)
 
+    def has_crashes(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether servers crashed under a request since its latest answer."""
+        record = self.records.get(fingerprint)
+        return record is not None and record.is_open
+
     def check(self, fingerprint: Fingerprint) -> Refusal | None:
         """Return the refusal of a quarantined request; None for any other request."""
         record = self.records.get(fingerprint)
@@ -350,11 +370,12 @@
             for fingerprint, record in self.records.list_suspects().items()
         }
 
-    def _apply(self, fingerprint: Fingerprint, update: CrashRecord) -> None:
+    def _apply(self, fingerprint: Fingerprint, update: CrashRecord) -> bool:
+        """Merge an update into a record; return whether it held anything new."""
         record = self.records.get(fingerprint) or CrashRecord()
         before = record.count_consecutive()
         if not record.merge(update):
-            return
+            return False
         count = record.count_consecutive()
         is_suspect = count >= _QUARANTINE_THRESHOLD - 1
         self.records.put(fingerprint, record, is_suspect)
@@ -366,6 +387,7 @@
                 count=count,
                 refused_for=self._compute_quarantine_left(record),
             )
+        return True
 
     def _compute_quarantine_left(self, record: CrashRecord) -> timedelta:
         """Return how much longer a request is quarantined; zero if it is not."""
@@ -402,6 +424,24 @@
     return len(text) == _FINGERPRINT_HEX_DIGITS and _HEX_DIGITS.issuperset(text)
 
 
+def _merge(known: ServerCrash, other: ServerCrash) -> ServerCrash:
+    """Merge two observations of one crash.
+
+    Several copies of the request may have run there. The latest times tell most, but
+    the transmission between routers must not delay them further and further.
+    """
+
+    def choose(at: timedelta, other_at: timedelta) -> timedelta:
+        return other_at if other_at > at + _REPORTED_TIME_ERROR else at
+
+    return replace(
+        known,
+        started_at=choose(known.started_at, other.started_at),
+        alive_at=choose(known.alive_at, other.alive_at),
+        ended_at=min(known.ended_at, other.ended_at),
+    )
+
+
 def _supersedes(answer: ServerAnswer, record: CrashRecord) -> bool:
     """Tell whether an answer replaces a record's.
 
--- a/hibiscustiller/ingress/_crash_messages.py
+++ b/hibiscustiller/ingress/_crash_messages.py
@@ -58,6 +58,7 @@
             crash.id,
             _compute_age_ms(crash.started_at, now),
             _compute_age_ms(crash.ended_at, now),
+            _compute_age_ms(crash.alive_at, now),
         )
         for crash in record.crashes_by_id.values()
     )
@@ -80,6 +81,7 @@
         ServerCrash(
             CrashId(crash.id),
             now - _parse_age(crash.started_ms),
+            now - _parse_age(_get_alive_ms(crash)),
             now - _parse_age(crash.ended_ms),
         )
         for crash in message.crashes
@@ -92,6 +94,12 @@
     return CrashRecord({crash.id: crash for crash in crashes}, answer)
 
 
+def _get_alive_ms(crash: MetCrash) -> int:
+    """Return when the process ran last; routers of an earlier version do not tell."""
+    is_told = crash.ended_ms <= crash.alive_ms <= crash.started_ms
+    return crash.alive_ms if is_told else crash.started_ms
+
+
 def _encode_requests(
     records: Mapping[Fingerprint, CrashRecord], is_asking: bool, now: timedelta
 ) -> CrashedRequests:
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -32,6 +32,7 @@
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServerSelector
 from hibiscustiller.ingress._sharing import LoadSharing
+from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import EngineLoad, LayerPlacer
 from hibiscustiller.leadership import ControlLease, find_election_delay
 from hibiscustiller.platform import MetadataStore
@@ -106,6 +107,7 @@
             self.view.get_server,
             self._handle_health_change,
             self.view.count_routers,
+            self.view.is_replaced,
         )
         router_id = settings.router_id
         self._parts = PartHistory(
@@ -121,6 +123,9 @@
             lambda: self._crash_sharing.request_send(),
             is_explained=self._parts.is_explained,
         )
+        self._unanswered = UnansweredRuns(
+            self._health, self._crashes, self._parts, self.view.is_leaving, clock
+        )
         self._build_forwarders()
         self._build_store_clients()
         self._build_servers()
@@ -150,6 +155,7 @@
             self._health,
             self._crashes,
             self._parts,
+            self._unanswered,
             client,
             budgets,
             clock,
@@ -166,6 +172,7 @@
             self._load,
             self._health,
             self._crashes,
+            self._unanswered,
             budgets,
             self.view.count_routers,
             self._metrics,
@@ -326,6 +333,7 @@
             self._registration.run,
             self._layer_placer.run,
             self._health.run,
+            self._unanswered.run,
             self._engine_monitor.run,
             self._datagrams.run,
             self._store_relay.run,
@@ -419,6 +427,7 @@
                 ],
             },
             "crashed_requests": self._crashes.describe(),
+            "unanswered_runs": len(self._unanswered),
             "crashed_parts": self._parts.describe(),
             "in_flight": {
                 server_id: use.entry_count
--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -56,6 +56,7 @@
     :param on_change: called after a server became unreachable or reachable, with
         whether this router detected the change itself.
     :param count_routers: returns how many routers share their results.
+    :param is_replaced: tells whether a later process has the address of a server.
     """
 
     def __init__(
@@ -64,12 +65,16 @@
         get_server: Callable[[ServerId], BackendServer | None],
         on_change: Callable[[bool], None],
         count_routers: Callable[[], int] = lambda: 1,
+        is_replaced: Callable[[BackendServer], bool] = lambda server: False,
     ) -> None:
+        self._is_replaced = is_replaced
         self._count_routers = count_routers
         self._clock = clock
         self._get_server = get_server
         self._on_change = on_change
         self._outages: dict[ServerId, _Outage] = {}
+        # Start times of processes that a connection was opened to, and when.
+        self._reached_by_id: dict[ServerId, tuple[int, timedelta]] = {}
         self._checked_at: dict[ServerId, timedelta] = {}
         self._report_checked_at: dict[ServerId, timedelta] = {}
         self._pending_checks: dict[ServerId, curio.Event] = {}
@@ -90,9 +95,19 @@
         current = self._get_server(server.id)
         if current is not None and current.born > server.born:
             return True
+        if self._is_replaced(server):
+            return True
         outage = self._outages.get(server.id)
         return outage is not None and outage.born == server.born and outage.is_ended
 
+    def get_reached_at(self, server: BackendServer) -> timedelta | None:
+        """Return when this router last opened a connection to check a process.
+
+        :returns: time on the monotonic clock; None if it did not.
+        """
+        born, reached_at = self._reached_by_id.get(server.id, (None, None))
+        return reached_at if born == server.born else None
+
     def list_unreachable(self) -> list[ServerId]:
         """Return the servers that cannot be reached."""
         return [
@@ -163,6 +178,8 @@
         """Check unreachable servers at regular intervals until cancelled."""
         while True:
             await self._clock.sleep(_RECHECK_PERIOD)
+            known_ids = [key for key in self._reached_by_id if self._get_server(key)]
+            self._reached_by_id = {key: self._reached_by_id[key] for key in known_ids}
             for server_id in list(self._outages):
                 server = self._get_server(server_id)
                 if server is None or self.is_reachable(server):
@@ -192,6 +209,7 @@
             await done.set()
 
     async def _connect(self, server: BackendServer) -> None:
+        started_at = self._clock.monotonic()
         try:
             await _try_connect(server)
         except OSError as error:
@@ -201,6 +219,8 @@
             outage = _Outage(server.born, is_refused, is_refused and has_layers)
             self._record_outage(server, outage, error)
             return
+        if not self.has_ended(server):
+            self._reached_by_id[server.id] = (server.born, started_at)
         outage = self._outages.get(server.id)
         # A process that has ended has lost its layers, even if its entry still has
         # them.
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -16,6 +16,7 @@
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._streams import StreamForwarder
+from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
     Admission,
     EngineGroup,
@@ -62,6 +63,7 @@
     :param health: reachability of the servers.
     :param crashes: server crashes by request.
     :param parts: server crashes by prompt part.
+    :param unanswered: requests that servers may still run.
     :param client: HTTP client for the engines.
     :param budgets: retry budgets of the services.
     """
@@ -76,6 +78,7 @@
         health: ServerHealth,
         crashes: CrashHistory,
         parts: PartHistory,
+        unanswered: UnansweredRuns,
         client: HttpClient,
         budgets: RetryBudgets,
         clock: Clock,
@@ -89,6 +92,7 @@
         self._health = health
         self._crashes = crashes
         self._parts = parts
+        self._unanswered = unanswered
         self._client = client
         self._budgets = budgets
         self._clock = clock
@@ -250,6 +254,7 @@
             self._health,
             self._crashes,
             self._parts,
+            self._unanswered,
             self._budgets,
             lambda excluded: self._find_alternative(service.name, excluded),
             self._view.count_routers,
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -26,6 +26,8 @@
 )
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._health import ServerHealth
+from hibiscustiller.ingress._part_history import compute_crash_id
+from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import EngineLoad
 from hibiscustiller.platform import (
     AnswerFacts,
@@ -139,6 +141,7 @@
     :param servers: selects among the servers of a service.
     :param load: requests in flight at each server, from all routers.
     :param crashes: history of requests whose backend servers crashed.
+    :param unanswered: requests that servers may still run.
     :param budgets: decides whether a request may be sent to a second server.
     :param count_routers: returns the number of routers that share the connections of a
         server.
@@ -151,11 +154,13 @@
         load: EngineLoad,
         health: ServerHealth,
         crashes: CrashHistory,
+        unanswered: UnansweredRuns,
         budgets: RetryBudgets,
         count_routers: Callable[[], int],
         metrics: Metrics,
     ) -> None:
         self.crashes = crashes
+        self.unanswered = unanswered
         self.budgets = budgets
         self.client = client
         self.servers = servers
@@ -287,12 +292,14 @@
         """Make one attempt and record its result; None without a usable answer."""
         forwarder, context = self._forwarder, self._context
         started_at = context.clock.monotonic()
+        sent_before = self._sent_count
         forwarder.load.add_unlayered(server.id, 1)
         answer = None
         try:
             answer = await self._exchange_messages(server)
             if not answer.facts.is_not_run and not _is_server_error(answer):
                 forwarder.crashes.record_answer(context.fingerprint)
+                forwarder.unanswered.record_answer(context.fingerprint)
         except TimeoutError as error:
             self._may_have_run = True
             context.log("attempt_failed", server=server.id, reason=error)
@@ -308,8 +315,8 @@
             latency = context.clock.monotonic() - started_at
             failed = answer is None or _is_server_error(answer)
             forwarder.servers.record_answer(server.id, latency, failed)
-            if answer is None:
-                context.log_unanswered([server])
+            if answer is None and self._sent_count > sent_before:
+                forwarder.unanswered.add(context, [server], started_at, has_begun=False)
         return answer
 
     async def _exchange_messages(self, server: BackendServer) -> _Answer:
@@ -348,9 +355,15 @@
     async def _check_crash(self, server: BackendServer, started_at: timedelta) -> None:
         """Record a crash if the process of a server that failed has ended."""
         forwarder, context = self._forwarder, self._context
+        broken_at = context.clock.monotonic()
         if await forwarder.health.check_ended(server):
+            # The process ended when the connection broke.
             forwarder.crashes.record_crash(
-                context.fingerprint, started_at, has_progress=False
+                context.fingerprint,
+                started_at,
+                has_progress=False,
+                crash_id=compute_crash_id(server.id, server.born),
+                alive_at=broken_at,
             )
             context.log(
                 "attempt_met_crash", fingerprint=context.fingerprint, servers=server.id
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -26,6 +26,7 @@
 from hibiscustiller.ingress._events import Event, EventSplitter
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._part_history import PartHistory, compute_crash_id
+from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
     Demand,
     EngineLoad,
@@ -96,6 +97,7 @@
     :param load: requests in flight at each engine, from all routers.
     :param crashes: history of requests whose backend servers crashed.
     :param parts: history of prompt parts under which backend servers crashed.
+    :param unanswered: requests that servers may still run.
     :param budgets: decides whether a request may be sent to a second server.
     :param find_fallback_pipeline: searches all usable engines but the given ones for a
         pipeline, independently of the pipelines in ``selector``; returns None if these
@@ -113,6 +115,7 @@
         health: ServerHealth,
         crashes: CrashHistory,
         parts: PartHistory,
+        unanswered: UnansweredRuns,
         budgets: RetryBudgets,
         find_fallback_pipeline: Callable[[Collection[ServerId]], Pipeline | None],
         count_routers: Callable[[], int],
@@ -126,6 +129,7 @@
         self.health = health
         self.crashes = crashes
         self.parts = parts
+        self.unanswered = unanswered
         self.budgets = budgets
         self.count_routers = count_routers
         self.metrics = metrics
@@ -228,7 +232,7 @@
         """
         while True:
             # The request may have waited for its place since it was checked first.
-            refusal = self._admit_parts()
+            refusal = self._admit()
             if refusal is not None:
                 await self._forwarder.admission.release(grant)
                 return self._make_crash_refusal(refusal)
@@ -244,8 +248,11 @@
             self._forwarder.metrics.count(f"streams.repeated.{outcome.value}")
             grant = next_grant
 
-    def _admit_parts(self) -> Refusal | None:
-        """Return why the parts of the prompt must not be sent; None if they may be."""
+    def _admit(self) -> Refusal | None:
+        """Return why the request must not be sent; None if it may be."""
+        refusal = self._forwarder.crashes.check(self._context.fingerprint)
+        if refusal is not None:
+            return refusal
         history, parts = self._forwarder.parts, self._context.facts.prompt_parts
         refusal = history.admit(parts)
         self._is_trial = refusal is None and history.is_quarantined(parts)
@@ -263,7 +270,7 @@
             self._may_have_run = True
         finally:
             if outcome is _Outcome.BROKEN and self._sent_at is not None:
-                context.log_unanswered(grant.pipeline.servers)
+                self._keep_unanswered(grant, ended_before)
             await self._forwarder.admission.release(grant)
         ended_servers = self._list_ended_servers(grant)
         for server_id in ended_before:
@@ -280,6 +287,17 @@
         )
         return outcome
 
+    def _keep_unanswered(self, grant: Grant, ended_ids: Collection[ServerId]) -> None:
+        """Keep the request as one that the servers of a pipeline may still run.
+
+        :param ended_ids: servers whose process had ended before it was sent.
+        """
+        assert self._sent_at is not None
+        servers = [s for s in grant.pipeline.servers if s.id not in ended_ids]
+        self._forwarder.unanswered.add(
+            self._context, servers, self._sent_at, self._attempt_event_count > 0
+        )
+
     def _list_ended_servers(self, grant: Grant) -> dict[ServerId, BackendServer]:
         """Return the servers of a pipeline whose process is known to have ended."""
         has_ended = self._forwarder.health.has_ended
@@ -297,6 +315,7 @@
         forwarder, context = self._forwarder, self._context
         if outcome in (_Outcome.FINISHED, _Outcome.ANSWERED):
             forwarder.crashes.record_answer(context.fingerprint)
+            forwarder.unanswered.record_answer(context.fingerprint)
             return
         if not ended or self._sent_at is None:
             return
@@ -305,9 +324,14 @@
         parts = context.facts.prompt_parts
         if not has_progress:
             forwarder.parts.record_crash(parts, crash_ids, self._sent_at)
-        for crash_id in crash_ids:
+        for server, crash_id in zip(ended, crash_ids, strict=True):
+            reached_at = forwarder.health.get_reached_at(server) or self._sent_at
             forwarder.crashes.record_crash(
-                context.fingerprint, self._sent_at, has_progress, crash_id
+                context.fingerprint,
+                self._sent_at,
+                has_progress,
+                crash_id,
+                alive_at=max(self._sent_at, self._last_progress_at, reached_at),
             )
         context.log(
             "attempt_met_crash",
--- a/hibiscustiller/ingress/tests/test_crash_history.py
+++ b/hibiscustiller/ingress/tests/test_crash_history.py
@@ -282,17 +282,92 @@
     assert update.is_broadcast
 
 
+def test_overlapping_copies_count_each_crash():
+    """Guards against a third crash that counts long after it happened.
+
+    All copies were sent before the first crash, but their servers were alive since.
+    """
+    bench = Bench()
+    sent_at = bench.clock.monotonic()
+    for number in range(3):
+        assert not bench.is_refused()
+        bench.clock.advance(SECOND)
+        alive_at = bench.clock.monotonic() - SECOND / 10
+        bench.history.record_crash(FINGERPRINT, sent_at, False, number + 1, alive_at)
+    assert bench.is_refused()
+
+
+def test_crashes_detected_one_after_the_other_count_as_one():
+    """Guards against quarantine by one failure of servers that is detected late.
+
+    Nothing shows that the servers were alive after the first crash.
+    """
+    bench = Bench()
+    sent_at = bench.clock.monotonic()
+    for number in range(4):
+        bench.clock.advance(SECOND)
+        bench.history.record_crash(FINGERPRINT, sent_at, False, number + 1)
+    assert not bench.is_refused()
+
+
+def test_copies_at_one_process_count_as_one_crash():
+    """Guards against quarantine of a frequent request by one crash at several routers.
+
+    Each router has observed it at another time.
+    """
+    clock = ManualClock()
+    bench, others = Bench("r0", clock), [Bench(f"r{n}", clock) for n in range(1, 5)]
+    for other in others:
+        clock.advance(SECOND)
+        now = clock.monotonic()
+        other.history.record_crash(FINGERPRINT, now, False, crash_id=7, alive_at=now)
+        send_records(other, bench, timedelta(0), is_aggregator=True)
+    assert bench.history.records.get(FINGERPRINT).count_consecutive() == 1
+
+
+def test_an_answer_clears_crashes_of_copies_that_were_sent_before_it():
+    """Guards against quarantine of a sound request by servers that it had left.
+
+    Its attempts had timed out there before another server answered it.
+    """
+    bench = Bench()
+    bench.run_until_crash()
+    sent_at = bench.clock.monotonic()
+    bench.clock.advance(SECOND)
+    bench.history.record_answer(FINGERPRINT)
+    for number in range(4):
+        bench.clock.advance(SECOND)
+        now = bench.clock.monotonic()
+        bench.history.record_crash(FINGERPRINT, sent_at, False, number + 1, now)
+    assert not bench.is_refused()
+
+
+def test_times_of_a_crash_do_not_drift_between_routers():
+    """Guards against times that grow with each transmission between two routers."""
+    clock = ManualClock()
+    first, second = Bench("r0", clock), Bench("r1", clock)
+    first.run_until_crash()
+    before = first.history.records.get(FINGERPRINT)
+    times = [(c.started_at, c.alive_at) for c in before.crashes_by_id.values()]
+    for _ in range(60):
+        send_records(first, second, timedelta(milliseconds=20), is_aggregator=True)
+        send_records(second, first, timedelta(milliseconds=20), is_aggregator=True)
+    after = first.history.records.get(FINGERPRINT)
+    assert [(c.started_at, c.alive_at) for c in after.crashes_by_id.values()] == times
+
+
 def test_invalid_records_are_ignored():
     """Guards against a message that crashes the daemon or quarantines a request."""
     bench = Bench()
     now = bench.clock.monotonic()
     huge = 2**64 - 1
-    for crash in (MetCrash(1, huge, 0), MetCrash(1, 5, 9), MetCrash(1, huge, huge)):
+    for times in ((huge, 0, 0), (5, 9, 7), (huge, huge, huge)):
+        crash = MetCrash(1, *times)
         record = read_crash_message(CrashedRequest(FINGERPRINT, (crash,), 1, huge), now)
         assert not record.crashes_by_id
         bench.history.merge(FINGERPRINT, record, False)
     crashes = {
-        number: ServerCrash(number, number * SECOND, number * SECOND)
+        number: ServerCrash(number, number * SECOND, number * SECOND, number * SECOND)
         for number in range(5)
     }
     for key in ("", "x" * 64, "ab", FINGERPRINT + "0"):
--- a/hibiscustiller/ingress/tests/test_late_crashes.py
+++ b/hibiscustiller/ingress/tests/test_late_crashes.py
@@ -118,6 +118,33 @@
     return record
 
 
+async def run_at_four_gateways(restarts):
+    """Repeat a crashing request at four gateways in turn.
+
+    :param restarts: whether gateways are killed and started again in series.
+    """
+    record = Record()
+    async with World((), (), plain_count=8) as world:
+        observe(world.plain, record)
+        delay_crashes(1.0)(world.plain)
+        gateways = [world.gateway]
+        for number in range(2, 5):
+            gateways.append(await world.start_other(f"router-{number}"))
+
+        async def restart():
+            for number in range(1, 4):
+                await curio.sleep(1.0)
+                name = gateways[number]._settings.router_id
+                await world.kill(gateways[number])
+                gateways[number] = await world.start_other(name)
+
+        async with curio.TaskGroup() as group:
+            await group.spawn(repeat, world, "/stock/1", record, None, gateways)
+            if restarts:
+                await group.spawn(restart)
+    return record
+
+
 async def run_at_same_time(runs_by_name):
     """Run cases at the same time and check the record of each.
 
@@ -202,6 +229,48 @@
     await run_at_same_time({"silent": run_plain(configure)})
 
 
+async def test_crashes_after_attempts_at_several_routers_count():
+    """Guards against a count that is lost between routers, or with one of them.
+
+    Three of four routers are killed and started again during the crashes.
+    """
+    await run_at_same_time(
+        {
+            "four routers": run_at_four_gateways(restarts=False),
+            "four routers, restarts": run_at_four_gateways(restarts=True),
+        }
+    )
+
+
+async def test_timeouts_at_servers_that_crash_later_do_not_quarantine_others():
+    """Guards against quarantine of requests that only timed out at a slow server.
+
+    One server after the other falls silent and crashes for a reason of its own. A
+    frequent request and many different ones time out there.
+    """
+    async with World((), (), plain_count=6) as world:
+        outcomes = Counter()
+
+        async def send(body):
+            answer = await world.request("/stock/1", body=body)
+            outcomes[answer.status] += 1
+
+        async with curio.TaskGroup() as group:
+            for server in world.plain[:5]:
+                server.behave = "silent"
+                for number in range(20):
+                    await group.spawn(send, b"{}")
+                    await group.spawn(send, b"{%d}" % (number % 5))
+                    await curio.sleep(0.04)
+                server.behave = "answer"
+                await group.spawn(server.crash)
+                await curio.sleep(0.2)
+        for body in (b"{}", *(b"{%d}" % number for number in range(5))):
+            assert (await world.request("/stock/1", body=body)).status == 200
+        assert outcomes[503] == 0, outcomes
+        assert outcomes[200] >= 0.9 * sum(outcomes.values()), outcomes
+
+
 async def test_server_errors_do_not_clear_a_request():
     """Guards against an error of a server that counts as an answer to the request.
 
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -532,12 +532,14 @@
     id: int
     started_ms: int
     ended_ms: int
+    alive_ms: int
 
 
 def _write_MetCrash(builder: Any, message: MetCrash) -> None:
     builder.id = message.id
     builder.startedMs = message.started_ms
     builder.endedMs = message.ended_ms
+    builder.aliveMs = message.alive_ms
 
 
 def _read_MetCrash(reader: Any) -> MetCrash:
@@ -545,6 +547,7 @@
         id=reader.id,
         started_ms=reader.startedMs,
         ended_ms=reader.endedMs,
+        alive_ms=reader.aliveMs,
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -179,6 +179,8 @@
   id @0 :UInt64;
   startedMs @1 :UInt64;
   endedMs @2 :UInt64;
+  # When the process of the server is known to have run last; no later than its end.
+  aliveMs @3 :UInt64;
 }
 
 # What the sender knows of a request under which servers have ended.
