--- /dev/null
+++ b/hibiscustiller/ingress/tests/test_rate_limits.py
@@ -0,0 +1,106 @@
+"""Limits on the rate of requests that servers name in their answers."""
+
+import random
+import sys
+import time
+from collections import Counter, defaultdict
+
+import curio
+
+from hibiscustiller.ingress.tests.fixtures import World
+from hibiscustiller.utils._testing import collect_tests
+
+# The platform's rule: from this time after a server first named its limit, it gets in
+# each window at most one and a half times what the limit allows, and five more.
+STABLE_WINDOW_S = 3.0
+WINDOW_S = 4.0
+ALLOWED_RATIO = 1.5
+ALLOWED_EXCESS = 5
+
+
+class ArrivalRecorder:
+    """Records when requests arrive at servers, and checks them against a limit.
+
+    :param servers: stand-ins that call ``on_run`` for each request.
+    """
+
+    def __init__(self, servers):
+        self.arrivals_by_id = defaultdict(list)
+        for server in servers:
+            server.on_run = self._make_handler(server.id)
+
+    def _make_handler(self, server_id):
+        return lambda *request: self.arrivals_by_id[server_id].append(time.monotonic())
+
+    def count_most(self, server_id, since):
+        """Return the most arrivals in a window that begins after a time."""
+        times = [at for at in self.arrivals_by_id[server_id] if at >= since]
+        return max(
+            (sum(at <= later < at + WINDOW_S for later in times) for at in times),
+            default=0,
+        )
+
+    def check(self, server_id, limit, named_at):
+        """Check that a server that named a limit did not get more than allowed."""
+        most = self.count_most(server_id, named_at + STABLE_WINDOW_S)
+        allowed = ALLOWED_RATIO * WINDOW_S * limit + ALLOWED_EXCESS
+        assert most <= allowed, (server_id, most, allowed)
+
+
+async def send_load(world, path, rate, duration_s, gateways=(), seed=1):
+    """Send requests at a rate, to the gateways in random order.
+
+    :param rate: requests per second.
+    :returns: number of answers by status, and the ``Retry-After`` of each refusal.
+    """
+    random_state = random.Random(seed)
+    statuses, delays = Counter(), []
+
+    async def send(number):
+        gateway = random_state.choice(gateways) if gateways else None
+        answer = await world.request(path, gateway, body=b"{%d}" % number)
+        statuses[answer.status] += 1
+        if answer.status == 503:
+            delays.append(float(answer.headers["retry-after"]))
+
+    started_at = time.monotonic()
+    async with curio.TaskGroup() as group:
+        for number in range(int(rate * duration_s)):
+            await group.spawn(send, number)
+            due_at = started_at + (number + 1) / rate
+            await curio.sleep(max(0.0, due_at - time.monotonic()))
+    return statuses, delays
+
+
+async def test_a_plain_server_gets_no_more_than_its_limit():
+    """Guards against a server in need that gets far more than it takes.
+
+    Incident LIMIT.
+    """
+    async with World((), (), plain_count=3) as world:
+        recorder = ArrivalRecorder(world.plain)
+        for server in world.plain[:2]:
+            server.rate_limit = 2.0
+        named_at = time.monotonic()
+        statuses, _ = await send_load(world, "/stock/1", 30.0, 9.0)
+        for server in world.plain[:2]:
+            recorder.check(server.id, 2.0, named_at)
+        # The third server has room for all of them.
+        assert statuses == {200: 270}, statuses
+
+
+async def test_an_entry_engine_gets_no_more_than_its_limit():
+    """Guards against a pipeline that is preferred although its entry is limited."""
+    async with World(("e0", "e1"), ("north", "north")) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        recorder = ArrivalRecorder(world.engines)
+        world.engines[0].faults.rate_limit = 1.5
+        named_at = time.monotonic()
+        statuses, _ = await send_load(world, "/chat/1", 12.0, 9.0)
+        recorder.check("e0", 1.5, named_at)
+        assert statuses == {200: 108}, statuses
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/platform/_fields.py
+++ b/hibiscustiller/platform/_fields.py
@@ -30,10 +30,12 @@
 _PROMPT_PARTS = b"prompt-prefix"
 # A prompt has at most this many parts; further ones are ignored.
 _MAX_PROMPT_PARTS = 32
+_DECIMAL_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 _PART_ID_PATTERN = re.compile(r"[0-9a-f]{1,64}")
 _SEAL = b"response-seal"
 _NOT_RUN = b"not-executed"
 _FAILED_SERVER = b"at-server"
+_RATE_LIMIT = b"server-limit"
 _KEEP_ALIVE = b"keep-alive"
 _CONNECTION = b"connection"
 _WRONG_SERVER_STATUS = 421
@@ -102,12 +104,15 @@
     :param is_sealed: whether it bears the server's seal.
     :param is_not_run: whether the server states that it did not run the request.
     :param failed_server: the server at fault among a pipeline's.
+    :param rate_limit: requests per second that the server takes from all routers
+        together; None if it names no limit, or one that cannot be read.
     """
 
     request_id: RequestId | None
     is_sealed: bool
     is_not_run: bool
     failed_server: Address | None = None
+    rate_limit: float | None = None
 
 
 def read_request_facts(fields: Iterable[Field]) -> RequestFacts:
@@ -170,6 +175,7 @@
         is_sealed=_SEAL in by_name,
         is_not_run=_NOT_RUN in by_name or status == _WRONG_SERVER_STATUS,
         failed_server=_read_address(by_name.get(_FAILED_SERVER)),
+        rate_limit=_read_rate(by_name.get(_RATE_LIMIT)),
     )
 
 
@@ -201,6 +207,11 @@
     return int(text) if text.isdigit() and len(text) <= 15 else None
 
 
+def _read_rate(value: bytes | None) -> float | None:
+    text = "" if value is None else value.decode("latin-1").strip()
+    return float(text) if _DECIMAL_PATTERN.fullmatch(text) else None
+
+
 def _read_shared_parts(value: bytes) -> tuple[PartId, ...]:
     entries = value.decode("latin-1").lower().split(",", _MAX_PROMPT_PARTS)
     ids = [entry.partition(":")[0].strip() for entry in entries[:-1]]
--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -55,6 +55,7 @@
     :param is_of_other_request: answers bear another request's id.
     :param is_frozen: streams stand still after their first event.
     :param begins_after_s: time that a request waits before it begins to run.
+    :param rate_limit: requests per second that answers name as the engine's limit.
     """
 
     is_full: bool = False
@@ -62,6 +63,7 @@
     is_of_other_request: bool = False
     is_frozen: bool = False
     begins_after_s: float = 0.0
+    rate_limit: float | None = None
 
 
 class LayeredEngineStandin:
@@ -284,6 +286,8 @@
         if self.faults.is_of_other_request:
             request_id = "another"
         headers = {"Request-Id": request_id, "Response-Seal": f"seal-{self.id}"}
+        if self.faults.rate_limit is not None:
+            headers["Server-Limit"] = str(self.faults.rate_limit)
         last = int(request.headers_by_name.get("last-event-id", -1))
         await responder.start(200, "text/event-stream", headers)
         for number in range(last + 1, self._event_count):
--- a/hibiscustiller/standins/_plain_server.py
+++ b/hibiscustiller/standins/_plain_server.py
@@ -31,6 +31,9 @@
     :param keeps_connections: whether connections stay open and silent after a crash;
         the next process listens elsewhere.
     :param on_crash: called when it crashes.
+
+    Attributes: ``rate_limit`` is the number of requests per second that it names as its
+    limit in its answers; None to name none.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         self.on_crash = on_crash
         self.on_run = on_run
         self._is_down = False
+        self.rate_limit: float | None = None
         self.behave = behave
         self.requests: list[HttpRequest] = []
         self.server = self._make_server(address or Address("127.0.0.1", 0))
@@ -119,11 +123,11 @@
             await responder.send_json(421, {}, headers)
             return
         self.requests.append(request)
+        headers = {"Request-Id": request.headers_by_name["request-id"]}
+        if self.rate_limit is not None:
+            headers["Server-Limit"] = str(self.rate_limit)
         if self.behave == "full":
-            headers = {
-                "Not-Executed": "1",
-                "Request-Id": request.headers_by_name["request-id"],
-            }
+            headers["Not-Executed"] = "1"
             await responder.send(503, b"", "text/plain", headers)
             return
         self.on_run(request)
@@ -131,7 +135,6 @@
             await curio.spawn(self.crash, self.crash_delay_s, daemon=True)
             await curio.sleep(_SILENCE_S)
         await curio.sleep(self._work_s)
-        headers = {"Request-Id": request.headers_by_name["request-id"]}
         sealed = {**headers, "Response-Seal": f"seal-{self.id}"}
         if self.behave == "answer":
             await responder.send(200, b"booked", "text/plain", sealed)
