Keep the limits on the rate of requests that servers name

One router for each server, its coordinator, now grants the requests to it one by one, and tells all routers of limits and their withdrawal (decision 0016). It costs two datagrams for each request to a server that names a limit, and none for others.

--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -31,6 +31,7 @@
 from hibiscustiller.ingress._monitor import EngineMonitor
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServerSelector
+from hibiscustiller.ingress._rate_limits import RateLimits
 from hibiscustiller.ingress._sharing import LoadSharing
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import EngineLoad, LayerPlacer
@@ -137,6 +138,15 @@
         client = HttpClient(clock, _CONNECT_TIMEOUT)
         inner = Address(settings.ip, settings.inner_ports[0])
         self._datagrams = DatagramSocket(settings.router_id, inner)
+        self._rate_limits = RateLimits(
+            settings.router_id,
+            self.view,
+            self._datagrams,
+            self._load.count_reporting_routers,
+            clock,
+            self._random_state,
+            self._metrics,
+        )
         self._budgets = budgets = RetryBudgets(
             settings,
             self.view,
@@ -156,6 +166,7 @@
             self._crashes,
             self._parts,
             self._unanswered,
+            self._rate_limits,
             client,
             budgets,
             clock,
@@ -173,6 +184,7 @@
             self._health,
             self._crashes,
             self._unanswered,
+            self._rate_limits,
             budgets,
             self.view.count_routers,
             self._metrics,
@@ -334,6 +346,7 @@
             self._layer_placer.run,
             self._health.run,
             self._unanswered.run,
+            self._rate_limits.run,
             self._engine_monitor.run,
             self._datagrams.run,
             self._store_relay.run,
@@ -428,6 +441,7 @@
             },
             "crashed_requests": self._crashes.describe(),
             "unanswered_runs": len(self._unanswered),
+            "rate_limits": self._rate_limits.describe(),
             "crashed_parts": self._parts.describe(),
             "in_flight": {
                 server_id: use.entry_count
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -15,6 +15,7 @@
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._part_history import PartHistory
+from hibiscustiller.ingress._rate_limits import RateLimits
 from hibiscustiller.ingress._streams import StreamForwarder
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
@@ -64,6 +65,7 @@
     :param crashes: server crashes by request.
     :param parts: server crashes by prompt part.
     :param unanswered: requests that servers may still run.
+    :param rate_limits: limits that servers named.
     :param client: HTTP client for the engines.
     :param budgets: retry budgets of the services.
     """
@@ -79,6 +81,7 @@
         crashes: CrashHistory,
         parts: PartHistory,
         unanswered: UnansweredRuns,
+        rate_limits: RateLimits,
         client: HttpClient,
         budgets: RetryBudgets,
         clock: Clock,
@@ -93,6 +96,7 @@
         self._crashes = crashes
         self._parts = parts
         self._unanswered = unanswered
+        self._rate_limits = rate_limits
         self._client = client
         self._budgets = budgets
         self._clock = clock
@@ -255,6 +259,7 @@
             self._crashes,
             self._parts,
             self._unanswered,
+            self._rate_limits,
             self._budgets,
             lambda excluded: self._find_alternative(service.name, excluded),
             self._view.count_routers,
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -27,6 +27,7 @@
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._part_history import compute_crash_id
+from hibiscustiller.ingress._rate_limits import RateLimits
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import EngineLoad
 from hibiscustiller.platform import (
@@ -142,6 +143,7 @@
     :param load: requests in flight at each server, from all routers.
     :param crashes: history of requests whose backend servers crashed.
     :param unanswered: requests that servers may still run.
+    :param rate_limits: limits that servers named.
     :param budgets: decides whether a request may be sent to a second server.
     :param count_routers: returns the number of routers that share the connections of a
         server.
@@ -155,12 +157,14 @@
         health: ServerHealth,
         crashes: CrashHistory,
         unanswered: UnansweredRuns,
+        rate_limits: RateLimits,
         budgets: RetryBudgets,
         count_routers: Callable[[], int],
         metrics: Metrics,
     ) -> None:
         self.crashes = crashes
         self.unanswered = unanswered
+        self.rate_limits = rate_limits
         self.budgets = budgets
         self.client = client
         self.servers = servers
@@ -219,11 +223,14 @@
         self._candidates = candidates
         self._sent_count = 0
         self._may_have_run = False
+        # Servers that have reached their rate limit, with the expected wait.
+        self._waits_by_id: dict[ServerId, timedelta] = {}
         self.tried_ids: list[ServerId] = []
 
     async def run(self) -> _Answer | Refusal:
         context = self._context
         last_answer: _Answer | None = None
+        has_retry = False
         while (
             not await self._is_blocked_by_crashes()
             and (server := self._choose()) is not None
@@ -234,9 +241,16 @@
                 )
             is_retry = self._sent_count > 0
             budgets = self._forwarder.budgets
-            if is_retry and not await budgets.try_spend(context.service.name):
-                break
+            if is_retry and not has_retry:
+                if not await budgets.try_spend(context.service.name):
+                    break
+                has_retry = True
+            wait = await self._forwarder.rate_limits.acquire(server, context.priority)
+            if wait is not None:
+                self._waits_by_id[server.id] = wait
+                continue
             if is_retry:
+                has_retry = False
                 self._forwarder.metrics.count("plain.repeated")
             self.tried_ids.append(server.id)
             answer = await self._try_server(server)
@@ -251,6 +265,14 @@
             return self._make_failure(
                 RefusalReason.BACKEND_TIMEOUT, "the request timed out", last_answer
             )
+        if not self.tried_ids and self._waits_by_id:
+            wait = min(self._waits_by_id.values())
+            return Refusal(
+                RefusalReason.OVERLOADED,
+                Verdict.NOT_RUN,
+                "every server has reached the rate that it takes",
+                self._forwarder.rate_limits.compute_retry_after(wait),
+            )
         if not self.tried_ids and self._candidates:
             message = "the connections of every server are in use"
             return self._make_failure(RefusalReason.OVERLOADED, message, last_answer)
@@ -277,6 +299,7 @@
             server
             for server in self._candidates
             if server.id not in self.tried_ids
+            and server.id not in self._waits_by_id
             and has_free_connection(service, load.get(server.id))
         ]
         usable = [s for s in untried if self._forwarder.health.is_usable(s)]
@@ -297,6 +320,8 @@
         answer = None
         try:
             answer = await self._exchange_messages(server)
+            limit = answer.facts.rate_limit
+            forwarder.rate_limits.observe(server, limit, started_at)
             if not answer.facts.is_not_run and not _is_server_error(answer):
                 forwarder.crashes.record_answer(context.fingerprint)
                 forwarder.unanswered.record_answer(context.fingerprint)
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -26,6 +26,7 @@
 from hibiscustiller.ingress._events import Event, EventSplitter
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._part_history import PartHistory, compute_crash_id
+from hibiscustiller.ingress._rate_limits import RateLimits
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
     Demand,
@@ -36,7 +37,11 @@
     SharedAdmission,
     check_pipeline,
 )
-from hibiscustiller.platform import make_caller_fields, read_answer_facts
+from hibiscustiller.platform import (
+    AnswerFacts,
+    make_caller_fields,
+    read_answer_facts,
+)
 from hibiscustiller.utils import (
     Metrics,
     OrganisationId,
@@ -98,6 +103,7 @@
     :param crashes: history of requests whose backend servers crashed.
     :param parts: history of prompt parts under which backend servers crashed.
     :param unanswered: requests that servers may still run.
+    :param rate_limits: limits that servers named.
     :param budgets: decides whether a request may be sent to a second server.
     :param find_fallback_pipeline: searches all usable engines but the given ones for a
         pipeline, independently of the pipelines in ``selector``; returns None if these
@@ -116,6 +122,7 @@
         crashes: CrashHistory,
         parts: PartHistory,
         unanswered: UnansweredRuns,
+        rate_limits: RateLimits,
         budgets: RetryBudgets,
         find_fallback_pipeline: Callable[[Collection[ServerId]], Pipeline | None],
         count_routers: Callable[[], int],
@@ -130,6 +137,7 @@
         self.crashes = crashes
         self.parts = parts
         self.unanswered = unanswered
+        self.rate_limits = rate_limits
         self.budgets = budgets
         self.count_routers = count_routers
         self.metrics = metrics
@@ -216,6 +224,8 @@
         self._may_have_run = False
         # Whether the current attempt is a trial of a quarantined part.
         self._is_trial = False
+        # Shortest expected wait for an engine that has reached its rate limit.
+        self._rate_wait: timedelta | None = None
         self._attempt_count = 0
         self._event_count = 0
         # When the current attempt was sent, and the number of its new events.
@@ -236,7 +246,10 @@
             if refusal is not None:
                 await self._forwarder.admission.release(grant)
                 return self._make_crash_refusal(refusal)
-            outcome = await self._run_granted(grant)
+            permitted = await self._acquire_rate(grant)
+            if permitted is None:
+                return self._refuse_by_rate()
+            outcome = await self._run_granted(permitted)
             if outcome in (_Outcome.FINISHED, _Outcome.ANSWERED, _Outcome.FAILED):
                 return None
             refusal = await self._check_retry_allowed(outcome)
@@ -248,6 +261,51 @@
             self._forwarder.metrics.count(f"streams.repeated.{outcome.value}")
             grant = next_grant
 
+    async def _acquire_rate(self, grant: Grant | None) -> Grant | None:
+        """Find a pipeline whose engines take one more request now.
+
+        :param grant: place at a pipeline, which is released if it is not used.
+        :returns: the place that may be used; None if no pipeline takes the request.
+        """
+        admission = self._forwarder.admission
+        limited_ids: set[ServerId] = set()
+        self._rate_wait = None
+        while grant is not None:
+            wait = await self._ask_engines(grant, limited_ids)
+            if wait is None:
+                return grant
+            self._rate_wait = min(wait, self._rate_wait or wait)
+            await admission.release(grant)
+            grant = await admission.find_replacement(
+                self._demand, self._excluded_ids | limited_ids
+            )
+        return None
+
+    async def _ask_engines(
+        self, grant: Grant, limited_ids: set[ServerId]
+    ) -> timedelta | None:
+        """Ask for permission to send the request to each engine of a pipeline.
+
+        :param limited_ids: gets the engine that does not take it.
+        :returns: None if all take it, or else the expected wait for the one that does
+            not.
+        """
+        for server in grant.pipeline.servers:
+            wait = await self._forwarder.rate_limits.acquire(
+                server, self._context.priority
+            )
+            if wait is not None:
+                limited_ids.add(server.id)
+                return wait
+        return None
+
+    def _refuse_by_rate(self) -> Refusal:
+        message = "no pipeline takes another request now"
+        if self._may_have_run or self._rate_wait is None:
+            return self._make_refusal(message)
+        retry_after = self._forwarder.rate_limits.compute_retry_after(self._rate_wait)
+        return Refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, message, retry_after)
+
     def _admit(self) -> Refusal | None:
         """Return why the request must not be sent; None if it may be."""
         refusal = self._forwarder.crashes.check(self._context.fingerprint)
@@ -477,7 +535,10 @@
         await self._read_within_limits(exchange.read_head, grant)
         facts = read_answer_facts(exchange.status, exchange.fields)
         context = self._context
-        if context.is_refused_by(facts, exchange):
+        is_refusal = context.is_refused_by(facts, exchange)
+        if is_refusal or facts.request_id == context.facts.request_id:
+            self._observe_rate(grant, facts)
+        if is_refusal:
             self._exclude_refusing_servers(grant, facts.failed_server)
             return _Outcome.NOT_RUN
         if facts.request_id != context.facts.request_id or not facts.is_sealed:
@@ -489,6 +550,15 @@
             return await self._relay_whole_answer(exchange)
         return await self._relay_events(exchange, grant)
 
+    def _observe_rate(self, grant: Grant, facts: AnswerFacts) -> None:
+        """Record the limit that an answer names, for the server that it comes from."""
+        server = grant.pipeline.entry
+        for other in grant.pipeline.servers:
+            if facts.failed_server == other.address:
+                server = other
+        sent_at = self._sent_at or self._last_progress_at
+        self._forwarder.rate_limits.observe(server, facts.rate_limit, sent_at)
+
     def _exclude_refusing_servers(self, grant: Grant, address: object) -> None:
         """Exclude the server that refused from further attempts of this request.
 
--- a/hibiscustiller/ingress/tests/test_rate_limits.py
+++ b/hibiscustiller/ingress/tests/test_rate_limits.py
@@ -60,7 +60,7 @@
         gateway = random_state.choice(gateways) if gateways else None
         answer = await world.request(path, gateway, body=b"{%d}" % number)
         statuses[answer.status] += 1
-        if answer.status == 503:
+        if "retry-after" in answer.headers:
             delays.append(float(answer.headers["retry-after"]))
 
     started_at = time.monotonic()
@@ -102,5 +102,89 @@
         assert statuses == {200: 108}, statuses
 
 
+async def test_several_routers_keep_the_limit_of_a_server_together():
+    """Guards against a limit that each router keeps by itself.
+
+    The coordinator is killed and started again under load.
+    """
+    async with World((), (), plain_count=3) as world:
+        gateways = [world.gateway]
+        for number in range(2, 6):
+            gateways.append(await world.start_other(f"router-{number}"))
+        recorder = ArrivalRecorder(world.plain)
+        for server in world.plain[:2]:
+            server.rate_limit = 2.0
+        named_at = time.monotonic()
+
+        async def restart_coordinator():
+            await curio.sleep(5.0)
+            key = f"rate/{world.plain[0].id}"
+            (chosen,) = world.gateway.view.choose_routers(key, 1, "router-1")
+            for gateway in list(world.others):
+                if gateway._settings.router_id == chosen:
+                    gateways.remove(gateway)
+                    await world.kill(gateway)
+                    gateways.append(await world.start_other(chosen))
+
+        async with curio.TaskGroup() as group:
+            load = await group.spawn(send_load, world, "/stock/1", 30.0, 12.0, gateways)
+            await group.spawn(restart_coordinator)
+        for server in world.plain[:2]:
+            recorder.check(server.id, 2.0, named_at)
+        statuses, _ = load.result
+        assert statuses[200] >= 0.97 * 360, statuses
+
+
+async def test_callers_are_refused_at_once_when_all_servers_are_limited():
+    """Guards against callers that wait for a server that will not take them.
+
+    They return spread over the time in which the servers could take them, and a
+    server's own advice is not handed on.
+    """
+    async with World((), (), plain_count=3) as world:
+        recorder = ArrivalRecorder(world.plain)
+        for server in world.plain:
+            server.rate_limit = 1.0
+        named_at = time.monotonic()
+        started_at = time.monotonic()
+        statuses, delays = await send_load(world, "/stock/1", 30.0, 8.0)
+        assert time.monotonic() - started_at < 8.5
+        for server in world.plain:
+            recorder.check(server.id, 1.0, named_at)
+        assert set(statuses) == {200, 429}, statuses
+        # Most of what the servers take is used.
+        assert statuses[200] >= 0.6 * 3 * 8, statuses
+        late = delays[len(delays) // 2 :]
+        assert max(late) - min(late) >= 0.5, late
+        assert all(0.3 <= delay <= 5.0 for delay in delays)
+
+
+async def test_a_withdrawn_limit_no_longer_holds():
+    """Guards against a server that keeps a limit that it names no more."""
+    async with World((), (), plain_count=1) as world:
+        (server,) = world.plain
+        server.rate_limit = 1.0
+        await send_load(world, "/stock/1", 10.0, 2.0)
+        assert world.gateway.describe()["rate_limits"] == {server.id: 1.0}
+        server.rate_limit = None
+        await send_load(world, "/stock/1", 10.0, 2.0)
+        assert not world.gateway.describe()["rate_limits"]
+        statuses, _ = await send_load(world, "/stock/1", 10.0, 1.0)
+        assert statuses == {200: 10}, statuses
+
+
+async def test_refusals_and_retries_count_against_the_limit():
+    """Guards against requests that a server rejects and that are not counted."""
+    async with World((), (), plain_count=2) as world:
+        server = world.plain[0]
+        server.rate_limit = 1.0
+        server.behave = "full"
+        await send_load(world, "/stock/1", 20.0, WINDOW_S)
+        count = len(server.requests)
+        await send_load(world, "/stock/1", 20.0, WINDOW_S)
+        arrived = len(server.requests) - count
+        assert arrived <= ALLOWED_RATIO * WINDOW_S * 1.0 + ALLOWED_EXCESS, arrived
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/limits/__init__.py
+++ b/hibiscustiller/limits/__init__.py
@@ -6,6 +6,7 @@
     Grant,
     PlanRoute,
 )
+from hibiscustiller.limits._rates import RateAllocator
 from hibiscustiller.limits._retries import RetryBudget
 from hibiscustiller.limits._servers import ServerLimits
 from hibiscustiller.limits._usage import UsageAggregator, UsageLedger
@@ -15,6 +16,7 @@
     "AdmissionRequest",
     "Grant",
     "PlanRoute",
+    "RateAllocator",
     "RetryBudget",
     "ServerLimits",
     "UsageAggregator",
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -1013,6 +1013,100 @@
     )
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """A ``NamedLimit`` message."""
+
+    server_id: str
+    born: int
+    per_second: float
+    named_ms: int
+    observed_ms: int
+
+
+def _write_NamedLimit(builder: Any, message: NamedLimit) -> None:
+    builder.serverId = message.server_id
+    builder.born = message.born
+    builder.perSecond = message.per_second
+    builder.namedMs = message.named_ms
+    builder.observedMs = message.observed_ms
+
+
+def _read_NamedLimit(reader: Any) -> NamedLimit:
+    return NamedLimit(
+        server_id=reader.serverId,
+        born=reader.born,
+        per_second=reader.perSecond,
+        named_ms=reader.namedMs,
+        observed_ms=reader.observedMs,
+    )
+
+
+@dataclass(frozen=True)
+class NamedLimits:
+    """A ``NamedLimits`` message."""
+
+    limits: tuple[NamedLimit, ...]
+
+
+def _write_NamedLimits(builder: Any, message: NamedLimits) -> None:
+    items = builder.init("limits", len(message.limits))
+    for index, item in enumerate(message.limits):
+        _write_NamedLimit(items[index], item)
+
+
+def _read_NamedLimits(reader: Any) -> NamedLimits:
+    return NamedLimits(
+        limits=tuple(_read_NamedLimit(item) for item in reader.limits),
+    )
+
+
+@dataclass(frozen=True)
+class RateRequest:
+    """A ``RateRequest`` message."""
+
+    request_id: int
+    priority: int
+    limit: NamedLimit
+
+
+def _write_RateRequest(builder: Any, message: RateRequest) -> None:
+    builder.requestId = message.request_id
+    builder.priority = message.priority
+    _write_NamedLimit(builder.init("limit"), message.limit)
+
+
+def _read_RateRequest(reader: Any) -> RateRequest:
+    return RateRequest(
+        request_id=reader.requestId,
+        priority=reader.priority,
+        limit=_read_NamedLimit(reader.limit),
+    )
+
+
+@dataclass(frozen=True)
+class RateAnswer:
+    """A ``RateAnswer`` message."""
+
+    request_id: int
+    granted: bool
+    wait_ms: int
+
+
+def _write_RateAnswer(builder: Any, message: RateAnswer) -> None:
+    builder.requestId = message.request_id
+    builder.granted = message.granted
+    builder.waitMs = message.wait_ms
+
+
+def _read_RateAnswer(reader: Any) -> RateAnswer:
+    return RateAnswer(
+        request_id=reader.requestId,
+        granted=reader.granted,
+        wait_ms=reader.waitMs,
+    )
+
+
 Message = (
     Hello
     | HelloProof
@@ -1040,6 +1134,9 @@
     | StoreSnapshot
     | CrashedRequests
     | CrashedParts
+    | RateRequest
+    | RateAnswer
+    | NamedLimits
 )
 
 _WRITERS: dict[type, tuple[str, Any]] = {
@@ -1069,6 +1166,9 @@
     StoreSnapshot: ("storeSnapshot", _write_StoreSnapshot),
     CrashedRequests: ("crashedRequests", _write_CrashedRequests),
     CrashedParts: ("crashedParts", _write_CrashedParts),
+    RateRequest: ("rateRequest", _write_RateRequest),
+    RateAnswer: ("rateAnswer", _write_RateAnswer),
+    NamedLimits: ("namedLimits", _write_NamedLimits),
 }
 _READERS: dict[str, Any] = {
     "hello": _read_Hello,
@@ -1097,6 +1197,9 @@
     "storeSnapshot": _read_StoreSnapshot,
     "crashedRequests": _read_CrashedRequests,
     "crashedParts": _read_CrashedParts,
+    "rateRequest": _read_RateRequest,
+    "rateAnswer": _read_RateAnswer,
+    "namedLimits": _read_NamedLimits,
 }
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -31,6 +31,9 @@
     storeSnapshot @24 :StoreSnapshot;
     crashedRequests @25 :CrashedRequests;
     crashedParts @26 :CrashedParts;
+    rateRequest @27 :RateRequest;
+    rateAnswer @28 :RateAnswer;
+    namedLimits @29 :NamedLimits;
   }
 }
 
@@ -338,3 +341,34 @@
   requestId @0 :UInt64;
   granted @1 :Bool;
 }
+
+# The limit that a process of a backend server named, or that it names none any more;
+# times are ages when the message was made.
+struct NamedLimit {
+  serverId @0 :Text;
+  born @1 :UInt64;
+  # Requests per second from all routers together; negative if it names none any more.
+  perSecond @2 :Float64;
+  # When it first named a limit, and when the statement was received.
+  namedMs @3 :UInt64;
+  observedMs @4 :UInt64;
+}
+
+# Sent as a datagram to the coordinators of the servers, and by them to all routers.
+struct NamedLimits {
+  limits @0 :List(NamedLimit);
+}
+
+# Asks the coordinator of a server's limit whether one request may be sent to it.
+struct RateRequest {
+  requestId @0 :UInt64;
+  priority @1 :UInt8;
+  limit @2 :NamedLimit;
+}
+
+struct RateAnswer {
+  requestId @0 :UInt64;
+  granted @1 :Bool;
+  # Expected time until such a request is granted; 0 if this one is.
+  waitMs @2 :UInt64;
+}
