Read odd entries and configurations within bounds

Entries of servers raised only what was caught, but numbers beyond 64 bits, which the messages between routers cannot hold, and a port of 0 were accepted.

--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -19,14 +19,17 @@
 from hibiscustiller.platform import (
     DOCUMENT_KEY,
     SERVER_PREFIX,
+    UNREADABLE_ERRORS,
     Change,
     Changes,
     HistoryLostError,
     MetadataStore,
     decode_fleet_document,
     decode_server_entry,
+    read_peer_address,
+    read_positive,
+    read_text,
 )
-from hibiscustiller.settings import parse_address
 from hibiscustiller.utils import Clock, DomainId, RouterId, ServerId, log_event
 from hibiscustiller.wire import wait_for_event
 
@@ -435,10 +438,10 @@
             return
         try:
             values = json.loads(change.value)
-            address = parse_address(values["address"])
-            domain = DomainId(values["domain"])
-            capacity = float(values["capacity"])
-        except (ValueError, KeyError, TypeError) as error:
+            address = read_peer_address(values)
+            domain = DomainId(read_text(values, "domain"))
+            capacity = read_positive(values, "capacity")
+        except UNREADABLE_ERRORS as error:
             log_event("entry_unreadable", level="warning", reason=repr(error))
             return
         self._view.apply_peer(Peer(router_id, address, domain, capacity))
--- a/hibiscustiller/platform/__init__.py
+++ b/hibiscustiller/platform/__init__.py
@@ -1,5 +1,11 @@
 """The platform's services: key-value store and list of hosts."""
 
+from hibiscustiller.platform._decoding import (
+    UNREADABLE_ERRORS,
+    read_peer_address,
+    read_positive,
+    read_text,
+)
 from hibiscustiller.platform._engine_calls import (
     EngineReport,
     OrderOutcome,
@@ -45,6 +51,7 @@
     "DOCUMENT_KEY",
     "NO_LEASE",
     "SERVER_PREFIX",
+    "UNREADABLE_ERRORS",
     "AnswerFacts",
     "Change",
     "Changes",
@@ -78,4 +85,7 @@
     "read_engine_report",
     "read_host_list",
     "read_request_facts",
+    "read_peer_address",
+    "read_positive",
+    "read_text",
 ]
--- a/hibiscustiller/platform/_engine_calls.py
+++ b/hibiscustiller/platform/_engine_calls.py
@@ -9,6 +9,7 @@
 
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.fleet import BackendServer, LayerRange
+from hibiscustiller.platform._decoding import UNREADABLE_ERRORS
 from hibiscustiller.platform._server_entries import read_layer_range
 from hibiscustiller.utils import Fence, Verdict
 from hibiscustiller.wire import HttpClient
@@ -114,7 +115,7 @@
             is_busy=bool(values["busy"]),
             layers=read_layer_range(values.get("layers")),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except UNREADABLE_ERRORS as error:
         raise TransportError(
             f"report of {server.id} cannot be read: {error!r}", Verdict.NOT_RUN
         ) from error
--- a/hibiscustiller/platform/_fleet_document.py
+++ b/hibiscustiller/platform/_fleet_document.py
@@ -18,6 +18,7 @@
     RequestKind,
     ServiceSpec,
 )
+from hibiscustiller.platform._decoding import UNREADABLE_ERRORS
 from hibiscustiller.utils import OrganisationId, ServiceName, hash_secret
 
 DOCUMENT_KEY = "op/config"
@@ -46,7 +47,7 @@
             has_organisations=tenants is not None,
             limits=_read_limits(values.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE_ERRORS as error:
         raise WireFormatError(f"configuration cannot be read: {error!r}") from error
 
 
--- a/hibiscustiller/platform/_server_entries.py
+++ b/hibiscustiller/platform/_server_entries.py
@@ -7,10 +7,17 @@
 
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.fleet import EMPTY_RANGE, BackendServer, LayerRange, ServerState
-from hibiscustiller.settings import parse_address
+from hibiscustiller.platform._decoding import (
+    UNREADABLE_ERRORS,
+    read_number,
+    read_peer_address,
+    read_text,
+)
 from hibiscustiller.utils import DomainId, ServerId, ServiceName
 
 SERVER_PREFIX = "servers/"
+# Models have about a hundred layers.
+_MAX_LAYERS = 10_000
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
 
@@ -22,21 +29,18 @@
     """
     try:
         values = json.loads(data)
-        server = BackendServer(
+        return BackendServer(
             id=ServerId(key.removeprefix(SERVER_PREFIX)),
-            service=ServiceName(_read_text(values, "service")),
-            address=parse_address(_read_text(values, "address")),
-            domain=DomainId(_read_text(values, "zone")),
-            slots=_read_number(values, "slots"),
+            service=ServiceName(read_text(values, "service")),
+            address=read_peer_address(values),
+            domain=DomainId(read_text(values, "zone")),
+            slots=read_number(values, "slots"),
             state=_STATES[values["state"]],
-            kind=values.get("kind") or "",
+            kind=read_text(values, "kind") if values.get("kind") else "",
             layers=read_layer_range(values.get("layers")),
-            born=_read_number(values, "born", 0),
+            born=read_number(values, "born", 0),
         )
-        if not isinstance(server.kind, str):
-            raise ValueError("kind is no text")
-        return server
-    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
+    except UNREADABLE_ERRORS as error:
         raise WireFormatError(f"entry {key!r} cannot be read: {error!r}") from error
 
 
@@ -52,20 +56,7 @@
         return EMPTY_RANGE
     # "target" is the layer after the last one.
     first, end = values["from"], values["target"]
-    if type(first) is not int or type(end) is not int or not 0 <= first <= end:
+    are_numbers = type(first) is int and type(end) is int
+    if not are_numbers or not 0 <= first <= end <= _MAX_LAYERS:
         raise ValueError(f"layers are {values!r}")
     return LayerRange(first, end) if first < end else EMPTY_RANGE
-
-
-def _read_text(values: Any, name: str) -> str:
-    value = values[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} is {value!r}")
-    return value
-
-
-def _read_number(values: Any, name: str, default: int | None = None) -> int:
-    value = values.get(name, default)
-    if type(value) is not int or value < 0:
-        raise ValueError(f"{name} is {value!r}")
-    return value
--- a/hibiscustiller/platform/tests/test_decoding.py
+++ b/hibiscustiller/platform/tests/test_decoding.py
@@ -156,6 +156,72 @@
         raise AssertionError(f"accepted {data!r}")
 
 
+def make_odd_values():
+    """Return JSON texts of values that other writers may leave in any field."""
+    return [
+        "[" * 100_000 + "]" * 100_000,
+        '{"a":' * 50_000 + "1" + "}" * 50_000,
+        "1" * 400,
+        "1" * 5000,
+        "1e999",
+        "-1e999",
+        "NaN",
+        "1e30",
+        "-1",
+        '""',
+        "null",
+        "[]",
+        "{}",
+        "true",
+        '"\\ud800"',
+    ]
+
+
+def test_odd_values_in_any_field_are_an_entry_or_a_clear_error():
+    """Guards against one odd entry that ends each router that reads the list.
+
+    A number that is accepted also fits into the messages between routers.
+    """
+    for field in ENTRY:
+        for odd in make_odd_values():
+            text = json.dumps({**ENTRY, field: "ODD"}).replace('"ODD"', odd)
+            try:
+                server = decode_server_entry("servers/x", text.encode())
+            except WireFormatError:
+                continue
+            for number in (server.slots, server.born, server.layers.end):
+                assert 0 <= number < 2**63, (field, odd[:20])
+
+
+def test_ports_out_of_range_and_too_many_layers_name_no_server():
+    """Guards against a server that no connection can be opened to."""
+    odd = [{"address": f"10.1.0.9:{port}"} for port in (70000, 0, -1, "²", "1e3")]
+    odd += [{"layers": [{"from": 0, "target": end}]} for end in (10**30, 10**9)]
+    for values in odd:
+        try:
+            decode_server_entry("servers/x", json.dumps({**ENTRY, **values}).encode())
+        except WireFormatError:
+            continue
+        raise AssertionError(f"accepted {values}")
+
+
+def test_odd_values_in_a_configuration_are_a_clear_error():
+    """Guards against an odd configuration that ends the watch of the store."""
+    base = make_document()
+    for part in ("routes", "services", "tenants", "limits"):
+        element = base[part] if part == "limits" else base[part][0]
+        for field in element:
+            for odd in make_odd_values():
+                values = json.loads(json.dumps(base))
+                target = values[part] if part == "limits" else values[part][0]
+                target[field] = "ODD"
+                text = json.dumps(values).replace('"ODD"', odd)
+                try:
+                    decode_fleet_document(text.encode())
+                except WireFormatError:
+                    continue
+
+
 @settings(derandomize=True, deadline=None, max_examples=200)
 @given(
     st.binary(max_size=60)
