Answer all requests of a planned stop, and refuse those that cannot end in time

A stopping router now refuses, as not run and before it is sent, a request that will probably not be answered in time, by how long the requests of its route took. Servers are told the time that is left. What is still open when the router stops to work is answered 504, which promises nothing. The entry in the store is removed meanwhile, so that the stop does not take longer: test_stop_ends_in_time_while_the_store_does_not_answer failed once beside load on the code before, 0.1 s late.

--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import cached_property
@@ -49,6 +49,8 @@
     :param document_version: version of the document that the route comes from.
     :param received_at: time when the request had been read, on the monotonic clock.
     :param clock: source of time.
+    :param get_stop_at: returns when this router stops to work on requests, on the
+        monotonic clock; None while it is not stopping.
     """
 
     request: HttpRequest
@@ -59,6 +61,7 @@
     document_version: int
     received_at: timedelta
     clock: Clock
+    get_stop_at: Callable[[], timedelta | None] = lambda: None
 
     @property
     def priority(self) -> int:
@@ -69,13 +72,20 @@
 
     @property
     def time_left(self) -> timedelta:
-        """Time left until the caller's or the route's timeout; may be negative."""
-        return min(self._caller_timeout, self.route.timeout) - self.age
+        """Time left until the caller's or the route's timeout; may be negative.
+
+        A stop of this router may leave less.
+        """
+        return min(self.caller_time_left, self.route.timeout - self.age)
 
     @property
     def caller_time_left(self) -> timedelta:
-        """Time left until the caller's deadline, which servers are told."""
-        return self._caller_timeout - self.age
+        """Time left for a server to answer the caller, which servers are told."""
+        time_left = self._caller_timeout - self.age
+        stop_at = self.get_stop_at()
+        if stop_at is not None:
+            time_left = min(time_left, stop_at - self.clock.monotonic())
+        return time_left
 
     @property
     def timeout_left(self) -> timedelta:
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -13,6 +13,7 @@
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._context import RequestContext, send_refusal
 from hibiscustiller.ingress._crash_history import CrashHistory
+from hibiscustiller.ingress._durations import RouteDurations
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder
@@ -29,6 +30,8 @@
 from hibiscustiller.wire import HttpRequest, Responder
 
 _NO_ROUTE_RETRY_AFTER = timedelta(milliseconds=500)
+# Another router can take the request at once.
+_STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 
 
 class RequestDispatcher:
@@ -67,6 +70,16 @@
         self._metrics = metrics
         self._apply_limits = apply_limits
         self._route_table: RouteTable | None = None
+        self._durations = RouteDurations()
+        self._stop_at: timedelta | None = None
+
+    def begin_stop(self, stop_at: timedelta) -> None:
+        """Accept only requests that can probably be answered before the router stops.
+
+        :param stop_at: when the router stops to work on requests, on the monotonic
+            clock.
+        """
+        self._stop_at = stop_at
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Forward a request, or refuse it if it cannot be dispatched."""
@@ -122,6 +135,7 @@
                 table.document.version,
                 received_at,
                 self._clock,
+                lambda: self._stop_at,
             )
         )
 
@@ -129,6 +143,10 @@
         service, kind = context.service, context.route.kind.value
         self._budgets.record_request(service.name)
         self._metrics.count(f"requests.{kind}")
+        if self._stop_at is not None and not self._can_end_before_stop(context):
+            context.log("request_refused_by_stop", time_left=context.time_left)
+            await self._refuse(context.request, responder, _STOPPING)
+            return
         refusal = self._parts.check(context.facts.prompt_parts)
         if refusal is None:
             refusal = await self._crashes.admit(context.fingerprint, context.time_left)
@@ -150,9 +168,17 @@
             else:
                 servers = self._view.list_servers(service.name)
                 await self._plain_forwarder.forward(context, servers, responder)
+            if responder.is_finished:
+                self._durations.record(context.route, context.age)
         finally:
             self._metrics.timing(f"request.{kind}", context.age)
 
+    def _can_end_before_stop(self, context: RequestContext) -> bool:
+        """Tell whether a request will probably be answered before the router stops."""
+        assert self._stop_at is not None
+        time_left = self._stop_at - self._clock.monotonic()
+        return self._durations.estimate(context.route) < time_left
+
     async def _refuse(
         self, request: HttpRequest, responder: Responder, refusal: Refusal
     ) -> None:
@@ -173,6 +199,12 @@
     "the router has not received a configuration yet",
     _NO_ROUTE_RETRY_AFTER,
 )
+_STOPPING = Refusal(
+    RefusalReason.NO_ROUTE,
+    Verdict.NOT_RUN,
+    "the router is stopping and cannot answer the request in time",
+    _STOPPING_RETRY_AFTER,
+)
 _NO_SERVICE = Refusal(
     RefusalReason.NO_ROUTE,
     Verdict.NOT_RUN,
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -38,7 +38,14 @@
 from hibiscustiller.leadership import ControlLease, find_election_delay
 from hibiscustiller.platform import MetadataStore
 from hibiscustiller.settings import Address
-from hibiscustiller.utils import Clock, log_event, rank_by_rendezvous
+from hibiscustiller.utils import (
+    Clock,
+    Refusal,
+    RefusalReason,
+    Verdict,
+    log_event,
+    rank_by_rendezvous,
+)
 from hibiscustiller.wire import (
     DatagramSocket,
     HttpClient,
@@ -69,11 +76,18 @@
 # Share of the grace time that is reserved for closing after requests were drained. Slow
 # hosts take a second for it, and the process is killed at the end of the grace time.
 _CLOSING_SHARE_OF_GRACE = 1 / 7
+# Time for the answers to requests that are still open when the router stops to work.
+_LAST_ANSWERS_TIME = timedelta(milliseconds=150)
 # An unreachable store must not delay the shutdown; the entries expire with their lease.
 _DEREGISTRATION_TIMEOUT = timedelta(milliseconds=300)
 # Below the file descriptor limit of the smallest hosts, with room left for connections
 # to backend servers.
 _MAX_FRONT_CONNECTIONS = 3000
+_STOPPED = Refusal(
+    RefusalReason.BACKEND_TIMEOUT,
+    Verdict.MAY_HAVE_RUN,
+    "the router stopped before the request was answered",
+)
 _INTERNAL_HTTP_LIMITS = HttpLimits(max_connections=64, max_body_bytes=1024)
 
 
@@ -379,19 +393,26 @@
         self._is_stopping = True
         self.front.announce_end()
         self.models.place_allocator.is_stopping = True
+        working_time = self._settings.grace * (1 - _CLOSING_SHARE_OF_GRACE)
+        stop_at = started_at + working_time - _LAST_ANSWERS_TIME
+        self._dispatcher.begin_stop(stop_at)
         await self._layer_placer.release()
         await self._clock.sleep(min(_LISTEN_TIME_AFTER_STOP, self._settings.grace / 2))
-        time_left = self._settings.grace * (1 - _CLOSING_SHARE_OF_GRACE)
-        time_left -= self._clock.monotonic() - started_at
+        time_left = stop_at - self._clock.monotonic()
         try:
             async with curio.timeout_after(max(0.0, time_left.total_seconds())):
                 await self.front.drain()
         except curio.TaskTimeout:
             log_event("stop_cut_requests", level="warning", open=self.front.busy_count)
-            await self.front.close()
-        await curio.ignore_after(
-            _DEREGISTRATION_TIMEOUT.total_seconds(), self._registration.end()
+        # The entry is removed while the last answers are sent.
+        deregistration = await curio.spawn(
+            curio.ignore_after,
+            _DEREGISTRATION_TIMEOUT.total_seconds(),
+            self._registration.end(),
         )
+        await self.front.abandon_requests(_STOPPED, _LAST_ANSWERS_TIME)
+        await self.front.close()
+        await deregistration.join()
         for task in self._tasks:
             await task.cancel()
         await self._readiness_server.close()
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -325,6 +325,20 @@
             waited_s += _DRAIN_POLL_S
         await self.close()
 
+    async def abandon_requests(self, refusal: Refusal, timeout: timedelta) -> None:
+        """End the handling of all requests, and refuse those without an answer so far.
+
+        The connections of answers that have begun are closed before their end.
+
+        :param refusal: sent to the clients.
+        :param timeout: time in which the clients can take it.
+        """
+        for task in list(self._busy_tasks_by_fd.values()):
+            await task.cancel(exc=_RequestAbandonedError(refusal), blocking=False)
+        async with curio.ignore_after(timeout.total_seconds()):
+            while self._busy_count:
+                await curio.sleep(_DRAIN_POLL_S)
+
     async def close(self) -> None:
         """Close the listener and every connection."""
         await self.stop_accepting()
@@ -455,6 +469,9 @@
             await self.handle(request, responder)
         except TransportError as error:
             log_event("answer_not_taken", level="debug", error=error)
+        except _RequestAbandonedError as error:
+            if not responder.is_started:
+                await responder.send_refusal(error.refusal)
         except Exception as error:
             log_event(
                 "request_failed",
@@ -525,6 +542,14 @@
             event = connection.next_event()
 
 
+class _RequestAbandonedError(curio.CancelledError):
+    """The handling of a request is ended by :meth:`HttpServer.abandon_requests`."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
 class _RequestRefusedError(Exception):
     """A request is refused before it reaches a handler."""
 
