--- a/hibiscustiller/ingress/tests/soak/faults.py
+++ b/hibiscustiller/ingress/tests/soak/faults.py
@@ -18,6 +18,10 @@
 _EXIT_SLACK_S = 1.5
 _STORE_KEY = "store"
 _WATCH_PERIOD_S = 0.05
+# Longer than the stable window, the window of the limit and some time.
+_LIMITED_TIME_S = 9.0
+# Longer than the drain time of the configuration.
+_LEAVING_TIME_S = 4.0
 
 
 class FaultInjector:
@@ -37,6 +41,8 @@
         self._spans = defaultdict(list)
         self.problems = []
         self.counts = defaultdict(int)
+        # Spans in which a server named its limit, by its id.
+        self.limited_spans = defaultdict(list)
         # Targets of current faults. No other fault may restart them meanwhile.
         self._occupied = set()
 
@@ -49,6 +55,8 @@
             "daemon-reloaded": self._reload_daemon,
             "server-killed": self._kill_server,
             "server-paused": self._pause_server,
+            "server-limited": self._limit_server,
+            "server-leaves": self._let_server_leave,
             "request-crashes-servers": self._crash_servers,
             "part-crashes-servers": self._crash_servers_by_part,
             "store-paused": self._pause_store,
@@ -202,6 +210,32 @@
 
         await self._inject_at_server(inject)
 
+    async def _limit_server(self):
+        async def inject(program, proxy):
+            program.signal(signal.SIGUSR1)
+            started_at = time.monotonic()
+            incarnation = program.incarnation
+            await curio.sleep(_LIMITED_TIME_S)
+            if program.incarnation != incarnation or not program.is_running:
+                return
+            program.signal(signal.SIGUSR1)
+            self.limited_spans[program.name].append((started_at, time.monotonic()))
+
+        await self._inject_at_server(inject)
+
+    async def _let_server_leave(self):
+        """Let a server say that it leaves, and end some time later."""
+
+        async def inject(program, proxy):
+            program.signal(signal.SIGUSR2)
+            await curio.sleep(_LEAVING_TIME_S)
+            await program.kill()
+            await proxy.stop()
+            program.start()
+            await proxy.start()
+
+        await self._inject_at_server(inject)
+
     async def _crash_servers(self):
         await self._run_exclusively(
             "crashing-request", self._callers.repeat_crashing_request
--- a/hibiscustiller/ingress/tests/test_many_changes_of_engines.py
+++ b/hibiscustiller/ingress/tests/test_many_changes_of_engines.py
@@ -70,6 +70,8 @@
             PartHistory(clock, self.metrics),
             None,
             None,
+            None,
+            None,
             clock,
             random.Random(1),
             self.metrics,
--- a/hibiscustiller/ingress/tests/test_soak.py
+++ b/hibiscustiller/ingress/tests/test_soak.py
@@ -11,13 +11,15 @@
 # Seeds and their faults: one run with all faults, one with faults that interrupt orders
 # in progress, one with planned operations only, which must lose no answer, and one with
 # requests that crash servers (incident BUDGET), and one with parts of prompts that do,
-# together with faults by which daemons lose or miss crash records.
+# together with faults by which daemons lose or miss crash records, and one with servers
+# that name limits (incident LIMIT) or say that they leave.
 _RUNS = (
     (101, None),
     (102, ("server-killed", "link-reset", "daemon-stopped")),
     (103, ("daemon-stopped", "daemon-reloaded", "configuration-changed")),
     (104, ("request-crashes-servers", "daemon-killed", "store-refused-one")),
     (105, ("part-crashes-servers", "daemon-killed", "link-reset")),
+    (106, ("server-limited", "server-leaves", "daemon-killed")),
 )
 _FAULTS_LENGTH_S = 5.0
 
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -10,7 +10,7 @@
 import os
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -39,9 +39,13 @@
 # Long enough for faults to meet requests at work.
 _EVENT_PERIOD_S = 0.04
 _WORK_S = 0.1
-# A server that begins to run a request with it ends; the rest of the body tells such
-# requests apart.
+# A server that begins to run a request with it ends, after as many milliseconds as the
+# end of the body says; the rest of the body tells such requests apart.
 CRASH_MARK = b"crash-"
+# In-process crashes are not used: the process ends before them.
+_NO_CRASH_S = 60.0
+# The limit that a server names between two signals SIGUSR1.
+NAMED_RATE_LIMIT = 2.0
 # A shared part of a prompt that begins with it ends servers in the same way, whatever
 # else the request holds.
 CRASH_PART_MARK = "dead"
@@ -191,7 +195,18 @@
         born=_read_milliseconds(clock),
         find_members=finder.find,
         on_run=note_run,
+        crashes_on=lambda request: _find_crash_cause(request) is not None,
+        crash_delay_s=_NO_CRASH_S,
     )
+    faults = finder.engine.faults
+
+    def toggle_limit() -> None:
+        faults.rate_limit = None if faults.rate_limit else NAMED_RATE_LIMIT
+
+    def leave() -> None:
+        faults.is_leaving = True
+
+    _handle_signals(toggle_limit, leave)
     await finder.engine.start()
     await keeper.run()
 
@@ -215,11 +230,29 @@
         born=_read_milliseconds(clock),
         work_s=_WORK_S,
         on_run=lambda request: _note_request(record, server_id, request),
+        crashes_on=lambda request: _find_crash_cause(request) is not None,
+        crash_delay_s=_NO_CRASH_S,
     )
+
+    def toggle_limit() -> None:
+        server.rate_limit = None if server.rate_limit else NAMED_RATE_LIMIT
+
+    def leave() -> None:
+        server.is_leaving = True
+
+    _handle_signals(toggle_limit, leave)
     await server.start()
     await keeper.run()
 
 
+def _handle_signals(
+    toggle_limit: Callable[[], None], leave: Callable[[], None]
+) -> None:
+    """Change what a server says of itself on signals SIGUSR1 and SIGUSR2."""
+    signal.signal(signal.SIGUSR1, lambda number, frame: toggle_limit())
+    signal.signal(signal.SIGUSR2, lambda number, frame: leave())
+
+
 def _make_keeper(client: HttpClient, address: Address, clock: Clock) -> _EntryKeeper:
     store = MetadataStore(client, address, _STORE_TIMEOUT, _MAX_VALUE_BYTES)
     return _EntryKeeper(store, clock)
@@ -230,10 +263,13 @@
 ) -> None:
     headers = request.headers_by_name
     crash = _find_crash_cause(request)
+    delay_s = _read_crash_delay(crash) if crash is not None else 0.0
     record.note(
         server=server_id,
+        process=os.getpid(),
         at=time.monotonic(),
         crash=crash,
+        crash_delay_s=delay_s,
         request=headers["request-id"],
         target=request.target.decode("latin-1"),
         organisation=headers.get("tenant"),
@@ -241,8 +277,17 @@
         last_event=headers.get("last-event-id"),
         **values,
     )
-    if crash is not None:
+    if crash is not None and not delay_s:
         os._exit(1)
+    if crash is not None and not signal.getitimer(signal.ITIMER_REAL)[0]:
+        # The signal that follows ends the process.
+        signal.setitimer(signal.ITIMER_REAL, delay_s)
+
+
+def _read_crash_delay(cause: str) -> float:
+    milliseconds = cause.rpartition("-")[2]
+    is_delay = cause.startswith(CRASH_MARK.decode()) and milliseconds.isdecimal()
+    return int(milliseconds) / 1000 if is_delay else 0.0
 
 
 def _find_crash_cause(request: HttpRequest) -> str | None:
