Release the place of a caller that leaves while its permission is asked for

A stream's place in a pipeline was held for good if its caller left during the question to a limit's coordinator. test_a_caller_that_leaves_during_the_question_holds_no_place fails without this. Besides, found in review: the first request after a limit was named was refused for an empty bucket, and requests wait up to 50 ms for a permission; refusals do not count as durations of a route; runs whose crash an attempt has recorded are dropped, and the runs of a request are found by its fingerprint.

--- a/hibiscustiller/ingress/_crash_history.py
+++ b/hibiscustiller/ingress/_crash_history.py
@@ -67,7 +67,7 @@
 class ServerCrash:
     """A crash of a server while it ran a request, as observed by one attempt.
 
-    :param id: id of the crash, the same at all routers for a crash of an engine.
+    :param id: id of the crash, the same at all routers.
     :param started_at: when the request was sent to the server, on the monotonic clock.
     :param alive_at: when the process of the server is known to have run last.
     :param ended_at: when the crash was detected, on the monotonic clock.
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -30,6 +30,7 @@
 from hibiscustiller.wire import HttpRequest, Responder
 
 _NO_ROUTE_RETRY_AFTER = timedelta(milliseconds=500)
+_FIRST_ERROR_STATUS = 400
 # Another router can take the request at once.
 _STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 
@@ -168,7 +169,7 @@
             else:
                 servers = self._view.list_servers(service.name)
                 await self._plain_forwarder.forward(context, servers, responder)
-            if responder.is_finished:
+            if responder.is_finished and responder.status < _FIRST_ERROR_STATUS:
                 self._durations.record(context.route, context.age)
         finally:
             self._metrics.timing(f"request.{kind}", context.age)
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -321,6 +321,7 @@
         sent_before = self._sent_count
         forwarder.load.add_unlayered(server.id, 1)
         answer = None
+        is_crash_recorded = False
         try:
             answer = await self._exchange_messages(server)
             if not answer.facts.is_not_run and not _is_server_error(answer):
@@ -333,7 +334,7 @@
             context.log("attempt_failed", server=server.id, reason=error)
             if error.verdict is Verdict.MAY_HAVE_RUN:
                 self._may_have_run = True
-                await self._check_crash(server, started_at)
+                is_crash_recorded = await self._check_crash(server, started_at)
             else:
                 await forwarder.health.check([server])
         finally:
@@ -341,7 +342,8 @@
             latency = context.clock.monotonic() - started_at
             failed = answer is None or _is_server_error(answer)
             forwarder.servers.record_answer(server.id, latency, failed)
-            if answer is None and self._sent_count > sent_before:
+            is_unanswered = answer is None and self._sent_count > sent_before
+            if is_unanswered and not is_crash_recorded:
                 forwarder.unanswered.add(context, [server], started_at, has_begun=False)
         return answer
 
@@ -378,22 +380,27 @@
         finally:
             await exchange.close()
 
-    async def _check_crash(self, server: BackendServer, started_at: timedelta) -> None:
-        """Record a crash if the process of a server that failed has ended."""
+    async def _check_crash(self, server: BackendServer, started_at: timedelta) -> bool:
+        """Record a crash if the process of a server that failed has ended.
+
+        :returns: whether it has.
+        """
         forwarder, context = self._forwarder, self._context
         broken_at = context.clock.monotonic()
-        if await forwarder.health.check_ended(server):
-            # The process ended when the connection broke.
-            forwarder.crashes.record_crash(
-                context.fingerprint,
-                started_at,
-                has_progress=False,
-                crash_id=compute_crash_id(server.id, server.born),
-                alive_at=broken_at,
-            )
-            context.log(
-                "attempt_met_crash", fingerprint=context.fingerprint, servers=server.id
-            )
+        if not await forwarder.health.check_ended(server):
+            return False
+        # The process ended when the connection broke.
+        forwarder.crashes.record_crash(
+            context.fingerprint,
+            started_at,
+            has_progress=False,
+            crash_id=compute_crash_id(server.id, server.born),
+            alive_at=broken_at,
+        )
+        context.log(
+            "attempt_met_crash", fingerprint=context.fingerprint, servers=server.id
+        )
+        return True
 
     def _count_sent(self) -> None:
         self._sent_count += 1
--- a/hibiscustiller/ingress/_rate_limits.py
+++ b/hibiscustiller/ingress/_rate_limits.py
@@ -47,6 +47,8 @@
 # A limit that was named more recently when the coordinator learned of it was granted by
 # no predecessor.
 _NEW_LIMIT_AGE = timedelta(seconds=1)
+# A request waits for a permission that is expected within this time.
+_SHORT_WAIT = timedelta(milliseconds=50)
 # A router that was refused asks again after this time, so that a coordinator gets a
 # bounded number of requests per second for a server, whatever the size of the fleet.
 _MIN_REFUSAL_TIME = timedelta(milliseconds=50)
@@ -174,6 +176,9 @@
         if refused_until > now:
             return refused_until - now
         wait = await self._request(limit, priority)
+        if timedelta(0) < wait <= _SHORT_WAIT:
+            await self._clock.sleep(wait)
+            wait = await self._request(limit, priority)
         if wait <= timedelta(0):
             return None
         self._metrics.count("rate_limits.refused")
@@ -295,7 +300,8 @@
         coordination = self._coordinations_by_id.get(limit.server_id)
         if coordination is None:
             is_first = now - limit.named_at < _NEW_LIMIT_AGE
-            coordination = _Coordination(RateAllocator(self._clock), is_first, now)
+            allocator = RateAllocator(self._clock, tokens=1.0)
+            coordination = _Coordination(allocator, is_first, now)
             self._coordinations_by_id[limit.server_id] = coordination
         share = 1.0 if self._is_coordinator(limit.server_id) else _SUCCESSOR_SHARE
         if not coordination.is_first and now - coordination.since < _WINDOW:
@@ -333,7 +339,7 @@
                 return None
         if answer.granted:
             return timedelta(0)
-        return max(min(answer.wait_ms, _MAX_AGE_MS) * _MS, _MIN_REFUSAL_TIME)
+        return min(max(answer.wait_ms, 1), _MAX_AGE_MS) * _MS
 
     async def _send(self, server_ids: Iterable[ServerId]) -> None:
         """Send limits to their coordinators, or as one of them to all routers."""
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import Any
 
+import curio
 from result import Err
 
 from hibiscustiller.exceptions import TransportError
@@ -224,8 +225,8 @@
         self._may_have_run = False
         # Whether the current attempt is a trial of a quarantined part.
         self._is_trial = False
-        # Shortest expected wait for an engine that has reached its rate limit.
-        self._rate_wait: timedelta | None = None
+        # Shortest expected wait for an engine that takes no request now.
+        self._shortest_wait: timedelta | None = None
         self._attempt_count = 0
         self._event_count = 0
         # When the current attempt was sent, and the number of its new events.
@@ -246,10 +247,10 @@
             if refusal is not None:
                 await self._forwarder.admission.release(grant)
                 return self._make_crash_refusal(refusal)
-            permitted = await self._acquire_rate(grant)
-            if permitted is None:
-                return self._refuse_by_rate()
-            outcome = await self._run_granted(permitted)
+            accepting = await self._find_accepting(grant)
+            if accepting is None:
+                return self._make_wait_refusal()
+            outcome = await self._run_granted(accepting)
             if outcome in (_Outcome.FINISHED, _Outcome.ANSWERED, _Outcome.FAILED):
                 return None
             refusal = await self._check_retry_allowed(outcome)
@@ -261,32 +262,36 @@
             self._forwarder.metrics.count(f"streams.repeated.{outcome.value}")
             grant = next_grant
 
-    async def _acquire_rate(self, grant: Grant | None) -> Grant | None:
+    async def _find_accepting(self, grant: Grant | None) -> Grant | None:
         """Find a pipeline whose engines take one more request now.
 
         :param grant: place at a pipeline, which is released if it is not used.
         :returns: the place that may be used; None if no pipeline takes the request.
         """
         admission = self._forwarder.admission
-        limited_ids: set[ServerId] = set()
-        self._rate_wait = None
+        rejecting_ids: set[ServerId] = set()
+        self._shortest_wait = None
         while grant is not None:
-            wait = await self._ask_engines(grant, limited_ids)
+            try:
+                wait = await self._ask_engines(grant, rejecting_ids)
+            except curio.CancelledError:
+                await admission.release(grant)
+                raise
             if wait is None:
                 return grant
-            self._rate_wait = min(wait, self._rate_wait or wait)
+            self._shortest_wait = min(wait, self._shortest_wait or wait)
             await admission.release(grant)
             grant = await admission.find_replacement(
-                self._demand, self._excluded_ids | limited_ids
+                self._demand, self._excluded_ids | rejecting_ids
             )
         return None
 
     async def _ask_engines(
-        self, grant: Grant, limited_ids: set[ServerId]
+        self, grant: Grant, rejecting_ids: set[ServerId]
     ) -> timedelta | None:
         """Ask for permission to send the request to each engine of a pipeline.
 
-        :param limited_ids: gets the engine that does not take it.
+        :param rejecting_ids: the engine that does not take it is added.
         :returns: None if all take it, or else the expected wait for the one that does
             not.
         """
@@ -297,15 +302,17 @@
                     server, self._context.priority
                 )
             if wait is not None:
-                limited_ids.add(server.id)
+                rejecting_ids.add(server.id)
                 return wait
         return None
 
-    def _refuse_by_rate(self) -> Refusal:
+    def _make_wait_refusal(self) -> Refusal:
+        """Return the refusal of a request that no pipeline takes now."""
         message = "no pipeline takes another request now"
-        if self._may_have_run or self._rate_wait is None:
+        if self._may_have_run or self._shortest_wait is None:
             return self._make_refusal(message)
-        retry_after = self._forwarder.rate_limits.compute_retry_after(self._rate_wait)
+        rate_limits = self._forwarder.rate_limits
+        retry_after = rate_limits.compute_retry_after(self._shortest_wait)
         return Refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, message, retry_after)
 
     def _admit(self) -> Refusal | None:
@@ -380,6 +387,7 @@
         if not ended or self._sent_at is None:
             return
         has_progress = self._attempt_event_count > 0
+        forwarder.unanswered.discard(context.fingerprint, ended)
         crash_ids = [compute_crash_id(server.id, server.born) for server in ended]
         parts = context.facts.prompt_parts
         if not has_progress:
--- a/hibiscustiller/ingress/_unanswered_runs.py
+++ b/hibiscustiller/ingress/_unanswered_runs.py
@@ -31,6 +31,9 @@
 _MAX_RUNS = 4096
 
 
+_Process = tuple[ServerId, int]
+
+
 @dataclass(frozen=True)
 class UnansweredRun:
     """A request that a server's process may still run.
@@ -74,11 +77,13 @@
         self._is_leaving = is_leaving
         self._clock = clock
         self._capacity = capacity
-        # Copies of a request at one process are one run: it can crash only once.
-        self._runs_by_key: dict[tuple[Fingerprint, ServerId, int], UnansweredRun] = {}
+        # By request, and by id and start of the process. Copies of a request at one
+        # process are one run: it can crash only once.
+        self._runs_by_fingerprint: dict[Fingerprint, dict[_Process, UnansweredRun]] = {}
+        self._run_count = 0
 
     def __len__(self) -> int:
-        return len(self._runs_by_key)
+        return self._run_count
 
     def add(
         self,
@@ -98,41 +103,59 @@
         now = self._clock.monotonic()
         run_until = min(max(deadline, now + _MIN_RETENTION), now + _MAX_RETENTION)
         parts = () if has_begun else context.facts.prompt_parts
+        runs = self._runs_by_fingerprint.pop(context.fingerprint, {})
+        self._run_count -= len(runs)
         for server in servers:
-            key = (context.fingerprint, server.id, server.born)
-            self._runs_by_key.pop(key, None)
-            self._runs_by_key[key] = UnansweredRun(
+            runs[server.id, server.born] = UnansweredRun(
                 server, context.fingerprint, parts, sent_at, run_until
             )
-        while len(self._runs_by_key) > self._capacity:
-            del self._runs_by_key[next(iter(self._runs_by_key))]
+        self._run_count += len(runs)
+        self._runs_by_fingerprint[context.fingerprint] = runs
+        while self._run_count > self._capacity:
+            oldest = next(iter(self._runs_by_fingerprint.values()))
+            run = next(iter(oldest.values()))
+            self.discard(run.fingerprint, [run.server])
 
     def record_answer(self, fingerprint: Fingerprint) -> None:
         """Drop the runs of a request that a server has answered.
 
         A request that can be answered is not the cause of a crash.
         """
-        for key in [key for key in self._runs_by_key if key[0] == fingerprint]:
-            del self._runs_by_key[key]
+        self._run_count -= len(self._runs_by_fingerprint.pop(fingerprint, ()))
+
+    def discard(
+        self, fingerprint: Fingerprint, servers: Iterable[BackendServer]
+    ) -> None:
+        """Drop the runs of a request at servers whose crash is recorded already."""
+        runs = self._runs_by_fingerprint.get(fingerprint, {})
+        for server in servers:
+            if runs.pop((server.id, server.born), None) is not None:
+                self._run_count -= 1
+        if not runs:
+            self._runs_by_fingerprint.pop(fingerprint, None)
 
     async def run(self) -> None:
         """Look for crashes of the servers of the runs until cancelled."""
         while True:
             await self._clock.sleep(_CHECK_PERIOD)
-            if self._runs_by_key:
+            if self._runs_by_fingerprint:
                 await self._health.check(self._list_checked_servers())
                 self.update()
 
     def update(self) -> None:
         """Record the crashes that are known, and drop runs that have expired."""
         now = self._clock.monotonic()
-        for key, run in list(self._runs_by_key.items()):
-            if self._health.has_ended(run.server):
-                del self._runs_by_key[key]
-                if not self._is_leaving(run.server):
-                    self._record_crash(run)
-            elif now >= run.expires_at:
-                del self._runs_by_key[key]
+        for run in self._list_runs():
+            has_ended = self._health.has_ended(run.server)
+            if has_ended and not self._is_leaving(run.server):
+                self._record_crash(run)
+            if has_ended or now >= run.expires_at:
+                self.discard(run.fingerprint, [run.server])
+
+    def _list_runs(self) -> list[UnansweredRun]:
+        return [
+            run for runs in self._runs_by_fingerprint.values() for run in runs.values()
+        ]
 
     def _list_checked_servers(self) -> list[BackendServer]:
         """Return the servers to connect to.
@@ -143,7 +166,7 @@
         return list(
             {
                 run.server.id: run.server
-                for run in self._runs_by_key.values()
+                for run in self._list_runs()
                 if not run.server.layers.width
                 or self._crashes.has_crashes(run.fingerprint)
             }.values()
--- a/hibiscustiller/ingress/tests/test_rate_limits.py
+++ b/hibiscustiller/ingress/tests/test_rate_limits.py
@@ -159,6 +159,32 @@
         assert all(0.3 <= delay <= 5.0 for delay in delays)
 
 
+async def test_a_caller_that_leaves_during_the_question_holds_no_place():
+    """Guards against places that are never given back, until the engines seem full.
+
+    The coordinator does not answer, so that each question takes some time.
+    """
+    async with World(("e0",), ("north",)) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(1)
+        world.engines[0].faults.rate_limit = 1000.0
+        assert (await world.request("/chat/1")).status == 200
+        rate_limits = world.gateway._rate_limits
+
+        async def ask_without_answer(limit, priority):
+            await curio.sleep(10.0)
+
+        ask, rate_limits._request = rate_limits._request, ask_without_answer
+        for _ in range(20):
+            await curio.ignore_after(0.02, world.request("/chat/1"))
+        await curio.sleep(0.6)
+        rate_limits._request = ask
+        forwarder = world.gateway.models.forwarders_by_service["engines"]
+        assert forwarder.selector.get_free_slot_share() == 1.0
+        answer = await world.request("/chat/1")
+        assert answer.status == 200, answer
+
+
 async def test_a_withdrawn_limit_no_longer_holds():
     """Guards against a server that keeps a limit that it names no more."""
     async with World((), (), plain_count=1) as world:
--- a/hibiscustiller/limits/_rates.py
+++ b/hibiscustiller/limits/_rates.py
@@ -32,11 +32,13 @@
 
     More urgent requests are granted first: the rate that they asked for lately is
     withheld from the others, except for a floor.
+
+    :param tokens: number of requests that may be granted at once at the beginning.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, tokens: float = 0.0) -> None:
         self._clock = clock
-        self._tokens = 0.0
+        self._tokens = tokens
         self._updated_at = clock.monotonic()
         # Times and priorities of the latest requests, and of those that were granted.
         self._asked: deque[tuple[timedelta, int]] = deque()
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -116,6 +116,8 @@
         self._sock = sock
         self._write_timeout = write_timeout
         self.is_head = False
+        # Status of the answer; 0 before it starts.
+        self.status = 0
         self.is_started = False
         self.is_finished = False
         # Sent with the head of the answer, whatever its kind.
@@ -202,6 +204,7 @@
 
     def _make_response(self, status: int, fields: Fields) -> h11.Response:
         self.is_started = True
+        self.status = status
         headers = [*fields, *_encode_fields(self.extra_headers)]
         if self.should_close():
             headers.append((b"connection", b"close"))
