--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -245,10 +245,7 @@
                 if not await budgets.try_spend(context.service.name):
                     break
                 has_retry = True
-            wait = self._forwarder.health.statements.get_wait(server)
-            if wait is None:
-                rate_limits = self._forwarder.rate_limits
-                wait = await rate_limits.acquire(server, context.priority)
+            wait = await self._ask_server(server)
             if wait is not None:
                 self._waits_by_id[server.id] = wait
                 continue
@@ -268,14 +265,9 @@
             return self._make_failure(
                 RefusalReason.BACKEND_TIMEOUT, "the request timed out", last_answer
             )
-        if not self.tried_ids and self._waits_by_id:
-            wait = min(self._waits_by_id.values())
-            return Refusal(
-                RefusalReason.OVERLOADED,
-                Verdict.NOT_RUN,
-                "no server takes another request now",
-                self._forwarder.rate_limits.compute_retry_after(wait),
-            )
+        has_run = last_answer is not None and not last_answer.facts.is_not_run
+        if self._waits_by_id and not has_run and not self._may_have_run:
+            return self._make_wait_refusal()
         if not self.tried_ids and self._candidates:
             message = "the connections of every server are in use"
             return self._make_failure(RefusalReason.OVERLOADED, message, last_answer)
@@ -283,6 +275,27 @@
             RefusalReason.NO_ROUTE, "no server accepted the request", last_answer
         )
 
+    async def _ask_server(self, server: BackendServer) -> timedelta | None:
+        """Ask for permission to send the request to a server.
+
+        :returns: None if it may be sent, or else the expected wait.
+        """
+        wait = self._forwarder.health.statements.get_wait(server)
+        if wait is not None:
+            return wait
+        rate_limits = self._forwarder.rate_limits
+        return await rate_limits.acquire(server, self._context.priority)
+
+    def _make_wait_refusal(self) -> Refusal:
+        """Return the refusal of a request that no server takes now."""
+        wait = min(self._waits_by_id.values())
+        return Refusal(
+            RefusalReason.OVERLOADED,
+            Verdict.NOT_RUN,
+            "no server takes another request now",
+            self._forwarder.rate_limits.compute_retry_after(wait),
+        )
+
     async def _is_blocked_by_crashes(self) -> bool:
         """Wait until the crash history permits a retry.
 
