--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -168,6 +168,7 @@
             clock,
             self._random_state,
             self._metrics,
+            self._health.statements.get_wait,
         )
         self._budgets = budgets = RetryBudgets(
             settings,
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -245,7 +245,8 @@
                 if not await budgets.try_spend(context.service.name):
                     break
                 has_retry = True
-            wait = await self._ask_server(server)
+            rate_limits = self._forwarder.rate_limits
+            wait = await rate_limits.acquire(server, context.priority)
             if wait is not None:
                 self._waits_by_id[server.id] = wait
                 continue
@@ -275,17 +276,6 @@
             RefusalReason.NO_ROUTE, "no server accepted the request", last_answer
         )
 
-    async def _ask_server(self, server: BackendServer) -> timedelta | None:
-        """Ask for permission to send the request to a server.
-
-        :returns: None if it may be sent, or else the expected wait.
-        """
-        wait = self._forwarder.health.statements.get_wait(server)
-        if wait is not None:
-            return wait
-        rate_limits = self._forwarder.rate_limits
-        return await rate_limits.acquire(server, self._context.priority)
-
     def _make_wait_refusal(self) -> Refusal:
         """Return the refusal of a request that no server takes now."""
         wait = min(self._waits_by_id.values())
--- a/hibiscustiller/ingress/_rate_limits.py
+++ b/hibiscustiller/ingress/_rate_limits.py
@@ -108,6 +108,8 @@
     :param count_reporting_routers: returns how many other routers sent reports
         recently.
     :param random_state: source of request ids, and spreads the return of callers.
+    :param get_wait: returns for how long a server must get no requests for another
+        reason; None if there is none.
     """
 
     def __init__(
@@ -119,7 +121,9 @@
         clock: Clock,
         random_state: random.Random,
         metrics: Metrics,
+        get_wait: Callable[[BackendServer], timedelta | None] = lambda server: None,
     ) -> None:
+        self._get_wait = get_wait
         self._router_id = router_id
         self._view = view
         self._datagrams = datagrams
@@ -168,9 +172,10 @@
         :param priority: priority class; 0 is the most urgent.
         :returns: None if it may be sent, or else the expected time until it might be.
         """
+        other_wait = self._get_wait(server)
         limit = self._get(server)
-        if limit is None or limit.per_second is None:
-            return None
+        if other_wait is not None or limit is None or limit.per_second is None:
+            return other_wait
         now = self._clock.monotonic()
         refused_until = self._refused_until.get((server.id, priority), now)
         if refused_until > now:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -296,11 +296,9 @@
             not.
         """
         for server in grant.pipeline.servers:
-            wait = self._forwarder.health.statements.get_wait(server)
-            if wait is None:
-                wait = await self._forwarder.rate_limits.acquire(
-                    server, self._context.priority
-                )
+            wait = await self._forwarder.rate_limits.acquire(
+                server, self._context.priority
+            )
             if wait is not None:
                 rejecting_ids.add(server.id)
                 return wait
