Keep unanswered runs until the deadline that their servers were told

The retention was counted from the moment of sending with the time that was left later, so that a run was dropped too early by the time that it had been at the server. An attempt at servers that had all ended left an empty record.

--- a/hibiscustiller/ingress/_unanswered_runs.py
+++ b/hibiscustiller/ingress/_unanswered_runs.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -88,7 +88,7 @@
     def add(
         self,
         context: RequestContext,
-        servers: Iterable[BackendServer],
+        servers: Collection[BackendServer],
         sent_at: timedelta,
         has_begun: bool,
     ) -> None:
@@ -98,16 +98,18 @@
         :param sent_at: when it was sent, on the monotonic clock.
         :param has_begun: whether a part of its answer had arrived.
         """
+        if not servers:
+            return
         context.log_unanswered(servers)
-        deadline = sent_at + context.caller_time_left + _RETENTION_AFTER_DEADLINE
-        now = self._clock.monotonic()
-        run_until = min(max(deadline, now + _MIN_RETENTION), now + _MAX_RETENTION)
+        retention = context.caller_time_left + _RETENTION_AFTER_DEADLINE
+        retention = min(max(retention, _MIN_RETENTION), _MAX_RETENTION)
+        expires_at = self._clock.monotonic() + retention
         parts = () if has_begun else context.facts.prompt_parts
         runs = self._runs_by_fingerprint.pop(context.fingerprint, {})
         self._run_count -= len(runs)
         for server in servers:
             runs[server.id, server.born] = UnansweredRun(
-                server, context.fingerprint, parts, sent_at, run_until
+                server, context.fingerprint, parts, sent_at, expires_at
             )
         self._run_count += len(runs)
         self._runs_by_fingerprint[context.fingerprint] = runs
--- a/hibiscustiller/ingress/tests/test_unanswered_runs.py
+++ b/hibiscustiller/ingress/tests/test_unanswered_runs.py
@@ -150,6 +150,31 @@
     assert bench.count_crashes() == 0
 
 
+def test_a_run_is_kept_until_the_deadline_that_its_server_was_told():
+    """Guards against a crash before the deadline that is not counted.
+
+    The request had been at the server for some time when its attempt ended.
+    """
+    bench = Bench()
+    bench.clock.advance(3 * SECOND)
+    context, server = ContextStandin(time_left=8 * SECOND), make_server(0)
+    sent_at = bench.clock.monotonic() - 3 * SECOND
+    bench.runs.add(context, [server], sent_at, False)
+    bench.clock.advance(8 * SECOND)
+    bench.runs.update()
+    bench.end(server)
+    assert bench.count_crashes() == 1
+
+
+def test_an_attempt_at_servers_that_had_ended_keeps_nothing():
+    """Guards against an empty record that is never dropped, or ends the router."""
+    bench = Bench(capacity=1)
+    bench.runs.add(ContextStandin(), [], bench.clock.monotonic(), False)
+    for number in range(3):
+        bench.add(make_server(number), ContextStandin(OTHER_FINGERPRINT))
+    assert len(bench.runs) == 1
+
+
 def test_an_answer_drops_the_runs_of_its_request_only():
     """Guards against quarantine of a sound request that timed out elsewhere."""
     bench = Bench()
