Believe statements about a process only from itself

A 421 may come from the next process at a server's address, and an answer of a pipeline's entry names a server at fault: neither shows that the named server no longer has a limit. Found in review; test_an_answer_of_another_process_does_not_withdraw_a_limit failed before.

--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -148,8 +148,13 @@
             return facts.is_not_run
         return facts.is_not_run and facts.request_id == self.facts.request_id
 
-    def is_answered_by(self, facts: AnswerFacts, exchange: Exchange) -> bool:
-        """Tell whether an answer, or a refusal, is the one to this request."""
+    def has_statements(self, facts: AnswerFacts, exchange: Exchange) -> bool:
+        """Tell whether what an answer says of its server is said by that process.
+
+        It must be the answer, or the refusal, to this request.
+        """
+        if facts.is_from_other_process:
+            return False
         is_same_request = facts.request_id == self.facts.request_id
         return is_same_request or self.is_refused_by(facts, exchange)
 
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -414,7 +414,7 @@
         await exchange.read_head(self._compute_head_timeout())
         facts = read_answer_facts(exchange.status, exchange.fields)
         # The statements of the head count, whatever becomes of the body.
-        if context.is_answered_by(facts, exchange):
+        if context.has_statements(facts, exchange):
             forwarder.health.statements.record(server, facts)
             forwarder.rate_limits.observe(server, facts.rate_limit, sent_at)
         body = await exchange.read_body(context.timeout_left, MAX_BODY_BYTES)
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -543,7 +543,7 @@
         await self._read_within_limits(exchange.read_head, grant)
         facts = read_answer_facts(exchange.status, exchange.fields)
         context = self._context
-        if context.is_answered_by(facts, exchange):
+        if context.has_statements(facts, exchange):
             self._record_statements(grant, facts)
         if context.is_refused_by(facts, exchange):
             self._exclude_refusing_servers(grant, facts.failed_server)
@@ -558,14 +558,19 @@
         return await self._relay_events(exchange, grant)
 
     def _record_statements(self, grant: Grant, facts: AnswerFacts) -> None:
-        """Record what an answer says of the server that it comes from."""
-        server = grant.pipeline.entry
+        """Record what an answer says of its server, or of the server at fault.
+
+        The answer comes from the entry, so that what it does not say of another server
+        tells nothing.
+        """
+        entry = server = grant.pipeline.entry
         for other in grant.pipeline.servers:
             if facts.failed_server == other.address:
                 server = other
         self._forwarder.health.statements.record(server, facts)
-        sent_at = self._sent_at or self._last_progress_at
-        self._forwarder.rate_limits.observe(server, facts.rate_limit, sent_at)
+        if server == entry or facts.rate_limit is not None:
+            sent_at = self._sent_at or self._last_progress_at
+            self._forwarder.rate_limits.observe(server, facts.rate_limit, sent_at)
 
     def _exclude_refusing_servers(self, grant: Grant, address: object) -> None:
         """Exclude the server that refused from further attempts of this request.
--- a/hibiscustiller/ingress/tests/test_rate_limits.py
+++ b/hibiscustiller/ingress/tests/test_rate_limits.py
@@ -185,6 +185,24 @@
         assert answer.status == 200, answer
 
 
+async def test_an_answer_of_another_process_does_not_withdraw_a_limit():
+    """Guards against a refusal of the next process at an address, which names none."""
+    async with World((), (), plain_count=2) as world:
+        server = world.plain[0]
+        server.rate_limit = 0.5
+        while not world.gateway.describe()["rate_limits"]:
+            await world.request("/stock/1")
+        own_id, server.id = server.id, "another"
+        count = len(server.requests)
+        world.plain[1].behave = "full"
+        for _ in range(30):
+            await world.request("/stock/1")
+            await curio.sleep(0.1)
+        server.id = own_id
+        assert len(server.requests) == count
+        assert world.gateway.describe()["rate_limits"] == {own_id: 0.5}
+
+
 async def test_a_withdrawn_limit_no_longer_holds():
     """Guards against a server that keeps a limit that it names no more."""
     async with World((), (), plain_count=1) as world:
--- a/hibiscustiller/platform/_fields.py
+++ b/hibiscustiller/platform/_fields.py
@@ -112,6 +112,8 @@
     :param request_id: the request that it answers; None if it does not say.
     :param is_sealed: whether it bears the server's seal.
     :param is_not_run: whether the server states that it did not run the request.
+    :param is_from_other_process: whether it may come from another process than the one
+        that the request was meant for.
     :param failed_server: the server at fault among a pipeline's.
     :param rate_limit: requests per second that the server takes from all routers
         together; None if it names no limit, or one that cannot be read.
@@ -123,6 +125,7 @@
     request_id: RequestId | None
     is_sealed: bool
     is_not_run: bool
+    is_from_other_process: bool = False
     failed_server: Address | None = None
     rate_limit: float | None = None
     is_leaving: bool = False
@@ -191,6 +194,7 @@
         request_id=None if request_id is None else RequestId(request_id.decode()),
         is_sealed=_SEAL in by_name,
         is_not_run=_NOT_RUN in by_name or status == _WRONG_SERVER_STATUS,
+        is_from_other_process=status == _WRONG_SERVER_STATUS,
         failed_server=_read_address(by_name.get(_FAILED_SERVER)),
         rate_limit=_read_decimal(by_name, _RATE_LIMIT),
         is_leaving=by_name.get(_LEAVING, b"").strip() == b"1",
