--- a/hibiscustiller/limits/_rates.py
+++ b/hibiscustiller/limits/_rates.py
@@ -30,8 +30,8 @@
 class RateAllocator:
     """Allocates the requests to one server among callers of different priority.
 
-    More urgent requests are granted first: the rate that they asked for lately is
-    withheld from the others, except for a floor.
+    A part of what may be granted at once is kept for more urgent requests, if there
+    were any lately. The others have a floor.
 
     :param tokens: number of requests that may be granted at once at the beginning.
     """
