Log the era that the metadata store names

The store names in each answer how often it was restored from a backup (Store-Era). Nothing showed a restore before; store_era tells it now.

--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -19,7 +19,7 @@
 )
 from hibiscustiller.platform._store import NO_LEASE, Entry, LeaseId, SwapOutcome
 from hibiscustiller.settings import Address
-from hibiscustiller.utils import Metrics, Verdict
+from hibiscustiller.utils import Metrics, Verdict, log_event
 from hibiscustiller.wire import HttpAnswer, HttpClient
 
 Value = TypeVar("Value")
@@ -31,6 +31,8 @@
 _SHAPE_ERRORS = (ValueError, KeyError, TypeError, AttributeError, IndexError)
 # The store ends a waiting watch by itself; its answer gets this much longer.
 _WATCH_SLACK = timedelta(seconds=1)
+# Counts how often the store was restored from a backup.
+_ERA_HEADER = "store-era"
 
 
 @dataclass(frozen=True)
@@ -81,6 +83,8 @@
         self._timeout = timeout
         self._max_value_bytes = max_value_bytes
         self._metrics = metrics or Metrics()
+        # The latest era that an answer named.
+        self.era = 0
 
     async def get(self, key: str) -> Entry | None:
         """Read one key; None if absent."""
@@ -254,14 +258,20 @@
             )
         except TransportError as error:
             raise StoreUnavailableError(str(error), error.verdict) from error
-        _check_status(answer.status, accepted)
         try:
+            self._record_era(_read_era(answer))
+            _check_status(answer.status, accepted)
             return read(answer)
         except _SHAPE_ERRORS as error:
             raise StoreUnavailableError(
                 f"the store's answer cannot be read: {error!r}", Verdict.MAY_HAVE_RUN
             ) from error
 
+    def _record_era(self, era: int) -> None:
+        if era > self.era:
+            log_event("store_era", era=era, before=self.era)
+            self.era = era
+
 
 def _check_status(status: int, accepted: tuple[int, ...]) -> None:
     if status == _OK or status in accepted:
@@ -276,6 +286,10 @@
     return f"{path}?{urlencode(fields, safe='/')}"
 
 
+def _read_era(answer: HttpAnswer) -> int:
+    return int(answer.headers_by_name.get(_ERA_HEADER, 0))
+
+
 def _read_entry(item: dict[str, Any]) -> Entry:
     return Entry(item["key"], _decode_value(item["value"]), int(item["rev"]))
 
