--- a/hibiscustiller/standins/_metadata_store.py
+++ b/hibiscustiller/standins/_metadata_store.py
@@ -1,4 +1,7 @@
-"""Stand-in for the platform's metadata store: keys, leases, watches and faults."""
+"""Stand-in for the platform's metadata store: keys, leases, watches and faults.
+
+It can be restored from a copy of an earlier state, as after a drill.
+"""
 
 from __future__ import annotations
 
@@ -37,6 +40,19 @@
     drops_answers: bool = False
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """An earlier state of the store.
+
+    :param time_to_live_by_lease: the leases that existed.
+    """
+
+    items: dict[str, _Item]
+    revision: int
+    history: list[dict[str, Any]]
+    time_to_live_by_lease: dict[int, timedelta]
+
+
 @dataclass
 class _Item:
     value: bytes
@@ -56,6 +72,8 @@
         self._clock = clock
         self.faults = MetadataFaults()
         self.calls = 0
+        # Rises with each restore; every answer names it.
+        self.era = 1
         self.revision = 1
         self.items: dict[str, _Item] = {}
         # What reads that may be old find; None for the present state.
@@ -105,6 +123,35 @@
         self._history.clear()
         self._first_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state, to which the store can be restored."""
+        return StoreCopy(
+            dict(self.items),
+            self.revision,
+            list(self._history),
+            {lease: ttl for lease, (_, ttl) in self._leases.items()},
+        )
+
+    def restore(self, copy: StoreCopy, *, keeps_leases: bool = True) -> None:
+        """Return to an earlier state; later writes and leases are lost.
+
+        Revisions after the copy's are given out again. A watch that waits goes on and
+        hears of the changes after its own revision only.
+
+        :param keeps_leases: whether the copy has the leases of its time; without them
+            their keys remain until they are overwritten.
+        """
+        self.items, self.revision = dict(copy.items), copy.revision
+        self._history = list(copy.history)
+        now = self._clock.monotonic()
+        self._leases = {
+            lease: (now + ttl, ttl)
+            for lease, ttl in copy.time_to_live_by_lease.items()
+            if keeps_leases
+        }
+        self._old_state = None
+        self.era += 1
+
     def hold_back_old_reads(self) -> None:
         """Answer reads that may be old with the present state from now on."""
         self._old_state = dict(self.items), self.revision
@@ -118,6 +165,7 @@
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         self.calls += 1
+        self._name_era(responder)
         if self.faults.is_silent:
             await curio.sleep(60)
         if self.faults.is_down:
@@ -134,6 +182,9 @@
         else:
             await self._answer_write(request, responder)
 
+    def _name_era(self, responder: Responder) -> None:
+        responder.extra_headers["store-era"] = str(self.era)
+
     async def _answer_key(self, key: str, responder: Responder) -> None:
         item = self.items.get(key)
         if item is None:
@@ -160,7 +211,11 @@
     async def _answer_watch(self, query: Any, responder: Responder) -> None:
         after = int(query["after"])
         waited = 0.0
+        if after > self.revision:
+            await responder.send_json(410, {"error": "no such revision"})
+            return
         while True:
+            self._name_era(responder)
             if self.faults.cuts_watches:
                 return
             is_lost = after < self._first_revision and after < self.revision
