--- a/hibiscustiller/discovery/_change_log.py
+++ b/hibiscustiller/discovery/_change_log.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from hibiscustiller.platform import Change
+from hibiscustiller.platform import Change, Revision
 
 # A router that lost a datagram requests it again within a second; a fleet of hundreds
 # of routers makes some hundred changes in its busiest seconds.
@@ -24,8 +24,8 @@
         that it lacks keys that were both written and deleted between them.
     """
 
-    after_revision: int
-    to_revision: int
+    after_revision: Revision
+    to_revision: Revision
     items: tuple[Change, ...]
     is_difference: bool = False
 
@@ -47,7 +47,7 @@
         while self._change_count > _MAX_CHANGES and len(self._batches) > 1:
             self._change_count -= len(self._batches.popleft().items)
 
-    def collect(self, after: int, to: int) -> ChangeBatch | None:
+    def collect(self, after: Revision, to: Revision) -> ChangeBatch | None:
         """Return the changes after a revision; None if some are unavailable.
 
         :param after: the revision that the receiver has.
@@ -57,15 +57,12 @@
             return ChangeBatch(after, to, ())
         if not self._batches or self._batches[0].after_revision > after:
             return None
-        if any(
-            batch.is_difference and batch.after_revision < after < batch.to_revision
-            for batch in self._batches
-        ):
+        later = [batch for batch in self._batches if batch.to_revision > after]
+        if any(batch.is_difference and batch.after_revision < after for batch in later):
             return None
         items = [
             change
-            for batch in self._batches
-            if batch.to_revision > after
+            for batch in later
             for change in batch.items
             if change.revision > after
         ]
--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -31,6 +31,11 @@
 _RETRY_PERIOD = timedelta(seconds=1.3)
 # Largest relative deviation of a retry period, which spreads the routers' retries.
 _RETRY_JITTER = 0.25
+# After a restore of the store all routers register again; their calls are spread over
+# this time for each router, or the store would refuse some of them.
+_REREGISTRATION_SPREAD_PER_ROUTER = timedelta(milliseconds=6)
+# The second attempt replaces an entry that an earlier process of this router left.
+_WRITE_ATTEMPTS = 2
 # A renewal that is late by more than this means that the process or its host was
 # suspended.
 _SUSPENSION_THRESHOLD = timedelta(seconds=2)
@@ -46,6 +51,8 @@
     :param is_follower: returns whether this router watches the store for others.
     :param random_state: random numbers for the jitter of retries.
     :param reach: records the outcome of each renewal and may request one.
+    :param on_new_era: called when the store was found to be restored from a backup.
+    :param count_routers: returns how many routers register.
     """
 
     def __init__(
@@ -57,8 +64,12 @@
         is_follower: Callable[[], bool],
         random_state: random.Random,
         reach: StoreReach,
+        on_new_era: Callable[[], Awaitable[None]],
+        count_routers: Callable[[], int],
     ) -> None:
         self._reach = reach
+        self._on_new_era = on_new_era
+        self._count_routers = count_routers
         self._random_state = random_state
         self._is_follower = is_follower
         self._key = f"{ROUTER_PREFIX}{peer.router_id}"
@@ -67,6 +78,8 @@
             "domain": peer.domain,
             "capacity": peer.capacity,
         }
+        if peer.inner is not None:
+            values["inner"] = str(peer.inner)
         self._value = json.dumps(values).encode()
         self._store = store
         self._clock = clock
@@ -74,6 +87,14 @@
         self._lease: LeaseId | None = None
         self._is_written = False
         self._revision = 0
+        # The store's era in which the entry was written or found.
+        self._era = 0
+        self._is_restore_known = False
+
+    async def handle_restore(self) -> None:
+        """Register again soon, because the store was restored from a backup."""
+        self._is_restore_known = True
+        await self._reach.request_check()
 
     async def run(self) -> None:
         """Write the entry and renew its lease until cancelled."""
@@ -82,6 +103,10 @@
             await self._try_renew()
             period = self._get_renewal_period()
             await self._reach.wait_for_check(period)
+            if self._is_restore_known:
+                self._is_restore_known = False
+                spread = self._count_routers() * _REREGISTRATION_SPREAD_PER_ROUTER
+                await self._clock.sleep(spread * self._random_state.random())
             pause = _read_boot_time() - began_at
             if pause > period + _SUSPENSION_THRESHOLD:
                 log_event("host_stood_still", level="warning", pause=pause)
@@ -118,6 +143,7 @@
         if not was_reachable:
             log_event("store_regained")
             await self._on_return()
+        await self._on_new_era()
 
     async def _renew(self) -> None:
         if self._lease is None:
@@ -125,8 +151,12 @@
         elif not await self._store.keep_alive(self._lease):
             self._lease, self._is_written, self._revision = None, False, 0
             return await self._renew()
-        if not self._is_written:
-            await self._write_entry()
+        if self._era != self._store.era:
+            # A restored store may lack the entry although the lease exists.
+            self._era, self._is_written, self._revision = self._store.era, False, 0
+        for _ in range(_WRITE_ATTEMPTS):
+            if not self._is_written and self._lease is not None:
+                await self._write_entry()
 
     async def _write_entry(self) -> None:
         assert self._lease is not None
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -24,10 +24,15 @@
     make_delta,
 )
 from hibiscustiller.discovery._reach import StoreReach
+from hibiscustiller.discovery._snapshots import encode_age
 from hibiscustiller.discovery._view import FleetView, Peer
-from hibiscustiller.discovery._watcher import LARGE_VALUE_BYTES, FleetWatcher
+from hibiscustiller.discovery._watcher import (
+    LARGE_VALUE_BYTES,
+    FleetWatcher,
+    StateSnapshot,
+)
 from hibiscustiller.exceptions import WireFormatError
-from hibiscustiller.platform import Change
+from hibiscustiller.platform import NO_REVISION, Change, Revision
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     BackedOff,
@@ -92,7 +97,7 @@
     """
 
     address: Address
-    revision: int
+    revision: Revision
     last_request_at: timedelta
 
 
@@ -114,6 +119,7 @@
     :param clock: clock used for delays and deadlines.
     :param random_state: random numbers for jitter and for the choice of a source.
     :param reach: records whether this router reaches the store.
+    :param fetch_snapshot: fetches a router's snapshot; None if that fails.
     """
 
     def __init__(
@@ -127,8 +133,11 @@
         clock: Clock,
         random_state: random.Random,
         reach: StoreReach,
+        fetch_snapshot: Callable[[Address], Awaitable[StateSnapshot | None]],
     ) -> None:
         self._reach = reach
+        self._fetch_snapshot = fetch_snapshot
+        self._is_fetching = False
         self._router_id = router_id
         self._domain = domain
         self._view = view
@@ -169,11 +178,21 @@
         self._last_confirmed_at = self._clock.monotonic()
         while True:
             await self._maintain_source()
-            self._view.drop_missing()
+            if self._is_confirmed():
+                # While the store is away, servers cannot register again.
+                self._view.drop_missing()
             # Jitter keeps routers that start together from polling together.
             share = 0.9 + 0.2 * self._random_state.random()
             await self._clock.sleep(self._get_poll_period() * share)
 
+    def _is_confirmed(self) -> bool:
+        """Tell whether this router's state is known to be current."""
+        age = self._clock.monotonic() - self._last_confirmed_at
+        return self._watcher.is_watch_current or age <= self._get_source_timeout()
+
+    def _get_source_timeout(self) -> timedelta:
+        return max(_SOURCE_TIMEOUT, self._get_poll_period() * _SOURCE_TIMEOUT_PERIODS)
+
     def _get_poll_period(self) -> timedelta:
         routers = len(self._view.peers_by_id)
         period = _POLL_PERIOD + _POLL_PERIOD_PER_ROUTER * routers
@@ -217,7 +236,7 @@
             # After an outage the sources have the full time to reach the store again.
             self._last_confirmed_at = now
             return
-        limit = max(_SOURCE_TIMEOUT, self._get_poll_period() * _SOURCE_TIMEOUT_PERIODS)
+        limit = self._get_source_timeout()
         check_at = self._last_confirmed_at + limit * _REACH_CHECK_FRACTION
         if now >= check_at and not self._reach.was_reached_since(check_at):
             await self._reach.request_check()
@@ -230,7 +249,8 @@
             self._source = None
             return
         self._unanswered_requests += 1
-        request = FollowRequest(self._watcher.revision)
+        revision = self._watcher.revision
+        request = FollowRequest(revision.number, revision.era)
         await self._datagrams.send(peer.address, self._datagrams.encode(request))
 
     def _find_peer(self, router_id: RouterId | None) -> Peer | None:
@@ -285,11 +305,12 @@
     ) -> None:
         if not self._watcher.has_initial_state:
             return
-        subscriber = _Subscriber(address, request.revision, self._clock.monotonic())
+        revision = Revision(request.era, request.revision)
+        subscriber = _Subscriber(address, revision, self._clock.monotonic())
         if self._watcher.is_watch_current:
             self._subscribers_by_id[router_id] = subscriber
-        subscriber.revision = max(request.revision, self._watcher.revision)
-        for data in self._encode_changes(request.revision):
+        subscriber.revision = max(revision, self._watcher.revision)
+        for data in self._encode_changes(revision):
             await self._datagrams.send(address, data)
 
     async def _push_changes(self) -> None:
@@ -298,7 +319,7 @@
         now = self._clock.monotonic()
         subscription_time = self._get_poll_period() * _SUBSCRIPTION_PERIODS
         # Most subscribers have the same revision, so they share encoded messages.
-        messages_by_revision: dict[int, list[bytes]] = {}
+        messages_by_revision: dict[Revision, list[bytes]] = {}
         for router_id, subscriber in list(self._subscribers_by_id.items()):
             if now - subscriber.last_request_at > subscription_time:
                 del self._subscribers_by_id[router_id]
@@ -311,7 +332,7 @@
             for data in messages_by_revision[after]:
                 await self._datagrams.send(subscriber.address, data)
 
-    def _encode_changes(self, after: int) -> list[bytes]:
+    def _encode_changes(self, after: Revision) -> list[bytes]:
         """Encode the changes after a revision as consecutive messages."""
         to = self._watcher.revision
         batch = self._log.collect(after, to)
@@ -323,8 +344,10 @@
         ):
             # Only the newest change of each key is sent. A key that is missing here
             # because it changed again is part of a later message.
-            is_last = not changes or changes[-1].revision >= batch.items[-1].revision
-            until = to if is_last else changes[-1].revision
+            is_last = (
+                not changes or _get_revision(changes[-1]) >= batch.items[-1].revision
+            )
+            until = to if is_last else _get_revision(changes[-1])
             messages.append(self._encode_message(after, until, changes))
             after = until
         if any(len(data) > _MAX_MESSAGE_BYTES for data in messages):
@@ -332,32 +355,46 @@
         return messages
 
     def _encode_message(
-        self, after: int, to: int, changes: Sequence[StoreChange] | None
+        self,
+        after: Revision,
+        to: Revision,
+        changes: Sequence[StoreChange] | None,
     ) -> bytes:
         """Encode a message; None as `changes` states that they are unavailable."""
-        age = self._view.store_return_age
+        document = self._view.document
         message = StoreChanges(
-            after,
-            to,
-            self._watcher.is_watch_current,
-            changes is None,
-            0 if age is None else max(1, age // timedelta(milliseconds=1)),
-            tuple(changes or ()),
+            after_revision=after.number,
+            to_revision=to.number,
+            following=self._watcher.is_watch_current,
+            incomplete=changes is None,
+            store_returned_ms=encode_age(self._view.store_return_age),
+            changes=tuple(changes or ()),
+            after_era=after.era,
+            to_era=to.era,
+            era_age_ms=encode_age(self._watcher.era_age),
+            document_version=0 if document is None else max(0, document.version),
         )
         return self._datagrams.encode(message)
 
-    def _encode_change(self, change: Change, after: int) -> StoreChange:
+    def _encode_change(self, change: Change, after: Revision) -> StoreChange:
         """Encode a change for a router that has the state at an earlier revision."""
-        value, base_revision = change.value or b"", 0
+        value, base_revision = change.value or b"", NO_REVISION
         if len(value) >= LARGE_VALUE_BYTES:
             base = self._watcher.find_version(change.key, after)
             if base is not None:
                 base_revision = base[0]
                 value = make_delta(base[1], value)
-        if not base_revision:
+        if base_revision == NO_REVISION:
             value = compress(value)
         return StoreChange(
-            change.key, change.revision, change.value is None, value, base_revision
+            change.key,
+            change.revision.number,
+            change.value is None,
+            value,
+            base_revision.number,
+            change.revision.era,
+            base_revision.era,
+            change.is_restored,
         )
 
     def _decode_change(self, change: StoreChange) -> Change:
@@ -366,16 +403,18 @@
         :raises WireFormatError: if it is malformed, or is a delta to a version that is
             not retained.
         """
+        revision = _get_revision(change)
+        base_revision = Revision(change.base_era, change.base_revision)
         if change.deleted:
-            return Change(change.key, None, change.revision)
-        if not change.base_revision:
+            return Change(change.key, None, revision, is_restored=change.is_restored)
+        if base_revision == NO_REVISION:
             value = decompress_bounded(change.value, MAX_UNPACKED_BYTES)
-            return Change(change.key, value, change.revision)
-        base = self._watcher.find_version(change.key, change.base_revision)
-        if base is None or base[0] != change.base_revision:
-            raise WireFormatError(f"no revision {change.base_revision} of {change.key}")
+            return Change(change.key, value, revision, is_restored=change.is_restored)
+        base = self._watcher.find_version(change.key, base_revision)
+        if base is None or base[0] != base_revision:
+            raise WireFormatError(f"no revision {base_revision} of {change.key}")
         value = apply_delta(base[1], change.value)
-        return Change(change.key, value, change.revision)
+        return Change(change.key, value, revision, is_restored=change.is_restored)
 
     async def _handle_changes(
         self, router_id: RouterId, address: Address, message: StoreChanges
@@ -386,18 +425,54 @@
                     "the source does not follow the store", _DISCONNECTED_SOURCE_BACKOFF
                 )
             return
-        self._last_confirmed_at = self._clock.monotonic()
+        after = Revision(message.after_era, message.after_revision)
+        to = Revision(message.to_era, message.to_revision)
         if router_id == self._source:
             self._unanswered_requests = 0
+        if to.era < max(self._watcher.revision.era, self._watcher.store_era):
+            # The sender has not learnt yet that the store was restored.
+            return
+        self._last_confirmed_at = self._clock.monotonic()
         if message.store_returned_ms:
             age = timedelta(milliseconds=message.store_returned_ms)
             self._view.handle_store_return(age)
-        after = message.after_revision
-        if after == self._watcher.revision < message.to_revision:
-            await self._apply_message(message)
-        await self._stop_following_if_possible(message.to_revision)
+        if after == self._watcher.revision < to:
+            await self._apply_message(message, after, to)
+        await self._learn_what_the_store_lacks(router_id, message, to)
+        await self._stop_following_if_possible(to)
+
+    async def _learn_what_the_store_lacks(
+        self, router_id: RouterId, message: StoreChanges, to: Revision
+    ) -> None:
+        """Fetch another router's snapshot if it knows what a restored store lacks.
 
-    async def _apply_message(self, message: StoreChanges) -> None:
+        A router that starts after the restore finds a configuration and servers there
+        that the others know to be outdated.
+        """
+        document = self._view.document
+        version = 0 if document is None else document.version
+        lacks_document = message.document_version > version
+        lacks_departures = message.era_age_ms and self._watcher.era_age is None
+        if to > self._watcher.revision or not (lacks_document or lacks_departures):
+            return
+        peer = self._find_peer(router_id)
+        if peer is None or peer.inner is None or self._is_fetching:
+            return
+        self._is_fetching = True
+        await curio.spawn(self._merge_snapshot_of, peer.inner, daemon=True)
+
+    async def _merge_snapshot_of(self, address: Address) -> None:
+        try:
+            snapshot = await self._fetch_snapshot(address)
+            if snapshot is not None:
+                log_event("snapshot_merged", source=address)
+                self._watcher.merge_snapshot(snapshot)
+        finally:
+            self._is_fetching = False
+
+    async def _apply_message(
+        self, message: StoreChanges, after: Revision, to: Revision
+    ) -> None:
         if message.incomplete:
             await self._watcher.request_full_read()
             return
@@ -407,11 +482,9 @@
             log_event("change_unreadable", level="warning", reason=error)
             await self._watcher.request_full_read()
             return
-        await self._watcher.apply_peer_batch(
-            ChangeBatch(message.after_revision, message.to_revision, items)
-        )
+        await self._watcher.apply_peer_batch(ChangeBatch(after, to, items))
 
-    async def _stop_following_if_possible(self, revision: int) -> None:
+    async def _stop_following_if_possible(self, revision: Revision) -> None:
         """Stop watching the store if another router confirmed a current revision."""
         is_due = self._clock.monotonic() >= self._fallback_until
         is_ahead = revision >= self._watcher.revision
@@ -419,6 +492,10 @@
             await self._watcher.set_follows_store(False)
 
 
+def _get_revision(change: StoreChange) -> Revision:
+    return Revision(change.era, change.revision)
+
+
 def _split_changes(changes: Sequence[StoreChange]) -> Iterator[list[StoreChange]]:
     """Split changes, in order, into parts that each fit in a message; at least one."""
     part: list[StoreChange] = []
@@ -426,7 +503,7 @@
     for change in changes:
         added = len(change.key) + len(change.value) + _CHANGE_OVERHEAD_BYTES
         # Changes of the same revision must be in the same message.
-        may_split = part and part[-1].revision != change.revision
+        may_split = part and _get_revision(part[-1]) != _get_revision(change)
         if may_split and size + added > _MAX_MESSAGE_BYTES:
             yield part
             part, size = [], 0
--- a/hibiscustiller/discovery/_snapshots.py
+++ b/hibiscustiller/discovery/_snapshots.py
@@ -13,17 +13,19 @@
 
 import curio
 
-from hibiscustiller.discovery._watcher import FleetWatcher
+from hibiscustiller.discovery._departures import Departure
+from hibiscustiller.discovery._watcher import FleetWatcher, StateSnapshot
 from hibiscustiller.exceptions import TransportError, WireFormatError
-from hibiscustiller.platform import Change, Changes
+from hibiscustiller.platform import NO_REVISION, Change, Changes, Revision
 from hibiscustiller.settings import Address
-from hibiscustiller.utils import Clock, log_event
+from hibiscustiller.utils import Clock, ServerId, log_event
 from hibiscustiller.wire import (
     HttpClient,
     HttpRequest,
     Responder,
 )
 from hibiscustiller.wire._messages_generated import (
+    DepartedProcess,
     StoreChange,
     StoreSnapshot,
     decode_message,
@@ -87,15 +89,16 @@
             body = encode_snapshot(self._watcher.make_snapshot())
             await responder.send(200, body, "application/octet-stream")
 
-    async def _fetch_newest(self) -> Changes | None:
+    async def _fetch_newest(self) -> StateSnapshot | None:
         """Fetch the newest snapshot of all seeds; None if no seed has one."""
         async with curio.TaskGroup() as tasks:
             for seed in self._seeds:
-                await tasks.spawn(self._fetch_from_seed, seed)
+                await tasks.spawn(self.fetch, seed)
         found = [snapshot for snapshot in tasks.results if snapshot is not None]
-        return max(found, key=lambda snapshot: snapshot.revision, default=None)
+        return max(found, key=lambda snapshot: snapshot.changes.revision, default=None)
 
-    async def _fetch_from_seed(self, seed: Address) -> Changes | None:
+    async def fetch(self, seed: Address) -> StateSnapshot | None:
+        """Fetch the snapshot of a router; None if it has none or does not answer."""
         try:
             answer = await self._client.request(
                 seed, "GET", SNAPSHOT_PATH, timeout=_TIMEOUT
@@ -108,25 +111,57 @@
             return None
 
 
-def encode_snapshot(snapshot: Changes) -> bytes:
+def encode_age(age: timedelta | None) -> int:
+    """Encode a time in milliseconds; 0 stands for None."""
+    return 0 if age is None else max(1, age // timedelta(milliseconds=1))
+
+
+def encode_snapshot(snapshot: StateSnapshot) -> bytes:
     """Encode a snapshot of all keys and values."""
     changes = tuple(
-        StoreChange(change.key, change.revision, False, change.value or b"", 0)
-        for change in snapshot.items
+        StoreChange(
+            change.key,
+            change.revision.number,
+            False,
+            change.value or b"",
+            0,
+            change.revision.era,
+            0,
+            False,
+        )
+        for change in snapshot.changes.items
+    )
+    message = StoreSnapshot(
+        revision=snapshot.changes.revision.number,
+        changes=changes,
+        era=snapshot.changes.revision.era,
+        departed=tuple(
+            DepartedProcess(departure.server_id, departure.born, departure.update)
+            for departure in snapshot.departures
+        ),
+        era_age_ms=encode_age(snapshot.era_age),
     )
-    message = StoreSnapshot(snapshot.revision, changes)
     return encode_message("", message, is_compressed=True)
 
 
-def decode_snapshot(data: bytes) -> Changes:
+def decode_snapshot(data: bytes) -> StateSnapshot:
     """Decode a snapshot.
 
     :raises WireFormatError: if the data is not a valid snapshot.
     """
     _, message = decode_message(data)
-    if not isinstance(message, StoreSnapshot) or message.revision <= 0:
+    if not isinstance(message, StoreSnapshot):
         raise WireFormatError("the response is not a snapshot")
+    revision = Revision(message.era, message.revision)
+    if revision <= NO_REVISION:
+        raise WireFormatError("the snapshot has no revision")
     items = tuple(
-        Change(change.key, change.value, change.revision) for change in message.changes
+        Change(change.key, change.value, Revision(change.era, change.revision))
+        for change in message.changes
+    )
+    departures = tuple(
+        Departure(ServerId(process.server_id), process.born, process.update)
+        for process in message.departed
     )
-    return Changes(items, message.revision)
+    age = timedelta(milliseconds=message.era_age_ms) if message.era_age_ms else None
+    return StateSnapshot(Changes(items, revision), departures, age)
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from hibiscustiller.discovery._departures import Departure, Departures
 from hibiscustiller.fleet import BackendServer, FleetDocument, ServerState
+from hibiscustiller.platform import NO_REVISION, Revision
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     Clock,
@@ -30,6 +32,13 @@
 # for the platform's drain time. The delays of the store and of the watch use up a part
 # of it.
 _LEAVING_DRAIN_FRACTION = 0.5
+# An entry of a server that left before the store was restored is not used for this
+# time. The platform removes the entry of a silent server within some seconds; one that
+# is still there belongs to a running server.
+_OUTDATED_ENTRY_TIME = timedelta(seconds=30)
+# The lease with which a router registers; a router that a restored store lacks, or that
+# it lists although it had left, is known for certain by then.
+_ROUTER_LEASE_TIME = timedelta(seconds=8)
 
 
 @dataclass(frozen=True)
@@ -39,12 +48,15 @@
     :param address: address at which it receives datagrams from routers.
     :param domain: its failure domain.
     :param capacity: processor time of its host, in cores.
+    :param inner: address at which it serves the HTTP requests of routers; None if it
+        does not.
     """
 
     router_id: RouterId
     address: Address
     domain: DomainId
     capacity: float = 1.0
+    inner: Address | None = None
 
 
 class FleetView:
@@ -59,7 +71,15 @@
         self._drain = drain
         # Leaving servers, each with the time until which it may receive requests.
         self._leaving_by_id: dict[ServerId, tuple[BackendServer, timedelta]] = {}
-        self._document_revision = 0
+        self._document_revision: Revision = NO_REVISION
+        self._departures = Departures()
+        # Entries of a restored store that are older than what is known of the server or
+        # router, each with the time until which they are not used.
+        self._outdated_servers: dict[ServerId, tuple[BackendServer, timedelta]] = {}
+        self._outdated_peers: dict[RouterId, tuple[Peer, timedelta]] = {}
+        self._removed_peers: set[RouterId] = set()
+        # Routers that a restored store lacks, and until when they are kept.
+        self._missing_peer_until: dict[RouterId, timedelta] = {}
         self._servers_by_id: dict[ServerId, BackendServer] = {}
         # The latest process at each address.
         self._latest_by_address: dict[Address, BackendServer] = {}
@@ -81,15 +101,29 @@
         """Register a function called after each change of the document or servers."""
         self._listeners.append(listener)
 
-    def apply_document(self, document: FleetDocument, revision: int) -> bool:
+    def apply_document(self, document: FleetDocument, revision: Revision) -> bool:
         """Put a document in force unless it is no newer than the present one.
 
+        Documents are ordered by their versions, because a restored store may hold an
+        older one at a newer revision.
+
         :param revision: the store revision of the document's last write.
         :returns: whether the document was put in force.
         """
-        if revision <= self._document_revision:
+        known = self.document
+        if known is not None and document.version < known.version:
+            log_event(
+                "document_outdated",
+                level="warning",
+                version=document.version,
+                revision=revision,
+                in_force=known.version,
+            )
             return False
-        self._document_revision = revision
+        is_same_version = known is not None and document.version == known.version
+        if is_same_version and revision <= self._document_revision:
+            return False
+        self._document_revision = max(revision, self._document_revision)
         self.document = document
         log_event(
             "document_in_force",
@@ -100,10 +134,20 @@
         self._notify_listeners()
         return True
 
-    def apply_server(self, server: BackendServer) -> None:
-        """Add or update a server."""
+    def apply_server(self, server: BackendServer, *, is_restored: bool = False) -> None:
+        """Add or update a server.
+
+        :param is_restored: whether the entry is that of a restored store, which may be
+            older than what is known of the server.
+        """
         self._missing_until_by_id.pop(server.id, None)
+        self._outdated_servers.pop(server.id, None)
         previous = self._servers_by_id.get(server.id)
+        if is_restored and self._is_outdated(server, previous):
+            self._set_aside(server)
+            return
+        if server.state is ServerState.READY:
+            self._departures.discard(server.id)
         if previous == server:
             return
         self._servers_by_id[server.id] = server
@@ -112,6 +156,7 @@
             self._latest_by_address[server.address] = server
         if server.state is ServerState.DRAINING:
             self._record_leaving(server)
+            self._departures.record(server)
         log_event(
             "server_changed",
             server=server.id,
@@ -128,6 +173,7 @@
         Shortly after a store outage the server is kept until it has had time to write
         its entry again.
         """
+        self._outdated_servers.pop(server_id, None)
         if server_id not in self._servers_by_id:
             return
         until = self._get_reregistration_deadline()
@@ -165,6 +211,25 @@
         at = self._clock.monotonic() - age
         if self._store_returned_at is None or at > self._store_returned_at:
             self._store_returned_at = at
+            # They could not register while the store was away again.
+            for server_id in self._missing_until_by_id:
+                self._missing_until_by_id[server_id] = at + _REREGISTRATION_TIME
+
+    def list_departures(self) -> tuple[Departure, ...]:
+        """Return the processes of servers that left."""
+        return self._departures.list_all()
+
+    def merge_departures(self, departures: Iterable[Departure]) -> None:
+        """Record departures that another router knows, and drop these servers.
+
+        It is called by a router that read a restored store without having known it
+        before.
+        """
+        self._departures.merge(departures)
+        for server in list(self._servers_by_id.values()):
+            if self._departures.covers(server):
+                self._drop_server(server.id, may_drain=False)
+                self._set_aside(server)
 
     @property
     def store_return_age(self) -> timedelta | None:
@@ -181,18 +246,51 @@
         ]
         for server_id in expired_ids:
             self._drop_server(server_id)
-
-    def apply_peer(self, peer: Peer) -> None:
-        """Add or update a router."""
+        for server, until in list(self._outdated_servers.values()):
+            if now >= until and server.id not in self._servers_by_id:
+                self.apply_server(server)
+        for router_id, until in list(self._missing_peer_until.items()):
+            if now >= until:
+                self.remove_peer(router_id)
+        for peer, until in list(self._outdated_peers.values()):
+            if now >= until:
+                self.apply_peer(peer)
+
+    def apply_peer(self, peer: Peer, *, is_restored: bool = False) -> None:
+        """Add or update a router.
+
+        :param is_restored: whether the entry is that of a restored store. A router that
+            had ended before is not added again by it.
+        """
+        self._missing_peer_until.pop(peer.router_id, None)
+        self._outdated_peers.pop(peer.router_id, None)
+        if is_restored and peer.router_id in self._removed_peers:
+            until = self._clock.monotonic() + _ROUTER_LEASE_TIME
+            self._outdated_peers[peer.router_id] = (peer, until)
+            return
+        self._removed_peers.discard(peer.router_id)
         if self.peers_by_id.get(peer.router_id) == peer:
             return
         self.peers_by_id[peer.router_id] = peer
         self.routers_generation += 1
 
-    def remove_peer(self, router_id: RouterId) -> None:
-        """Remove a router."""
-        if self.peers_by_id.pop(router_id, None) is not None:
-            self.routers_generation += 1
+    def remove_peer(self, router_id: RouterId, *, is_restored: bool = False) -> None:
+        """Remove a router.
+
+        :param is_restored: whether a restored store lacks its entry. The router is then
+            kept until it has had time to register again.
+        """
+        self._outdated_peers.pop(router_id, None)
+        if router_id not in self.peers_by_id:
+            return
+        now = self._clock.monotonic()
+        if is_restored:
+            self._missing_peer_until.setdefault(router_id, now + _ROUTER_LEASE_TIME)
+            return
+        self._missing_peer_until.pop(router_id, None)
+        del self.peers_by_id[router_id]
+        self._removed_peers.add(router_id)
+        self.routers_generation += 1
 
     def count_routers(self) -> int:
         """Return how many routers share budgets and servers, including this one."""
@@ -289,12 +387,36 @@
         until = self._store_returned_at + _REREGISTRATION_TIME
         return until if self._clock.monotonic() < until else None
 
-    def _drop_server(self, server_id: ServerId) -> None:
+    def _is_outdated(self, server: BackendServer, known: BackendServer | None) -> bool:
+        """Tell whether an entry of a restored store is older than what is known."""
+        if known == server:
+            return False
+        if self._departures.covers(server):
+            return True
+        if known is None or server.state is ServerState.DRAINING:
+            return False
+        return (server.born, server.update) <= (known.born, known.update)
+
+    def _set_aside(self, server: BackendServer) -> None:
+        """Do not use an outdated entry, unless it remains for long."""
+        until = self._clock.monotonic() + _OUTDATED_ENTRY_TIME
+        self._outdated_servers[server.id] = (server, until)
+        log_event(
+            "server_entry_outdated",
+            server=server.id,
+            state=server.state,
+            layers=server.layers,
+            born=server.born,
+            update=server.update,
+        )
+
+    def _drop_server(self, server_id: ServerId, *, may_drain: bool = True) -> None:
         was_missing = self._missing_until_by_id.pop(server_id, None) is not None
         server = self._servers_by_id.pop(server_id)
+        self._departures.record(server)
         if self._latest_by_address.get(server.address) == server:
             del self._latest_by_address[server.address]
-        if not was_missing and server.state is ServerState.READY:
+        if may_drain and not was_missing and server.state is ServerState.READY:
             self._record_leaving(server)
         log_event("server_gone", server=server_id)
         self._notify_listeners()
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -6,31 +6,41 @@
 import random
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 import curio
 from result import Err, Ok, Result
 
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
+from hibiscustiller.discovery._departures import Departure
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.exceptions import StoreUnavailableError, WireFormatError
 from hibiscustiller.leadership import HOLDER_KEY
 from hibiscustiller.platform import (
     DOCUMENT_KEY,
+    NO_REVISION,
     SERVER_PREFIX,
     UNREADABLE_ERRORS,
     Change,
     Changes,
     HistoryLostError,
     MetadataStore,
+    Revision,
     decode_fleet_document,
     decode_server_entry,
     read_peer_address,
     read_positive,
     read_text,
 )
-from hibiscustiller.utils import Clock, DomainId, RouterId, ServerId, log_event
+from hibiscustiller.utils import (
+    Clock,
+    DomainId,
+    RouterId,
+    ServerId,
+    Verdict,
+    log_event,
+)
 from hibiscustiller.wire import wait_for_event
 
 ROUTER_PREFIX = "routers/"
@@ -62,6 +72,27 @@
 # While the whole store is unavailable, the lease renewal of the registration is cheaper
 # than a watch and detects its return sooner.
 _MAX_OUTAGE_RETRY_DELAY = timedelta(seconds=2)
+# A store whose reads stay behind its own watches would be read in a loop.
+_MAX_READ_RETRY_DELAY = timedelta(seconds=5)
+# For this time after a restore, routers that start are told what the store lacks. By
+# then the operators and the servers have written it again.
+_RESTORE_NOTICE_TIME = timedelta(seconds=60)
+
+
+@dataclass(frozen=True)
+class StateSnapshot:
+    """What a router knows of the store, for a router that cannot learn it there.
+
+    :param changes: the latest known change of every key; the configuration is the one
+        in force, which may be newer than that of a restored store.
+    :param departures: processes of servers that left.
+    :param era_age: time since the store's last restore; None if it was long ago or
+        the router knows of none.
+    """
+
+    changes: Changes
+    departures: tuple[Departure, ...] = ()
+    era_age: timedelta | None = None
 
 
 class FleetWatcher:
@@ -99,7 +130,12 @@
         self._random_state = random_state
         # The latest change of each existing key.
         self._changes_by_key: dict[str, Change] = {}
-        self._versions_by_key: dict[str, deque[tuple[int, bytes]]] = {}
+        self._versions_by_key: dict[str, deque[tuple[Revision, bytes]]] = {}
+        # The change that brought the document in force.
+        self._document_change: Change | None = None
+        self._era_began_at: timedelta | None = None
+        # Number of reads in succession that found an older state than the known one.
+        self._reads_behind = 0
         self._must_read_all = True
         # Whether changes after the revision may have been missed without an error.
         self._must_catch_up = False
@@ -107,8 +143,9 @@
         self._wait_task: curio.Task | None = None
         self._restart_requested = curio.Event()
         self._listeners: list[Callable[[], Awaitable[None]]] = []
+        self._restore_listeners: list[Callable[[], Awaitable[None]]] = []
         # The store revision that the view reflects.
-        self.revision = 0
+        self.revision = NO_REVISION
         # Whether this router watches the store itself.
         self.follows_store = True
         # Whether the last call to the store failed.
@@ -117,7 +154,18 @@
     @property
     def has_initial_state(self) -> bool:
         """Whether all keys were read from the store or from a snapshot."""
-        return self.revision > 0
+        return self.revision > NO_REVISION
+
+    @property
+    def era_age(self) -> timedelta | None:
+        """Time since this router learnt that the store was restored.
+
+        None if it knows of no restore in the last minute.
+        """
+        if self._era_began_at is None:
+            return None
+        age = self._clock.monotonic() - self._era_began_at
+        return age if age < _RESTORE_NOTICE_TIME else None
 
     @property
     def is_watch_current(self) -> bool:
@@ -125,9 +173,12 @@
         is_current = not (
             self.is_watch_lost or self._must_read_all or self._must_catch_up
         )
+        is_current = is_current and self._store.era <= self.revision.era
         return self.follows_store and is_current
 
-    def find_version(self, key: str, revision: int) -> tuple[int, bytes] | None:
+    def find_version(
+        self, key: str, revision: Revision
+    ) -> tuple[Revision, bytes] | None:
         """Return a large value at a given store revision.
 
         :returns: the revision of the value's last write and the value; None if that
@@ -141,6 +192,10 @@
         """Register a function that is called after each increase of the revision."""
         self._listeners.append(listener)
 
+    def subscribe_to_restores(self, listener: Callable[[], Awaitable[None]]) -> None:
+        """Register a function that is called after the store was restored."""
+        self._restore_listeners.append(listener)
+
     async def set_follows_store(self, follows_store: bool) -> None:
         """Start to watch the store, or stop and rely on other routers."""
         if follows_store == self.follows_store:
@@ -156,18 +211,52 @@
             self._must_read_all = True
             await self.restart()
 
-    def make_snapshot(self) -> Changes:
-        """Return the latest known change of every key."""
-        return Changes(tuple(self._changes_by_key.values()), self.revision)
+    @property
+    def store_era(self) -> int:
+        """The latest era that the store named in any of its answers."""
+        return self._store.era
+
+    async def handle_store_era(self) -> None:
+        """Read the store again if another call found that it was restored.
+
+        A watch that waits for changes may outlive the restore and never answer.
+        """
+        is_restored = self.has_initial_state and self._store.era > self.revision.era
+        if is_restored and self.follows_store:
+            await self.request_full_read()
+
+    def make_snapshot(self) -> StateSnapshot:
+        """Return what this router knows of the store."""
+        changes_by_key = dict(self._changes_by_key)
+        if self._document_change is not None:
+            changes_by_key[DOCUMENT_KEY] = self._document_change
+        return StateSnapshot(
+            Changes(tuple(changes_by_key.values()), self.revision),
+            self._view.list_departures(),
+            self.era_age,
+        )
 
-    async def apply_snapshot(self, snapshot: Changes) -> None:
+    async def apply_snapshot(self, snapshot: StateSnapshot) -> None:
         """Initialise from another router's snapshot while the store is unavailable."""
         if not self.has_initial_state:
-            log_event("snapshot_adopted", revision=snapshot.revision)
-            await self._apply_full_state(snapshot)
+            log_event("snapshot_adopted", revision=snapshot.changes.revision)
+            await self._apply_full_state(snapshot.changes)
+            self.merge_snapshot(snapshot)
             self._must_read_all, self._must_catch_up = False, True
             await self.restart()
 
+    def merge_snapshot(self, snapshot: StateSnapshot) -> None:
+        """Adopt what another router knows and a restored store lacks.
+
+        These are a newer configuration, and which servers left.
+        """
+        if snapshot.era_age is not None and self._era_began_at is None:
+            self._era_began_at = self._clock.monotonic() - snapshot.era_age
+        for change in snapshot.changes.items:
+            if change.key == DOCUMENT_KEY and change.value is not None:
+                self._apply_document(change)
+        self._view.merge_departures(snapshot.departures)
+
     async def apply_peer_batch(self, batch: ChangeBatch) -> None:
         """Apply changes from another router if they start at the present revision."""
         is_next = batch.after_revision == self.revision < batch.to_revision
@@ -193,7 +282,7 @@
             await self._read_all()
             # In this time the relay may decide that the router need not watch the
             # store.
-            await self._wait_for_restart(self._get_watch_spacing())
+            await self._wait_for_restart(self._compute_read_spacing())
         elif self._must_catch_up:
             self._must_catch_up = not await self._apply_next_changes(_MIN_WAIT)
         elif self.follows_store:
@@ -238,6 +327,11 @@
         if task is not None:
             await task.cancel(blocking=False)
 
+    def _compute_read_spacing(self) -> timedelta:
+        """Return the delay after a read of all keys, longer after older states."""
+        doublings = min(self._reads_behind, 10)
+        return min(_MAX_READ_RETRY_DELAY, self._get_watch_spacing() * 2**doublings)
+
     def _get_watch_spacing(self) -> timedelta:
         routers = len(self._view.peers_by_id)
         spacing = _WATCH_SPACING + _WATCH_SPACING_PER_ROUTER * routers
@@ -259,7 +353,9 @@
         self._view.drop_missing()
         return True
 
-    async def _wait_for_changes(self, revision: int, wait: timedelta) -> Changes | None:
+    async def _wait_for_changes(
+        self, revision: Revision, wait: timedelta
+    ) -> Changes | None:
         """Wait for changes; None if a restart cancelled the call."""
         task = await curio.spawn(self._try_wait_for_changes, revision, wait)
         self._wait_task = task
@@ -280,7 +376,7 @@
         return outcome.ok_value
 
     async def _try_wait_for_changes(
-        self, revision: int, wait: timedelta
+        self, revision: Revision, wait: timedelta
     ) -> Result[Changes, StoreUnavailableError]:
         # curio logs a task that ends with an exception as crashed.
         try:
@@ -295,16 +391,26 @@
             found = await self._read_keys()
         finally:
             self._is_reading = False
+        if found.revision.era < self.revision.era:
+            message = f"the store is at {found.revision}, after {self.revision}"
+            raise StoreUnavailableError(message, Verdict.NOT_RUN)
+        is_behind = found.revision < self.revision
+        self._reads_behind = self._reads_behind + 1 if is_behind else 0
         self._record_success()
         self._must_read_all = self._must_catch_up = False
         await self._apply_full_state(found)
 
     async def _apply_full_state(self, found: Changes) -> None:
-        """Replace the known state by a complete one."""
+        """Replace the known state by a complete one.
+
+        Later reads are compared key by key with what is known, because a restored
+        store may have older entries.
+        """
         servers = [
             change for change in found.items if change.key.startswith(SERVER_PREFIX)
         ]
-        self._view.replace_servers(self._decode_servers(servers))
+        if not self.has_initial_state:
+            self._view.replace_servers(self._decode_servers(servers))
         # The revision is that of the oldest page; the store repeats later changes.
         log_event("store_read", revision=found.revision, servers=len(servers))
         await self._apply_batch(self._compute_difference(found))
@@ -330,38 +436,67 @@
     def _compute_difference(self, found: Changes) -> ChangeBatch:
         """Return the differences between the keys read and the known ones."""
         keys = {change.key for change in found.items}
+        is_restored = self.has_initial_state and found.revision.era > self.revision.era
         removed = [
-            Change(key, None, found.revision)
+            Change(key, None, found.revision, is_restored=is_restored)
             for key in self._changes_by_key
             if key not in keys
         ]
         changed = [
-            change
+            replace(change, is_restored=is_restored)
             for change in found.items
             if change.revision > self._get_revision(change.key)
+            and not self._is_known(change)
         ]
         return ChangeBatch(
             self.revision, found.revision, (*changed, *removed), is_difference=True
         )
 
+    def _is_known(self, change: Change) -> bool:
+        """Tell whether a key was not written between a backup and its restore."""
+        known = self._changes_by_key.get(change.key)
+        return (
+            known is not None
+            and known.revision.number == change.revision.number
+            and known.value == change.value
+        )
+
     async def _apply_batch(self, batch: ChangeBatch) -> None:
         """Apply the new changes, log them and notify the listeners."""
         previous_revision = self.revision
         items = tuple(
             change for change in batch.items if change.revision > previous_revision
         )
+        has_new_era = batch.to_revision.era > previous_revision.era
+        is_restore = self.has_initial_state and has_new_era
+        if is_restore:
+            self._record_restore(batch)
         for change in items:
             self._apply_if_newer(change)
         if batch.to_revision <= previous_revision:
             return
         self.revision = batch.to_revision
         # The first read does not contain the deletions before it.
-        if previous_revision:
+        if previous_revision > NO_REVISION:
             self._log.append(
                 replace(batch, after_revision=previous_revision, items=items)
             )
         for listener in self._listeners:
             await listener()
+        if is_restore:
+            for listener in self._restore_listeners:
+                await listener()
+
+    def _record_restore(self, batch: ChangeBatch) -> None:
+        log_event(
+            "store_restored",
+            level="warning",
+            revision=batch.to_revision,
+            before=self.revision,
+            changes=len(batch.items),
+        )
+        self._era_began_at = self._clock.monotonic()
+        self._view.handle_store_return()
 
     def _apply_if_newer(self, change: Change) -> None:
         if change.revision <= self._get_revision(change.key):
@@ -375,9 +510,9 @@
             self._keep_version(change)
         self._apply(change)
 
-    def _get_revision(self, key: str) -> int:
+    def _get_revision(self, key: str) -> Revision:
         known = self._changes_by_key.get(key)
-        return 0 if known is None else known.revision
+        return NO_REVISION if known is None else known.revision
 
     def _keep_version(self, change: Change) -> None:
         """Store a large value as a base of deltas."""
@@ -399,7 +534,7 @@
 
     def _apply(self, change: Change) -> None:
         if change.key == DOCUMENT_KEY and change.value is not None:
-            self._apply_document(change.value, change.revision)
+            self._apply_document(change)
         elif change.key.startswith(SERVER_PREFIX):
             self._apply_server(change)
         elif change.key.startswith(ROUTER_PREFIX):
@@ -407,18 +542,20 @@
         elif change.key == HOLDER_KEY:
             self._view.has_lease_holder = change.value is not None
 
-    def _apply_document(self, data: bytes, revision: int) -> None:
+    def _apply_document(self, change: Change) -> None:
+        assert change.value is not None
         try:
-            document = decode_fleet_document(data)
+            document = decode_fleet_document(change.value)
         except WireFormatError as error:
             log_event("document_unreadable", level="error", reason=error)
             return
-        self._view.apply_document(document, revision)
+        if self._view.apply_document(document, change.revision):
+            self._document_change = change
 
     def _apply_server(self, change: Change) -> None:
         servers = list(self._decode_servers([change]))
         if servers:
-            self._view.apply_server(servers[0])
+            self._view.apply_server(servers[0], is_restored=change.is_restored)
         else:
             self._view.remove_server(ServerId(change.key.removeprefix(SERVER_PREFIX)))
 
@@ -434,17 +571,19 @@
     def _apply_peer(self, change: Change) -> None:
         router_id = RouterId(change.key.removeprefix(ROUTER_PREFIX))
         if change.value is None:
-            self._view.remove_peer(router_id)
+            self._view.remove_peer(router_id, is_restored=change.is_restored)
             return
         try:
             values = json.loads(change.value)
             address = read_peer_address(values)
             domain = DomainId(read_text(values, "domain"))
             capacity = read_positive(values, "capacity")
+            inner = read_peer_address(values, "inner") if "inner" in values else None
         except UNREADABLE_ERRORS as error:
             log_event("entry_unreadable", level="warning", reason=repr(error))
             return
-        self._view.apply_peer(Peer(router_id, address, domain, capacity))
+        peer = Peer(router_id, address, domain, capacity, inner)
+        self._view.apply_peer(peer, is_restored=change.is_restored)
 
 
 def _merge_changes(old: Changes, newer: Changes) -> Changes:
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -22,6 +22,7 @@
     Changes,
     HistoryLostError,
     LeaseId,
+    Revision,
     SwapOutcome,
 )
 from hibiscustiller.settings import Address
@@ -60,8 +61,8 @@
         self.cost = 0.0
         self.calls_by_router = Counter()
         self.stale_state = None
-        self.revision = 1
-        self.first_revision = 1
+        self.revision = Revision(1, 1)
+        self.first_revision = Revision(1, 1)
         self.values_by_key = {}
         self.history = []
         self.refused_routers = set()
@@ -69,7 +70,7 @@
 
     def put(self, key, value):
         """Write a value; None deletes the key."""
-        self.revision += 1
+        self.revision = Revision(self.revision.era, self.revision.number + 1)
         change = Change(key, value, self.revision)
         self.history.append(change)
         if value is None:
@@ -81,18 +82,39 @@
         """Answer later reads that may be stale with the present state."""
         self.stale_state = dict(self.values_by_key), self.revision
 
+    def copy(self):
+        """Return a copy of the present state, to which the store can be restored."""
+        return dict(self.values_by_key), list(self.history), self.revision.number
+
+    def restore(self, copy):
+        """Return to an earlier state under a new era; later writes are lost."""
+        values_by_key, history, number = copy
+        era = self.revision.era + 1
+        self.revision, self.stale_state = Revision(era, number), None
+        self.first_revision = Revision(era, 1)
+        self.history = [_move_to_era(change, era) for change in history]
+        self.values_by_key = {
+            key: _move_to_era(change, era) for key, change in values_by_key.items()
+        }
+
     def forget_history(self):
         """Discard the history of changes up to now."""
         self.first_revision = self.revision
         self.history.clear()
 
 
+def _move_to_era(change, era):
+    revision = Revision(era, change.revision.number)
+    return Change(change.key, change.value, revision)
+
+
 class StoreClient:
     """A router's client of the in-memory store."""
 
     def __init__(self, store, router_id):
         self.store = store
         self.router_id = router_id
+        self.era = 0
 
     def _record_call(self, cost=1.0):
         self.store.calls += 1
@@ -103,6 +125,7 @@
         self.store.cost += 1.0 if is_refused else cost
         if is_refused:
             raise StoreUnavailableError("refused", Verdict.NOT_RUN)
+        self.era = self.store.revision.era
 
     async def read_prefix(self, prefix, *, may_be_old=False):
         pages = 1 + len(self.store.values_by_key) // PAGE_KEYS
@@ -116,13 +139,17 @@
 
     async def wait_changes(self, prefix, after, wait):
         self._record_call()
-        if after < self.store.first_revision:
+        is_known = self.store.first_revision <= after <= self.store.revision
+        if not is_known:
             raise HistoryLostError(after)
         until = await curio.clock() + wait.total_seconds()
         while self.store.revision <= after and await curio.clock() < until:
             await curio.sleep(0.01)
             if self.store.is_down or self.router_id in self.store.refused_routers:
                 raise StoreUnavailableError("refused", Verdict.NOT_RUN)
+        self.era = self.store.revision.era
+        if self.era > after.era:
+            raise HistoryLostError(after)
         items = tuple(c for c in self.store.history if c.revision > after)
         return Changes(items, self.store.revision)
 
@@ -137,7 +164,7 @@
     async def compare_and_swap(self, key, value, expected_revision, lease):
         self._record_call()
         self.store.put(key, value)
-        return SwapOutcome(True, self.store.revision)
+        return SwapOutcome(True, self.store.revision.number, era=self.era)
 
 
 class MemoryDatagrams:
@@ -171,7 +198,7 @@
 
     def __init__(self, fleet, number):
         self.router_id = f"r{number}"
-        self.revisions = [0]
+        self.revisions = [Revision(0, 0)]
         clock = SystemClock()
         random_state = random.Random(number)
         self.view = FleetView(clock, 2 * SECOND)
@@ -199,21 +226,27 @@
             clock,
             random_state,
             reach,
+            fleet.fetch_snapshot,
         )
         self.registration = Registration(
-            Peer(self.router_id, address, domain),
+            Peer(self.router_id, address, domain, inner=address),
             store,
             clock,
             self.watcher.restart,
             lambda: self.relay.is_follower,
             random_state,
             reach,
+            self.watcher.handle_store_era,
+            self.view.count_routers,
         )
+        self.watcher.subscribe_to_restores(self.registration.handle_restore)
         self.watcher.subscribe(self._record_revision)
         self.tasks = []
         for other in range(fleet.size):
             peer_address = Address("127.0.0.1", 1000 + other)
-            self.view.apply_peer(Peer(f"r{other}", peer_address, f"d{other % 3}"))
+            self.view.apply_peer(
+                Peer(f"r{other}", peer_address, f"d{other % 3}", inner=peer_address)
+            )
 
     async def _record_revision(self):
         self.revisions.append(self.watcher.revision)
@@ -242,6 +275,12 @@
         self.members = [Member(self, number) for number in range(size)]
         self.members_by_address = {m.datagrams.address: m for m in self.members}
 
+    async def fetch_snapshot(self, address):
+        """Return the snapshot of a running member; None if it has none."""
+        member = self.members_by_address[address]
+        is_known = member.tasks and member.watcher.has_initial_state
+        return member.watcher.make_snapshot() if is_known else None
+
     async def __aenter__(self):
         for member in self.members:
             await member.start()
--- a/hibiscustiller/discovery/tests/test_few_followers_of_the_store.py
+++ b/hibiscustiller/discovery/tests/test_few_followers_of_the_store.py
@@ -15,7 +15,7 @@
 from hibiscustiller.discovery._deltas import apply_delta, make_delta
 from hibiscustiller.discovery.tests.fixtures import Fleet, make_entry
 from hibiscustiller.exceptions import WireFormatError
-from hibiscustiller.platform import Change
+from hibiscustiller.platform import Change, Revision
 from hibiscustiller.utils._testing import collect_tests
 
 # A change of the configuration must be in force on all routers within this time.
@@ -167,7 +167,8 @@
             fleet.store.put("op/config", data)
             await fleet.wait_for_all(CHANGE_LIMIT_S)
             for member in fleet.members:
-                assert member.watcher.find_version("op/config", 10**9)[1] == data
+                found = member.watcher.find_version("op/config", fleet.store.revision)
+                assert found[1] == data
         # No router reads the document again, and all messages together are shorter than
         # one document.
         assert fleet.store.calls - calls <= 3 * 6
@@ -195,8 +196,16 @@
             pass
 
 
-def make_change(key, revision, value=b"x"):
-    return Change(key, value, revision)
+def make_change(key, number, value=b"x"):
+    return Change(key, value, Revision(0, number))
+
+
+def make_batch(after, to, items, **options):
+    return ChangeBatch(Revision(0, after), Revision(0, to), items, **options)
+
+
+def collect(log, after, to):
+    return log.collect(Revision(0, after), Revision(0, to))
 
 
 def test_a_difference_is_sent_only_to_routers_at_its_start():
@@ -206,14 +215,14 @@
     them, so a router whose revision lies in between would miss the deletion.
     """
     log = ChangeLog()
-    log.append(ChangeBatch(10, 12, (make_change("a", 11), make_change("a", 12))))
-    log.append(ChangeBatch(12, 20, (make_change("b", 18),), is_difference=True))
-    assert [c.key for c in log.collect(10, 20).items] == ["a", "b"]
-    assert [c.revision for c in log.collect(10, 20).items] == [12, 18]
-    assert log.collect(12, 20) is not None
-    assert log.collect(15, 20) is None
-    assert log.collect(9, 20) is None
-    assert log.collect(20, 20).items == ()
+    log.append(make_batch(10, 12, (make_change("a", 11), make_change("a", 12))))
+    log.append(make_batch(12, 20, (make_change("b", 18),), is_difference=True))
+    assert [c.key for c in collect(log, 10, 20).items] == ["a", "b"]
+    assert [c.revision.number for c in collect(log, 10, 20).items] == [12, 18]
+    assert collect(log, 12, 20) is not None
+    assert collect(log, 15, 20) is None
+    assert collect(log, 9, 20) is None
+    assert collect(log, 20, 20).items == ()
 
 
 def test_followers_stay_few_and_most_stay_the_same():
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
@@ -233,6 +233,7 @@
     :param kind: name of its accelerator kind; empty for a service without model layers.
     :param layers: model layers that it has loaded; an empty range if none.
     :param born: start time of its process, in Unix milliseconds; 0 if not reported.
+    :param update: number of this report among those of its process; 0 if not reported.
     """
 
     id: ServerId
@@ -244,6 +245,7 @@
     kind: str = ""
     layers: LayerRange = EMPTY_RANGE
     born: int = 0
+    update: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True)
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -259,6 +259,7 @@
             clock,
             self._random_state,
             self._store_reach,
+            lambda address: self._snapshot_exchange.fetch(address),
         )
         self._load_sharing = LoadSharing(
             settings.router_id,
@@ -300,6 +301,7 @@
                 self._datagrams.address,
                 settings.domain,
                 settings.capacity,
+                settings.inner,
             ),
             store,
             clock,
@@ -307,17 +309,22 @@
             lambda: self._store_relay.is_follower,
             self._random_state,
             self._store_reach,
+            self._fleet_watcher.handle_store_era,
+            self.view.count_routers,
         )
-        lease = ControlLease(
+        self._fleet_watcher.subscribe_to_restores(self._registration.handle_restore)
+        self._control_lease_ttl = max(_CONTROL_LEASE_TTL, settings.min_lease)
+        self._control_lease = ControlLease(
             settings.router_id,
             store,
             clock,
             self._random_state,
-            max(_CONTROL_LEASE_TTL, settings.min_lease),
+            self._control_lease_ttl,
             _CONTROL_LEASE_MARGIN,
+            lambda: store.era,
         )
         self._layer_placer = LayerPlacer(
-            lease,
+            self._control_lease,
             lambda: self.view.has_lease_holder,
             lambda: self.view.is_settled,
             self.models.list_groups,
@@ -446,7 +453,8 @@
             "watch_reachable": not self._fleet_watcher.is_watch_lost,
             "follows_store": self._fleet_watcher.follows_store,
             "source": self._store_relay.source,
-            "store_revision": self._fleet_watcher.revision,
+            "store_revision": self._fleet_watcher.revision.number,
+            "store_era": self._fleet_watcher.revision.era,
             "routers": sorted(self.view.peers_by_id),
             "unreachable": self._health.list_unreachable(),
             "waiting": {
@@ -514,6 +522,12 @@
         router_id = self._settings.router_id
         names = {*self.view.peers_by_id, router_id}
         rank = rank_by_rendezvous("control", names).index(router_id)
-        return find_election_delay(
+        delay = find_election_delay(
             rank, is_store_reachable=self._store_reach.is_reachable
         )
+        era_age = self._fleet_watcher.era_age
+        if delay is None or era_age is None or self._control_lease.is_ended_by_restore:
+            return delay
+        # The restored store lacks the lease of a holder that may not have heard of the
+        # restore, and acts until its time is over.
+        return max(delay, self._control_lease_ttl - era_age)
--- a/hibiscustiller/ingress/tests/test_restart_without_store.py
+++ b/hibiscustiller/ingress/tests/test_restart_without_store.py
@@ -3,10 +3,13 @@
 import random
 import sys
 from dataclasses import replace
+from datetime import timedelta
 
 import curio
 
+from hibiscustiller.discovery._departures import Departure
 from hibiscustiller.discovery._snapshots import decode_snapshot, encode_snapshot
+from hibiscustiller.discovery._watcher import StateSnapshot
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.ingress import Gateway
 from hibiscustiller.ingress._exposition import ExposedMetrics
@@ -17,7 +20,7 @@
     make_document,
     make_settings,
 )
-from hibiscustiller.platform import Change, Changes
+from hibiscustiller.platform import Change, Changes, Revision
 from hibiscustiller.settings import Address
 from hibiscustiller.utils._testing import collect_tests
 
@@ -130,7 +133,13 @@
 
 def test_truncated_snapshot_is_rejected():
     """Guards against a router that starts with only a part of the keys."""
-    snapshot = Changes((Change("a", b"1" * 100, 3), Change("b", b"", 5)), 7)
+    items = (
+        Change("a", b"1" * 100, Revision(1, 3)),
+        Change("b", b"", Revision(2, 5)),
+    )
+    snapshot = StateSnapshot(
+        Changes(items, Revision(2, 7)), (Departure("p0", 1, 2),), timedelta(seconds=3)
+    )
     data = encode_snapshot(snapshot)
     assert decode_snapshot(data) == snapshot
     for invalid_data in (data[:-3], data[: len(data) // 2], b"", b"x" * 40):
--- a/hibiscustiller/ingress/tests/test_restored_store.py
+++ b/hibiscustiller/ingress/tests/test_restored_store.py
@@ -216,11 +216,13 @@
     """Guards against a snapshot from before a restore that outlives it."""
     async with RestoredWorld() as world:
         copy = world.store.copy()
+        for number in range(10):
+            world.store.put(f"others/{number}", b"x")
         await world.put_document(make_document_with_route(3))
         world.store.faults.is_down = True
         await world.restart(2)
         await world.wait_until(lambda: world.gateways[2].is_ready)
-        await world.restore(copy)
+        await world.restore(copy, lost_writes=0)
         await world.assert_statuses(200, 2.0, "/new/1")
         await world.put_document(make_document_with_route(4, "/newest/"))
         assert await world.request_from_all("/newest/1") == {200}
--- a/hibiscustiller/layers/tests/test_placer.py
+++ b/hibiscustiller/layers/tests/test_placer.py
@@ -21,6 +21,8 @@
 from hibiscustiller.wire import HttpClient
 
 SECOND = timedelta(seconds=1)
+# Above the fences of the first term in the first era of the store.
+NEWER_FENCE = 1 << 42
 
 
 class Bench:
@@ -72,7 +74,13 @@
     async def start_placer(self, name="router-1", ttl=2 * SECOND):
         store = MetadataStore(self.client, self.standin.address, SECOND, 1 << 20)
         lease = ControlLease(
-            name, store, self.clock, random.Random(name), ttl, SECOND / 4
+            name,
+            store,
+            self.clock,
+            random.Random(name),
+            ttl,
+            SECOND / 4,
+            lambda: store.era,
         )
         placer = LayerPlacer(
             lease,
@@ -154,13 +162,70 @@
     """Guards against a holder that sends orders after it was replaced."""
     async with Bench() as bench:
         for engine in bench.engines:
-            engine.last_fence = 10**6
+            engine.last_fence = NEWER_FENCE
         lease = await bench.start_placer()
         await bench.wait_until(lambda: lease.term is not None)
         await bench.wait_until(lambda: lease.term is None)
         assert all(not engine.orders for engine in bench.engines)
 
 
+async def test_a_restored_store_ends_the_term_and_the_next_fence_is_higher():
+    """Guards against fences that are given out a second time.
+
+    The restored store lacks the holder's lease, and numbers its revisions again from
+    those of the copy.
+    """
+    async with Bench() as bench:
+        copy = bench.standin.copy()
+        lease = await bench.start_placer()
+        await bench.wait_until(lambda: not bench.missing_layers)
+        before = lease.term.fence
+        orders = sum(len(engine.orders) for engine in bench.engines)
+        bench.standin.restore(copy)
+        await bench.wait_until(lambda: lease.term and lease.term.fence != before)
+        assert lease.term.fence > before
+        for engine in bench.engines:
+            engine.write_entry()
+        await curio.sleep(0.5)
+        assert not bench.missing_layers
+        assert sum(len(engine.orders) for engine in bench.engines) == orders
+
+
+async def test_two_holders_around_a_restore_have_different_fences():
+    """Guards against orders of a holder that has not learnt of the restore.
+
+    A second router acquires the lease, since the restored store lacks the first one's.
+    Engines that the second one ordered refuse the first, whatever it believes.
+    """
+    async with Bench() as bench:
+        leases = []
+        for name in ("router-1", "router-2"):
+            store = MetadataStore(bench.client, bench.standin.address, SECOND, 1 << 20)
+            lease = ControlLease(
+                name,
+                store,
+                bench.clock,
+                random.Random(name),
+                get_store_era=lambda store=store: store.era,
+            )
+            leases.append(lease)
+        first, second = leases
+        copy = bench.standin.copy()
+        assert await first.acquire()
+        bench.standin.restore(copy)
+        assert await second.acquire()
+        assert second.term.fence > first.term.fence
+        # Any answer of the store tells the first one that its term is over.
+        term = first.term
+        assert first.has_margin(term)
+        assert not await first.renew()
+        assert not first.has_margin(term) and first.is_ended_by_restore
+        assert not await first.acquire()
+        await second.release()
+        assert await first.acquire()
+        assert first.term.fence > term.fence
+
+
 async def test_order_whose_answer_is_lost_is_not_assumed():
     """Guards against a plan that relies on layers that no engine holds."""
     async with Bench() as bench:
--- a/hibiscustiller/leadership/_lease.py
+++ b/hibiscustiller/leadership/_lease.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Protocol
@@ -20,7 +21,8 @@
 )
 
 HOLDER_KEY = "control/holder"
-# The fence of a term is the revision of the holder key plus the floor under this key.
+# The fence of a term is the revision of the holder key plus the floor under this key,
+# and counts the restores of the store if it tells them.
 # After the store was restored to a revision below the fences in use, engines would
 # refuse every command until the revision caught up; raising the floor avoids that.
 FENCE_FLOOR_KEY = "control/fence-floor"
@@ -28,6 +30,9 @@
 # within the range of the 64-bit integers that engines use.
 MAX_FENCE_FLOOR = 1 << 60
 _MAX_FLOOR_WRITE_ATTEMPTS = 5
+# A restored store gives revisions out again, so its era forms the high bits of a fence.
+# Fences stay below 2**53, which every JSON reader keeps exactly, for 8,000 restores.
+_ERA_SHIFT = 40
 LEASE_TTL = timedelta(seconds=10)
 # Time that must remain of the lease when a command is sent. A command is sent within
 # 1 s of the check or its connection is closed; the other second covers clock drift and
@@ -70,9 +75,11 @@
     """Uninterrupted period in which one router holds the lease.
 
     :param lease: the store's lease to which the holder key is attached.
-    :param fence: fencing token: store revision of the holder key plus the fence floor.
+    :param fence: fencing token, from the store revision of the holder key and the fence
+        floor.
     :param token: random value in the holder key that identifies this term.
     :param valid_until: earliest monotonic time at which the lease can expire.
+    :param era: how often the store had been restored when the term began.
     :param valid_until_wall: the same time by the wall clock. The monotonic clock stops
         while a machine is suspended, so only the wall clock shows that pause.
     """
@@ -82,6 +89,7 @@
     token: str
     valid_until: timedelta
     valid_until_wall: datetime
+    era: int = 0
 
 
 class ControlLease:
@@ -93,6 +101,9 @@
     :param random_state: random source for the terms' tokens.
     :param ttl: duration of the lease, after which a crashed holder can be replaced.
     :param margin: time that must remain of the lease when a command is sent.
+    :param get_store_era: returns how often the store was restored from a backup, as far
+        as it is known; None if the store does not tell. A restore ends each term,
+        because the store may have lost its lease.
     """
 
     def __init__(
@@ -103,7 +114,11 @@
         random_state: random.Random,
         ttl: timedelta = LEASE_TTL,
         margin: timedelta = LEASE_MARGIN,
+        get_store_era: Callable[[], int] | None = None,
     ) -> None:
+        self._get_store_era = get_store_era
+        # Whether a restore of the store ended this router's last term.
+        self.is_ended_by_restore = False
         self._ttl = ttl
         self._margin = margin
         self._router_id = router_id
@@ -119,7 +134,8 @@
             term.valid_until - self._clock.monotonic(),
             term.valid_until_wall - self._clock.now(),
         )
-        return term is self.term and remaining >= self._margin
+        is_current = term is self.term and not self._is_ended_by_restore(term)
+        return is_current and remaining >= self._margin
 
     async def acquire(self) -> bool:
         """Try to acquire the lease and start a term.
@@ -132,12 +148,13 @@
         requested_at, requested_at_wall = self._clock.monotonic(), self._clock.now()
         lease = await self._store.grant_lease(self._ttl)
         token = f"{self._random_state.getrandbits(128):032x}"
-        fence = await self._write_holder_key(lease, token)
-        if fence is None:
+        written = await self._write_holder_key(lease, token)
+        if written is None:
             await self._store.revoke_lease(lease)
             return False
+        era, revision = written
         try:
-            fence = await self._compute_fence(fence)
+            fence = await self._compute_fence(era, revision)
         except StoreUnavailableError:
             # No fence can be computed without the floor, so the term cannot start. If
             # the revocation fails as well, the lease expires on its own.
@@ -150,8 +167,14 @@
             last_fence=self._last_fence,
         )
         self._last_fence = fence
+        self.is_ended_by_restore = False
         self.term = Term(
-            lease, fence, token, requested_at + self._ttl, requested_at_wall + self._ttl
+            lease,
+            fence,
+            token,
+            requested_at + self._ttl,
+            requested_at_wall + self._ttl,
+            era,
         )
         log_event("control_acquired", router=self._router_id, fence=fence)
         return True
@@ -168,7 +191,13 @@
         # The store counts the TTL from the arrival of the request. Counting from before
         # the request is sent never overestimates the remaining time.
         requested_at, requested_at_wall = self._clock.monotonic(), self._clock.now()
-        if not await self._store.keep_alive(term.lease):
+        is_kept = await self._store.keep_alive(term.lease)
+        if self._is_ended_by_restore(term):
+            self.is_ended_by_restore = True
+            log_event("control_ended_by_restore", level="warning", fence=term.fence)
+            await self.release()
+            return False
+        if not is_kept:
             self.drop("lease expired")
             return False
         term.valid_until = requested_at + self._ttl
@@ -248,20 +277,27 @@
             # The lease then expires on its own after its TTL.
             log_event("control_release_failed", level="warning", reason=error)
 
-    async def _compute_fence(self, revision: Fence) -> Fence:
+    def _is_ended_by_restore(self, term: Term) -> bool:
+        return self._get_store_era is not None and self._get_store_era() != term.era
+
+    async def _compute_fence(self, era: int, revision: int) -> Fence:
         """Return the fence for a holder key with a revision.
 
         Raises the floor first if the fence would not exceed this router's last one.
         """
+        base = (era << _ERA_SHIFT) + revision
         floor = await self.raise_fence_floor(0)
-        if floor + revision <= self._last_fence:
+        if floor + base <= self._last_fence:
             floor = await self.raise_fence_floor(self._last_fence)
-        return Fence(floor + revision)
+        return Fence(floor + base)
 
-    async def _write_holder_key(self, lease: LeaseId, token: str) -> Fence | None:
+    async def _write_holder_key(
+        self, lease: LeaseId, token: str
+    ) -> tuple[int, int] | None:
         """Create the holder key.
 
-        :returns: the key's revision; None if the key exists or was not written.
+        :returns: the store's era and the key's revision; None if the key exists or was
+            not written.
         """
         value = json.dumps({"router": self._router_id, "token": token}).encode()
         try:
@@ -270,18 +306,19 @@
             if error.verdict is Verdict.NOT_RUN:
                 raise
             return await self._read_back(token)
-        return Fence(outcome.revision) if outcome.is_swapped else None
+        return (outcome.era, outcome.revision) if outcome.is_swapped else None
 
-    async def _read_back(self, token: str) -> Fence | None:
+    async def _read_back(self, token: str) -> tuple[int, int] | None:
         """Check whether a write whose response was lost took effect.
 
-        :returns: the key's revision; None if the write did not take effect.
+        :returns: the store's era and the key's revision; None if the write did not take
+            effect.
         """
         entry = await self._store.get(HOLDER_KEY)
         if entry is None or _parse_token(entry.value) != token:
             return None
         log_event("control_acquire_read_back", router=self._router_id)
-        return Fence(entry.revision)
+        return entry.era, entry.revision
 
 
 def _parse_token(value: bytes) -> str | None:
--- a/hibiscustiller/platform/__init__.py
+++ b/hibiscustiller/platform/__init__.py
@@ -35,7 +35,13 @@
     parse_host_settings,
 )
 from hibiscustiller.platform._hosts import HostList, HostState, read_host_list
-from hibiscustiller.platform._kv_store import Change, Changes, MetadataStore
+from hibiscustiller.platform._kv_store import (
+    NO_REVISION,
+    Change,
+    Changes,
+    MetadataStore,
+    Revision,
+)
 from hibiscustiller.platform._server_entries import SERVER_PREFIX, decode_server_entry
 from hibiscustiller.platform._store import (
     NO_LEASE,
@@ -50,6 +56,7 @@
 __all__ = [
     "DOCUMENT_KEY",
     "NO_LEASE",
+    "NO_REVISION",
     "SERVER_PREFIX",
     "UNREADABLE_ERRORS",
     "AnswerFacts",
@@ -68,6 +75,7 @@
     "MetadataStore",
     "OrderOutcome",
     "RequestFacts",
+    "Revision",
     "StoreRefusedError",
     "StoreRolledBackError",
     "SwapOutcome",
--- a/hibiscustiller/platform/_decoding.py
+++ b/hibiscustiller/platform/_decoding.py
@@ -53,14 +53,14 @@
     return value
 
 
-def read_peer_address(values: Any) -> Address:
-    """Return the address at which a server or router receives.
+def read_peer_address(values: Any, name: str = "address") -> Address:
+    """Return an address at which a server or router receives.
 
     :raises ValueError: if the value is none that a connection can be opened to.
     """
-    address = parse_address(read_text(values, "address"))
+    address = parse_address(read_text(values, name))
     if not address.port:
-        raise ValueError("address has port 0")
+        raise ValueError(f"{name} has port 0")
     return address
 
 
--- a/hibiscustiller/platform/_errors.py
+++ b/hibiscustiller/platform/_errors.py
@@ -43,6 +43,6 @@
 class HistoryLostError(StoreUnavailableError):
     """The service no longer has the changes after a revision."""
 
-    def __init__(self, revision: int) -> None:
+    def __init__(self, revision: object) -> None:
         message = f"the changes after revision {revision} are no longer available"
         super().__init__(message, Verdict.NOT_RUN)
--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import urlencode
 
 from hibiscustiller.exceptions import StoreUnavailableError, TransportError
@@ -35,18 +35,43 @@
 _ERA_HEADER = "store-era"
 
 
+class Revision(NamedTuple):
+    """A moment in the store's history.
+
+    A store that is restored from a backup continues to count from the backup's
+    revision. Revisions are therefore ordered by era first: all of a later era are
+    newer than any of an earlier one.
+
+    :param era: how often the store had been restored; 0 if it does not tell.
+    :param number: the store's revision counter.
+    """
+
+    era: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.number}"
+
+
+# Before any state of the store.
+NO_REVISION = Revision(0, 0)
+
+
 @dataclass(frozen=True)
 class Change:
     """One change of a key.
 
     :param value: None if the key was deleted.
     :param lease: the lease that the key depends on.
+    :param is_restored: whether the store returned to it when it was restored from a
+        backup, and nobody wrote it.
     """
 
     key: str
     value: bytes | None
-    revision: int
+    revision: Revision
     lease: LeaseId = NO_LEASE
+    is_restored: bool = False
 
 
 @dataclass(frozen=True)
@@ -57,7 +82,7 @@
     """
 
     items: tuple[Change, ...]
-    revision: int
+    revision: Revision
 
 
 class MetadataStore:
@@ -92,7 +117,7 @@
         def read(answer: HttpAnswer) -> Entry | None:
             if answer.status == _NOT_FOUND:
                 return None
-            return _read_entry(answer.read_json())
+            return _read_entry(answer.read_json(), _read_era(answer))
 
         return await self._call(
             "get", "GET", _make_target("/kv-key", key=key), read, accepted=(404,)
@@ -107,41 +132,46 @@
             which a watch misses nothing.
         """
         items: list[Change] = []
-        revision: int | None = None
+        revision: Revision | None = None
         after = ""
         while True:
-            values = await self._read_page(prefix, after, may_be_old)
-            page = [_read_change(item) for item in values["items"]]
-            items += page
+            page, has_more = await self._read_page(prefix, after, may_be_old)
+            if revision is not None and page.revision.era != revision.era:
+                message = "the store was restored between two pages of a read"
+                raise StoreUnavailableError(message, Verdict.NOT_RUN)
+            items += page.items
             # Pages are read at different revisions.
-            found = values["current_rev"]
-            revision = found if revision is None else min(revision, found)
-            if not values["has_more"] or not page:
+            revision = min(revision or page.revision, page.revision)
+            if not has_more or not page.items:
                 return Changes(tuple(items), revision)
-            after = page[-1].key
+            after = page.items[-1].key
 
     async def wait_changes(
-        self, prefix: str, after_revision: int, wait: timedelta
+        self, prefix: str, after_revision: Revision, wait: timedelta
     ) -> Changes:
         """Wait for changes of keys that begin with a prefix.
 
         :param after_revision: the last revision that the caller has seen.
         :param wait: the answer is empty if nothing changes for so long.
-        :raises HistoryLostError: if the keys must be read again.
+        :raises HistoryLostError: if the keys must be read again, also because the store
+            was restored from a backup.
         """
         target = _make_target(
             "/kv-watch",
             prefix=prefix,
-            after=after_revision,
+            after=after_revision.number,
             wait_ms=wait // timedelta(milliseconds=1),
         )
 
         def read(answer: HttpAnswer) -> Changes:
-            if answer.status == _GONE:
+            era = _read_era(answer)
+            # In a later era the number after which changes were asked for may belong to
+            # other changes.
+            if answer.status == _GONE or era > after_revision.era:
                 raise HistoryLostError(after_revision)
             values = answer.read_json()
-            items = tuple(_read_change(item) for item in values["events"])
-            revision = int(values["current_rev"])
+            items = tuple(_read_change(item, era) for item in values["events"])
+            revision = Revision(era, int(values["current_rev"]))
             # The store may tell of a dropped history with the next change only.
             if not prefix and not items and revision > after_revision:
                 raise HistoryLostError(after_revision)
@@ -166,13 +196,14 @@
         }
 
         def read(answer: HttpAnswer) -> SwapOutcome:
-            values = answer.read_json()
+            values, era = answer.read_json(), _read_era(answer)
             if answer.status == _OK:
-                return SwapOutcome(True, revision=int(values["rev"]))
+                return SwapOutcome(True, revision=int(values["rev"]), era=era)
             if answer.status == _NOT_FOUND:
                 raise LeaseExpiredError("the store does not know the lease")
             found = [item for item in values["items"] if item.get("value") is not None]
-            return SwapOutcome(False, current=_read_entry(found[0]) if found else None)
+            current = _read_entry(found[0], era) if found else None
+            return SwapOutcome(False, current=current, era=era)
 
         return await self._call(
             "write",
@@ -214,20 +245,19 @@
 
     async def _read_page(
         self, prefix: str, after: str, may_be_old: bool
-    ) -> dict[str, Any]:
+    ) -> tuple[Changes, bool]:
+        """Read one page; return it and whether there are more."""
         fields: dict[str, object] = {"prefix": prefix}
         if after:
             fields["after"] = after
         if may_be_old:
             fields["serializable"] = 1
 
-        def read(answer: HttpAnswer) -> dict[str, Any]:
-            values = answer.read_json()
-            return {
-                "items": list(values["items"]),
-                "has_more": bool(values["has_more"]),
-                "current_rev": int(values["current_rev"]),
-            }
+        def read(answer: HttpAnswer) -> tuple[Changes, bool]:
+            values, era = answer.read_json(), _read_era(answer)
+            items = tuple(_read_change(item, era) for item in values["items"])
+            revision = Revision(era, int(values["current_rev"]))
+            return Changes(items, revision), bool(values["has_more"])
 
         return await self._call(
             "range", "GET", _make_target("/kv-range", **fields), read
@@ -259,7 +289,7 @@
         except TransportError as error:
             raise StoreUnavailableError(str(error), error.verdict) from error
         try:
-            self._record_era(_read_era(answer))
+            self._check_era(_read_era(answer))
             _check_status(answer.status, accepted)
             return read(answer)
         except _SHAPE_ERRORS as error:
@@ -267,7 +297,14 @@
                 f"the store's answer cannot be read: {error!r}", Verdict.MAY_HAVE_RUN
             ) from error
 
-    def _record_era(self, era: int) -> None:
+    def _check_era(self, era: int) -> None:
+        """Record the era of an answer.
+
+        :raises StoreUnavailableError: if it is earlier than that of another answer.
+        """
+        if era < self.era:
+            message = f"an answer of era {era} came after one of era {self.era}"
+            raise StoreUnavailableError(message, Verdict.MAY_HAVE_RUN)
         if era > self.era:
             log_event("store_era", era=era, before=self.era)
             self.era = era
@@ -290,16 +327,16 @@
     return int(answer.headers_by_name.get(_ERA_HEADER, 0))
 
 
-def _read_entry(item: dict[str, Any]) -> Entry:
-    return Entry(item["key"], _decode_value(item["value"]), int(item["rev"]))
+def _read_entry(item: dict[str, Any], era: int) -> Entry:
+    return Entry(item["key"], _decode_value(item["value"]), int(item["rev"]), era)
 
 
-def _read_change(item: dict[str, Any]) -> Change:
+def _read_change(item: dict[str, Any], era: int) -> Change:
     is_deleted = bool(item.get("deleted"))
     return Change(
         key=item["key"],
         value=None if is_deleted else _decode_value(item["value"]),
-        revision=int(item["rev"]),
+        revision=Revision(era, int(item["rev"])),
         lease=LeaseId(int(item.get("lease") or 0)),
     )
 
--- a/hibiscustiller/platform/_server_entries.py
+++ b/hibiscustiller/platform/_server_entries.py
@@ -39,6 +39,7 @@
             kind=read_text(values, "kind") if values.get("kind") else "",
             layers=read_layer_range(values.get("layers")),
             born=read_number(values, "born", 0),
+            update=read_number(values, "sequence", 0),
         )
     except UNREADABLE_ERRORS as error:
         raise WireFormatError(f"entry {key!r} cannot be read: {error!r}") from error
--- a/hibiscustiller/platform/_store.py
+++ b/hibiscustiller/platform/_store.py
@@ -59,11 +59,14 @@
     """A key's value.
 
     :param revision: store revision of the last write to the key.
+    :param era: how often the store had been restored from a backup when it was read; 0
+        if the store does not tell.
     """
 
     key: str
     value: bytes
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -73,11 +76,14 @@
     :param is_swapped: whether the new value was written.
     :param revision: store revision of the write, if written.
     :param current: the entry found instead, if not written; None if absent.
+    :param era: how often the store had been restored from a backup; 0 if it does not
+        tell.
     """
 
     is_swapped: bool
     revision: int = 0
     current: Entry | None = None
+    era: int = 0
 
 
 class KeyValueStore(Protocol):
--- a/hibiscustiller/platform/tests/test_metadata_store.py
+++ b/hibiscustiller/platform/tests/test_metadata_store.py
@@ -11,6 +11,7 @@
     LeaseExpiredError,
     LeaseId,
     MetadataStore,
+    Revision,
     ValueTooLargeError,
 )
 from hibiscustiller.standins import (
@@ -46,14 +47,14 @@
             bench.standin.put(f"servers/{number:03}", b"x")
         found = await bench.store.read_prefix("servers/")
         assert len(found.items) == 120
-        assert found.revision == bench.standin.revision
+        assert found.revision == Revision(1, bench.standin.revision)
 
 
 async def test_answers_without_end_are_given_up_in_time():
     """Guards against a router that waits for a store that sends a byte now and then."""
     calls = {
         "read": lambda store: store.read_prefix("", may_be_old=True),
-        "watch": lambda store: store.wait_changes("", 1, SECOND / 10),
+        "watch": lambda store: store.wait_changes("", Revision(0, 1), SECOND / 10),
         "grant": lambda store: store.grant_lease(SECOND),
         "renew": lambda store: store.keep_alive(LeaseId(1)),
         "write": lambda store: store.compare_and_swap("a", b"", 0, LeaseId(1)),
@@ -79,19 +80,22 @@
         for number in range(60):
             bench.standin.put(f"servers/{number:03}", b"x")
         bench.standin.hold_back_old_reads()
-        revision = bench.standin.revision
+        revision = Revision(1, bench.standin.revision)
         bench.standin.delete("servers/001")
         old = await bench.store.read_prefix("servers/", may_be_old=True)
         assert (len(old.items), old.revision) == (60, revision)
         found = await bench.store.read_prefix("servers/")
-        assert (len(found.items), found.revision) == (59, revision + 1)
+        assert (len(found.items), found.revision) == (
+            59,
+            Revision(1, revision.number + 1),
+        )
 
 
 async def test_watch_tells_writes_and_deletions():
     """Guards against changes that are missed or told twice."""
     async with Bench() as bench:
         bench.standin.put("a", b"1")
-        start = bench.standin.revision
+        start = Revision(1, bench.standin.revision)
         bench.standin.put("a", b"2")
         bench.standin.put("b", b"3")
         bench.standin.delete("b")
@@ -105,7 +109,7 @@
 async def test_lost_history_is_told():
     """Guards against a watch that goes on over a gap."""
     async with Bench() as bench:
-        start = bench.standin.revision
+        start = Revision(1, bench.standin.revision)
         bench.standin.put("a", b"1")
         bench.standin.forget_history()
         try:
@@ -119,7 +123,7 @@
     """Guards against a gap that stays unknown until the next change."""
     async with Bench() as bench:
         bench.standin.faults.tells_loss_late = True
-        start = bench.standin.revision
+        start = Revision(1, bench.standin.revision)
         bench.standin.put("a", b"1")
         bench.standin.forget_history()
         try:
@@ -189,11 +193,68 @@
         raise AssertionError("sent")
 
 
+async def test_a_watch_from_before_a_restore_is_refused_although_its_number_exists():
+    """Guards against changes of a restored store that are taken for the next ones."""
+    async with Bench() as bench:
+        bench.standin.put("a", b"1")
+        copy = bench.standin.copy()
+        bench.standin.put("a", b"2")
+        start = (await bench.store.read_prefix("")).revision
+        bench.standin.restore(copy)
+        for number in range(3):
+            bench.standin.put("b", f"{number}".encode())
+        try:
+            await bench.store.wait_changes("", start, SECOND / 50)
+            raise AssertionError("accepted")
+        except HistoryLostError:
+            pass
+        found = await bench.store.read_prefix("")
+        assert found.revision > start and bench.store.era == 2
+        assert {change.key: change.value for change in found.items}["a"] == b"1"
+
+
+async def test_answers_from_before_a_restore_are_refused_after_it():
+    """Guards against an old state that arrives late and undoes a newer one."""
+    async with Bench() as bench:
+        bench.standin.put("a", b"1")
+        bench.standin.era = 3
+        await bench.store.get("a")
+        bench.standin.era = 2
+        calls = {
+            "get": lambda: bench.store.get("a"),
+            "range": lambda: bench.store.read_prefix("", may_be_old=True),
+            "watch": lambda: bench.store.wait_changes("", Revision(3, 1), SECOND / 50),
+            "write": lambda: bench.store.compare_and_swap("b", b"", 0),
+            "grant": lambda: bench.store.grant_lease(SECOND),
+        }
+        for name, call in calls.items():
+            try:
+                await call()
+                raise AssertionError(name)
+            except StoreUnavailableError as error:
+                assert error.verdict is Verdict.MAY_HAVE_RUN
+
+
+async def test_an_era_that_is_no_number_makes_an_answer_unreadable():
+    """Guards against a router that ends because of an odd header."""
+    async with Bench() as bench:
+        bench.standin.put("a", b"1")
+        for era in ("x", "1e999", "", "9" * 5000):
+            bench.standin.era = era
+            try:
+                await bench.store.get("a")
+                raise AssertionError(era)
+            except StoreUnavailableError:
+                pass
+        bench.standin.era = 1
+        assert (await bench.store.get("a")).value == b"1"
+
+
 async def test_waiting_watch_can_be_cancelled():
     """Guards against a watch that cannot be replaced on a silent connection."""
     async with Bench() as bench:
         task = await curio.spawn(
-            bench.store.wait_changes, "", bench.standin.revision, 20 * SECOND
+            bench.store.wait_changes, "", Revision(1, 1), 20 * SECOND
         )
         await curio.sleep(0.02)
         await task.cancel()
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -682,15 +682,18 @@
     """A ``FollowRequest`` message."""
 
     revision: int
+    era: int
 
 
 def _write_FollowRequest(builder: Any, message: FollowRequest) -> None:
     builder.revision = message.revision
+    builder.era = message.era
 
 
 def _read_FollowRequest(reader: Any) -> FollowRequest:
     return FollowRequest(
         revision=reader.revision,
+        era=reader.era,
     )
 
 
@@ -703,6 +706,9 @@
     deleted: bool
     value: bytes
     base_revision: int
+    era: int
+    base_era: int
+    is_restored: bool
 
 
 def _write_StoreChange(builder: Any, message: StoreChange) -> None:
@@ -711,6 +717,9 @@
     builder.deleted = message.deleted
     builder.value = message.value
     builder.baseRevision = message.base_revision
+    builder.era = message.era
+    builder.baseEra = message.base_era
+    builder.isRestored = message.is_restored
 
 
 def _read_StoreChange(reader: Any) -> StoreChange:
@@ -720,6 +729,9 @@
         deleted=reader.deleted,
         value=bytes(reader.value),
         base_revision=reader.baseRevision,
+        era=reader.era,
+        base_era=reader.baseEra,
+        is_restored=reader.isRestored,
     )
 
 
@@ -733,6 +745,10 @@
     incomplete: bool
     store_returned_ms: int
     changes: tuple[StoreChange, ...]
+    after_era: int
+    to_era: int
+    era_age_ms: int
+    document_version: int
 
 
 def _write_StoreChanges(builder: Any, message: StoreChanges) -> None:
@@ -744,6 +760,10 @@
     items = builder.init("changes", len(message.changes))
     for index, item in enumerate(message.changes):
         _write_StoreChange(items[index], item)
+    builder.afterEra = message.after_era
+    builder.toEra = message.to_era
+    builder.eraAgeMs = message.era_age_ms
+    builder.documentVersion = message.document_version
 
 
 def _read_StoreChanges(reader: Any) -> StoreChanges:
@@ -754,6 +774,33 @@
         incomplete=reader.incomplete,
         store_returned_ms=reader.storeReturnedMs,
         changes=tuple(_read_StoreChange(item) for item in reader.changes),
+        after_era=reader.afterEra,
+        to_era=reader.toEra,
+        era_age_ms=reader.eraAgeMs,
+        document_version=reader.documentVersion,
+    )
+
+
+@dataclass(frozen=True)
+class DepartedProcess:
+    """A ``DepartedProcess`` message."""
+
+    server_id: str
+    born: int
+    update: int
+
+
+def _write_DepartedProcess(builder: Any, message: DepartedProcess) -> None:
+    builder.serverId = message.server_id
+    builder.born = message.born
+    builder.update = message.update
+
+
+def _read_DepartedProcess(reader: Any) -> DepartedProcess:
+    return DepartedProcess(
+        server_id=reader.serverId,
+        born=reader.born,
+        update=reader.update,
     )
 
 
@@ -763,6 +810,9 @@
 
     revision: int
     changes: tuple[StoreChange, ...]
+    era: int
+    departed: tuple[DepartedProcess, ...]
+    era_age_ms: int
 
 
 def _write_StoreSnapshot(builder: Any, message: StoreSnapshot) -> None:
@@ -770,12 +820,20 @@
     items = builder.init("changes", len(message.changes))
     for index, item in enumerate(message.changes):
         _write_StoreChange(items[index], item)
+    builder.era = message.era
+    items = builder.init("departed", len(message.departed))
+    for index, item in enumerate(message.departed):
+        _write_DepartedProcess(items[index], item)
+    builder.eraAgeMs = message.era_age_ms
 
 
 def _read_StoreSnapshot(reader: Any) -> StoreSnapshot:
     return StoreSnapshot(
         revision=reader.revision,
         changes=tuple(_read_StoreChange(item) for item in reader.changes),
+        era=reader.era,
+        departed=tuple(_read_DepartedProcess(item) for item in reader.departed),
+        era_age_ms=reader.eraAgeMs,
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -236,8 +236,11 @@
 }
 
 # Asks a router for the store's changes after a revision.
+# Revisions of the store have an era, which counts its restores from a backup, and a
+# number that is compared within the same era only.
 struct FollowRequest {
   revision @0 :UInt64;
+  era @1 :UInt64;
 }
 
 struct StoreChange {
@@ -248,6 +251,10 @@
   value @3 :Data;
   # The value is the difference from that of this revision; 0 if it is whole.
   baseRevision @4 :UInt64;
+  era @5 :UInt64;
+  baseEra @6 :UInt64;
+  # Whether nobody wrote it, but the store was restored to it.
+  isRestored @7 :Bool;
 }
 
 # The store's changes after one revision up to another.
@@ -261,12 +268,29 @@
   # Time since the sender found the store back after an outage; 0 if it never did.
   storeReturnedMs @4 :UInt64;
   changes @5 :List(StoreChange);
+  afterEra @6 :UInt64;
+  toEra @7 :UInt64;
+  # Time since the sender learnt of the present era; 0 if it knows no earlier one.
+  eraAgeMs @8 :UInt64;
+  # Version of the configuration in force; 0 if there is none.
+  documentVersion @9 :UInt64;
 }
 
-# Every key of the store as the sender knows it, with whole values.
+# A server's process that left, and the last update of its entry.
+struct DepartedProcess {
+  serverId @0 :Text;
+  born @1 :UInt64;
+  update @2 :UInt64;
+}
+
+# Every key of the store as the sender knows it, with whole values. The configuration is
+# the one in force, which may be newer than that of a restored store.
 struct StoreSnapshot {
   revision @0 :UInt64;
   changes @1 :List(StoreChange);
+  era @2 :UInt64;
+  departed @3 :List(DepartedProcess);
+  eraAgeMs @4 :UInt64;
 }
 
 # Asks the router that gives out a failure domain's pipelines for a place in one.
