--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -47,12 +47,14 @@
     rank_by_rendezvous,
 )
 from hibiscustiller.wire import (
+    Connect,
     DatagramSocket,
     HttpClient,
     HttpLimits,
     HttpRequest,
     HttpServer,
     Responder,
+    open_connection,
 )
 
 # A slow store answers within this time; a store that does not is taken to be down.
@@ -99,6 +101,7 @@
     :param random_state: source of random choices and jitter.
     :param metrics: counters and histograms.
     :param inspection_port: port of ``/metrics`` and ``/state``; 0 for any free port.
+    :param connect: opens connections to backend servers.
     """
 
     def __init__(
@@ -108,7 +111,9 @@
         random_state: random.Random,
         metrics: ExposedMetrics,
         inspection_port: int = 0,
+        connect: Connect = open_connection,
     ) -> None:
+        self._connect = connect
         self._settings = settings
         self._clock = clock
         self._random_state = random_state
@@ -124,6 +129,7 @@
             self.view.count_routers,
             self.view.is_replaced,
             settings.drain,
+            connect,
         )
         router_id = settings.router_id
         self._parts = PartHistory(
@@ -157,7 +163,7 @@
 
     def _build_forwarders(self) -> None:
         settings, clock = self._settings, self._clock
-        client = HttpClient(clock, _CONNECT_TIMEOUT)
+        client = HttpClient(clock, _CONNECT_TIMEOUT, self._connect)
         inner = Address(settings.ip, settings.inner_ports[0])
         self._datagrams = DatagramSocket(settings.router_id, inner)
         self._rate_limits = RateLimits(
@@ -198,7 +204,7 @@
         )
         self.view.subscribe(self.models.request_refresh)
         self._engine_monitor = EngineMonitor(
-            clock, self._health, self.models.list_watched
+            clock, self._health, self.models.list_watched, self._connect
         )
         plain_forwarder = PlainForwarder(
             client,
@@ -328,7 +334,7 @@
             lambda: self.view.has_lease_holder,
             lambda: self.view.is_settled,
             self.models.list_groups,
-            HttpClient(clock, _CONNECT_TIMEOUT),
+            HttpClient(clock, _CONNECT_TIMEOUT, self._connect),
             clock,
             self._get_election_delay,
             _CONTROL_RENEWAL_PERIOD,
--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -17,7 +17,7 @@
 from hibiscustiller.ingress._refusals import ServerRefusals
 from hibiscustiller.ingress._server_statements import ServerStatements
 from hibiscustiller.utils import Clock, ServerId, log_event
-from hibiscustiller.wire import open_connection
+from hibiscustiller.wire import Connect, open_connection
 
 # Connections take about 2 ms. TCP retransmits a lost packet only after a second, so a
 # second attempt is made before a server is considered unreachable.
@@ -59,6 +59,7 @@
     :param count_routers: returns how many routers share their results.
     :param is_replaced: tells whether a later process has the address of a server.
     :param drain: time after which a server that says that it leaves gets no requests.
+    :param connect: opens connections to servers.
     """
 
     def __init__(
@@ -69,7 +70,9 @@
         count_routers: Callable[[], int] = lambda: 1,
         is_replaced: Callable[[BackendServer], bool] = lambda server: False,
         drain: timedelta = timedelta(0),
+        connect: Connect = open_connection,
     ) -> None:
+        self._open_connection = connect
         self._is_replaced = is_replaced
         self._count_routers = count_routers
         self._clock = clock
@@ -229,7 +232,7 @@
     async def _connect(self, server: BackendServer) -> None:
         started_at = self._clock.monotonic()
         try:
-            await _try_connect(server)
+            await _try_connect(server, self._open_connection)
         except OSError as error:
             # The next process of a plain service needs no state of the lost one.
             has_layers = server.layers.width > 0
@@ -268,14 +271,14 @@
         self._on_change(not is_reported)
 
 
-async def _try_connect(server: BackendServer) -> None:
+async def _try_connect(server: BackendServer, connect: Connect) -> None:
     """Open a connection to a server and close it.
 
     :raises OSError: if no attempt succeeds.
     """
     for attempt in range(1, _CONNECT_ATTEMPTS + 1):
         try:
-            sock = await open_connection(server.address, _CONNECT_TIMEOUT)
+            sock = await connect(server.address, _CONNECT_TIMEOUT)
         except TimeoutError:
             if attempt == _CONNECT_ATTEMPTS:
                 raise
--- a/hibiscustiller/ingress/_monitor.py
+++ b/hibiscustiller/ingress/_monitor.py
@@ -15,7 +15,7 @@
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.utils import Clock, ServerId, log_event
-from hibiscustiller.wire import open_connection, set_tcp_options
+from hibiscustiller.wire import Connect, open_connection, set_tcp_options
 
 _UPDATE_PERIOD = timedelta(milliseconds=250)
 _CONNECT_TIMEOUT = timedelta(milliseconds=500)
@@ -29,6 +29,7 @@
 
     :param health: checks a server after its connection has closed.
     :param list_engines: returns the engines that this router watches.
+    :param connect: opens connections to engines.
     """
 
     def __init__(
@@ -36,7 +37,9 @@
         clock: Clock,
         health: ServerHealth,
         list_engines: Callable[[], Mapping[ServerId, BackendServer]],
+        connect: Connect = open_connection,
     ) -> None:
+        self._open_connection = connect
         self._clock = clock
         self._health = health
         self._list_engines = list_engines
@@ -69,7 +72,7 @@
         :returns: why the connection closed or could not be opened.
         """
         try:
-            sock = await open_connection(server.address, _CONNECT_TIMEOUT)
+            sock = await self._open_connection(server.address, _CONNECT_TIMEOUT)
         except OSError as error:
             return f"cannot connect: {error}"
         async with sock:
--- a/hibiscustiller/ingress/tests/fixtures.py
+++ b/hibiscustiller/ingress/tests/fixtures.py
@@ -1,7 +1,7 @@
 """Test harness: a gateway with simulated store, engines and plain servers."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import curio
@@ -17,6 +17,7 @@
     PlainServerStandin,
 )
 from hibiscustiller.utils import SystemClock
+from hibiscustiller.wire import open_connection
 
 LAYERS = 8
 KEY = "key-of-greens"
@@ -203,12 +204,13 @@
         await self.gateway.start()
         await self.wait_until(lambda: self.gateway.is_ready)
 
-    async def start_other(self, name):
+    async def start_other(self, name, connect=open_connection):
         """Start a further gateway and wait until all gateways know each other.
 
         :param name: router id of the gateway.
+        :param connect: opens its connections to servers.
         """
-        other = self._make_gateway(name)
+        other = self._make_gateway(name, connect)
         self.others.append(other)
         await other.start()
         gateways = [self.gateway, *self.others]
@@ -225,15 +227,21 @@
             await task.cancel()
         await gateway.front.close()
         await gateway._readiness_server.close()
+        if gateway._inner_server is not None:
+            await gateway._inner_server.close()
         await gateway.inspection.stop()
         await gateway._datagrams.close()
         if gateway in self.others:
             self.others.remove(gateway)
 
-    def _make_gateway(self, name):
+    def _make_gateway(self, name, connect=open_connection):
         settings = make_settings(self.store.address, name, retry_slack=self.retry_slack)
+        # Connections from 127.0.0.1 do not take ports of this address.
+        settings = replace(settings, inner=Address("127.0.8.1", find_free_port()))
         random_state = random.Random(name)
-        return Gateway(settings, self.clock, random_state, ExposedMetrics())
+        return Gateway(
+            settings, self.clock, random_state, ExposedMetrics(), connect=connect
+        )
 
     async def __aexit__(self, *args):
         for gateway in [*self.others, self.gateway]:
--- a/hibiscustiller/ingress/tests/test_restart_without_store.py
+++ b/hibiscustiller/ingress/tests/test_restart_without_store.py
@@ -72,7 +72,6 @@
     async def __aexit__(self, *args):
         for gateway in self.gateways[1:]:
             await gateway.stop()
-        await self.gateways[0]._inner_server.close()
         await super().__aexit__(*args)
 
 
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -20,10 +20,16 @@
     describe_refusal,
     make_refusal_headers,
 )
-from hibiscustiller.wire._sockets import is_readable, open_connection, set_tcp_options
+from hibiscustiller.wire._sockets import (
+    Connect,
+    is_readable,
+    open_connection,
+    set_tcp_options,
+)
 
 __all__ = [
     "AnswerStream",
+    "Connect",
     "DatagramSocket",
     "Exchange",
     "Handler",
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -20,7 +20,12 @@
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, Verdict
 from hibiscustiller.wire._deadlines import wait_at_most
-from hibiscustiller.wire._sockets import is_readable, open_connection, set_tcp_options
+from hibiscustiller.wire._sockets import (
+    Connect,
+    is_readable,
+    open_connection,
+    set_tcp_options,
+)
 
 _RECEIVE_BYTES = 65536
 # An answer larger than this is refused; a document of 1 MB grows by a third in base64.
@@ -66,12 +71,17 @@
 
     :param clock: tells how long a connection has been idle.
     :param connect_timeout: longest wait for a connection.
+    :param connect: opens connections.
     """
 
     def __init__(
-        self, clock: Clock, connect_timeout: timedelta = timedelta(seconds=1)
+        self,
+        clock: Clock,
+        connect_timeout: timedelta = timedelta(seconds=1),
+        connect: Connect = open_connection,
     ) -> None:
         self.clock = clock
+        self._open_connection = connect
         self._connect_timeout = connect_timeout
         self._idle_by_address: dict[Address, deque[_Connection]] = {}
 
@@ -231,7 +241,7 @@
 
     async def _connect(self, address: Address) -> _Connection:
         try:
-            sock = await open_connection(address, self._connect_timeout)
+            sock = await self._open_connection(address, self._connect_timeout)
         except OSError as error:
             raise TransportError(
                 f"cannot connect to {address}: {error}", Verdict.NOT_RUN
--- a/hibiscustiller/wire/_sockets.py
+++ b/hibiscustiller/wire/_sockets.py
@@ -1,6 +1,7 @@
 """Opening, options and state of TCP sockets."""
 
 import select
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
@@ -18,6 +19,10 @@
 _UNACKNOWLEDGED_LIMIT_MS = 3000
 
 
+# Opens a TCP connection within a time; raises OSError if that fails.
+Connect = Callable[[Address, timedelta], Awaitable[Any]]
+
+
 async def open_connection(address: Address, timeout: timedelta) -> Any:
     """Open a TCP connection.
 
