Believe the loss of a server only while others can be reached

A refused connection was taken for the end of a process, all routers believed the report of it without a check, and nobody checked it again.

A router that cannot connect to a server now connects to another one. If none can be reached it is cut off itself: it reports no losses, counts no crashes, leaves the control lease to others, and looks for a way back with two connections each half second. Routers of small fleets verify reported ends; in large fleets they check them later, and dispute those that are not so.

Reports of hundreds of routers still need no connection: the test of it says so with a fleet of 300 now, since a small fleet verifies them.

--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -364,6 +364,10 @@
             if server.service == service and server.state is ServerState.READY
         ]
 
+    def list_all_servers(self) -> list[BackendServer]:
+        """Return the servers of all services."""
+        return list(self._servers_by_id.values())
+
     def list_leaving(self, service: ServiceName) -> list[BackendServer]:
         """Return the leaving servers of a service that may still receive requests.
 
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -18,7 +18,8 @@
     StoreReach,
     StoreRelay,
 )
-from hibiscustiller.fleet import ClientLimits, HostSettings
+from hibiscustiller.exceptions import TransportError
+from hibiscustiller.fleet import BackendServer, ClientLimits, HostSettings
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._crash_messages import PART_CODEC, REQUEST_CODEC
@@ -32,11 +33,12 @@
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServerSelector
 from hibiscustiller.ingress._rate_limits import RateLimits
+from hibiscustiller.ingress._server_reach import ServerReach
 from hibiscustiller.ingress._sharing import LoadSharing
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import EngineLoad, LayerPlacer
 from hibiscustiller.leadership import ControlLease, find_election_delay
-from hibiscustiller.platform import MetadataStore
+from hibiscustiller.platform import MetadataStore, read_engine_report
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     Clock,
@@ -122,6 +124,14 @@
         self._tasks: list[curio.Task] = []
         self.view = FleetView(clock, settings.drain)
         self._load = EngineLoad(clock)
+        self._reach = ServerReach(
+            clock,
+            random_state,
+            connect,
+            self.view.list_all_servers,
+            self._handle_reach_change,
+        )
+        self._server_client = HttpClient(clock, _CONNECT_TIMEOUT, connect)
         self._health = ServerHealth(
             clock,
             self.view.get_server,
@@ -130,6 +140,9 @@
             self.view.is_replaced,
             settings.drain,
             connect,
+            self._reach,
+            self._read_born,
+            random_state,
         )
         router_id = settings.router_id
         self._parts = PartHistory(
@@ -163,7 +176,7 @@
 
     def _build_forwarders(self) -> None:
         settings, clock = self._settings, self._clock
-        client = HttpClient(clock, _CONNECT_TIMEOUT, self._connect)
+        client = self._server_client
         inner = Address(settings.ip, settings.inner_ports[0])
         self._datagrams = DatagramSocket(settings.router_id, inner)
         self._rate_limits = RateLimits(
@@ -338,6 +351,7 @@
             clock,
             self._get_election_delay,
             _CONTROL_RENEWAL_PERIOD,
+            lambda: not self._health.is_cut_off,
         )
 
     def _build_servers(self) -> None:
@@ -380,6 +394,7 @@
             self._snapshot_exchange.run,
             self._registration.run,
             self._layer_placer.run,
+            self._reach.run,
             self._health.run,
             self._unanswered.run,
             self._rate_limits.run,
@@ -463,6 +478,8 @@
             "store_era": self._fleet_watcher.revision.era,
             "routers": sorted(self.view.peers_by_id),
             "unreachable": self._health.list_unreachable(),
+            "is_cut_off": self._health.is_cut_off,
+            "cut_off_routers": sorted(self._health.cut_off_routers),
             "waiting": {
                 name: forwarder.admission.waiting_count
                 for name, forwarder in self.models.forwarders_by_service.items()
@@ -519,12 +536,30 @@
         if is_own_result:
             self._load_sharing.request_send()
 
+    def _handle_reach_change(self) -> None:
+        # Other routers choose by it which router they pass requests to.
+        self._load_sharing.request_send()
+
+    async def _read_born(self, server: BackendServer) -> int | None:
+        """Ask an engine for the start time of its process; None if it does not tell."""
+        try:
+            report = await read_engine_report(
+                self._server_client, server, _CONNECT_TIMEOUT
+            )
+        except TransportError as error:
+            log_event("engine_report_failed", level="warning", reason=error)
+            return None
+        return report.born
+
     async def _handle_store_return(self) -> None:
         self.view.handle_store_return()
         await self._store_client.close()
         await self._fleet_watcher.restart()
 
     def _get_election_delay(self) -> timedelta | None:
+        if self._health.is_cut_off:
+            # It could not send orders to engines.
+            return None
         router_id = self._settings.router_id
         names = {*self.view.peers_by_id, router_id}
         rank = rank_by_rendezvous("control", names).index(router_id)
--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -1,5 +1,9 @@
 """Detection of unreachable backend servers by opening connections to them.
 
+What a router finds is a finding about its own link to the server. It is believed only
+while the router reaches other servers, other routers verify what they are told where
+their number allows it, and the end of a process is checked again later.
+
 An engine reports a failed stage only seconds later, when the caller may have
 disconnected. A connection attempt gives the answer at once: if the process has ended,
 the connection is refused; if the host is down or cut off, the attempt times out.
@@ -7,16 +11,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+import random
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 import curio
 
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._refusals import ServerRefusals
+from hibiscustiller.ingress._server_reach import ServerReach
 from hibiscustiller.ingress._server_statements import ServerStatements
-from hibiscustiller.utils import Clock, ServerId, log_event
+from hibiscustiller.utils import Clock, RouterId, ServerId, log_event
 from hibiscustiller.wire import Connect, open_connection
 
 # Connections take about 2 ms. TCP retransmits a lost packet only after a second, so a
@@ -34,6 +40,13 @@
 # other router may itself be cut off, and names the server in each of its reports.
 _REPORTED_CHECK_PERIOD = timedelta(seconds=2)
 _RECHECK_PERIOD = timedelta(milliseconds=500)
+# A process that is taken for ended is connected to again after about this time: only
+# the link to it may have been lost.
+_ENDED_RECHECK_PERIOD = timedelta(seconds=2)
+_ENDED_RECHECK_JITTER = 0.5
+# For this time after a process turned out to run, reports of its end are not believed.
+# The link of the router that sends them may still be lost.
+_DISPUTED_TIME = timedelta(seconds=10)
 
 
 @dataclass
@@ -43,11 +56,18 @@
     :param born: start time of the unreachable process, in Unix milliseconds.
     :param is_ended: whether the process has ended.
     :param has_lost_layers: whether the process has ended and held model layers.
+    :param recheck_at: when an ended process is connected to again, on the monotonic
+        clock.
     """
 
     born: int
     is_ended: bool
     has_lost_layers: bool
+    recheck_at: timedelta = field(default=timedelta(0), compare=False)
+
+
+async def _read_nothing(server: BackendServer) -> int | None:
+    return None
 
 
 class ServerHealth:
@@ -60,6 +80,11 @@
     :param is_replaced: tells whether a later process has the address of a server.
     :param drain: time after which a server that says that it leaves gets no requests.
     :param connect: opens connections to servers.
+    :param reach: tells whether this router reaches servers at all; None to believe each
+        failed connection.
+    :param read_born: asks a server for the start time of its process; returns None if
+        it does not tell.
+    :param random_state: random numbers for jitter.
     """
 
     def __init__(
@@ -71,8 +96,21 @@
         is_replaced: Callable[[BackendServer], bool] = lambda server: False,
         drain: timedelta = timedelta(0),
         connect: Connect = open_connection,
+        reach: ServerReach | None = None,
+        read_born: Callable[[BackendServer], Awaitable[int | None]] = _read_nothing,
+        random_state: random.Random | None = None,
     ) -> None:
         self._open_connection = connect
+        self._random_state = random_state or random.Random()
+        self._read_born = read_born
+        self.reach = reach or ServerReach(
+            clock, self._random_state, connect, list_servers=tuple
+        )
+        # Processes that run although they were taken for ended, and until when reports
+        # of their end are not believed.
+        # Routers that reach no server, as they say.
+        self.cut_off_routers: set[RouterId] = set()
+        self._disputed_until: dict[tuple[ServerId, int], timedelta] = {}
         self._is_replaced = is_replaced
         self._count_routers = count_routers
         self._clock = clock
@@ -87,6 +125,18 @@
         self.refusals = ServerRefusals(clock, get_server, lambda: on_change(True))
         self.statements = ServerStatements(clock, drain, lambda: on_change(True))
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this router reaches no server at all."""
+        return self.reach.is_cut_off
+
+    def record_cut_off(self, router_id: RouterId, is_cut_off: bool) -> None:
+        """Record whether another router says that it reaches no server."""
+        if is_cut_off:
+            self.cut_off_routers.add(router_id)
+        else:
+            self.cut_off_routers.discard(router_id)
+
     def is_usable(self, server: BackendServer) -> bool:
         """Tell whether a server can be reached and takes new requests."""
         return (
@@ -148,18 +198,30 @@
             if (outage := self._outages[server_id]).has_lost_layers
         }
 
-    def record_dead(self, server_id: ServerId, born: int) -> None:
-        """Record that a server's process has ended, as reported by another router.
+    async def record_dead(self, server_id: ServerId, born: int) -> None:
+        """Handle the report of another router that a server's process has ended.
 
-        A refused connection is conclusive, so this router does not check it again.
+        A small fleet verifies it by a connection of each router. Hundreds of routers
+        believe it and check it later.
 
         :param born: start time of the process that has ended, in Unix milliseconds.
         """
         server = self._get_server(server_id)
-        if server is not None and server.born == born and self.is_reachable(server):
-            error = ConnectionRefusedError("connection of another router was refused")
-            outage = _Outage(server.born, is_ended=True, has_lost_layers=True)
-            self._record_outage(server, outage, error, is_reported=True)
+        if server is None or server.born != born or not self.is_reachable(server):
+            return
+        now = self._clock.monotonic()
+        if now < self._disputed_until.get((server_id, born), timedelta(0)):
+            return
+        is_small_fleet = self._count_routers() <= _BASE_ROUTER_COUNT
+        if is_small_fleet and not self.reach.is_cut_off:
+            await self._verify_end(server, now)
+            return
+        error = ConnectionRefusedError("connection of another router was refused")
+        outage = _Outage(server.born, is_ended=True, has_lost_layers=True)
+        self._record_outage(server, outage, error, is_reported=True)
+
+    async def _verify_end(self, server: BackendServer, now: timedelta) -> None:
+        await curio.spawn(self._check_server, server, now, daemon=True)
 
     async def check(
         self, servers: Iterable[BackendServer], since: timedelta | None = None
@@ -201,12 +263,56 @@
             await self._clock.sleep(_RECHECK_PERIOD)
             known_ids = [key for key in self._reached_by_id if self._get_server(key)]
             self._reached_by_id = {key: self._reached_by_id[key] for key in known_ids}
-            for server_id in list(self._outages):
-                server = self._get_server(server_id)
-                if server is None or self.is_reachable(server):
-                    self._outages.pop(server_id, None)
-                elif not self._outages[server_id].has_lost_layers:
-                    await self.check([server])
+            await self._recheck_outages()
+
+    async def _recheck_outages(self) -> None:
+        now = self._clock.monotonic()
+        self._disputed_until = {
+            process: until
+            for process, until in self._disputed_until.items()
+            if now < until
+        }
+        lost_servers, ended_servers = [], []
+        for server_id, outage in list(self._outages.items()):
+            server = self._get_server(server_id)
+            if server is None or self.is_reachable(server):
+                del self._outages[server_id]
+            elif not outage.has_lost_layers:
+                lost_servers.append(server)
+            elif now >= outage.recheck_at:
+                outage.recheck_at = self._choose_recheck_time()
+                ended_servers.append(server)
+        await self.check(lost_servers)
+        async with curio.TaskGroup() as group:
+            for server in ended_servers:
+                await group.spawn(self._recheck_ended, server)
+
+    def _choose_recheck_time(self) -> timedelta:
+        jitter = self._random_state.uniform(
+            1 - _ENDED_RECHECK_JITTER, 1 + _ENDED_RECHECK_JITTER
+        )
+        return self._clock.monotonic() + _ENDED_RECHECK_PERIOD * jitter
+
+    async def _recheck_ended(self, server: BackendServer) -> None:
+        """Use a server again whose process did not end after all.
+
+        Another process at its address, which has no layers yet, has another start time.
+        """
+        try:
+            await _try_connect(server, self._open_connection)
+        except OSError as error:
+            log_event("recheck_failed", level="debug", server=server.id, reason=error)
+            return
+        self.reach.record_reached(server.id)
+        if await self._read_born(server) != server.born:
+            return
+        outage = self._outages.get(server.id)
+        if outage is not None and outage.born == server.born:
+            del self._outages[server.id]
+            until = self._clock.monotonic() + _DISPUTED_TIME
+            self._disputed_until[server.id, server.born] = until
+            log_event("server_reachable", server=server.id, was_ended=True)
+            self._on_change(True)
 
     async def _check_server(
         self, server: BackendServer, since: timedelta | None = None
@@ -221,6 +327,9 @@
         checked_at = self._checked_at.get(server.id)
         if checked_at is not None and checked_at > oldest:
             return
+        if self.reach.is_cut_off:
+            # The connection would fail, whatever the state of the server.
+            return
         self._pending_checks[server.id] = done = curio.Event()
         try:
             await self._connect(server)
@@ -234,12 +343,15 @@
         try:
             await _try_connect(server, self._open_connection)
         except OSError as error:
+            if not await self.reach.is_other_reachable(server, started_at):
+                return
             # The next process of a plain service needs no state of the lost one.
             has_layers = server.layers.width > 0
             is_refused = isinstance(error, ConnectionRefusedError)
             outage = _Outage(server.born, is_refused, is_refused and has_layers)
             self._record_outage(server, outage, error)
             return
+        self.reach.record_reached(server.id)
         if not self.has_ended(server):
             self._reached_by_id[server.id] = (server.born, started_at)
         outage = self._outages.get(server.id)
@@ -259,6 +371,7 @@
     ) -> None:
         if self._outages.get(server.id) == outage:
             return
+        outage.recheck_at = self._choose_recheck_time()
         self._outages[server.id] = outage
         log_event(
             "server_unreachable",
--- a/hibiscustiller/ingress/_monitor.py
+++ b/hibiscustiller/ingress/_monitor.py
@@ -59,6 +59,9 @@
 
     async def _watch(self, server: BackendServer) -> None:
         while True:
+            if self._health.reach.is_cut_off:
+                await self._clock.sleep(_RECONNECT_DELAY)
+                continue
             opened_at = self._clock.monotonic()
             reason = await self._wait_for_close(server)
             log_event("monitor_ended", level="debug", server=server.id, reason=reason)
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import curio
+
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._budget import RetryBudgets
@@ -333,6 +335,8 @@
         except TimeoutError as error:
             self._may_have_run = True
             context.log("attempt_failed", server=server.id, reason=error)
+            # Links that fell silent are noticed by nothing else.
+            await curio.spawn(forwarder.health.check, [server], daemon=True)
         except TransportError as error:
             context.log("attempt_failed", server=server.id, reason=error)
             if error.verdict is Verdict.MAY_HAVE_RUN:
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -125,7 +125,7 @@
             DeadServer(server_id, born)
             for server_id, born in self._health.list_dead().items()
         )
-        return LoadReport(uses, unreachable, leaving, dead)
+        return LoadReport(uses, unreachable, leaving, dead, self._health.is_cut_off)
 
     async def _handle_report(
         self, router_id: RouterId, address: Address, report: LoadReport
@@ -135,8 +135,9 @@
             for use in report.uses
         }
         self._load.set_report(router_id, uses)
+        self._health.record_cut_off(router_id, report.cut_off)
         for server in report.dead:
-            self._health.record_dead(ServerId(server.server_id), server.born)
+            await self._health.record_dead(ServerId(server.server_id), server.born)
         known = set(self._health.list_unreachable())
         new = [ServerId(key) for key in report.unreachable if key not in known]
         if new:
--- a/hibiscustiller/ingress/tests/test_health.py
+++ b/hibiscustiller/ingress/tests/test_health.py
@@ -30,12 +30,15 @@
 class Harness:
     """The health state of one engine, which counts the changes that it reports."""
 
-    def __init__(self):
+    def __init__(self, router_count=1):
         self.clock = SystemClock()
         self.change_count = 0
         self.engine = make_engine("e", "large", layers=LayerRange(0, 80))
         self.health = ServerHealth(
-            self.clock, lambda server_id: self.engine, self._count_change
+            self.clock,
+            lambda server_id: self.engine,
+            self._count_change,
+            lambda: router_count,
         )
 
     def _count_change(self, is_own_finding):
@@ -216,16 +219,16 @@
 
 async def test_reported_end_of_a_process_needs_no_connection():
     """Guards against connections from hundreds of routers to a server that ended."""
-    harness = Harness()
+    harness = Harness(router_count=300)
     assert not harness.health.list_unreachable()
-    harness.health.record_dead("e", harness.engine.born)
+    await harness.health.record_dead("e", harness.engine.born)
     assert harness.health.list_unreachable() == ["e"]
     assert harness.change_count == 1
     # A repeated report is not a change, and does not apply to a later process.
-    harness.health.record_dead("e", harness.engine.born)
+    await harness.health.record_dead("e", harness.engine.born)
     assert harness.change_count == 1
     harness.engine = replace(harness.engine, born=harness.engine.born + 1)
-    harness.health.record_dead("e", harness.engine.born - 1)
+    await harness.health.record_dead("e", harness.engine.born - 1)
     assert harness.health.is_usable(harness.engine)
 
 
--- a/hibiscustiller/layers/_placer.py
+++ b/hibiscustiller/layers/_placer.py
@@ -73,6 +73,8 @@
         this router tries to acquire it; None to make no attempt. Delays differ between
         routers, so that usually a single call to the store suffices.
     :param renewal_period: time between renewals of the lease.
+    :param can_reach_engines: returns whether orders can be sent; otherwise the lease is
+        left to another router.
     """
 
     def __init__(
@@ -85,7 +87,9 @@
         clock: Clock,
         get_election_delay: Callable[[], timedelta | None],
         renewal_period: timedelta,
+        can_reach_engines: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._can_reach_engines = can_reach_engines
         self._lease = lease
         self._has_lease_holder = has_lease_holder
         self._is_view_settled = is_view_settled
@@ -112,6 +116,8 @@
             try:
                 if self._lease.term is None:
                     await self._try_acquire()
+                elif not self._can_reach_engines():
+                    await self._lease.release()
                 else:
                     await self._renew_and_place(self._lease.term)
             except StoreUnavailableError as error:
--- a/hibiscustiller/platform/_engine_calls.py
+++ b/hibiscustiller/platform/_engine_calls.py
@@ -9,7 +9,7 @@
 
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.fleet import BackendServer, LayerRange
-from hibiscustiller.platform._decoding import UNREADABLE_ERRORS
+from hibiscustiller.platform._decoding import UNREADABLE_ERRORS, read_number
 from hibiscustiller.platform._server_entries import read_layer_range
 from hibiscustiller.utils import Fence, Verdict
 from hibiscustiller.wire import HttpClient
@@ -44,11 +44,13 @@
     :param order_count: orders that it has begun since its start.
     :param is_busy: whether an order is in progress.
     :param layers: the layers that it holds.
+    :param born: start time of its process, in Unix milliseconds; 0 if not reported.
     """
 
     order_count: int
     is_busy: bool
     layers: LayerRange
+    born: int = 0
 
 
 async def order_layers(
@@ -114,6 +116,7 @@
             order_count=int(values["sequence"]),
             is_busy=bool(values["busy"]),
             layers=read_layer_range(values.get("layers")),
+            born=read_number(values, "born", 0),
         )
     except UNREADABLE_ERRORS as error:
         raise TransportError(
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -503,6 +503,7 @@
     unreachable: tuple[str, ...]
     leaving: tuple[str, ...]
     dead: tuple[DeadServer, ...]
+    cut_off: bool
 
 
 def _write_LoadReport(builder: Any, message: LoadReport) -> None:
@@ -514,6 +515,7 @@
     items = builder.init("dead", len(message.dead))
     for index, item in enumerate(message.dead):
         _write_DeadServer(items[index], item)
+    builder.cutOff = message.cut_off
 
 
 def _read_LoadReport(reader: Any) -> LoadReport:
@@ -522,6 +524,7 @@
         unreachable=tuple(reader.unreachable),
         leaving=tuple(reader.leaving),
         dead=tuple(_read_DeadServer(item) for item in reader.dead),
+        cut_off=reader.cutOff,
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -175,6 +175,8 @@
   leaving @2 :List(Text);
   # Servers whose process has ended: their hosts refused a connection.
   dead @3 :List(DeadServer);
+  # Whether the sender reaches no server at all.
+  cutOff @4 :Bool;
 }
 
 # The end of a server under a request; times are ages when the message was made.
