--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -566,9 +566,12 @@
         delay = find_election_delay(
             rank, is_store_reachable=self._store_reach.is_reachable
         )
+        if self._control_lease.is_ended_by_restore:
+            # No other router may act on a term from before the restore.
+            return timedelta(0)
         era_age = self._fleet_watcher.era_age
-        if delay is None or era_age is None or self._control_lease.is_ended_by_restore:
-            return delay
-        # The restored store lacks the lease of a holder that may not have heard of the
-        # restore, and acts until its time is over.
-        return max(delay, self._control_lease_ttl - era_age)
+        if era_age is not None and era_age < self._control_lease_ttl:
+            # The restored store lacks the lease of a holder that may not have heard of
+            # the restore, and acts until its time is over.
+            return None
+        return delay
--- a/hibiscustiller/ingress/tests/test_restored_store.py
+++ b/hibiscustiller/ingress/tests/test_restored_store.py
@@ -228,5 +228,33 @@
         assert await world.request_from_all("/newest/1") == {200}
 
 
+async def test_no_other_router_takes_control_before_the_old_term_is_over():
+    """Guards against two routers that place layers at the same time.
+
+    The restored store lacks the lease of the holder, which has not learnt of it yet.
+    """
+    async with RestoredWorld() as world:
+
+        def find_holders():
+            return [g for g in world.gateways if g._control_lease.term is not None]
+
+        await world.wait_until(find_holders)
+        (holder,) = find_holders()
+
+        async def believe_renewed():
+            return True
+
+        holder._control_lease.renew = believe_renewed
+        copy = world.store.copy()
+        del copy.items["control/holder"]
+        copy.time_to_live_by_lease.pop(holder._control_lease.term.lease)
+        await world.restore(copy)
+        until = await curio.clock() + holder._control_lease_ttl.total_seconds() - 0.3
+        while await curio.clock() < until:
+            assert find_holders() == [holder]
+            await curio.sleep(0.01)
+        await world.wait_until(lambda: len(find_holders()) == 2)
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
