Pass the requests of a router that reaches no server on to another one

Such a router now passes whole requests on to another one that says it reaches servers, and relays the answer; streams go on after their last event. The other router finds route, organisation and server itself, so limits, budgets and statements of servers apply once. Requests that were passed on are never passed on again; a router that is cut off or stopping declines them at once.

--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import cached_property
+from typing import Any
 
+from hibiscustiller.exceptions import TransportError
 from hibiscustiller.fleet import (
     BackendServer,
     IngressRoute,
@@ -39,6 +41,10 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+class CallerDisconnectedError(Exception):
+    """The caller closed the connection or does not read its answer."""
+
+
 @dataclass(frozen=True)
 class RequestContext:
     """A request with its route, organisation and timing.
@@ -51,6 +57,7 @@
     :param clock: source of time.
     :param get_stop_at: returns when this router stops to work on requests, on the
         monotonic clock; None while it is not stopping.
+    :param is_forwarded: whether another router passed the request on.
     """
 
     request: HttpRequest
@@ -62,6 +69,7 @@
     received_at: timedelta
     clock: Clock
     get_stop_at: Callable[[], timedelta | None] = lambda: None
+    is_forwarded: bool = False
 
     @property
     def priority(self) -> int:
@@ -188,3 +196,20 @@
         headers["retry-after"] = f"{refusal.retry_after.total_seconds():.2f}"
     body = describe_refusal(refusal)
     await responder.send_json(refusal.reason.status, body, headers)
+
+
+async def send_to_caller(coroutine: Coroutine[Any, Any, None]) -> None:
+    """Send to the caller, and keep its failures apart from those of a backend server.
+
+    :raises CallerDisconnectedError: if sending fails.
+    """
+    try:
+        await coroutine
+    except TransportError as error:
+        raise CallerDisconnectedError(str(error)) from error
+
+
+def is_event_stream(exchange: Exchange) -> bool:
+    """Tell whether an answer whose head was read is a stream of events."""
+    kinds = [value for name, value in exchange.fields if name == b"content-type"]
+    return bool(kinds) and kinds[0].startswith(b"text/event-stream")
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -17,6 +17,10 @@
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder
+from hibiscustiller.ingress._router_forwarding import (
+    DECLINED_HEADER,
+    RouterForwarder,
+)
 from hibiscustiller.ingress._routes import RouteTable, choose_service
 from hibiscustiller.platform import read_request_facts
 from hibiscustiller.utils import (
@@ -45,6 +49,8 @@
     :param parts: history of prompt parts under which backend servers crashed.
     :param budgets: retry budgets, which grow with the number of requests.
     :param apply_limits: called with the client limits of each new document.
+    :param routers: passes requests on while this router reaches no server.
+    :param is_cut_off: returns whether this router reaches no server.
     """
 
     def __init__(
@@ -59,7 +65,11 @@
         random_state: random.Random,
         metrics: Metrics,
         apply_limits: Callable[[ClientLimits], None],
+        routers: RouterForwarder,
+        is_cut_off: Callable[[], bool],
     ) -> None:
+        self._routers = routers
+        self._is_cut_off = is_cut_off
         self._view = view
         self._model_services = model_services
         self._plain_forwarder = plain_forwarder
@@ -82,14 +92,31 @@
         """
         self._stop_at = stop_at
 
-    async def handle(self, request: HttpRequest, responder: Responder) -> None:
-        """Forward a request, or refuse it if it cannot be dispatched."""
+    async def handle_forwarded(
+        self, request: HttpRequest, responder: Responder
+    ) -> None:
+        """Answer a request that another router passed on, or decline it."""
+        if self._is_cut_off() or self._stop_at is not None:
+            responder.extra_headers[DECLINED_HEADER] = "1"
+            await self._refuse(request, responder, _DECLINED)
+            return
+        await self.handle(request, responder, is_forwarded=True)
+
+    async def handle(
+        self, request: HttpRequest, responder: Responder, *, is_forwarded: bool = False
+    ) -> None:
+        """Forward a request, or refuse it if it cannot be dispatched.
+
+        :param is_forwarded: whether another router passed it on.
+        """
         received_at = self._clock.monotonic()
         table = self.update_route_table()
         if table is None:
             await send_refusal(responder, _NO_DOCUMENT)
             return
-        context_result = self._build_context(table, request, received_at)
+        context_result = self._build_context(
+            table, request, received_at, is_forwarded=is_forwarded
+        )
         if isinstance(context_result, Err):
             await self._refuse(request, responder, context_result.err_value)
             return
@@ -110,7 +137,12 @@
         return self._route_table
 
     def _build_context(
-        self, table: RouteTable, request: HttpRequest, received_at: timedelta
+        self,
+        table: RouteTable,
+        request: HttpRequest,
+        received_at: timedelta,
+        *,
+        is_forwarded: bool,
     ) -> Result[RequestContext, Refusal]:
         facts = read_request_facts(request.fields)
         path = request.target.partition(b"?")[0].decode("latin-1")
@@ -137,17 +169,25 @@
                 received_at,
                 self._clock,
                 lambda: self._stop_at,
+                is_forwarded,
             )
         )
 
     async def _forward(self, context: RequestContext, responder: Responder) -> None:
         service, kind = context.service, context.route.kind.value
-        self._budgets.record_request(service.name)
         self._metrics.count(f"requests.{kind}")
         if self._stop_at is not None and not self._can_end_before_stop(context):
+            self._budgets.record_request(service.name)
             context.log("request_refused_by_stop", time_left=context.time_left)
             await self._refuse(context.request, responder, _STOPPING)
             return
+        if self._is_cut_off() and not context.is_forwarded:
+            refusal = await self._routers.forward(context, responder)
+            if refusal is not None:
+                await self._refuse(context.request, responder, refusal)
+            return
+        # The router that answers a request counts it toward the budget.
+        self._budgets.record_request(service.name)
         refusal = self._parts.check(context.facts.prompt_parts)
         if refusal is None:
             refusal = await self._crashes.admit(context.fingerprint, context.time_left)
@@ -200,6 +240,12 @@
     "the router has not received a configuration yet",
     _NO_ROUTE_RETRY_AFTER,
 )
+_DECLINED = Refusal(
+    RefusalReason.NO_ROUTE,
+    Verdict.NOT_RUN,
+    "the router reaches no server, or is stopping",
+    _STOPPING_RETRY_AFTER,
+)
 _STOPPING = Refusal(
     RefusalReason.NO_ROUTE,
     Verdict.NOT_RUN,
--- a/hibiscustiller/ingress/_events.py
+++ b/hibiscustiller/ingress/_events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 _EVENT_END_PATTERN = re.compile(rb"\r?\n\r?\n")
@@ -23,6 +24,27 @@
     data: bytes
 
 
+def select_new_events(
+    events: Iterable[Event], last_id: int | None
+) -> tuple[list[Event], int | None]:
+    """Drop events that the caller already has.
+
+    :param last_id: id of the last event that the caller has; None for no event.
+    :returns: the new events, and the id of the last event with them.
+    :raises ValueError: if the ids are not consecutive.
+    """
+    new = []
+    for event in events:
+        if event.id is not None:
+            if last_id is not None and event.id <= last_id:
+                continue
+            if last_id is not None and event.id != last_id + 1:
+                raise ValueError(f"event {event.id} follows {last_id}")
+            last_id = event.id
+        new.append(event)
+    return new, last_id
+
+
 class EventSplitter:
     """Incremental splitter, which buffers bytes until an event is complete."""
 
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -33,6 +34,10 @@
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServerSelector
 from hibiscustiller.ingress._rate_limits import RateLimits
+from hibiscustiller.ingress._router_forwarding import (
+    FORWARDED_BY_HEADER,
+    RouterForwarder,
+)
 from hibiscustiller.ingress._server_reach import ServerReach
 from hibiscustiller.ingress._sharing import LoadSharing
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
@@ -92,6 +97,10 @@
     Verdict.MAY_HAVE_RUN,
     "the router stopped before the request was answered",
 )
+# Enough for the requests of several routers that reach no server themselves.
+_MAX_INNER_CONNECTIONS = 600
+# The name of the router that passes a request on, its deadline and its last event.
+_ADDED_HEADER_BYTES = 1024
 _INTERNAL_HTTP_LIMITS = HttpLimits(max_connections=64, max_body_bytes=1024)
 
 
@@ -198,6 +207,17 @@
             self._random_state,
             self._metrics,
         )
+        self._router_forwarder = RouterForwarder(
+            settings.router_id,
+            settings.domain,
+            self.view,
+            self._health,
+            HttpClient(clock, _CONNECT_TIMEOUT),
+            budgets,
+            clock,
+            self._random_state,
+            self._metrics,
+        )
         self.models = ModelServices(
             settings.router_id,
             settings.domain,
@@ -214,6 +234,7 @@
             clock,
             self._random_state,
             self._metrics,
+            self._router_forwarder,
         )
         self.view.subscribe(self.models.request_refresh)
         self._engine_monitor = EngineMonitor(
@@ -230,6 +251,7 @@
             budgets,
             self.view.count_routers,
             self._metrics,
+            self._router_forwarder,
         )
         self._dispatcher = RequestDispatcher(
             self.view,
@@ -242,6 +264,8 @@
             self._random_state,
             self._metrics,
             self._apply_limits,
+            self._router_forwarder,
+            lambda: self._health.is_cut_off,
         )
 
     def _build_store_clients(self) -> None:
@@ -372,7 +396,7 @@
         if settings.inner is not None:
             self._inner_server = HttpServer(
                 settings.inner,
-                self._snapshot_exchange.handle,
+                self._handle_inner,
                 _INTERNAL_HTTP_LIMITS,
                 "inner",
             )
@@ -439,6 +463,8 @@
         try:
             async with curio.timeout_after(max(0.0, time_left.total_seconds())):
                 await self.front.drain()
+                if self._inner_server is not None:
+                    await self._inner_server.drain()
         except curio.TaskTimeout:
             log_event("stop_cut_requests", level="warning", open=self.front.busy_count)
         # The entry is removed while the last answers are sent.
@@ -447,6 +473,8 @@
             _DEREGISTRATION_TIMEOUT.total_seconds(),
             self._registration.end(),
         )
+        if self._inner_server is not None:
+            await self._inner_server.abandon_requests(_STOPPED, timedelta(0))
         await self.front.abandon_requests(_STOPPED, _LAST_ANSWERS_TIME)
         await self.front.close()
         await deregistration.join()
@@ -516,6 +544,13 @@
         """Whether this daemon accepts new connections."""
         return not self._is_stopping and self.view.document is not None
 
+    async def _handle_inner(self, request: HttpRequest, responder: Responder) -> None:
+        """Handle the request of another router."""
+        if FORWARDED_BY_HEADER in request.headers_by_name:
+            await self._dispatcher.handle_forwarded(request, responder)
+        else:
+            await self._snapshot_exchange.handle(request, responder)
+
     async def _handle_readiness(
         self, request: HttpRequest, responder: Responder
     ) -> None:
@@ -529,6 +564,13 @@
             read_timeout=limits.header_timeout,
             idle_timeout=limits.idle_timeout,
         )
+        if self._inner_server is not None:
+            # Other routers have checked what they pass on, and add some headers to it.
+            self._inner_server.limits = replace(
+                self.front.limits,
+                max_connections=_MAX_INNER_CONNECTIONS,
+                max_header_bytes=limits.max_header_bytes + _ADDED_HEADER_BYTES,
+            )
 
     def _handle_health_change(self, is_own_result: bool) -> None:
         self.models.request_refresh()
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -16,6 +16,7 @@
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._rate_limits import RateLimits
+from hibiscustiller.ingress._router_forwarding import RouterForwarder
 from hibiscustiller.ingress._streams import StreamForwarder
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
@@ -68,6 +69,7 @@
     :param rate_limits: limits that servers named.
     :param client: HTTP client for the engines.
     :param budgets: retry budgets of the services.
+    :param routers: passes requests on while this router reaches no server.
     """
 
     def __init__(
@@ -87,7 +89,9 @@
         clock: Clock,
         random_state: random.Random,
         metrics: Metrics,
+        routers: RouterForwarder,
     ) -> None:
+        self._routers = routers
         self._router_id = router_id
         self._domain = domain
         self._view = view
@@ -269,6 +273,7 @@
             lambda excluded: self._find_alternative(service.name, excluded),
             self._view.count_routers,
             self._metrics,
+            self._routers,
         )
 
     def _make_admission(
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -30,6 +30,7 @@
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._part_history import compute_crash_id
 from hibiscustiller.ingress._rate_limits import RateLimits
+from hibiscustiller.ingress._router_forwarding import RouterForwarder
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import EngineLoad
 from hibiscustiller.platform import (
@@ -149,6 +150,7 @@
     :param budgets: decides whether a request may be sent to a second server.
     :param count_routers: returns the number of routers that share the connections of a
         server.
+    :param routers: passes requests on while this router reaches no server.
     """
 
     def __init__(
@@ -163,7 +165,9 @@
         budgets: RetryBudgets,
         count_routers: Callable[[], int],
         metrics: Metrics,
+        routers: RouterForwarder,
     ) -> None:
+        self.routers = routers
         self.crashes = crashes
         self.unanswered = unanswered
         self.rate_limits = rate_limits
@@ -187,6 +191,10 @@
         """
         attempts = _PlainAttempts(self, context, list(candidates))
         answer = await attempts.run()
+        if answer is None:
+            answer = await self.routers.forward(context, responder)
+            if answer is None:
+                return
         if isinstance(answer, Refusal):
             context.log(
                 "request_refused",
@@ -229,7 +237,12 @@
         self._waits_by_id: dict[ServerId, timedelta] = {}
         self.tried_ids: list[ServerId] = []
 
-    async def run(self) -> _Answer | Refusal:
+    async def run(self) -> _Answer | Refusal | None:
+        """Make attempts until there is an answer.
+
+        :returns: the answer, the reason why there is none, or None if another router
+            has to answer, because this one reaches no server.
+        """
         context = self._context
         last_answer: _Answer | None = None
         has_retry = False
@@ -247,6 +260,8 @@
                 if not await budgets.try_spend(context.service.name):
                     break
                 has_retry = True
+            if self._forwarder.health.is_cut_off and not context.is_forwarded:
+                return None
             rate_limits = self._forwarder.rate_limits
             wait = await rate_limits.acquire(server, context.priority)
             if wait is not None:
--- /dev/null
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -0,0 +1,285 @@
+"""Forwarding of requests to another router, which answers them in its own name.
+
+A router that is cut off from all servers is still reached by callers and by the other
+routers. It passes whole requests on: the other router finds the route, the organisation
+and the server itself, and applies all limits, so that a request is known to the servers
+and to the fleet once.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection
+from datetime import timedelta
+
+from hibiscustiller.discovery import FleetView, Peer
+from hibiscustiller.exceptions import TransportError
+from hibiscustiller.ingress._budget import RetryBudgets
+from hibiscustiller.ingress._context import (
+    MAX_BODY_BYTES,
+    CallerDisconnectedError,
+    RequestContext,
+    is_event_stream,
+    send_to_caller,
+)
+from hibiscustiller.ingress._events import EventSplitter, select_new_events
+from hibiscustiller.ingress._health import ServerHealth
+from hibiscustiller.platform import make_router_answer_fields, make_router_fields
+from hibiscustiller.utils import (
+    BackedOff,
+    Clock,
+    DomainId,
+    Metrics,
+    Refusal,
+    RefusalReason,
+    RouterId,
+    Verdict,
+)
+from hibiscustiller.wire import (
+    Exchange,
+    HttpClient,
+    RawRequest,
+    Responder,
+    find_described_length,
+)
+
+# Names the router that passes a request on; such a request is not passed on again.
+FORWARDED_BY_HEADER = "x-forwarded-by-router"
+# Set on refusals after which yet another router may be asked.
+DECLINED_HEADER = "x-router-declined"
+_DECLINED = DECLINED_HEADER.encode()
+# Each router that declines costs a round trip between routers.
+_MAX_ROUTERS = 3
+# A router that declined or was not reached is not asked again for this time.
+_DECLINED_BACKOFF = timedelta(seconds=1)
+_RETRY_AFTER = timedelta(milliseconds=500)
+_OK = 200
+
+
+class RouterForwarder:
+    """Passes requests on to other routers and relays their answers.
+
+    :param router_id: this router.
+    :param domain: its failure domain; routers there are preferred while enough of them
+        reach servers.
+    :param view: provides the other routers.
+    :param health: knows which routers are cut off from servers.
+    :param client: HTTP client for the other routers.
+    :param budgets: decides whether a request may be sent to a second server.
+    """
+
+    def __init__(
+        self,
+        router_id: RouterId,
+        domain: DomainId,
+        view: FleetView,
+        health: ServerHealth,
+        client: HttpClient,
+        budgets: RetryBudgets,
+        clock: Clock,
+        random_state: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.budgets = budgets
+        self._router_id = router_id
+        self._domain = domain
+        self._view = view
+        self._health = health
+        self.client = client
+        self._random_state = random_state
+        self.metrics = metrics
+        self.backed_off: BackedOff[RouterId] = BackedOff(clock)
+
+    async def forward(
+        self,
+        context: RequestContext,
+        responder: Responder,
+        last_event: int | None = None,
+    ) -> Refusal | None:
+        """Let another router answer a request.
+
+        :param last_event: id of the last event that the caller has of a stream whose
+            answer has begun.
+        :returns: why no router answered; None if one did.
+        :raises TransportError: if an answer that has begun cannot be completed, or the
+            caller has disconnected.
+        """
+        forwarding = _Forwarding(self, context, responder, last_event)
+        return await forwarding.run()
+
+    def choose(self, tried: Collection[RouterId]) -> Peer | None:
+        """Choose a router that probably reaches servers; None if there is none."""
+        unusable = {*tried, self._router_id, *self._health.cut_off_routers}
+        peers = [
+            peer
+            for peer in self._view.peers_by_id.values()
+            if peer.router_id not in unusable and peer.inner is not None
+        ]
+        peers = [p for p in peers if p.router_id not in self.backed_off] or peers
+        nearby = [peer for peer in peers if peer.domain == self._domain]
+        cut_nearby = sum(
+            self._view.peers_by_id[router_id].domain == self._domain
+            for router_id in self._health.cut_off_routers
+            if router_id in self._view.peers_by_id
+        )
+        # A few routers of a domain could not serve the callers of all others there.
+        if len(nearby) > cut_nearby:
+            peers = nearby
+        return self._random_state.choice(peers) if peers else None
+
+    def make_request(
+        self, context: RequestContext, last_event: int | None
+    ) -> RawRequest:
+        """Build the request to another router."""
+        fields = make_router_fields(
+            context.request.fields, context.caller_time_left, last_event
+        )
+        sender = (FORWARDED_BY_HEADER.encode(), self._router_id.encode())
+        request = context.request
+        return RawRequest(
+            request.method.encode(), request.target, (*fields, sender), request.body
+        )
+
+
+class _Forwarding:
+    """One request and the routers that it is passed on to."""
+
+    def __init__(
+        self,
+        forwarder: RouterForwarder,
+        context: RequestContext,
+        responder: Responder,
+        last_event: int | None,
+    ) -> None:
+        self._forwarder = forwarder
+        self._context = context
+        self._responder = responder
+        self._last_event = last_event
+        self._may_have_run = responder.is_started
+        self._tried: set[RouterId] = set()
+
+    async def run(self) -> Refusal | None:
+        while len(self._tried) < _MAX_ROUTERS and self._context.time_left > timedelta():
+            peer = self._forwarder.choose(self._tried)
+            if peer is None:
+                break
+            self._tried.add(peer.router_id)
+            try:
+                is_answered = await self._try(peer)
+                reason = "declined"
+            except CallerDisconnectedError as error:
+                raise TransportError(str(error), Verdict.MAY_HAVE_RUN) from error
+            except TimeoutError:
+                self._may_have_run = True
+                break
+            except TransportError as error:
+                is_answered, reason = False, str(error)
+                if error.verdict is Verdict.MAY_HAVE_RUN:
+                    self._may_have_run = True
+            self._log(peer, "answered" if is_answered else reason)
+            if is_answered:
+                return None
+            self._forwarder.backed_off.add(peer.router_id, _DECLINED_BACKOFF)
+            if self._may_have_run and not await self._may_repeat():
+                break
+        return self._make_failure()
+
+    async def _may_repeat(self) -> bool:
+        context = self._context
+        if not context.route.is_repeatable:
+            return False
+        return await self._forwarder.budgets.try_spend(context.service.name)
+
+    def _log(self, peer: Peer, outcome: str) -> None:
+        self._forwarder.metrics.count("router_forwarding")
+        self._context.log(
+            "request_forwarded",
+            router=peer.router_id,
+            outcome=outcome,
+            last_event=self._last_event,
+        )
+
+    def _make_failure(self) -> Refusal:
+        """Return why no router answered.
+
+        :raises TransportError: if the answer has begun, so that no other status can be
+            sent.
+        """
+        message = "this router reaches no server, and no other router answered"
+        if self._responder.is_started:
+            raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        if self._context.time_left <= timedelta(0) and self._may_have_run:
+            return Refusal(RefusalReason.BACKEND_TIMEOUT, Verdict.MAY_HAVE_RUN, message)
+        if self._may_have_run:
+            return Refusal(RefusalReason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, message)
+        return Refusal(RefusalReason.NO_ROUTE, Verdict.NOT_RUN, message, _RETRY_AFTER)
+
+    async def _try(self, peer: Peer) -> bool:
+        """Pass the request on to one router.
+
+        :returns: whether the caller has its answer; otherwise another may be asked.
+        :raises TransportError: if the router does not answer, or not to the end.
+        :raises TimeoutError: if the request's time is up.
+        """
+        assert peer.inner is not None
+        context = self._context
+        exchange = await self._forwarder.client.open_exchange(
+            peer.inner,
+            self._forwarder.make_request(context, self._last_event),
+            head_timeout=context.timeout_left,
+            is_fresh=not context.route.is_repeatable,
+        )
+        try:
+            await exchange.read_head(context.timeout_left)
+            if any(name == _DECLINED for name, _ in exchange.fields):
+                return False
+            if exchange.status == _OK and is_event_stream(exchange):
+                await self._relay_events(exchange)
+            elif self._responder.is_started:
+                message = f"status {exchange.status} after the answer had begun"
+                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+            else:
+                await self._relay_whole_answer(exchange)
+        finally:
+            await exchange.close()
+        return True
+
+    async def _relay_whole_answer(self, exchange: Exchange) -> None:
+        body = await exchange.read_body(self._context.timeout_left, MAX_BODY_BYTES)
+        if not exchange.is_framed:
+            message = "the answer of a router has no end of its own"
+            raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        fields = make_router_answer_fields(exchange.fields)
+        length = find_described_length(exchange.fields)
+        await send_to_caller(
+            self._responder.send_fields(exchange.status, fields, body, length)
+        )
+
+    async def _relay_events(self, exchange: Exchange) -> None:
+        """Relay whole events, so that another router can go on after the last one."""
+        splitter = EventSplitter()
+        while True:
+            part = await exchange.read_part(self._context.timeout_left)
+            if part is None:
+                break
+            try:
+                events, self._last_event = select_new_events(
+                    splitter.feed(part), self._last_event
+                )
+            except ValueError as error:
+                raise TransportError(str(error), Verdict.MAY_HAVE_RUN) from error
+            if events:
+                self._may_have_run = True
+                await self._start_response(exchange)
+                data = b"".join(event.data for event in events)
+                await send_to_caller(self._responder.send_part(data))
+        if splitter.rest or not exchange.is_framed:
+            message = "the stream of a router ended early"
+            raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        await self._start_response(exchange)
+        await send_to_caller(self._responder.finish())
+
+    async def _start_response(self, exchange: Exchange) -> None:
+        if not self._responder.is_started:
+            fields = make_router_answer_fields(exchange.fields)
+            await send_to_caller(self._responder.start_fields(exchange.status, fields))
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -5,10 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from enum import Enum
-from typing import Any
 
 import curio
 from result import Err
@@ -20,14 +19,18 @@
 from hibiscustiller.ingress._context import (
     MAX_BODY_BYTES,
     NOT_RUN_STATUSES,
+    CallerDisconnectedError,
     RequestContext,
+    is_event_stream,
     send_refusal,
+    send_to_caller,
 )
 from hibiscustiller.ingress._crash_history import CrashHistory
-from hibiscustiller.ingress._events import Event, EventSplitter
+from hibiscustiller.ingress._events import Event, EventSplitter, select_new_events
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._part_history import PartHistory, compute_crash_id
 from hibiscustiller.ingress._rate_limits import RateLimits
+from hibiscustiller.ingress._router_forwarding import RouterForwarder
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
     Demand,
@@ -76,10 +79,6 @@
 _NO_ORGANISATION = OrganisationId("")
 
 
-class CallerDisconnectedError(Exception):
-    """The caller closed the connection or does not read its answer."""
-
-
 class _Outcome(Enum):
     """Result of an attempt.
 
@@ -128,7 +127,9 @@
         find_fallback_pipeline: Callable[[Collection[ServerId]], Pipeline | None],
         count_routers: Callable[[], int],
         metrics: Metrics,
+        routers: RouterForwarder,
     ) -> None:
+        self.routers = routers
         self.find_fallback_pipeline = find_fallback_pipeline
         self.client = client
         self.admission = admission
@@ -256,6 +257,10 @@
             refusal = await self._check_retry_allowed(outcome)
             if refusal is not None:
                 return refusal
+            if self._forwarder.health.is_cut_off and not self._context.is_forwarded:
+                return await self._forwarder.routers.forward(
+                    self._context, self._responder, self._last_event
+                )
             next_grant = await self._acquire_next_grant()
             if next_grant is None:
                 return self._make_refusal("no other pipeline is available")
@@ -553,7 +558,7 @@
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
         if exchange.status != _STATUS_OK:
             return await self._relay_whole_answer(exchange)
-        if not _is_event_stream(exchange):
+        if not is_event_stream(exchange):
             return await self._relay_whole_answer(exchange)
         return await self._relay_events(exchange, grant)
 
@@ -610,7 +615,7 @@
             return _Outcome.BROKEN
         fields = make_caller_fields(exchange.fields)
         length = find_described_length(exchange.fields)
-        await _send_to_caller(
+        await send_to_caller(
             self._responder.send_fields(exchange.status, fields, body, length)
         )
         return _Outcome.FAILED if is_failure else _Outcome.ANSWERED
@@ -638,7 +643,7 @@
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
         await self._check_end(exchange, grant)
         await self._start_response(exchange)
-        await _send_to_caller(self._responder.finish())
+        await send_to_caller(self._responder.finish())
         return _Outcome.FINISHED
 
     async def _check_end(self, exchange: Exchange, grant: Grant) -> None:
@@ -673,17 +678,10 @@
 
         :raises TransportError: if the ids of the events are not consecutive.
         """
-        new = []
-        for event in events:
-            if event.id is not None:
-                last_id = self._last_event
-                if last_id is not None and event.id <= last_id:
-                    continue
-                if last_id is not None and event.id != last_id + 1:
-                    message = f"event {event.id} follows {last_id}"
-                    raise TransportError(message, Verdict.MAY_HAVE_RUN)
-                self._last_event = event.id
-            new.append(event)
+        try:
+            new, self._last_event = select_new_events(events, self._last_event)
+        except ValueError as error:
+            raise TransportError(str(error), Verdict.MAY_HAVE_RUN) from error
         return new
 
     async def _send_events(
@@ -700,7 +698,7 @@
         self._event_count += len(events)
         self._attempt_event_count += len(events)
         data = b"".join(event.data for event in events)
-        await _send_to_caller(self._responder.send_part(data))
+        await send_to_caller(self._responder.send_part(data))
 
     async def _start_response(self, exchange: Exchange) -> None:
         """Send the head unless it was sent.
@@ -710,7 +708,7 @@
         """
         if not self._responder.is_started:
             fields = make_caller_fields(exchange.fields)
-            await _send_to_caller(self._responder.start_fields(exchange.status, fields))
+            await send_to_caller(self._responder.start_fields(exchange.status, fields))
 
     def _check_parts(self) -> None:
         """Check that no part has been quarantined while the request waits at an engine.
@@ -775,19 +773,3 @@
     if route.target_gap is not None:
         caller_timeout = max(caller_timeout, route.target_gap * _CALLER_TIMEOUT_GAPS)
     return caller_timeout * _STALL_TIMEOUT_SHARE
-
-
-async def _send_to_caller(coroutine: Coroutine[Any, Any, None]) -> None:
-    """Send to the caller, and keep its failures apart from those of a backend server.
-
-    :raises CallerDisconnectedError: if sending fails.
-    """
-    try:
-        await coroutine
-    except TransportError as error:
-        raise CallerDisconnectedError(str(error)) from error
-
-
-def _is_event_stream(exchange: Exchange) -> bool:
-    kinds = [value for name, value in exchange.fields if name == b"content-type"]
-    return bool(kinds) and kinds[0].startswith(b"text/event-stream")
--- a/hibiscustiller/platform/_fields.py
+++ b/hibiscustiller/platform/_fields.py
@@ -183,6 +183,29 @@
     return tuple(kept)
 
 
+def make_router_fields(
+    fields: Iterable[Field], time_left: timedelta, last_event: int | None
+) -> tuple[Field, ...]:
+    """Make the headers of a caller's request that another router is to answer.
+
+    :param fields: the caller's headers.
+    :param time_left: what is left of the caller's wait.
+    :param last_event: the event after which a stream goes on.
+    """
+    changed = {_DEADLINE, _LAST_EVENT, b"expect"}
+    kept = [field for field in _drop_hop_by_hop(fields) if field[0] not in changed]
+    milliseconds = max(1, time_left // timedelta(milliseconds=1))
+    kept.append((_DEADLINE, str(milliseconds).encode()))
+    if last_event is not None:
+        kept.append((_LAST_EVENT, str(last_event).encode()))
+    return tuple(kept)
+
+
+def make_router_answer_fields(fields: Iterable[Field]) -> tuple[Field, ...]:
+    """Make the headers of the answer to a caller from another router's."""
+    return tuple(_drop_hop_by_hop(fields))
+
+
 def read_answer_facts(status: int, fields: Iterable[Field]) -> AnswerFacts:
     """Read the headers of a backend server's answer."""
     by_name = dict(fields)
