--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -18,7 +19,8 @@
     StoreReach,
     StoreRelay,
 )
-from hibiscustiller.fleet import ClientLimits, HostSettings
+from hibiscustiller.exceptions import TransportError
+from hibiscustiller.fleet import BackendServer, ClientLimits, HostSettings
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._crash_messages import PART_CODEC, REQUEST_CODEC
@@ -32,11 +34,16 @@
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServerSelector
 from hibiscustiller.ingress._rate_limits import RateLimits
+from hibiscustiller.ingress._router_forwarding import (
+    FORWARDED_BY_HEADER,
+    RouterForwarder,
+)
+from hibiscustiller.ingress._server_reach import ServerReach
 from hibiscustiller.ingress._sharing import LoadSharing
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import EngineLoad, LayerPlacer
 from hibiscustiller.leadership import ControlLease, find_election_delay
-from hibiscustiller.platform import MetadataStore
+from hibiscustiller.platform import MetadataStore, read_engine_report
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     Clock,
@@ -47,12 +54,14 @@
     rank_by_rendezvous,
 )
 from hibiscustiller.wire import (
+    Connect,
     DatagramSocket,
     HttpClient,
     HttpLimits,
     HttpRequest,
     HttpServer,
     Responder,
+    open_connection,
 )
 
 # A slow store answers within this time; a store that does not is taken to be down.
@@ -88,6 +97,10 @@
     Verdict.MAY_HAVE_RUN,
     "the router stopped before the request was answered",
 )
+# Enough for the requests of several routers that reach no server themselves.
+_MAX_INNER_CONNECTIONS = 600
+# The name of the router that passes a request on, its deadline and its last event.
+_ADDED_HEADER_BYTES = 1024
 _INTERNAL_HTTP_LIMITS = HttpLimits(max_connections=64, max_body_bytes=1024)
 
 
@@ -99,6 +112,7 @@
     :param random_state: source of random choices and jitter.
     :param metrics: counters and histograms.
     :param inspection_port: port of ``/metrics`` and ``/state``; 0 for any free port.
+    :param connect: opens connections to backend servers.
     """
 
     def __init__(
@@ -108,7 +122,9 @@
         random_state: random.Random,
         metrics: ExposedMetrics,
         inspection_port: int = 0,
+        connect: Connect = open_connection,
     ) -> None:
+        self._connect = connect
         self._settings = settings
         self._clock = clock
         self._random_state = random_state
@@ -117,6 +133,14 @@
         self._tasks: list[curio.Task] = []
         self.view = FleetView(clock, settings.drain)
         self._load = EngineLoad(clock)
+        self._reach = ServerReach(
+            clock,
+            random_state,
+            connect,
+            self.view.list_all_servers,
+            self._handle_reach_change,
+        )
+        self._server_client = HttpClient(clock, _CONNECT_TIMEOUT, connect)
         self._health = ServerHealth(
             clock,
             self.view.get_server,
@@ -124,6 +148,10 @@
             self.view.count_routers,
             self.view.is_replaced,
             settings.drain,
+            connect,
+            self._reach,
+            self._read_born,
+            random_state,
         )
         router_id = settings.router_id
         self._parts = PartHistory(
@@ -157,7 +185,7 @@
 
     def _build_forwarders(self) -> None:
         settings, clock = self._settings, self._clock
-        client = HttpClient(clock, _CONNECT_TIMEOUT)
+        client = self._server_client
         inner = Address(settings.ip, settings.inner_ports[0])
         self._datagrams = DatagramSocket(settings.router_id, inner)
         self._rate_limits = RateLimits(
@@ -179,6 +207,17 @@
             self._random_state,
             self._metrics,
         )
+        self._router_forwarder = RouterForwarder(
+            settings.router_id,
+            settings.domain,
+            self.view,
+            self._health,
+            HttpClient(clock, _CONNECT_TIMEOUT),
+            budgets,
+            clock,
+            self._random_state,
+            self._metrics,
+        )
         self.models = ModelServices(
             settings.router_id,
             settings.domain,
@@ -195,10 +234,11 @@
             clock,
             self._random_state,
             self._metrics,
+            self._router_forwarder,
         )
         self.view.subscribe(self.models.request_refresh)
         self._engine_monitor = EngineMonitor(
-            clock, self._health, self.models.list_watched
+            clock, self._health, self.models.list_watched, self._connect
         )
         plain_forwarder = PlainForwarder(
             client,
@@ -211,6 +251,7 @@
             budgets,
             self.view.count_routers,
             self._metrics,
+            self._router_forwarder,
         )
         self._dispatcher = RequestDispatcher(
             self.view,
@@ -223,6 +264,8 @@
             self._random_state,
             self._metrics,
             self._apply_limits,
+            self._router_forwarder,
+            lambda: self._health.is_cut_off,
         )
 
     def _build_store_clients(self) -> None:
@@ -328,10 +371,11 @@
             lambda: self.view.has_lease_holder,
             lambda: self.view.is_settled,
             self.models.list_groups,
-            HttpClient(clock, _CONNECT_TIMEOUT),
+            HttpClient(clock, _CONNECT_TIMEOUT, self._connect),
             clock,
             self._get_election_delay,
             _CONTROL_RENEWAL_PERIOD,
+            lambda: not self._health.is_cut_off,
         )
 
     def _build_servers(self) -> None:
@@ -352,7 +396,7 @@
         if settings.inner is not None:
             self._inner_server = HttpServer(
                 settings.inner,
-                self._snapshot_exchange.handle,
+                self._handle_inner,
                 _INTERNAL_HTTP_LIMITS,
                 "inner",
             )
@@ -374,6 +418,7 @@
             self._snapshot_exchange.run,
             self._registration.run,
             self._layer_placer.run,
+            self._reach.run,
             self._health.run,
             self._unanswered.run,
             self._rate_limits.run,
@@ -418,6 +463,8 @@
         try:
             async with curio.timeout_after(max(0.0, time_left.total_seconds())):
                 await self.front.drain()
+                if self._inner_server is not None:
+                    await self._inner_server.drain()
         except curio.TaskTimeout:
             log_event("stop_cut_requests", level="warning", open=self.front.busy_count)
         # The entry is removed while the last answers are sent.
@@ -426,6 +473,8 @@
             _DEREGISTRATION_TIMEOUT.total_seconds(),
             self._registration.end(),
         )
+        if self._inner_server is not None:
+            await self._inner_server.abandon_requests(_STOPPED, timedelta(0))
         await self.front.abandon_requests(_STOPPED, _LAST_ANSWERS_TIME)
         await self.front.close()
         await deregistration.join()
@@ -457,6 +506,8 @@
             "store_era": self._fleet_watcher.revision.era,
             "routers": sorted(self.view.peers_by_id),
             "unreachable": self._health.list_unreachable(),
+            "is_cut_off": self._health.is_cut_off,
+            "cut_off_routers": sorted(self._health.cut_off_routers),
             "waiting": {
                 name: forwarder.admission.waiting_count
                 for name, forwarder in self.models.forwarders_by_service.items()
@@ -493,6 +544,13 @@
         """Whether this daemon accepts new connections."""
         return not self._is_stopping and self.view.document is not None
 
+    async def _handle_inner(self, request: HttpRequest, responder: Responder) -> None:
+        """Handle the request of another router."""
+        if FORWARDED_BY_HEADER in request.headers_by_name:
+            await self._dispatcher.handle_forwarded(request, responder)
+        else:
+            await self._snapshot_exchange.handle(request, responder)
+
     async def _handle_readiness(
         self, request: HttpRequest, responder: Responder
     ) -> None:
@@ -506,6 +564,13 @@
             read_timeout=limits.header_timeout,
             idle_timeout=limits.idle_timeout,
         )
+        if self._inner_server is not None:
+            # Other routers have checked what they pass on, and add some headers to it.
+            self._inner_server.limits = replace(
+                self.front.limits,
+                max_connections=_MAX_INNER_CONNECTIONS,
+                max_header_bytes=limits.max_header_bytes + _ADDED_HEADER_BYTES,
+            )
 
     def _handle_health_change(self, is_own_result: bool) -> None:
         self.models.request_refresh()
@@ -513,21 +578,42 @@
         if is_own_result:
             self._load_sharing.request_send()
 
+    def _handle_reach_change(self) -> None:
+        # Other routers choose by it which router they pass requests to.
+        self._load_sharing.request_send()
+
+    async def _read_born(self, server: BackendServer) -> int | None:
+        """Ask an engine for the start time of its process; None if it does not tell."""
+        try:
+            report = await read_engine_report(
+                self._server_client, server, _CONNECT_TIMEOUT
+            )
+        except TransportError as error:
+            log_event("engine_report_failed", level="warning", reason=error)
+            return None
+        return report.born
+
     async def _handle_store_return(self) -> None:
         self.view.handle_store_return()
         await self._store_client.close()
         await self._fleet_watcher.restart()
 
     def _get_election_delay(self) -> timedelta | None:
+        if self._health.is_cut_off:
+            # It could not send orders to engines.
+            return None
         router_id = self._settings.router_id
         names = {*self.view.peers_by_id, router_id}
         rank = rank_by_rendezvous("control", names).index(router_id)
         delay = find_election_delay(
             rank, is_store_reachable=self._store_reach.is_reachable
         )
+        if self._control_lease.is_ended_by_restore:
+            # No other router may act on a term from before the restore.
+            return timedelta(0)
         era_age = self._fleet_watcher.era_age
-        if delay is None or era_age is None or self._control_lease.is_ended_by_restore:
-            return delay
-        # The restored store lacks the lease of a holder that may not have heard of the
-        # restore, and acts until its time is over.
-        return max(delay, self._control_lease_ttl - era_age)
+        if era_age is not None and era_age < self._control_lease_ttl:
+            # The restored store lacks the lease of a holder that may not have heard of
+            # the restore, and acts until its time is over.
+            return None
+        return delay
