Test what else must hold while a router is cut off from servers

Streams in flight, requests that must not be repeated, organisation and deadline, routers that are all cut off, planned stops, callers that leave, the rate of connections, control, and the loss of all servers.

--- a/hibiscustiller/ingress/tests/test_routers_cut_off.py
+++ b/hibiscustiller/ingress/tests/test_routers_cut_off.py
@@ -140,5 +140,204 @@
             await world.wait_until(lambda g=gateway: world.count_pipelines(g) == 1, 1.0)
 
 
+def find_event_ids(body):
+    return [
+        int(line.removeprefix(b"id:"))
+        for line in body.splitlines()
+        if line.startswith(b"id:")
+    ]
+
+
+async def test_streams_that_run_when_the_links_are_cut_go_on_elsewhere():
+    """Guards against broken streams, and events that are missing or repeated."""
+    for kind in CUTS:
+        async with CutWorld(retry_slack=200.0) as world:
+            for engine in world.engines:
+                engine._event_count, engine._event_period_s = 40, 0.05
+            async with curio.TaskGroup() as tasks:
+                for _ in range(4):
+                    await tasks.spawn(world.request, "/chat/1", world.cut_gateway)
+                await curio.sleep(0.6)
+                await world.links.cut(kind)
+            for answer in tasks.results:
+                assert answer.status == 200 and answer.is_complete, kind
+                ids = find_event_ids(answer.body)
+                assert ids == list(range(ids[0], ids[0] + 40)), (kind, ids)
+
+
+async def test_requests_that_must_not_be_repeated_run_once_around_a_cut():
+    """Guards against a booking that runs again through another router."""
+    for kind in CUTS:
+        async with CutWorld() as world:
+            for server in world.plain:
+                server._work_s = 0.1
+            async with curio.TaskGroup() as tasks:
+                for number in range(30):
+                    await tasks.spawn(
+                        lambda request_id=f"{number}": world.request(
+                            "/book/1", world.cut_gateway, request_id=request_id
+                        )
+                    )
+                    if number == 15:
+                        await world.links.cut(kind)
+                    await curio.sleep(0.02)
+            runs = [
+                request.headers_by_name["request-id"]
+                for server in world.plain
+                for request in server.requests
+            ]
+            assert len(runs) == len(set(runs)), kind
+            for answer in tasks.results:
+                assert answer.status in (200, 502, 503, 504), (kind, answer.status)
+            # A status of 503 promises that the request has not run and never will.
+            refused = {f"{n}" for n, a in enumerate(tasks.results) if a.status == 503}
+            assert refused.isdisjoint(runs), kind
+
+
+async def test_another_router_serves_for_the_same_organisation_and_deadline():
+    """Guards against a request that changes on its way through two routers."""
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        for server in world.plain:
+            server.requests.clear()
+        answer = await world.request(
+            "/stock/1",
+            world.cut_gateway,
+            request_id="one",
+            headers=[("x-forwarded-by-router", "a-caller"), ("x-own", "kept")],
+        )
+        assert answer.status == 200 and answer.headers["request-id"] == "one"
+        (request,) = [r for server in world.plain for r in server.requests]
+        headers = request.headers_by_name
+        assert (headers["tenant"], headers["request-id"]) == ("greens", "one")
+        assert headers["x-own"] == "kept" and "authorization" not in headers
+        assert 3000 < int(headers["deadline-ms"]) <= 5000
+        answer = await world.request("/stock/1", world.cut_gateway, key="unknown")
+        assert answer.status == 401
+        # A caller cannot let a sound router treat its request as passed on.
+        forged = [("x-forwarded-by-router", "router-2")]
+        answer = await world.request("/stock/1", world.gateway, headers=forged)
+        assert answer.status == 200
+
+
+async def test_requests_are_refused_at_once_if_no_router_reaches_a_server():
+    """Guards against requests that routers pass to each other in a circle."""
+    async with CutWorld() as world:
+        second = ServerLinks()
+        fourth = await world.start_other("router-4", second.connect)
+        await world.kill(world.gateway)
+        await world.kill(world.others[0])
+        await world.links.cut(Cut.REFUSED_NEW)
+        await second.cut(Cut.REFUSED_NEW)
+        for gateway in (world.cut_gateway, fourth):
+            await world.request("/stock/1", gateway)
+            await world.wait_until(lambda g=gateway: g.describe()["is_cut_off"])
+        for path in ("/stock/1", "/book/1", "/chat/1"):
+            began_at = await curio.clock()
+            answer = await world.request(path, world.cut_gateway)
+            assert answer.status == 503 and "retry-after" in answer.headers, path
+            assert await curio.clock() - began_at < 1.0, path
+        world.gateway = world.cut_gateway
+        world.others.remove(world.cut_gateway)
+
+
+async def test_a_router_that_stops_declines_what_others_pass_on():
+    """Guards against requests that are lost with the planned stop of another router."""
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        for engine in world.engines:
+            engine._event_count, engine._event_period_s = 20, 0.05
+        async with curio.TaskGroup() as tasks:
+            for _ in range(6):
+                await tasks.spawn(world.request, "/chat/1", world.cut_gateway)
+            await curio.sleep(0.2)
+            stop = await curio.spawn(world.others[0].stop)
+            await curio.sleep(0.1)
+            for _ in range(6):
+                await tasks.spawn(world.request, "/chat/1", world.cut_gateway)
+                await tasks.spawn(world.request, "/book/1", world.cut_gateway)
+        assert {answer.status for answer in tasks.results} == {200}
+        assert all(answer.is_complete for answer in tasks.results)
+        await stop.join()
+        world.others.pop(0)
+
+
+async def test_a_caller_that_leaves_ends_its_request_at_the_other_router():
+    """Guards against work for callers that have left."""
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        for engine in world.engines:
+            engine._event_count, engine._event_period_s = 200, 0.05
+        sock = await world.connect(world.cut_gateway)
+        task = await curio.spawn(world.exchange, sock, "/chat/1", daemon=True)
+        await curio.sleep(0.4)
+        assert sum(g.front.busy_count for g in world.gateways) == 1
+        await task.cancel()
+        await sock.close()
+        await curio.sleep(0.4)
+        for gateway in world.gateways:
+            assert gateway.front.busy_count == 0
+            assert gateway._inner_server.busy_count == 0
+            assert not gateway.describe()["in_flight"]
+
+
+async def test_a_router_that_is_cut_off_connects_rarely_until_it_is_back():
+    """Guards against routers that flood servers with connections during a cut."""
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 1.0)
+        before = world.links.connect_count
+        await world.keep_busy(world.cut_gateway, 2.0)
+        # Two connections each half second, and the monitors of idle connections.
+        assert world.links.connect_count - before <= 16
+        # Without failures no connection serves to test the links.
+        world.links.mend()
+        await world.wait_until(lambda: not world.cut_gateway.describe()["is_cut_off"])
+        assert world.cut_gateway._router_forwarder.choose(()) is not None
+
+
+async def test_a_router_that_is_cut_off_leaves_control_to_another():
+    """Guards against layers that nobody places while the holder reaches no engine."""
+    async with CutWorld() as world:
+
+        def find_holders():
+            return [g for g in world.gateways if g._control_lease.term is not None]
+
+        await world.wait_until(find_holders)
+        holders = find_holders()
+        if holders != [world.cut_gateway]:
+            await holders[0]._layer_placer.release()
+            for gateway in world.sound_gateways:
+                gateway._layer_placer._is_stopping = True
+            await world.wait_until(lambda: world.cut_gateway._control_lease.term)
+            for gateway in world.sound_gateways:
+                gateway._layer_placer._is_stopping = False
+                await curio.spawn(gateway._layer_placer.run, daemon=True)
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        await world.wait_until(
+            lambda: any(g._control_lease.term for g in world.sound_gateways)
+        )
+        assert world.cut_gateway._control_lease.term is None
+
+
+async def test_the_loss_of_all_servers_is_survived():
+    """Guards against routers that stay cut off after all servers have crashed."""
+    async with CutWorld() as world:
+        for server in [*world.engines, *world.plain]:
+            await curio.spawn(server.crash, daemon=True)
+        for gateway in world.gateways:
+            for path in ("/stock/1", "/book/1"):
+                answer = await world.request(path, gateway)
+                assert answer.status in (502, 503, 504), answer.status
+        await curio.sleep(2.5)
+        for gateway in world.gateways:
+            for path in ("/stock/1", "/book/1"):
+                assert (await world.request(path, gateway)).status == 200
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
