--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -98,8 +98,8 @@
     ) -> Refusal | None:
         """Let another router answer a request.
 
-        :param last_event: id of the last event that the caller has of a stream whose
-            answer has begun.
+        :param last_event: id of the last event that this router sent; None if it sent
+            none.
         :returns: why no router answered; None if one did.
         :raises TransportError: if an answer that has begun cannot be completed, or the
             caller has disconnected.
@@ -154,6 +154,8 @@
         self._forwarder = forwarder
         self._context = context
         self._responder = responder
+        if last_event is None:
+            last_event = context.facts.last_event
         self._last_event = last_event
         self._may_have_run = responder.is_started
         self._tried: set[RouterId] = set()
--- a/hibiscustiller/ingress/tests/test_routers_cut_off.py
+++ b/hibiscustiller/ingress/tests/test_routers_cut_off.py
@@ -165,6 +165,22 @@
                 assert ids == list(range(ids[0], ids[0] + 40)), (kind, ids)
 
 
+async def test_a_stream_that_its_caller_resumes_goes_on_after_its_last_event():
+    """Guards against events that a caller gets twice because its resumption is lost.
+
+    Two callers on tizas-norte, refused connections, seed 2, got a stream from the start
+    again.
+    """
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        answer = await world.request(
+            "/chat/1", world.cut_gateway, headers=[("last-event-id", "7")]
+        )
+        assert answer.status == 200 and answer.is_complete
+        assert find_event_ids(answer.body)[0] == 8
+
+
 async def test_requests_that_must_not_be_repeated_run_once_around_a_cut():
     """Guards against a booking that runs again through another router."""
     for kind in CUTS:
