Tell a router that is cut off from one service, and verify reports once

Orders were refused at routers that reached the engines and no plain server. A router passes requests on if it reaches no server of their service. The end of a process is believed only while another server of its service can be reached.

--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -14,6 +14,7 @@
 from hibiscustiller.ingress._context import RequestContext, send_refusal
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._durations import RouteDurations
+from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder
@@ -50,7 +51,7 @@
     :param budgets: retry budgets, which grow with the number of requests.
     :param apply_limits: called with the client limits of each new document.
     :param routers: passes requests on while this router reaches no server.
-    :param is_cut_off: returns whether this router reaches no server.
+    :param health: reachability of the servers.
     """
 
     def __init__(
@@ -66,10 +67,10 @@
         metrics: Metrics,
         apply_limits: Callable[[ClientLimits], None],
         routers: RouterForwarder,
-        is_cut_off: Callable[[], bool],
+        health: ServerHealth,
     ) -> None:
         self._routers = routers
-        self._is_cut_off = is_cut_off
+        self._health = health
         self._view = view
         self._model_services = model_services
         self._plain_forwarder = plain_forwarder
@@ -96,9 +97,8 @@
         self, request: HttpRequest, responder: Responder
     ) -> None:
         """Answer a request that another router passed on, or decline it."""
-        if self._is_cut_off() or self._stop_at is not None:
-            responder.extra_headers[DECLINED_HEADER] = "1"
-            await self._refuse(request, responder, _DECLINED)
+        if self._health.is_cut_off or self._stop_at is not None:
+            await self._decline(request, responder)
             return
         await self.handle(request, responder, is_forwarded=True)
 
@@ -181,10 +181,9 @@
             context.log("request_refused_by_stop", time_left=context.time_left)
             await self._refuse(context.request, responder, _STOPPING)
             return
-        if self._is_cut_off() and not context.is_forwarded:
-            refusal = await self._routers.forward(context, responder)
-            if refusal is not None:
-                await self._refuse(context.request, responder, refusal)
+        servers = self._view.list_servers(service.name)
+        if servers and not self._health.is_any_reachable(servers):
+            await self._pass_on(context, responder)
             return
         # The router that answers a request counts it toward the budget.
         self._budgets.record_request(service.name)
@@ -207,13 +206,26 @@
                     context, responder
                 )
             else:
-                servers = self._view.list_servers(service.name)
                 await self._plain_forwarder.forward(context, servers, responder)
             if responder.is_finished and responder.status < _FIRST_ERROR_STATUS:
                 self._durations.record(context.route, context.age)
         finally:
             self._metrics.timing(f"request.{kind}", context.age)
 
+    async def _pass_on(self, context: RequestContext, responder: Responder) -> None:
+        """Let another router answer a request, unless it comes from one."""
+        if context.is_forwarded:
+            await self._decline(context.request, responder)
+            return
+        refusal = await self._routers.forward(context, responder)
+        if refusal is not None:
+            await self._refuse(context.request, responder, refusal)
+
+    async def _decline(self, request: HttpRequest, responder: Responder) -> None:
+        """Refuse a request so that the router that passed it on asks another one."""
+        responder.extra_headers[DECLINED_HEADER] = "1"
+        await self._refuse(request, responder, _DECLINED)
+
     def _can_end_before_stop(self, context: RequestContext) -> bool:
         """Tell whether a request will probably be answered before the router stops."""
         assert self._stop_at is not None
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -265,7 +265,7 @@
             self._metrics,
             self._apply_limits,
             self._router_forwarder,
-            lambda: self._health.is_cut_off,
+            self._health,
         )
 
     def _build_store_clients(self) -> None:
--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -20,7 +20,7 @@
 
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._refusals import ServerRefusals
-from hibiscustiller.ingress._server_reach import ServerReach
+from hibiscustiller.ingress._server_reach import Reach, ServerReach
 from hibiscustiller.ingress._server_statements import ServerStatements
 from hibiscustiller.utils import Clock, RouterId, ServerId, log_event
 from hibiscustiller.wire import Connect, open_connection
@@ -40,6 +40,9 @@
 # other router may itself be cut off, and names the server in each of its reports.
 _REPORTED_CHECK_PERIOD = timedelta(seconds=2)
 _RECHECK_PERIOD = timedelta(milliseconds=500)
+# Servers that are connected to in each such period. If one of them is back, all others
+# are connected to as well.
+_MAX_RECHECKS = 4
 # A process that is taken for ended is connected to again after about this time: only
 # the link to it may have been lost.
 _ENDED_RECHECK_PERIOD = timedelta(seconds=2)
@@ -179,6 +182,10 @@
         born, reached_at = self._reached_by_id.get(server.id, (None, None))
         return reached_at if born == server.born else None
 
+    def is_any_reachable(self, servers: Iterable[BackendServer]) -> bool:
+        """Tell whether this router may reach any of some servers."""
+        return not self.is_cut_off and any(map(self.is_reachable, servers))
+
     def list_unreachable(self) -> list[ServerId]:
         """Return the servers that cannot be reached."""
         return [
@@ -214,14 +221,24 @@
             return
         is_small_fleet = self._count_routers() <= _BASE_ROUTER_COUNT
         if is_small_fleet and not self.reach.is_cut_off:
-            await self._verify_end(server, now)
+            # A report names all such servers again and again; one check serves all.
+            if server_id not in self._pending_checks:
+                await curio.spawn(self._verify_end, server, now, daemon=True)
             return
         error = ConnectionRefusedError("connection of another router was refused")
         outage = _Outage(server.born, is_ended=True, has_lost_layers=True)
         self._record_outage(server, outage, error, is_reported=True)
 
     async def _verify_end(self, server: BackendServer, now: timedelta) -> None:
-        await curio.spawn(self._check_server, server, now, daemon=True)
+        """Check a process that another router reported to have ended."""
+        await self._check_server(server, now)
+        if self.is_reachable(server) and not self.reach.is_cut_off:
+            self._dispute_end(server)
+
+    def _dispute_end(self, server: BackendServer) -> None:
+        """Disbelieve reports that a process has ended, for some time."""
+        until = self._clock.monotonic() + _DISPUTED_TIME
+        self._disputed_until[server.id, server.born] = until
 
     async def check(
         self, servers: Iterable[BackendServer], since: timedelta | None = None
@@ -282,7 +299,12 @@
             elif now >= outage.recheck_at:
                 outage.recheck_at = self._choose_recheck_time()
                 ended_servers.append(server)
-        await self.check(lost_servers)
+        # A router that has lost its links to many servers must not flood them.
+        count = min(len(lost_servers), _MAX_RECHECKS)
+        chosen = self._random_state.sample(lost_servers, count)
+        await self.check(chosen)
+        if any(self.is_reachable(server) for server in chosen):
+            await self.check(lost_servers)
         async with curio.TaskGroup() as group:
             for server in ended_servers:
                 await group.spawn(self._recheck_ended, server)
@@ -309,8 +331,7 @@
         outage = self._outages.get(server.id)
         if outage is not None and outage.born == server.born:
             del self._outages[server.id]
-            until = self._clock.monotonic() + _DISPUTED_TIME
-            self._disputed_until[server.id, server.born] = until
+            self._dispute_end(server)
             log_event("server_reachable", server=server.id, was_ended=True)
             self._on_change(True)
 
@@ -343,12 +364,15 @@
         try:
             await _try_connect(server, self._open_connection)
         except OSError as error:
-            if not await self.reach.is_other_reachable(server, started_at):
+            reach = await self.reach.compare(server, started_at)
+            if reach is Reach.NONE:
                 return
             # The next process of a plain service needs no state of the lost one.
             has_layers = server.layers.width > 0
-            is_refused = isinstance(error, ConnectionRefusedError)
-            outage = _Outage(server.born, is_refused, is_refused and has_layers)
+            is_ended = reach is Reach.SERVICE and isinstance(
+                error, ConnectionRefusedError
+            )
+            outage = _Outage(server.born, is_ended, is_ended and has_layers)
             self._record_outage(server, outage, error)
             return
         self.reach.record_reached(server.id)
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -260,7 +260,7 @@
                 if not await budgets.try_spend(context.service.name):
                     break
                 has_retry = True
-            if self._forwarder.health.is_cut_off and not context.is_forwarded:
+            if self._is_out_of_reach() and not context.is_forwarded:
                 return None
             rate_limits = self._forwarder.rate_limits
             wait = await rate_limits.acquire(server, context.priority)
@@ -293,6 +293,11 @@
             RefusalReason.NO_ROUTE, "no server accepted the request", last_answer
         )
 
+    def _is_out_of_reach(self) -> bool:
+        """Tell whether this router reaches no server of the service."""
+        health = self._forwarder.health
+        return bool(self._candidates) and not health.is_any_reachable(self._candidates)
+
     def _make_wait_refusal(self) -> Refusal:
         """Return the refusal of a request that no server takes now."""
         wait = min(self._waits_by_id.values())
--- a/hibiscustiller/ingress/_server_reach.py
+++ b/hibiscustiller/ingress/_server_reach.py
@@ -1,8 +1,8 @@
 """Whether this router reaches backend servers at all.
 
-A router whose links to all servers are cut finds each of them refusing or silent, as if
-all had ended. A server is therefore taken for lost only if this router reaches another
-one at that time; otherwise the router takes itself for cut off.
+A router whose links to servers are cut finds each of them refusing or silent, as if all
+had ended. A server is therefore taken for ended only if this router reaches another one
+of its service at that time. A router that reaches no server at all is cut off.
 """
 
 from __future__ import annotations
@@ -10,11 +10,12 @@
 import random
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from enum import Enum
 
 import curio
 
 from hibiscustiller.fleet import BackendServer
-from hibiscustiller.utils import Clock, ServerId, log_event
+from hibiscustiller.utils import Clock, ServerId, ServiceName, log_event
 from hibiscustiller.wire import Connect
 
 # Connections take about 2 ms.
@@ -29,6 +30,18 @@
 _PERIOD_JITTER = 0.2
 
 
+class Reach(Enum):
+    """Which other servers can be reached when one cannot.
+
+    SERVICE is another server of the same service, or that there is no other one. OTHER
+    is a server of another service only, and NONE is no server.
+    """
+
+    SERVICE = "service"
+    OTHER = "other"
+    NONE = "none"
+
+
 class ServerReach:
     """Connects to servers to tell the loss of one from the loss of all links.
 
@@ -51,7 +64,7 @@
         self._list_servers = list_servers
         self._on_change = on_change
         self._reached_at_by_id: dict[ServerId, timedelta] = {}
-        self._pending_probe: curio.Event | None = None
+        self._pending_probes: dict[ServiceName, curio.Event] = {}
         self.is_cut_off = False
 
     def record_reached(self, server_id: ServerId) -> None:
@@ -62,38 +75,51 @@
             log_event("servers_reached_again", server=server_id)
             self._on_change()
 
-    async def is_other_reachable(self, server: BackendServer, since: timedelta) -> bool:
-        """Tell whether another server could be reached after one could not.
+    async def compare(self, server: BackendServer, since: timedelta) -> Reach:
+        """Tell which other servers can be reached after one could not be.
 
-        If none can, this router is cut off. A router that knows no other server cannot
-        tell, and takes its links for sound.
+        A router that knows no other server cannot tell, and takes its links for sound.
 
         :param since: when the connection to the server was attempted, on the monotonic
             clock; earlier successes prove nothing.
         """
-        if self._pending_probe is not None:
-            await self._pending_probe.wait()
-            return self._was_reached(server, since) or not self.is_cut_off
-        if self._was_reached(server, since):
-            return True
         others = [
             other
             for other in self._list_servers()
             if other.id != server.id and other.address != server.address
         ]
-        if not others:
-            return True
-        self._pending_probe = done = curio.Event()
+        same = [other for other in others if other.service == server.service]
+        if not others or (not same and self._was_any_reached(others, since)):
+            return Reach.SERVICE
+        while (pending := self._pending_probes.get(server.service)) is not None:
+            await pending.wait()
+            if self.is_cut_off:
+                return Reach.NONE
+        if self._was_any_reached(same, since):
+            return Reach.SERVICE
+        self._pending_probes[server.service] = done = curio.Event()
         try:
-            is_reached = await self._probe_some(others)
+            return await self._probe_others(server, same, others, since)
         finally:
-            self._pending_probe = None
+            del self._pending_probes[server.service]
             await done.set()
-        if not is_reached and not self.is_cut_off:
+
+    async def _probe_others(
+        self,
+        server: BackendServer,
+        same: Sequence[BackendServer],
+        others: Sequence[BackendServer],
+        since: timedelta,
+    ) -> Reach:
+        if same and await self._probe_some(same):
+            return Reach.SERVICE
+        if self._was_any_reached(others, since) or await self._probe_some(others):
+            return Reach.OTHER if same else Reach.SERVICE
+        if not self.is_cut_off:
             self.is_cut_off = True
             log_event("cut_off_from_servers", level="warning", server=server.id)
             self._on_change()
-        return is_reached
+        return Reach.NONE
 
     async def run(self) -> None:
         """Look for reachable servers, while there are none, until cancelled."""
@@ -107,12 +133,14 @@
             if self.is_cut_off:
                 await self._probe(self._choose(servers, _RETURN_PROBE_COUNT))
 
-    def _was_reached(self, server: BackendServer, since: timedelta) -> bool:
-        """Tell whether a server other than the given one was reached after a time."""
+    def _was_any_reached(
+        self, servers: Sequence[BackendServer], since: timedelta
+    ) -> bool:
+        """Tell whether any of some servers was reached after a time."""
+        reached_at_by_id = self._reached_at_by_id
         return any(
-            at >= since
-            for server_id, at in self._reached_at_by_id.items()
-            if server_id != server.id
+            server.id in reached_at_by_id and reached_at_by_id[server.id] >= since
+            for server in servers
         )
 
     async def _probe_some(self, servers: Sequence[BackendServer]) -> bool:
