--- a/hibiscustiller/ingress/tests/test_parts.py
+++ b/hibiscustiller/ingress/tests/test_parts.py
@@ -22,7 +22,7 @@
 from hibiscustiller.ingress.tests.fixtures import HOST, KEY, make_document
 from hibiscustiller.layers import EngineLoad, EngineUse
 from hibiscustiller.layers.tests.fixtures import LayerRange, make_engine
-from hibiscustiller.platform import decode_fleet_document
+from hibiscustiller.platform import Revision, decode_fleet_document
 from hibiscustiller.standins import make_event
 from hibiscustiller.utils import ManualClock
 from hibiscustiller.utils._testing import collect_tests
@@ -167,8 +167,8 @@
     _, view = make_view()
     new_document = decode_fleet_document(json.dumps(make_document(version=3)).encode())
     old_document = decode_fleet_document(json.dumps(make_document(version=2)).encode())
-    assert view.apply_document(new_document, 30)
-    assert not view.apply_document(old_document, 20)
+    assert view.apply_document(new_document, Revision(0, 30))
+    assert not view.apply_document(old_document, Revision(0, 20))
     assert view.document.version == 3
 
 
