--- a/hibiscustiller/wire/tests/test_http_client.py
+++ b/hibiscustiller/wire/tests/test_http_client.py
@@ -4,12 +4,13 @@
 from datetime import timedelta
 
 import curio
+import curio.socket
 
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import SystemClock, Verdict
 from hibiscustiller.utils._testing import collect_tests
-from hibiscustiller.wire import HttpClient
+from hibiscustiller.wire import HttpClient, set_tcp_options
 
 TIMEOUT = timedelta(milliseconds=200)
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -198,6 +199,30 @@
         assert await request(client, server.address) == (200, b"ok")
 
 
+async def test_probes_of_an_idle_connection_and_unacknowledged_bytes_end_it_alike():
+    """Guards against connections that a silence of a second ends.
+
+    The limit on unacknowledged bytes also decides when probes of an idle connection give
+    up, whatever their number, so it must not be shorter than they need.
+    """
+    tcp = curio.socket.IPPROTO_TCP
+    async with ScriptedServer(OK) as server:
+        sock = await curio.open_connection(server.address.host, server.address.port)
+        async with sock:
+            set_tcp_options(sock)
+            idle_s, interval_s, probes, limit_ms = (
+                sock.getsockopt(tcp, option)
+                for option in (
+                    curio.socket.TCP_KEEPIDLE,
+                    curio.socket.TCP_KEEPINTVL,
+                    curio.socket.TCP_KEEPCNT,
+                    curio.socket.TCP_USER_TIMEOUT,
+                )
+            )
+            assert limit_ms >= 1000 * (idle_s + interval_s * probes)
+            assert limit_ms <= 3000
+
+
 async def test_streams_end_with_the_right_verdict():
     """Guards against a stream cut short that looks complete, and against silence."""
     chunked = b"transfer-encoding: chunked"
