--- a/hibiscustiller/ingress/tests/soak/faults.py
+++ b/hibiscustiller/ingress/tests/soak/faults.py
@@ -22,6 +22,8 @@
 _LIMITED_TIME_S = 9.0
 # Longer than the drain time of the configuration.
 _LEAVING_TIME_S = 4.0
+# Until what the copy lacks has been written again.
+_RESTORE_TIME_S = 1.6
 
 
 class FaultInjector:
@@ -61,6 +63,7 @@
             "part-crashes-servers": self._crash_servers_by_part,
             "store-paused": self._pause_store,
             "store-history-dropped": self._drop_history,
+            "store-restored": self._restore_store,
             "store-refused-one": self._refuse_store,
             "link-delayed": self._delay_link,
             "link-reset": self._reset_link,
@@ -287,6 +290,13 @@
         self._deployment.store.signal(signal.SIGUSR1)
         self._record_span(_STORE_KEY, started_at)
 
+    async def _restore_store(self):
+        async def restore():
+            self._deployment.store.signal(signal.SIGUSR2)
+            await curio.sleep(_RESTORE_TIME_S)
+
+        await self._run_exclusively(_STORE_KEY, restore)
+
     async def _refuse_store(self):
         async def inject(proxy):
             await proxy.stop()
--- a/hibiscustiller/ingress/tests/test_soak.py
+++ b/hibiscustiller/ingress/tests/test_soak.py
@@ -12,7 +12,8 @@
 # in progress, one with planned operations only, which must lose no answer, and one with
 # requests that crash servers (incident BUDGET), and one with parts of prompts that do,
 # together with faults by which daemons lose or miss crash records, and one with servers
-# that name limits (incident LIMIT) or say that they leave.
+# that name limits (incident LIMIT) or say that they leave, and one with a store that is
+# restored from a copy some seconds old (incident CONFIG).
 _RUNS = (
     (101, None),
     (102, ("server-killed", "link-reset", "daemon-stopped")),
@@ -20,6 +21,7 @@
     (104, ("request-crashes-servers", "daemon-killed", "store-refused-one")),
     (105, ("part-crashes-servers", "daemon-killed", "link-reset")),
     (106, ("server-limited", "server-leaves", "daemon-killed")),
+    (107, ("store-restored", "configuration-changed", "daemon-killed")),
 )
 _FAULTS_LENGTH_S = 5.0
 
--- a/hibiscustiller/standins/_metadata_store.py
+++ b/hibiscustiller/standins/_metadata_store.py
@@ -59,6 +59,7 @@
     revision: int
     created: int
     lease: int
+    era: int
 
 
 class MetadataStoreStandin:
@@ -108,7 +109,7 @@
         self.revision += 1
         before = self.items.get(key)
         created = self.revision if before is None else before.created
-        self.items[key] = _Item(data, self.revision, created, lease)
+        self.items[key] = _Item(data, self.revision, created, lease, self.era)
         self._history.append(_encode(key, self.items[key]))
 
     def delete(self, key: str) -> None:
@@ -152,6 +153,23 @@
         self._old_state = None
         self.era += 1
 
+    def write_again(self, newest: StoreCopy) -> None:
+        """Write what operators and servers had written before a restore.
+
+        What they have written since is kept.
+
+        :param newest: the state before the restore.
+        """
+        for key in {*newest.items, *self.items}:
+            lost, present = newest.items.get(key), self.items.get(key)
+            is_written = present is not None and present.era == self.era
+            if not key.startswith(("op/", "servers/")) or is_written:
+                continue
+            if lost is None:
+                self.delete(key)
+            elif present is None or present.value != lost.value:
+                self.put(key, lost.value)
+
     def hold_back_old_reads(self) -> None:
         """Answer reads that may be old with the present state from now on."""
         self._old_state = dict(self.items), self.revision
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -10,6 +10,7 @@
 import os
 import signal
 import time
+from collections import deque
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from pathlib import Path
@@ -154,14 +155,35 @@
         return _RemoteMember(sock, (first, end))
 
 
+# A restored store is some 2 s old, and what it lacks is written again 1 s later.
+_STORE_PERIOD_S = 0.2
+_COPIES = 10
+_REWRITE_DELAY_S = 1.0
+
+
 async def run_metadata_store(port: int) -> None:
-    """Run a store until it is killed; SIGUSR1 drops its history."""
+    """Run a store until it is killed.
+
+    SIGUSR1 drops its history. SIGUSR2 restores it to a copy that is some seconds old;
+    later what operators and servers had written is written again.
+    """
     store = MetadataStoreStandin(SystemClock(), Address("127.0.0.1", port))
+    restore_requested = curio.UniversalEvent()
     signal.signal(signal.SIGUSR1, lambda number, frame: store.forget_history())
+    signal.signal(signal.SIGUSR2, lambda number, frame: restore_requested.set())
     await store.start()
+    copies = deque([store.copy()], maxlen=_COPIES)
     while True:
-        await curio.sleep(0.2)
+        await curio.sleep(_STORE_PERIOD_S)
         store.expire_leases()
+        copies.append(store.copy())
+        if restore_requested.is_set():
+            restore_requested.clear()
+            newest = store.copy()
+            store.restore(copies[0])
+            copies.clear()
+            await curio.sleep(_REWRITE_DELAY_S)
+            store.write_again(newest)
 
 
 async def run_engine(
--- a/hibiscustiller/wire/tests/test_http_client.py
+++ b/hibiscustiller/wire/tests/test_http_client.py
@@ -202,8 +202,8 @@
 async def test_probes_of_an_idle_connection_and_unacknowledged_bytes_end_it_alike():
     """Guards against connections that a silence of a second ends.
 
-    The limit on unacknowledged bytes also decides when probes of an idle connection give
-    up, whatever their number, so it must not be shorter than they need.
+    The limit on unacknowledged bytes also decides when probes of an idle connection
+    give up, whatever their number, so it must not be shorter than they need.
     """
     tcp = curio.socket.IPPROTO_TCP
     async with ScriptedServer(OK) as server:
