Dispute wrong reports of an ended process for as long as they come

In fleets above 20 routers the report of one router with a lost link was believed again ten seconds after it had turned out to be wrong, by all routers.

--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -47,8 +47,8 @@
 # the link to it may have been lost.
 _ENDED_RECHECK_PERIOD = timedelta(seconds=2)
 _ENDED_RECHECK_JITTER = 0.5
-# For this time after a process turned out to run, reports of its end are not believed.
-# The link of the router that sends them may still be lost.
+# For this time after a process turned out to run, a router that reports its end is not
+# believed, and again after each further report: its link may be lost for long.
 _DISPUTED_TIME = timedelta(seconds=10)
 
 
@@ -61,12 +61,14 @@
     :param has_lost_layers: whether the process has ended and held model layers.
     :param recheck_at: when an ended process is connected to again, on the monotonic
         clock.
+    :param reporter: the router that reported the end; None if this router found it.
     """
 
     born: int
     is_ended: bool
     has_lost_layers: bool
     recheck_at: timedelta = field(default=timedelta(0), compare=False)
+    reporter: RouterId | None = field(default=None, compare=False)
 
 
 async def _read_nothing(server: BackendServer) -> int | None:
@@ -109,11 +111,11 @@
         self.reach = reach or ServerReach(
             clock, self._random_state, connect, list_servers=tuple
         )
-        # Processes that run although they were taken for ended, and until when reports
-        # of their end are not believed.
         # Routers that reach no server, as they say.
         self.cut_off_routers: set[RouterId] = set()
-        self._disputed_until: dict[tuple[ServerId, int], timedelta] = {}
+        # Processes that run although a router reported their end, and until when such
+        # reports of it are not believed.
+        self._disputed_until: dict[tuple[ServerId, int, RouterId], timedelta] = {}
         self._is_replaced = is_replaced
         self._count_routers = count_routers
         self._clock = clock
@@ -205,40 +207,46 @@
             if (outage := self._outages[server_id]).has_lost_layers
         }
 
-    async def record_dead(self, server_id: ServerId, born: int) -> None:
+    async def record_dead(
+        self, reporter: RouterId, server_id: ServerId, born: int
+    ) -> None:
         """Handle the report of another router that a server's process has ended.
 
         A small fleet verifies it by a connection of each router. Hundreds of routers
         believe it and check it later.
 
+        :param reporter: the other router.
         :param born: start time of the process that has ended, in Unix milliseconds.
         """
         server = self._get_server(server_id)
         if server is None or server.born != born or not self.is_reachable(server):
             return
         now = self._clock.monotonic()
-        if now < self._disputed_until.get((server_id, born), timedelta(0)):
+        if now < self._disputed_until.get((server_id, born, reporter), timedelta(0)):
+            self._dispute_end(server, reporter)
             return
         is_small_fleet = self._count_routers() <= _BASE_ROUTER_COUNT
         if is_small_fleet and not self.reach.is_cut_off:
             # A report names all such servers again and again; one check serves all.
             if server_id not in self._pending_checks:
-                await curio.spawn(self._verify_end, server, now, daemon=True)
+                await curio.spawn(self._verify_end, server, reporter, daemon=True)
             return
         error = ConnectionRefusedError("connection of another router was refused")
-        outage = _Outage(server.born, is_ended=True, has_lost_layers=True)
-        self._record_outage(server, outage, error, is_reported=True)
+        outage = _Outage(
+            server.born, is_ended=True, has_lost_layers=True, reporter=reporter
+        )
+        self._record_outage(server, outage, error)
 
-    async def _verify_end(self, server: BackendServer, now: timedelta) -> None:
+    async def _verify_end(self, server: BackendServer, reporter: RouterId) -> None:
         """Check a process that another router reported to have ended."""
-        await self._check_server(server, now)
+        await self._check_server(server, self._clock.monotonic())
         if self.is_reachable(server) and not self.reach.is_cut_off:
-            self._dispute_end(server)
+            self._dispute_end(server, reporter)
 
-    def _dispute_end(self, server: BackendServer) -> None:
-        """Disbelieve reports that a process has ended, for some time."""
+    def _dispute_end(self, server: BackendServer, reporter: RouterId) -> None:
+        """Disbelieve a router's reports that a process has ended, for some time."""
         until = self._clock.monotonic() + _DISPUTED_TIME
-        self._disputed_until[server.id, server.born] = until
+        self._disputed_until[server.id, server.born, reporter] = until
 
     async def check(
         self, servers: Iterable[BackendServer], since: timedelta | None = None
@@ -331,7 +339,8 @@
         outage = self._outages.get(server.id)
         if outage is not None and outage.born == server.born:
             del self._outages[server.id]
-            self._dispute_end(server)
+            if outage.reporter is not None:
+                self._dispute_end(server, outage.reporter)
             log_event("server_reachable", server=server.id, was_ended=True)
             self._on_change(True)
 
@@ -391,7 +400,6 @@
         server: BackendServer,
         outage: _Outage,
         error: OSError,
-        is_reported: bool = False,
     ) -> None:
         if self._outages.get(server.id) == outage:
             return
@@ -405,7 +413,7 @@
             is_dead=outage.has_lost_layers,
             reason=error,
         )
-        self._on_change(not is_reported)
+        self._on_change(outage.reporter is None)
 
 
 async def _try_connect(server: BackendServer, connect: Connect) -> None:
--- a/hibiscustiller/ingress/_sharing.py
+++ b/hibiscustiller/ingress/_sharing.py
@@ -137,7 +137,9 @@
         self._load.set_report(router_id, uses)
         self._health.record_cut_off(router_id, report.cut_off)
         for server in report.dead:
-            await self._health.record_dead(ServerId(server.server_id), server.born)
+            await self._health.record_dead(
+                router_id, ServerId(server.server_id), server.born
+            )
         known = set(self._health.list_unreachable())
         new = [ServerId(key) for key in report.unreachable if key not in known]
         if new:
--- a/hibiscustiller/ingress/tests/test_health.py
+++ b/hibiscustiller/ingress/tests/test_health.py
@@ -221,17 +221,46 @@
     """Guards against connections from hundreds of routers to a server that ended."""
     harness = Harness(router_count=300)
     assert not harness.health.list_unreachable()
-    await harness.health.record_dead("e", harness.engine.born)
+    await harness.health.record_dead("r2", "e", harness.engine.born)
     assert harness.health.list_unreachable() == ["e"]
     assert harness.change_count == 1
     # A repeated report is not a change, and does not apply to a later process.
-    await harness.health.record_dead("e", harness.engine.born)
+    await harness.health.record_dead("r2", "e", harness.engine.born)
     assert harness.change_count == 1
     harness.engine = replace(harness.engine, born=harness.engine.born + 1)
-    await harness.health.record_dead("e", harness.engine.born - 1)
+    await harness.health.record_dead("r2", "e", harness.engine.born - 1)
     assert harness.health.is_usable(harness.engine)
 
 
+async def test_a_wrong_report_of_an_end_is_not_believed_again_and_again():
+    """Guards against an engine that hundreds of routers give up every few seconds.
+
+    The link of the router that reports the end may be lost for long.
+    """
+    harness = Harness(router_count=300)
+    await harness.start_engine()
+
+    async def read_born(server):
+        return server.born
+
+    harness.health._read_born = read_born
+    task = await curio.spawn(harness.health.run, daemon=True)
+    await harness.health.record_dead("r2", "e", harness.engine.born)
+    assert harness.health.list_unreachable() == ["e"]
+    async with curio.timeout_after(4):
+        while harness.health.list_unreachable():
+            await curio.sleep(0.02)
+    for _ in range(5):
+        await harness.health.record_dead("r2", "e", harness.engine.born)
+        assert not harness.health.list_unreachable()
+        await curio.sleep(0.1)
+    # The report of another router is news.
+    await harness.health.record_dead("r3", "e", harness.engine.born)
+    assert harness.health.list_unreachable() == ["e"]
+    await task.cancel()
+    await harness.server.close()
+
+
 class SharingRouter:
     """The load sharing of a router, without its other components."""
 
