--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -32,6 +32,7 @@
     StateSnapshot,
 )
 from hibiscustiller.exceptions import WireFormatError
+from hibiscustiller.fleet import FleetDocument
 from hibiscustiller.platform import NO_REVISION, Change, Revision
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
@@ -87,6 +88,10 @@
 _SUBSCRIPTION_PERIODS = 3
 
 
+# Messages hold numbers of 64 bits.
+_MAX_VERSION = 2**63 - 1
+
+
 @dataclass
 class _Subscriber:
     """A router to which new changes are pushed.
@@ -138,6 +143,9 @@
         self._reach = reach
         self._fetch_snapshot = fetch_snapshot
         self._is_fetching = False
+        # Era and configuration version of the last snapshot that was merged. The same
+        # ones need not be fetched again, even if this router cannot use them.
+        self._merged_knowledge: tuple[int, int] | None = None
         self._router_id = router_id
         self._domain = domain
         self._view = view
@@ -372,7 +380,7 @@
             after_era=after.era,
             to_era=to.era,
             era_age_ms=encode_age(self._watcher.era_age),
-            document_version=0 if document is None else max(0, document.version),
+            document_version=_limit_version(document),
         )
         return self._datagrams.encode(message)
 
@@ -449,24 +457,28 @@
         A router that starts after the restore finds a configuration and servers there
         that the others know to be outdated.
         """
-        document = self._view.document
-        version = 0 if document is None else document.version
-        lacks_document = message.document_version > version
+        lacks_document = message.document_version > _limit_version(self._view.document)
         lacks_departures = message.era_age_ms and self._watcher.era_age is None
         if to > self._watcher.revision or not (lacks_document or lacks_departures):
             return
+        knowledge = (to.era, message.document_version)
         peer = self._find_peer(router_id)
         if peer is None or peer.inner is None or self._is_fetching:
             return
+        if knowledge == self._merged_knowledge:
+            return
         self._is_fetching = True
-        await curio.spawn(self._merge_snapshot_of, peer.inner, daemon=True)
+        await curio.spawn(self._merge_snapshot_of, peer.inner, knowledge, daemon=True)
 
-    async def _merge_snapshot_of(self, address: Address) -> None:
+    async def _merge_snapshot_of(
+        self, address: Address, knowledge: tuple[int, int]
+    ) -> None:
         try:
             snapshot = await self._fetch_snapshot(address)
             if snapshot is not None:
                 log_event("snapshot_merged", source=address)
                 self._watcher.merge_snapshot(snapshot)
+                self._merged_knowledge = knowledge
         finally:
             self._is_fetching = False
 
@@ -492,6 +504,11 @@
             await self._watcher.set_follows_store(False)
 
 
+def _limit_version(document: FleetDocument | None) -> int:
+    """Return a document's version, as far as a message can hold it."""
+    return 0 if document is None else min(max(0, document.version), _MAX_VERSION)
+
+
 def _get_revision(change: StoreChange) -> Revision:
     return Revision(change.era, change.revision)
 
--- a/hibiscustiller/discovery/tests/test_store_restored.py
+++ b/hibiscustiller/discovery/tests/test_store_restored.py
@@ -158,6 +158,13 @@
         assert len(keys) == 9
 
 
+async def test_a_version_of_any_length_reaches_all_routers():
+    """Guards against a number that messages between routers cannot hold."""
+    async with Fleet(6) as fleet:
+        await put_document(fleet, 10**30)
+        await put_document(fleet, 10**30 + 1)
+
+
 async def test_a_store_that_was_merely_away_undoes_nothing():
     """Guards against treating each outage as a restore."""
     async with Fleet(6) as fleet:
--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -33,6 +33,8 @@
 _WATCH_SLACK = timedelta(seconds=1)
 # Counts how often the store was restored from a backup.
 _ERA_HEADER = "store-era"
+# Far more restores than a store ever has. An era is part of fences of 64 bits.
+_MAX_ERA = 1 << 20
 
 
 class Revision(NamedTuple):
@@ -324,7 +326,14 @@
 
 
 def _read_era(answer: HttpAnswer) -> int:
-    return int(answer.headers_by_name.get(_ERA_HEADER, 0))
+    """Return how often the store was restored; 0 if an answer does not tell.
+
+    :raises ValueError: if it is no number in the accepted range.
+    """
+    era = int(answer.headers_by_name.get(_ERA_HEADER, 0))
+    if not 0 <= era <= _MAX_ERA:
+        raise ValueError(f"era is not from 0 to {_MAX_ERA}")
+    return era
 
 
 def _read_entry(item: dict[str, Any], era: int) -> Entry:
--- a/hibiscustiller/platform/tests/test_metadata_store.py
+++ b/hibiscustiller/platform/tests/test_metadata_store.py
@@ -239,7 +239,7 @@
     """Guards against a router that ends because of an odd header."""
     async with Bench() as bench:
         bench.standin.put("a", b"1")
-        for era in ("x", "1e999", "", "9" * 5000):
+        for era in ("x", "1e999", "", "9" * 5000, "9" * 300, "-1"):
             bench.standin.era = era
             try:
                 await bench.store.get("a")
