--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -192,7 +192,9 @@
         attempts = _PlainAttempts(self, context, list(candidates))
         answer = await attempts.run()
         if answer is None:
-            answer = await self.routers.forward(context, responder)
+            answer = await self.routers.forward(
+                context, responder, may_have_run=attempts.may_have_run
+            )
             if answer is None:
                 return
         if isinstance(answer, Refusal):
@@ -232,7 +234,7 @@
         self._context = context
         self._candidates = candidates
         self._sent_count = 0
-        self._may_have_run = False
+        self.may_have_run = False
         # Servers that take no request now, with the expected wait.
         self._waits_by_id: dict[ServerId, timedelta] = {}
         self.tried_ids: list[ServerId] = []
@@ -273,7 +275,7 @@
             self.tried_ids.append(server.id)
             answer = await self._try_server(server)
             if answer is None:
-                if self._may_have_run and not context.route.is_repeatable:
+                if self.may_have_run and not context.route.is_repeatable:
                     return self._make_non_retryable_failure()
                 continue
             if not self._should_retry(answer):
@@ -284,7 +286,7 @@
                 RefusalReason.BACKEND_TIMEOUT, "the request timed out", last_answer
             )
         has_run = last_answer is not None and not last_answer.facts.is_not_run
-        if self._waits_by_id and not has_run and not self._may_have_run:
+        if self._waits_by_id and not has_run and not self.may_have_run:
             return self._make_wait_refusal()
         if not self.tried_ids and self._candidates:
             message = "the connections of every server are in use"
@@ -353,14 +355,14 @@
                 forwarder.crashes.record_answer(context.fingerprint)
                 forwarder.unanswered.record_answer(context.fingerprint)
         except TimeoutError as error:
-            self._may_have_run = True
+            self.may_have_run = True
             context.log("attempt_failed", server=server.id, reason=error)
             # Links that fell silent are noticed by nothing else.
             await curio.spawn(forwarder.health.check, [server], daemon=True)
         except TransportError as error:
             context.log("attempt_failed", server=server.id, reason=error)
             if error.verdict is Verdict.MAY_HAVE_RUN:
-                self._may_have_run = True
+                self.may_have_run = True
                 is_crash_recorded = await self._check_crash(server, started_at)
             else:
                 await forwarder.health.check([server])
@@ -480,7 +482,7 @@
         """
         if last_answer is not None and not last_answer.facts.is_not_run:
             return last_answer
-        may_have_run = self._may_have_run
+        may_have_run = self.may_have_run
         if may_have_run and reason is RefusalReason.NO_ROUTE:
             reason = RefusalReason.BACKEND_FAILED
         if not may_have_run and reason is RefusalReason.BACKEND_TIMEOUT:
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -17,6 +17,7 @@
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._context import (
     MAX_BODY_BYTES,
+    NOT_RUN_STATUSES,
     CallerDisconnectedError,
     RequestContext,
     is_event_stream,
@@ -95,16 +96,19 @@
         context: RequestContext,
         responder: Responder,
         last_event: int | None = None,
+        *,
+        may_have_run: bool = False,
     ) -> Refusal | None:
         """Let another router answer a request.
 
         :param last_event: id of the last event that this router sent; None if it sent
             none.
+        :param may_have_run: whether a server may have run the request already.
         :returns: why no router answered; None if one did.
         :raises TransportError: if an answer that has begun cannot be completed, or the
             caller has disconnected.
         """
-        forwarding = _Forwarding(self, context, responder, last_event)
+        forwarding = _Forwarding(self, context, responder, last_event, may_have_run)
         return await forwarding.run()
 
     def choose(self, tried: Collection[RouterId]) -> Peer | None:
@@ -150,6 +154,7 @@
         context: RequestContext,
         responder: Responder,
         last_event: int | None,
+        may_have_run: bool,
     ) -> None:
         self._forwarder = forwarder
         self._context = context
@@ -157,7 +162,7 @@
         if last_event is None:
             last_event = context.facts.last_event
         self._last_event = last_event
-        self._may_have_run = responder.is_started
+        self._may_have_run = may_have_run or responder.is_started
         self._tried: set[RouterId] = set()
 
     async def run(self) -> Refusal | None:
@@ -235,6 +240,9 @@
             await exchange.read_head(context.timeout_left)
             if any(name == _DECLINED for name, _ in exchange.fields):
                 return False
+            if self._may_have_run and exchange.status in NOT_RUN_STATUSES:
+                # The other router knows nothing of the earlier attempts.
+                return False
             if exchange.status == _OK and is_event_stream(exchange):
                 await self._relay_events(exchange)
             elif self._responder.is_started:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -259,7 +259,10 @@
                 return refusal
             if self._forwarder.health.is_cut_off and not self._context.is_forwarded:
                 return await self._forwarder.routers.forward(
-                    self._context, self._responder, self._last_event
+                    self._context,
+                    self._responder,
+                    self._last_event,
+                    may_have_run=self._may_have_run,
                 )
             next_grant = await self._acquire_next_grant()
             if next_grant is None:
--- a/hibiscustiller/ingress/tests/test_many_changes_of_engines.py
+++ b/hibiscustiller/ingress/tests/test_many_changes_of_engines.py
@@ -75,6 +75,7 @@
             clock,
             random.Random(1),
             self.metrics,
+            None,
         )
         self.view.subscribe(self.models.request_refresh)
         services = {"engines": ServiceSpec("engines", engine=SPEC)}
--- a/hibiscustiller/ingress/tests/test_routers_cut_off.py
+++ b/hibiscustiller/ingress/tests/test_routers_cut_off.py
@@ -210,6 +210,25 @@
             assert refused.isdisjoint(runs), kind
 
 
+async def test_a_request_that_ran_before_the_cut_is_not_refused_as_not_run():
+    """Guards against a promise about a request that another router has not seen run.
+
+    In a soak (seed 104) requests that had run got 503.
+    """
+    async with CutWorld() as world:
+        for server in world.plain:
+            server._work_s = 0.3
+        async with curio.TaskGroup() as tasks:
+            for _ in range(4):
+                await tasks.spawn(world.request, "/stock/1", world.cut_gateway)
+            await curio.sleep(0.1)
+            for server in world.plain:
+                server.behave = "full"
+            await world.links.cut(Cut.RESET)
+        assert any(server.requests for server in world.plain)
+        assert {answer.status for answer in tasks.results} <= {502, 504}
+
+
 async def test_another_router_serves_for_the_same_organisation_and_deadline():
     """Guards against a request that changes on its way through two routers."""
     async with CutWorld() as world:
