Serve at once after all servers have crashed

A request that no other router answers is tried locally now, and a single router, which has nobody to pass requests to, takes each refusal for the end of a process as before.

--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -58,6 +58,7 @@
     :param get_stop_at: returns when this router stops to work on requests, on the
         monotonic clock; None while it is not stopping.
     :param is_forwarded: whether another router passed the request on.
+    :param may_pass_on: whether the request may be passed on to another router.
     """
 
     request: HttpRequest
@@ -70,6 +71,7 @@
     clock: Clock
     get_stop_at: Callable[[], timedelta | None] = lambda: None
     is_forwarded: bool = False
+    may_pass_on: bool = True
 
     @property
     def priority(self) -> int:
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from result import Err, Ok, Result
@@ -170,6 +171,7 @@
                 self._clock,
                 lambda: self._stop_at,
                 is_forwarded,
+                may_pass_on=not is_forwarded,
             )
         )
 
@@ -182,9 +184,11 @@
             await self._refuse(context.request, responder, _STOPPING)
             return
         servers = self._view.list_servers(service.name)
-        if servers and not self._health.is_any_reachable(servers):
-            await self._pass_on(context, responder)
-            return
+        is_out_of_reach = servers and not self._health.is_any_reachable(servers)
+        if is_out_of_reach:
+            if await self._pass_on(context, responder):
+                return
+            context = replace(context, may_pass_on=False)
         # The router that answers a request counts it toward the budget.
         self._budgets.record_request(service.name)
         refusal = self._parts.check(context.facts.prompt_parts)
@@ -212,14 +216,23 @@
         finally:
             self._metrics.timing(f"request.{kind}", context.age)
 
-    async def _pass_on(self, context: RequestContext, responder: Responder) -> None:
-        """Let another router answer a request, unless it comes from one."""
+    async def _pass_on(self, context: RequestContext, responder: Responder) -> bool:
+        """Let another router answer a request, unless it comes from one.
+
+        :returns: whether the request has an answer or a refusal; otherwise this router
+            may reach a server after all.
+        """
         if context.is_forwarded:
             await self._decline(context.request, responder)
-            return
+            return True
         refusal = await self._routers.forward(context, responder)
-        if refusal is not None:
-            await self._refuse(context.request, responder, refusal)
+        if refusal is None:
+            return True
+        # All servers may have crashed, and be back before the next regular probe.
+        if refusal.verdict is Verdict.NOT_RUN and await self._health.reach.look_again():
+            return False
+        await self._refuse(context.request, responder, refusal)
+        return True
 
     async def _decline(self, request: HttpRequest, responder: Responder) -> None:
         """Refuse a request so that the router that passed it on asks another one."""
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -138,6 +138,7 @@
             random_state,
             connect,
             self.view.list_all_servers,
+            self._has_other_routers,
             self._handle_reach_change,
         )
         self._server_client = HttpClient(clock, _CONNECT_TIMEOUT, connect)
@@ -578,6 +579,11 @@
         if is_own_result:
             self._load_sharing.request_send()
 
+    def _has_other_routers(self) -> bool:
+        return any(
+            router_id != self._settings.router_id for router_id in self.view.peers_by_id
+        )
+
     def _handle_reach_change(self) -> None:
         # Other routers choose by it which router they pass requests to.
         self._load_sharing.request_send()
--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -109,7 +109,11 @@
         self._random_state = random_state or random.Random()
         self._read_born = read_born
         self.reach = reach or ServerReach(
-            clock, self._random_state, connect, list_servers=tuple
+            clock,
+            self._random_state,
+            connect,
+            list_servers=tuple,
+            has_other_routers=lambda: False,
         )
         # Routers that reach no server, as they say.
         self.cut_off_routers: set[RouterId] = set()
--- a/hibiscustiller/ingress/_server_reach.py
+++ b/hibiscustiller/ingress/_server_reach.py
@@ -28,6 +28,8 @@
 _RETURN_PROBE_COUNT = 2
 _RETURN_PROBE_PERIOD = timedelta(milliseconds=500)
 _PERIOD_JITTER = 0.2
+# Requests that no other router answers cause probes at most this often.
+_MIN_PROBE_INTERVAL = timedelta(milliseconds=100)
 
 
 class Reach(Enum):
@@ -47,6 +49,8 @@
 
     :param connect: opens connections to servers.
     :param list_servers: returns the servers of all services.
+    :param has_other_routers: returns whether another router could reach servers that
+        this one does not. A single router takes each failure for that of the server.
     :param on_change: called after this router was cut off, or reached servers again.
     """
 
@@ -56,15 +60,18 @@
         random_state: random.Random,
         connect: Connect,
         list_servers: Callable[[], Sequence[BackendServer]],
+        has_other_routers: Callable[[], bool],
         on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._clock = clock
         self._random_state = random_state
         self._connect = connect
         self._list_servers = list_servers
+        self._has_other_routers = has_other_routers
         self._on_change = on_change
         self._reached_at_by_id: dict[ServerId, timedelta] = {}
         self._pending_probes: dict[ServiceName, curio.Event] = {}
+        self._looked_at = timedelta(0)
         self.is_cut_off = False
 
     def record_reached(self, server_id: ServerId) -> None:
@@ -75,6 +82,17 @@
             log_event("servers_reached_again", server=server_id)
             self._on_change()
 
+    async def look_again(self) -> bool:
+        """Look for a server now, for a request that no other router answers.
+
+        :returns: whether this router reaches a server.
+        """
+        now = self._clock.monotonic()
+        if self.is_cut_off and now - self._looked_at >= _MIN_PROBE_INTERVAL:
+            self._looked_at = now
+            await self._probe(self._choose(self._list_servers(), _RETURN_PROBE_COUNT))
+        return not self.is_cut_off
+
     async def compare(self, server: BackendServer, since: timedelta) -> Reach:
         """Tell which other servers can be reached after one could not be.
 
@@ -89,7 +107,9 @@
             if other.id != server.id and other.address != server.address
         ]
         same = [other for other in others if other.service == server.service]
-        if not others or (not same and self._was_any_reached(others, since)):
+        if not others or not self._has_other_routers():
+            return Reach.SERVICE
+        if not same and self._was_any_reached(others, since):
             return Reach.SERVICE
         while (pending := self._pending_probes.get(server.service)) is not None:
             await pending.wait()
