--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -58,7 +58,8 @@
     :param get_stop_at: returns when this router stops to work on requests, on the
         monotonic clock; None while it is not stopping.
     :param is_forwarded: whether another router passed the request on.
-    :param may_pass_on: whether the request may be passed on to another router.
+    :param may_forward_to_router: whether the request may be passed on to another
+        router.
     """
 
     request: HttpRequest
@@ -71,7 +72,7 @@
     clock: Clock
     get_stop_at: Callable[[], timedelta | None] = lambda: None
     is_forwarded: bool = False
-    may_pass_on: bool = True
+    may_forward_to_router: bool = True
 
     @property
     def priority(self) -> int:
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -171,7 +171,7 @@
                 self._clock,
                 lambda: self._stop_at,
                 is_forwarded,
-                may_pass_on=not is_forwarded,
+                may_forward_to_router=not is_forwarded,
             )
         )
 
@@ -186,9 +186,9 @@
         servers = self._view.list_servers(service.name)
         is_out_of_reach = servers and not self._health.is_any_reachable(servers)
         if is_out_of_reach:
-            if await self._pass_on(context, responder):
+            if await self._forward_to_router(context, responder):
                 return
-            context = replace(context, may_pass_on=False)
+            context = replace(context, may_forward_to_router=False)
         # The router that answers a request counts it toward the budget.
         self._budgets.record_request(service.name)
         refusal = self._parts.check(context.facts.prompt_parts)
@@ -216,7 +216,9 @@
         finally:
             self._metrics.timing(f"request.{kind}", context.age)
 
-    async def _pass_on(self, context: RequestContext, responder: Responder) -> bool:
+    async def _forward_to_router(
+        self, context: RequestContext, responder: Responder
+    ) -> bool:
         """Let another router answer a request, unless it comes from one.
 
         :returns: whether the request has an answer or a refusal; otherwise this router
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -262,7 +262,7 @@
                 if not await budgets.try_spend(context.service.name):
                     break
                 has_retry = True
-            if context.may_pass_on and self._is_out_of_reach():
+            if context.may_forward_to_router and self._is_out_of_reach():
                 return None
             rate_limits = self._forwarder.rate_limits
             wait = await rate_limits.acquire(server, context.priority)
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -176,8 +176,9 @@
                 reason = "declined"
             except CallerDisconnectedError as error:
                 raise TransportError(str(error), Verdict.MAY_HAVE_RUN) from error
-            except TimeoutError:
+            except TimeoutError as error:
                 self._may_have_run = True
+                self._log(peer, str(error))
                 break
             except TransportError as error:
                 is_answered, reason = False, str(error)
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -257,7 +257,10 @@
             refusal = await self._check_retry_allowed(outcome)
             if refusal is not None:
                 return refusal
-            if self._forwarder.health.is_cut_off and self._context.may_pass_on:
+            if (
+                self._forwarder.health.is_cut_off
+                and self._context.may_forward_to_router
+            ):
                 return await self._forwarder.routers.forward(
                     self._context,
                     self._responder,
