--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -263,6 +263,8 @@
                     break
                 has_retry = True
             if context.may_forward_to_router and self._is_out_of_reach():
+                if last_answer is not None and not last_answer.facts.is_not_run:
+                    self.may_have_run = True
                 return None
             rate_limits = self._forwarder.rate_limits
             wait = await rate_limits.acquire(server, context.priority)
