Count crashes of small services although no other server of theirs is reached

The comparison with servers of the same service holds only for services with five servers or more now.

--- a/hibiscustiller/ingress/_server_reach.py
+++ b/hibiscustiller/ingress/_server_reach.py
@@ -1,8 +1,8 @@
 """Whether this router reaches backend servers at all.
 
 A router whose links to servers are cut finds each of them refusing or silent, as if all
-had ended. A server is therefore taken for ended only if this router reaches another one
-of its service at that time. A router that reaches no server at all is cut off.
+had ended. A server is therefore taken for ended only if this router reaches others at
+that time. A router that reaches no server at all is cut off.
 """
 
 from __future__ import annotations
@@ -28,6 +28,8 @@
 _RETURN_PROBE_COUNT = 2
 _RETURN_PROBE_PERIOD = timedelta(milliseconds=500)
 _PERIOD_JITTER = 0.2
+# If fewer other servers of a service cannot be reached either, they may have crashed.
+_MIN_COMPARED = 4
 # Requests that no other router answers cause probes at most this often.
 _MIN_PROBE_INTERVAL = timedelta(milliseconds=100)
 
@@ -35,8 +37,8 @@
 class Reach(Enum):
     """Which other servers can be reached when one cannot.
 
-    SERVICE is another server of the same service, or that there is no other one. OTHER
-    is a server of another service only, and NONE is no server.
+    SERVICE is another server of the same service, or one of another service if the same
+    one has few. OTHER is a server of another service only, and NONE is no server.
     """
 
     SERVICE = "service"
@@ -134,7 +136,8 @@
         if same and await self._probe_some(same):
             return Reach.SERVICE
         if self._was_any_reached(others, since) or await self._probe_some(others):
-            return Reach.OTHER if same else Reach.SERVICE
+            # The servers of a small service may all have crashed, under one request.
+            return Reach.OTHER if len(same) >= _MIN_COMPARED else Reach.SERVICE
         if not self.is_cut_off:
             self.is_cut_off = True
             log_event("cut_off_from_servers", level="warning", server=server.id)
