--- a/hibiscustiller/standins/_metadata_store.py
+++ b/hibiscustiller/standins/_metadata_store.py
@@ -133,22 +133,17 @@
             {lease: ttl for lease, (_, ttl) in self._leases.items()},
         )
 
-    def restore(self, copy: StoreCopy, *, keeps_leases: bool = True) -> None:
+    def restore(self, copy: StoreCopy) -> None:
         """Return to an earlier state; later writes and leases are lost.
 
         Revisions after the copy's are given out again. A watch that waits goes on and
         hears of the changes after its own revision only.
-
-        :param keeps_leases: whether the copy has the leases of its time; without them
-            their keys remain until they are overwritten.
         """
         self.items, self.revision = dict(copy.items), copy.revision
         self._history = list(copy.history)
         now = self._clock.monotonic()
         self._leases = {
-            lease: (now + ttl, ttl)
-            for lease, ttl in copy.time_to_live_by_lease.items()
-            if keeps_leases
+            lease: (now + ttl, ttl) for lease, ttl in copy.time_to_live_by_lease.items()
         }
         self._old_state = None
         self.era += 1
