--- a/review/lib/clients.py
+++ b/review/lib/clients.py
@@ -16,7 +16,7 @@
     """Lines of what was sent, answered and run, on one monotonic clock."""
 
     def __init__(self, path):
-        self._file = open(path, "w", buffering=1)  # noqa: SIM115
+        self._file = open(path, "w", buffering=1)
         self._lock = threading.Lock()
         self.began_at = time.monotonic()
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -46,6 +46,10 @@
 stall_ms = 2000
 require_fencing = true
 """
+CONSTRAINTS = (
+    '"base","drain","config","cost","retry","recover","engine","stream","tenants",'
+    '"platform","layers"'
+)
 _used_ports = set()
 
 
@@ -200,7 +204,7 @@
 discovery = "platform"
 entry = "vip"
 heartbeat_ms = 1200
-constraints = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","layers"]
+constraints = [{CONSTRAINTS}]
 [zones]
 north = "here"
 east = "here"
