--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -55,7 +56,8 @@
 
 def choose_port():
     """Return a port that is free for TCP and UDP and below the ephemeral ones."""
-    for port in range(20000 + os.getpid() % 8000, 32000):
+    for _ in range(1000):
+        port = random.SystemRandom().randrange(20000, 32000)
         if port in _used_ports:
             continue
         _used_ports.add(port)
