--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -396,11 +396,6 @@
     }
 
 
-def is_troubled():
-    """Tell whether the case is to run with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def end_on_termination():
     """Let SIGTERM end the case like an exception, so that its programs are ended."""
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
