Log why servers without an entry are kept and used

Until now no line told that a server whose entry was removed is kept, which event counted as a return of the store, or that a request was sent to such a server. No logic is changed.

--- a/hibiscustiller/discovery/__init__.py
+++ b/hibiscustiller/discovery/__init__.py
@@ -5,7 +5,7 @@
 from hibiscustiller.discovery._registration import Registration
 from hibiscustiller.discovery._relay import StoreRelay, choose_followers
 from hibiscustiller.discovery._snapshots import SnapshotExchange
-from hibiscustiller.discovery._view import FleetView, Peer
+from hibiscustiller.discovery._view import FleetView, Peer, ServerPresence
 from hibiscustiller.discovery._watcher import FleetWatcher
 
 __all__ = [
@@ -15,6 +15,7 @@
     "FleetWatcher",
     "Peer",
     "Registration",
+    "ServerPresence",
     "SnapshotExchange",
     "StoreReach",
     "StoreRelay",
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -443,7 +443,7 @@
         self._last_confirmed_at = self._clock.monotonic()
         if message.store_returned_ms:
             age = timedelta(milliseconds=message.store_returned_ms)
-            self._view.handle_store_return(age)
+            self._view.handle_store_return(f"router {router_id}", age)
         if after == self._watcher.revision < to:
             await self._apply_message(message, after, to)
         await self._learn_what_the_store_lacks(router_id, message, to)
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from hibiscustiller.discovery._departures import Departure, Departures
 from hibiscustiller.fleet import BackendServer, FleetDocument, ServerState
@@ -59,6 +60,18 @@
     inner: Address | None = None
 
 
+class ServerPresence(Enum):
+    """Whether the process of a server has an entry in the store.
+
+    The entry of a MISSING one was removed, and the process may register again. A
+    REMOVED one has left, or another process has its id.
+    """
+
+    LISTED = "listed"
+    MISSING = "missing"
+    REMOVED = "removed"
+
+
 class FleetView:
     """This router's present knowledge of the fleet.
 
@@ -83,6 +96,9 @@
         self._servers_by_id: dict[ServerId, BackendServer] = {}
         # The latest process at each address.
         self._latest_by_address: dict[Address, BackendServer] = {}
+        # Servers whose entry was removed and that may register again: when it was
+        # removed, and until when they are kept.
+        self._missing_since_by_id: dict[ServerId, timedelta] = {}
         self._missing_until_by_id: dict[ServerId, timedelta] = {}
         self._store_returned_at: timedelta | None = None
         self._first_read_at: timedelta | None = None
@@ -140,7 +156,7 @@
         :param is_restored: whether the entry is that of a restored store, which may be
             older than what is known of the server.
         """
-        self._missing_until_by_id.pop(server.id, None)
+        self._forget_missing(server.id)
         self._outdated_servers.pop(server.id, None)
         previous = self._servers_by_id.get(server.id)
         if is_restored and self._is_outdated(server, previous):
@@ -178,10 +194,18 @@
             return
         until = self._get_reregistration_deadline()
         if until is not None:
-            self._missing_until_by_id.setdefault(server_id, until)
+            self._keep_missing_server(server_id, until)
             return
         self._drop_server(server_id)
 
+    def _keep_missing_server(self, server_id: ServerId, until: timedelta) -> None:
+        if server_id in self._missing_until_by_id:
+            return
+        now = self._clock.monotonic()
+        self._missing_until_by_id[server_id] = until
+        self._missing_since_by_id[server_id] = now
+        log_event("server_missing", server=server_id, kept_for=until - now)
+
     @property
     def is_settled(self) -> bool:
         """Whether servers had time to register again since the first read.
@@ -203,14 +227,21 @@
         for server_id in set(self._servers_by_id) - set(found):
             self.remove_server(server_id)
 
-    def handle_store_return(self, age: timedelta = timedelta(0)) -> None:
+    def handle_store_return(self, reason: str, age: timedelta = timedelta(0)) -> None:
         """Record that the store answers again after a failure.
 
+        :param reason: how this router learnt of it, for the log.
         :param age: time since it first answered.
         """
         at = self._clock.monotonic() - age
         if self._store_returned_at is None or at > self._store_returned_at:
             self._store_returned_at = at
+            log_event(
+                "store_return_recorded",
+                reason=reason,
+                age=age,
+                missing=",".join(self._missing_until_by_id),
+            )
             # They could not register while the store was away again.
             for server_id in self._missing_until_by_id:
                 self._missing_until_by_id[server_id] = at + _REREGISTRATION_TIME
@@ -341,6 +372,15 @@
         """Return a server, or None if it is unknown or was removed."""
         return self._servers_by_id.get(server_id)
 
+    def get_presence(self, server: BackendServer) -> ServerPresence:
+        """Tell whether a server's process still has an entry in the store."""
+        current = self._servers_by_id.get(server.id)
+        if current is None or current.born != server.born:
+            return ServerPresence.REMOVED
+        if server.id in self._missing_until_by_id:
+            return ServerPresence.MISSING
+        return ServerPresence.LISTED
+
     def is_replaced(self, server: BackendServer) -> bool:
         """Tell whether a later process, under another id, has a server's address."""
         latest = self._latest_by_address.get(server.address)
@@ -415,16 +455,23 @@
         )
 
     def _drop_server(self, server_id: ServerId, *, may_drain: bool = True) -> None:
-        was_missing = self._missing_until_by_id.pop(server_id, None) is not None
+        missing_for = self._forget_missing(server_id)
+        was_missing = missing_for is not None
         server = self._servers_by_id.pop(server_id)
         self._departures.record(server)
         if self._latest_by_address.get(server.address) == server:
             del self._latest_by_address[server.address]
         if may_drain and not was_missing and server.state is ServerState.READY:
             self._record_leaving(server)
-        log_event("server_gone", server=server_id)
+        log_event("server_gone", server=server_id, missing_for=missing_for)
         self._notify_listeners()
 
+    def _forget_missing(self, server_id: ServerId) -> timedelta | None:
+        """Return for how long a server was missing; None if it was not."""
+        self._missing_until_by_id.pop(server_id, None)
+        since = self._missing_since_by_id.pop(server_id, None)
+        return None if since is None else self._clock.monotonic() - since
+
     def _record_leaving(self, server: BackendServer) -> None:
         until = self._clock.monotonic() + self._drain * _LEAVING_DRAIN_FRACTION
         self._leaving_by_id.setdefault(server.id, (server, until))
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -496,7 +496,7 @@
             changes=len(batch.items),
         )
         self._era_began_at = self._clock.monotonic()
-        self._view.handle_store_return()
+        self._view.handle_store_return("store restored")
 
     def _apply_if_newer(self, change: Change) -> None:
         if change.revision <= self._get_revision(change.key):
@@ -530,7 +530,9 @@
             self.is_watch_lost = False
             # Called before the changes are applied, because entries may have expired
             # during the outage.
-            self._view.handle_store_return()
+            is_first_read = not self.has_initial_state
+            reason = "first read" if is_first_read else "watch regained"
+            self._view.handle_store_return(reason)
 
     def _apply(self, change: Change) -> None:
         if change.key == DOCUMENT_KEY and change.value is not None:
--- a/hibiscustiller/discovery/tests/test_store_restored.py
+++ b/hibiscustiller/discovery/tests/test_store_restored.py
@@ -253,10 +253,10 @@
     """Guards against the loss of servers that had no time to register again."""
     clock, view = make_view()
     view.apply_server(make_server())
-    view.handle_store_return()
+    view.handle_store_return("test")
     view.remove_server("e0")
     clock.advance(2 * SECOND)
-    view.handle_store_return()
+    view.handle_store_return("test")
     clock.advance(SECOND)
     view.drop_missing()
     assert len(view.list_servers("engines")) == 1
--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -8,6 +8,7 @@
 from functools import cached_property
 from typing import Any
 
+from hibiscustiller.discovery import ServerPresence
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.fleet import (
     BackendServer,
@@ -180,6 +181,11 @@
             servers=",".join(f"{server.id}/{server.born}" for server in servers),
         )
 
+    def log_presence(self, server: BackendServer, presence: ServerPresence) -> None:
+        """Log that an attempt is sent to a server that has no entry in the store."""
+        if presence is not ServerPresence.LISTED:
+            self.log("attempt_at_unlisted_server", server=server.id, presence=presence)
+
     def log(self, event: str, **fields: object) -> None:
         """Log an event of this request, with its id, route and age."""
         log_event(
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -253,6 +253,7 @@
             self.view.count_routers,
             self._metrics,
             self._router_forwarder,
+            self.view.get_presence,
         )
         self._dispatcher = RequestDispatcher(
             self.view,
@@ -600,7 +601,7 @@
         return report.born
 
     async def _handle_store_return(self) -> None:
-        self.view.handle_store_return()
+        self.view.handle_store_return("lease renewed")
         await self._store_client.close()
         await self._fleet_watcher.restart()
 
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -274,6 +274,7 @@
             self._view.count_routers,
             self._metrics,
             self._routers,
+            self._view.get_presence,
         )
 
     def _make_admission(
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -13,6 +13,7 @@
 
 import curio
 
+from hibiscustiller.discovery import ServerPresence
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._budget import RetryBudgets
@@ -151,6 +152,7 @@
     :param count_routers: returns the number of routers that share the connections of a
         server.
     :param routers: passes requests on while this router reaches no server.
+    :param get_presence: tells whether a server still has an entry in the store.
     """
 
     def __init__(
@@ -166,8 +168,10 @@
         count_routers: Callable[[], int],
         metrics: Metrics,
         routers: RouterForwarder,
+        get_presence: Callable[[BackendServer], ServerPresence],
     ) -> None:
         self.routers = routers
+        self.get_presence = get_presence
         self.crashes = crashes
         self.unanswered = unanswered
         self.rate_limits = rate_limits
@@ -348,6 +352,7 @@
         forwarder, context = self._forwarder, self._context
         started_at = context.clock.monotonic()
         sent_before = self._sent_count
+        context.log_presence(server, forwarder.get_presence(server))
         forwarder.load.add_unlayered(server.id, 1)
         answer = None
         is_crash_recorded = False
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -12,6 +12,7 @@
 import curio
 from result import Err
 
+from hibiscustiller.discovery import ServerPresence
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.fleet import BackendServer, IngressRoute
 from hibiscustiller.ingress._budget import RetryBudgets
@@ -110,6 +111,7 @@
         engines do not form one.
     :param count_routers: returns the number of routers that share the connections of a
         server.
+    :param get_presence: tells whether a server still has an entry in the store.
     """
 
     def __init__(
@@ -128,8 +130,10 @@
         count_routers: Callable[[], int],
         metrics: Metrics,
         routers: RouterForwarder,
+        get_presence: Callable[[BackendServer], ServerPresence],
     ) -> None:
         self.routers = routers
+        self.get_presence = get_presence
         self.find_fallback_pipeline = find_fallback_pipeline
         self.client = client
         self.admission = admission
@@ -487,6 +491,8 @@
         pipeline, context = grant.pipeline, self._context
         assert context.service.engine is not None
         check_pipeline(context.service.engine, pipeline)
+        for server in pipeline.servers:
+            context.log_presence(server, self._forwarder.get_presence(server))
         self._attempt_count += 1
         self._attempt_event_count = 0
         self._sent_at = None
