Show servers that are kept long after they left, in a test that fails

A third test, which passes, holds what a repair must not lose: an outage of the store costs no server whose entry expired in it.

--- /dev/null
+++ b/hibiscustiller/discovery/tests/test_servers_that_leave.py
@@ -0,0 +1,150 @@
+"""Servers that leave without a word: their entry is removed while the store answers."""
+
+import sys
+import time
+
+import curio
+
+from hibiscustiller.discovery.tests.fixtures import Fleet, make_entry
+from hibiscustiller.utils._testing import collect_tests
+
+# The platform's drain time: a server that left serves for this time only.
+DRAIN_S = 2.0
+# Servers whose entries expired during an outage write them again within this time.
+REWRITE_TIME_S = 2.0
+# A removal that takes longer is not waited for.
+MAX_REMOVAL_TIME_S = 5.0
+SERVICE = "orders"
+
+
+def put_servers(fleet, count):
+    """Register servers and return their ids."""
+    server_ids = [f"s{number}" for number in range(count)]
+    for server_id in server_ids:
+        fleet.store.put(f"servers/{server_id}", make_entry())
+    return server_ids
+
+
+def list_ids(member):
+    return {server.id for server in member.view.list_servers(SERVICE)}
+
+
+async def measure_removals(fleet, members, server_ids, period_s):
+    """Remove servers one after the other.
+
+    :param members: routers at which the removal is waited for.
+    :returns: the time until each router had dropped each server, in seconds.
+    """
+    times = []
+
+    async def measure(server_id):
+        removed_at = time.monotonic()
+        fleet.store.put(f"servers/{server_id}", None)
+        waiting = list(members)
+        while waiting:
+            await curio.sleep(0.01)
+            age_s = time.monotonic() - removed_at
+            known = [m for m in waiting if server_id in list_ids(m)]
+            known = known if age_s < MAX_REMOVAL_TIME_S else []
+            times.extend([age_s] * (len(waiting) - len(known)))
+            waiting = known
+
+    async with curio.TaskGroup() as group:
+        for server_id in server_ids:
+            await group.spawn(measure, server_id)
+            await curio.sleep(period_s)
+    return times
+
+
+async def restart_in_turn(fleet, numbers, period_s):
+    """Kill and restart routers in turn until cancelled."""
+    while True:
+        for number in numbers:
+            member = fleet.members[number]
+            await member.kill()
+            await curio.sleep(period_s / 2)
+            await fleet.restart(member).start()
+            await curio.sleep(period_s / 2)
+
+
+async def cut_off_in_turn(fleet, numbers, duration_s):
+    """Let the store refuse one router after the other until cancelled."""
+    while True:
+        for number in numbers:
+            fleet.store.refused_routers = {fleet.members[number].router_id}
+            await curio.sleep(duration_s)
+            fleet.store.refused_routers = set()
+            await curio.sleep(duration_s / 3)
+
+
+def split_followers(fleet):
+    """Return the numbers of two followers, and the routers that are left alone."""
+    followers = [n for n, m in enumerate(fleet.members) if m.relay.is_follower][:2]
+    others = [m for n, m in enumerate(fleet.members) if n not in followers]
+    return followers, others
+
+
+async def check_removals_beside(fleet, disturb, period_s):
+    """Check that undisturbed routers drop servers in time beside a disturbance."""
+    server_ids = put_servers(fleet, 12)
+    await fleet.wait_for_all()
+    # Shortly after the start, servers that are missing may still be kept.
+    await curio.sleep(2.4)
+    numbers, others = split_followers(fleet)
+    task = await curio.spawn(disturb, fleet, numbers, period_s, daemon=True)
+    try:
+        times = await measure_removals(fleet, others, server_ids, 0.35)
+    finally:
+        await task.cancel()
+    assert max(times) < DRAIN_S, sorted(times)[-20:]
+
+
+async def test_servers_that_left_are_dropped_beside_restarts_of_followers():
+    """Guards against DRAIN: the start of a process counted as a return of the store.
+
+    All routers then kept removed servers, and longer with each further start.
+    """
+    async with Fleet(6) as fleet:
+        await check_removals_beside(fleet, restart_in_turn, 1.0)
+
+
+async def test_servers_that_left_are_dropped_beside_followers_without_the_store():
+    """Guards against DRAIN: a loss of the store at one router counted for all."""
+    async with Fleet(6) as fleet:
+        await check_removals_beside(fleet, cut_off_in_turn, 1.5)
+
+
+async def test_an_outage_costs_no_server_whose_entry_expired_in_it():
+    """Guards against servers that are dropped although they register again.
+
+    One router starts while the store is away, and another right after its return.
+    """
+    async with Fleet(6) as fleet:
+        server_ids = put_servers(fleet, 6)
+        await fleet.wait_for_all()
+        await curio.sleep(2.4)
+        for down_s in (2.5, 4.0):
+            fleet.store.is_down = True
+            await curio.sleep(down_s / 2)
+            starting = fleet.members[1]
+            await starting.kill()
+            await fleet.restart(starting).start()
+            await curio.sleep(down_s / 2)
+            for server_id in server_ids:
+                fleet.store.put(f"servers/{server_id}", None)
+            running = [m for m in fleet.members if m is not fleet.members[1]]
+            fleet.store.is_down = False
+            until = time.monotonic() + REWRITE_TIME_S
+            while time.monotonic() < until:
+                for member in running:
+                    assert list_ids(member) >= set(server_ids), member.router_id
+                await curio.sleep(0.01)
+            put_servers(fleet, 6)
+            await fleet.wait_for_all()
+            await curio.sleep(1.0)
+            for member in fleet.members:
+                assert list_ids(member) >= set(server_ids), member.router_id
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
