Tell an outage of the store from a router's own loss of it

A server whose entry is removed is kept for 2.3 s after a return of the store, since entries expire in an outage. Each first read of a process, each regained watch and each renewed lease counted as such a return, was announced to all routers, and extended the time of all servers that were missing already.

An outage now has a beginning and an end. It begins with a router's first failed call, never with the start of a process, and it is disproved as soon as another router is known to have reached the store without a failure meanwhile. Followers tell that in their messages. Reports of the same outage do not extend it, an entry that changed after the outage did not expire in it, and the times are looked up when a server is removed, so that a disproof also ends what is kept already. Earlier builds do not tell when an outage began; what they report is not believed.

--- /dev/null
+++ b/hibiscustiller/discovery/_outages.py
@@ -0,0 +1,147 @@
+"""Outages of the store, told apart from a router's own loss of it.
+
+The entries of servers expire while the store is unavailable to them. A router that was
+cut off, or has just started, has not seen such an outage: the store answered others in
+the meantime, and an entry that is gone then belongs to a server that left.
+
+This module does no I/O. Times are on the monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hibiscustiller.utils import Clock, log_event
+
+# An answer to another router counts as given during an outage if it came this much
+# later than the first failure. The message that tells of it takes some time.
+_REPORT_DELAY = timedelta(milliseconds=300)
+# Without an answer for longer, a router that was paused itself may have missed an
+# outage. A router that watches the store renews its lease every second.
+_MAX_ANSWER_GAP = timedelta(seconds=2)
+# A router hears of about three answers a second. More than those during the longest
+# loss of the store by one router.
+_MAX_ANSWERS = 128
+# Several routers report the same outage, and a router may lose the store by itself
+# several times meanwhile.
+_MAX_OUTAGES = 8
+
+
+@dataclass(frozen=True)
+class StoreOutage:
+    """A time during which the store answered nobody.
+
+    :param began_at: when the first call was made that got no answer.
+    :param ended_at: when the store answered again.
+    :param is_restore: whether the store came back from a copy. It then lacks entries
+        even if it answered all the time.
+    """
+
+    began_at: timedelta
+    ended_at: timedelta
+    is_restore: bool = False
+
+
+@dataclass(frozen=True)
+class StoreAnswer:
+    """An answer of the store to a router.
+
+    :param reached_since: since when that router had no failed call.
+    :param at: when the answer arrived.
+    """
+
+    reached_since: timedelta
+    at: timedelta
+
+
+class StoreOutages:
+    """The outages of the store, as far as this router knows.
+
+    A router's own failures are evidence of an outage only if no other router is known
+    to have reached the store meanwhile. What it learns afterwards counts too.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._reached_since: timedelta | None = None
+        self._answered_at: timedelta | None = None
+        # When the first of the failed calls since the last answer was made.
+        self._failing_since: timedelta | None = None
+        self._answers_to_others: deque[StoreAnswer] = deque(maxlen=_MAX_ANSWERS)
+        self._outages: deque[StoreOutage] = deque(maxlen=_MAX_OUTAGES)
+
+    def record_answer(self) -> None:
+        """Record that the store has answered a call of this router."""
+        now = self._clock.monotonic()
+        failing_since, self._failing_since = self._failing_since, None
+        answered_at, self._answered_at = self._answered_at, now
+        is_gap = answered_at is None or now - answered_at > _MAX_ANSWER_GAP
+        if is_gap or failing_since is not None:
+            self._reached_since = now
+        if failing_since is not None:
+            self._record(StoreOutage(failing_since, now), "own calls")
+
+    def record_failure(self, called_at: timedelta) -> None:
+        """Record a call of this router that got no usable answer.
+
+        :param called_at: when it was made, or when it failed if it was made to wait.
+        """
+        if self._failing_since is None:
+            self._failing_since = max(called_at, self._answered_at or called_at)
+
+    def record_suspension(self) -> None:
+        """Record that this router was suspended, and may have missed an outage."""
+        self._answered_at = None
+
+    def record_restore(self) -> None:
+        """Record that the store came back from a copy, which lacks later entries."""
+        now = self._clock.monotonic()
+        self._outages.append(StoreOutage(now, now, is_restore=True))
+        log_event("store_outage_recorded", reason="restored from a copy")
+
+    def record_answer_to_other(self, answer: StoreAnswer) -> None:
+        """Record the last answer of the store to another router."""
+        self._answers_to_others.append(answer)
+
+    def record_reported(self, outage: StoreOutage, reporter: str) -> None:
+        """Record an outage that another router knows."""
+        self._record(outage, reporter)
+
+    def find_last(self) -> StoreOutage | None:
+        """Return the last outage; None if there was none."""
+        known = [outage for outage in self._outages if not self._is_disproved(outage)]
+        return max(known, key=lambda outage: outage.ended_at, default=None)
+
+    def get_last_answer(self) -> StoreAnswer | None:
+        """Return the last answer of the store to this router; None without one."""
+        if self._reached_since is None or self._answered_at is None:
+            return None
+        return StoreAnswer(self._reached_since, self._answered_at)
+
+    def _record(self, outage: StoreOutage, reporter: str) -> None:
+        # The same outage, seen by different routers, ends at slightly different times.
+        # The first one holds, or each report would extend it.
+        is_known = any(
+            outage.began_at < known.ended_at and known.began_at < outage.ended_at
+            for known in self._outages
+            if not self._is_disproved(known)
+        )
+        if is_known or self._is_disproved(outage):
+            return
+        self._outages.append(outage)
+        log_event(
+            "store_outage_recorded",
+            reason=reporter,
+            duration=outage.ended_at - outage.began_at,
+            age=self._clock.monotonic() - outage.ended_at,
+        )
+
+    def _is_disproved(self, outage: StoreOutage) -> bool:
+        """Tell whether another router reached the store throughout an outage."""
+        return not outage.is_restore and any(
+            answer.reached_since <= outage.began_at
+            and answer.at > outage.began_at + _REPORT_DELAY
+            for answer in self._answers_to_others
+        )
--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+from hibiscustiller.discovery._outages import StoreOutages
 from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._view import Peer
 from hibiscustiller.discovery._watcher import ROUTER_PREFIX
@@ -53,6 +54,7 @@
     :param reach: records the outcome of each renewal and may request one.
     :param on_new_era: called when the store was found to be restored from a backup.
     :param count_routers: returns how many routers register.
+    :param outages: records whether the store answers.
     """
 
     def __init__(
@@ -66,7 +68,9 @@
         reach: StoreReach,
         on_new_era: Callable[[], Awaitable[None]],
         count_routers: Callable[[], int],
+        outages: StoreOutages,
     ) -> None:
+        self._outages = outages
         self._reach = reach
         self._on_new_era = on_new_era
         self._count_routers = count_routers
@@ -110,6 +114,7 @@
             pause = _read_boot_time() - began_at
             if pause > period + _SUSPENSION_THRESHOLD:
                 log_event("host_stood_still", level="warning", pause=pause)
+                self._outages.record_suspension()
                 await self._on_return()
 
     def _get_renewal_period(self) -> timedelta:
@@ -134,10 +139,12 @@
         try:
             await self._renew()
         except StoreUnavailableError as error:
+            self._outages.record_failure(began_at)
             if self._reach.is_reachable:
                 self._reach.record_failure()
                 log_event("store_lost", level="warning", reason=error)
             return
+        self._outages.record_answer()
         was_reachable = self._reach.is_reachable
         self._reach.record_success(began_at)
         if not was_reachable:
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -23,6 +23,7 @@
     apply_delta,
     make_delta,
 )
+from hibiscustiller.discovery._outages import StoreAnswer, StoreOutage
 from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._snapshots import encode_age
 from hibiscustiller.discovery._view import FleetView, Peer
@@ -370,17 +371,22 @@
     ) -> bytes:
         """Encode a message; None as `changes` states that they are unavailable."""
         document = self._view.document
+        outage = self._view.outages.find_last()
+        answer = self._view.outages.get_last_answer()
         message = StoreChanges(
             after_revision=after.number,
             to_revision=to.number,
             following=self._watcher.is_watch_current,
             incomplete=changes is None,
-            store_returned_ms=encode_age(self._view.store_return_age),
+            store_returned_ms=self._encode_age_of(outage and outage.ended_at),
             changes=tuple(changes or ()),
             after_era=after.era,
             to_era=to.era,
             era_age_ms=encode_age(self._watcher.era_age),
             document_version=_limit_version(document),
+            outage_began_ms=self._encode_age_of(outage and outage.began_at),
+            reached_since_ms=self._encode_age_of(answer and answer.reached_since),
+            answered_ms=self._encode_age_of(answer and answer.at),
         )
         return self._datagrams.encode(message)
 
@@ -441,14 +447,34 @@
             # The sender has not learnt yet that the store was restored.
             return
         self._last_confirmed_at = self._clock.monotonic()
-        if message.store_returned_ms:
-            age = timedelta(milliseconds=message.store_returned_ms)
-            self._view.handle_store_return(f"router {router_id}", age)
+        self._record_outages(router_id, message)
         if after == self._watcher.revision < to:
             await self._apply_message(message, after, to)
         await self._learn_what_the_store_lacks(router_id, message, to)
         await self._stop_following_if_possible(to)
 
+    def _record_outages(self, router_id: RouterId, message: StoreChanges) -> None:
+        """Record when another router reached the store, and which outage it knows.
+
+        Daemons of earlier versions do not tell when an outage began. They take each
+        start of theirs for its end, so that they are not believed.
+        """
+        outages = self._view.outages
+        if message.answered_ms:
+            reached_since = self._decode_age(message.reached_since_ms)
+            answered_at = self._decode_age(message.answered_ms)
+            outages.record_answer_to_other(StoreAnswer(reached_since, answered_at))
+        if message.outage_began_ms:
+            began_at = self._decode_age(message.outage_began_ms)
+            ended_at = self._decode_age(message.store_returned_ms)
+            outages.record_reported(StoreOutage(began_at, ended_at), router_id)
+
+    def _encode_age_of(self, moment: timedelta | None) -> int:
+        return encode_age(None if moment is None else self._clock.monotonic() - moment)
+
+    def _decode_age(self, age_ms: int) -> timedelta:
+        return self._clock.monotonic() - timedelta(milliseconds=age_ms)
+
     async def _learn_what_the_store_lacks(
         self, router_id: RouterId, message: StoreChanges, to: Revision
     ) -> None:
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from hibiscustiller.discovery._departures import Departure, Departures
+from hibiscustiller.discovery._outages import StoreOutages
 from hibiscustiller.fleet import BackendServer, FleetDocument, ServerState
 from hibiscustiller.platform import NO_REVISION, Revision
 from hibiscustiller.settings import Address
@@ -29,6 +30,9 @@
 # Servers whose entries expired during a store outage write them again within two
 # seconds of its end. A server that is still missing after this time is removed.
 _REREGISTRATION_TIME = timedelta(seconds=2.3)
+# After an outage the routers learn within this time what was written before it. An
+# entry that changes later was written after the outage.
+_RETURN_READ_TIME = timedelta(seconds=0.5)
 # A server that announced its shutdown, or whose entry was removed, continues to serve
 # for the platform's drain time. The delays of the store and of the watch use up a part
 # of it.
@@ -81,6 +85,7 @@
 
     def __init__(self, clock: Clock, drain: timedelta) -> None:
         self._clock = clock
+        self.outages = StoreOutages(clock)
         self._drain = drain
         # Leaving servers, each with the time until which it may receive requests.
         self._leaving_by_id: dict[ServerId, tuple[BackendServer, timedelta]] = {}
@@ -96,11 +101,10 @@
         self._servers_by_id: dict[ServerId, BackendServer] = {}
         # The latest process at each address.
         self._latest_by_address: dict[Address, BackendServer] = {}
-        # Servers whose entry was removed and that may register again: when it was
-        # removed, and until when they are kept.
+        # When the entry of a server was removed that may register again.
         self._missing_since_by_id: dict[ServerId, timedelta] = {}
-        self._missing_until_by_id: dict[ServerId, timedelta] = {}
-        self._store_returned_at: timedelta | None = None
+        # When the entry of each server last changed.
+        self._changed_at_by_id: dict[ServerId, timedelta] = {}
         self._first_read_at: timedelta | None = None
         self._listeners: list[Callable[[], object]] = []
         self.document: FleetDocument | None = None
@@ -167,6 +171,7 @@
         if previous == server:
             return
         self._servers_by_id[server.id] = server
+        self._changed_at_by_id[server.id] = self._clock.monotonic()
         latest = self._latest_by_address.get(server.address)
         if latest is None or latest.id == server.id or latest.born <= server.born:
             self._latest_by_address[server.address] = server
@@ -186,25 +191,18 @@
     def remove_server(self, server_id: ServerId) -> None:
         """Remove a server whose entry was deleted or has expired.
 
-        Shortly after a store outage the server is kept until it has had time to write
-        its entry again.
+        A server whose entry may have expired in an outage of the store is kept until
+        it has had time to write it again.
         """
         self._outdated_servers.pop(server_id, None)
         if server_id not in self._servers_by_id:
             return
-        until = self._get_reregistration_deadline()
-        if until is not None:
-            self._keep_missing_server(server_id, until)
-            return
-        self._drop_server(server_id)
-
-    def _keep_missing_server(self, server_id: ServerId, until: timedelta) -> None:
-        if server_id in self._missing_until_by_id:
-            return
-        now = self._clock.monotonic()
-        self._missing_until_by_id[server_id] = until
-        self._missing_since_by_id[server_id] = now
-        log_event("server_missing", server=server_id, kept_for=until - now)
+        time_left = self._get_reregistration_time(server_id)
+        if time_left <= timedelta(0):
+            self._drop_server(server_id)
+        elif server_id not in self._missing_since_by_id:
+            self._missing_since_by_id[server_id] = self._clock.monotonic()
+            log_event("server_missing", server=server_id, kept_for=time_left)
 
     @property
     def is_settled(self) -> bool:
@@ -227,25 +225,6 @@
         for server_id in set(self._servers_by_id) - set(found):
             self.remove_server(server_id)
 
-    def handle_store_return(self, reason: str, age: timedelta = timedelta(0)) -> None:
-        """Record that the store answers again after a failure.
-
-        :param reason: how this router learnt of it, for the log.
-        :param age: time since it first answered.
-        """
-        at = self._clock.monotonic() - age
-        if self._store_returned_at is None or at > self._store_returned_at:
-            self._store_returned_at = at
-            log_event(
-                "store_return_recorded",
-                reason=reason,
-                age=age,
-                missing=",".join(self._missing_until_by_id),
-            )
-            # They could not register while the store was away again.
-            for server_id in self._missing_until_by_id:
-                self._missing_until_by_id[server_id] = at + _REREGISTRATION_TIME
-
     def list_departures(self) -> tuple[Departure, ...]:
         """Return the processes of servers that left."""
         return self._departures.list_all()
@@ -262,21 +241,12 @@
                 self._drop_server(server.id, may_drain=False)
                 self._set_aside(server)
 
-    @property
-    def store_return_age(self) -> timedelta | None:
-        """Time since the end of the last store outage; None if there was none."""
-        if self._store_returned_at is None:
-            return None
-        return self._clock.monotonic() - self._store_returned_at
-
     def drop_missing(self) -> None:
         """Remove missing servers that did not register again in time."""
         now = self._clock.monotonic()
-        expired_ids = [
-            key for key, until in self._missing_until_by_id.items() if now >= until
-        ]
-        for server_id in expired_ids:
-            self._drop_server(server_id)
+        for server_id in list(self._missing_since_by_id):
+            if self._get_reregistration_time(server_id) <= timedelta(0):
+                self._drop_server(server_id)
         for server, until in list(self._outdated_servers.values()):
             if now >= until and server.id not in self._servers_by_id:
                 self.apply_server(server)
@@ -377,7 +347,7 @@
         current = self._servers_by_id.get(server.id)
         if current is None or current.born != server.born:
             return ServerPresence.REMOVED
-        if server.id in self._missing_until_by_id:
+        if server.id in self._missing_since_by_id:
             return ServerPresence.MISSING
         return ServerPresence.LISTED
 
@@ -425,11 +395,16 @@
             if server.service == service
         ]
 
-    def _get_reregistration_deadline(self) -> timedelta | None:
-        if self._store_returned_at is None:
-            return None
-        until = self._store_returned_at + _REREGISTRATION_TIME
-        return until if self._clock.monotonic() < until else None
+    def _get_reregistration_time(self, server_id: ServerId) -> timedelta:
+        """Return how long a server without an entry may take to register again.
+
+        :returns: zero or less if its entry cannot have expired in an outage.
+        """
+        outage = self.outages.find_last()
+        changed_at = self._changed_at_by_id[server_id]
+        if outage is None or changed_at > outage.ended_at + _RETURN_READ_TIME:
+            return timedelta(0)
+        return outage.ended_at + _REREGISTRATION_TIME - self._clock.monotonic()
 
     def _is_outdated(self, server: BackendServer, known: BackendServer | None) -> bool:
         """Tell whether an entry of a restored store is older than what is known."""
@@ -458,6 +433,7 @@
         missing_for = self._forget_missing(server_id)
         was_missing = missing_for is not None
         server = self._servers_by_id.pop(server_id)
+        del self._changed_at_by_id[server_id]
         self._departures.record(server)
         if self._latest_by_address.get(server.address) == server:
             del self._latest_by_address[server.address]
@@ -468,7 +444,6 @@
 
     def _forget_missing(self, server_id: ServerId) -> timedelta | None:
         """Return for how long a server was missing; None if it was not."""
-        self._missing_until_by_id.pop(server_id, None)
         since = self._missing_since_by_id.pop(server_id, None)
         return None if since is None else self._clock.monotonic() - since
 
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -240,6 +240,8 @@
         """Initialise from another router's snapshot while the store is unavailable."""
         if not self.has_initial_state:
             log_event("snapshot_adopted", revision=snapshot.changes.revision)
+            # Its servers' entries may expire before the store returns.
+            self._view.outages.record_failure(self._clock.monotonic())
             await self._apply_full_state(snapshot.changes)
             self.merge_snapshot(snapshot)
             self._must_read_all, self._must_catch_up = False, True
@@ -300,6 +302,8 @@
         )
         self.is_watch_lost = True
         self._failures += 1
+        # The call may have waited for a change for a long time before it failed.
+        self._view.outages.record_failure(self._clock.monotonic())
         if self._failed_watches >= _MAX_FAILED_WATCHES:
             # The store may close all watches and still answer reads.
             self._must_read_all = True
@@ -496,7 +500,7 @@
             changes=len(batch.items),
         )
         self._era_began_at = self._clock.monotonic()
-        self._view.handle_store_return("store restored")
+        self._view.outages.record_restore()
 
     def _apply_if_newer(self, change: Change) -> None:
         if change.revision <= self._get_revision(change.key):
@@ -525,14 +529,12 @@
 
     def _record_success(self) -> None:
         self._failures = 0
+        # Called before the changes are applied, because entries may have expired in an
+        # outage.
+        self._view.outages.record_answer()
         if self.is_watch_lost:
             log_event("watch_regained", revision=self.revision)
             self.is_watch_lost = False
-            # Called before the changes are applied, because entries may have expired
-            # during the outage.
-            is_first_read = not self.has_initial_state
-            reason = "first read" if is_first_read else "watch regained"
-            self._view.handle_store_return(reason)
 
     def _apply(self, change: Change) -> None:
         if change.key == DOCUMENT_KEY and change.value is not None:
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -238,6 +238,7 @@
             reach,
             self.watcher.handle_store_era,
             self.view.count_routers,
+            self.view.outages,
         )
         self.watcher.subscribe_to_restores(self.registration.handle_restore)
         self.watcher.subscribe(self._record_revision)
--- a/hibiscustiller/discovery/tests/test_store_restored.py
+++ b/hibiscustiller/discovery/tests/test_store_restored.py
@@ -249,14 +249,20 @@
     assert view.list_servers("engines") == []
 
 
+def lose_store(view, clock):
+    """Let a router's own calls fail for two seconds."""
+    view.outages.record_failure(clock.monotonic())
+    clock.advance(2 * SECOND)
+    view.outages.record_answer()
+
+
 def test_a_missing_server_survives_a_second_outage():
     """Guards against the loss of servers that had no time to register again."""
     clock, view = make_view()
     view.apply_server(make_server())
-    view.handle_store_return("test")
+    lose_store(view, clock)
     view.remove_server("e0")
-    clock.advance(2 * SECOND)
-    view.handle_store_return("test")
+    lose_store(view, clock)
     clock.advance(SECOND)
     view.drop_missing()
     assert len(view.list_servers("engines")) == 1
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -356,6 +356,7 @@
             self._store_reach,
             self._fleet_watcher.handle_store_era,
             self.view.count_routers,
+            self.view.outages,
         )
         self._fleet_watcher.subscribe_to_restores(self._registration.handle_restore)
         self._control_lease_ttl = max(_CONTROL_LEASE_TTL, settings.min_lease)
@@ -601,7 +602,6 @@
         return report.born
 
     async def _handle_store_return(self) -> None:
-        self.view.handle_store_return("lease renewed")
         await self._store_client.close()
         await self._fleet_watcher.restart()
 
--- a/hibiscustiller/ingress/tests/test_parts.py
+++ b/hibiscustiller/ingress/tests/test_parts.py
@@ -145,7 +145,9 @@
     """
     a, b = make_engine("a", "large"), make_engine("b", "large")
     clock, view = make_view(a, b)
-    view.handle_store_return("test")
+    view.outages.record_failure(clock.monotonic())
+    clock.advance(2 * SECOND)
+    view.outages.record_answer()
     view.replace_servers([])
     assert len(view.list_servers("engines")) == 2
     view.apply_server(a)
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -752,6 +752,9 @@
     to_era: int
     era_age_ms: int
     document_version: int
+    outage_began_ms: int
+    reached_since_ms: int
+    answered_ms: int
 
 
 def _write_StoreChanges(builder: Any, message: StoreChanges) -> None:
@@ -767,6 +770,9 @@
     builder.toEra = message.to_era
     builder.eraAgeMs = message.era_age_ms
     builder.documentVersion = message.document_version
+    builder.outageBeganMs = message.outage_began_ms
+    builder.reachedSinceMs = message.reached_since_ms
+    builder.answeredMs = message.answered_ms
 
 
 def _read_StoreChanges(reader: Any) -> StoreChanges:
@@ -781,6 +787,9 @@
         to_era=reader.toEra,
         era_age_ms=reader.eraAgeMs,
         document_version=reader.documentVersion,
+        outage_began_ms=reader.outageBeganMs,
+        reached_since_ms=reader.reachedSinceMs,
+        answered_ms=reader.answeredMs,
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -267,7 +267,7 @@
   following @2 :Bool;
   # Whether changes are missing, so that the receiver has to read the store.
   incomplete @3 :Bool;
-  # Time since the sender found the store back after an outage; 0 if it never did.
+  # Time since the end of the last outage of the store; 0 if the sender knows of none.
   storeReturnedMs @4 :UInt64;
   changes @5 :List(StoreChange);
   afterEra @6 :UInt64;
@@ -276,6 +276,13 @@
   eraAgeMs @8 :UInt64;
   # Version of the configuration in force; 0 if there is none.
   documentVersion @9 :UInt64;
+  # Time since the beginning of that outage; 0 if the sender knows of none, or is of an
+  # earlier version.
+  outageBeganMs @10 :UInt64;
+  # Since when the sender reaches the store without a failed call, and the time since
+  # the store's last answer to it; 0 if there is none.
+  reachedSinceMs @11 :UInt64;
+  answeredMs @12 :UInt64;
 }
 
 # A server's process that left, and the last update of its entry.
