List the servers of a plain service anew for each attempt

A request to a plain service kept the list of servers that it found at its start, through all waits. A repeat could go to a server that had left longer than drain_ms before (DRAIN), if the first server or a permission took that long. The list is now read from the view before each attempt, so that it also includes servers that came meanwhile.

--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -210,7 +210,7 @@
                     context, responder
                 )
             else:
-                await self._plain_forwarder.forward(context, servers, responder)
+                await self._plain_forwarder.forward(context, responder)
             if responder.is_finished and responder.status < _FIRST_ERROR_STATUS:
                 self._durations.record(context.route, context.age)
         finally:
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -254,6 +254,7 @@
             self._metrics,
             self._router_forwarder,
             self.view.get_presence,
+            self.view.list_servers,
         )
         self._dispatcher = RequestDispatcher(
             self.view,
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -47,6 +47,7 @@
     Refusal,
     RefusalReason,
     ServerId,
+    ServiceName,
     Verdict,
 )
 from hibiscustiller.wire import Exchange, HttpClient, Responder, find_described_length
@@ -153,6 +154,7 @@
         server.
     :param routers: passes requests on while this router reaches no server.
     :param get_presence: tells whether a server still has an entry in the store.
+    :param list_servers: returns the servers of a service that accept new requests.
     """
 
     def __init__(
@@ -169,8 +171,10 @@
         metrics: Metrics,
         routers: RouterForwarder,
         get_presence: Callable[[BackendServer], ServerPresence],
+        list_servers: Callable[[ServiceName], Sequence[BackendServer]],
     ) -> None:
         self.routers = routers
+        self.list_servers = list_servers
         self.get_presence = get_presence
         self.crashes = crashes
         self.unanswered = unanswered
@@ -183,17 +187,9 @@
         self.count_routers = count_routers
         self.metrics = metrics
 
-    async def forward(
-        self,
-        context: RequestContext,
-        candidates: Sequence[BackendServer],
-        responder: Responder,
-    ) -> None:
-        """Forward a request and send the answer, or a refusal, to the caller.
-
-        :param candidates: servers of the service that accept new requests.
-        """
-        attempts = _PlainAttempts(self, context, list(candidates))
+    async def forward(self, context: RequestContext, responder: Responder) -> None:
+        """Forward a request and send the answer, or a refusal, to the caller."""
+        attempts = _PlainAttempts(self, context)
         answer = await attempts.run()
         if answer is None:
             answer = await self.routers.forward(
@@ -228,21 +224,23 @@
 class _PlainAttempts:
     """The attempts of one request at different servers."""
 
-    def __init__(
-        self,
-        forwarder: PlainForwarder,
-        context: RequestContext,
-        candidates: list[BackendServer],
-    ) -> None:
+    def __init__(self, forwarder: PlainForwarder, context: RequestContext) -> None:
         self._forwarder = forwarder
         self._context = context
-        self._candidates = candidates
         self._sent_count = 0
         self.may_have_run = False
         # Servers that take no request now, with the expected wait.
         self._waits_by_id: dict[ServerId, timedelta] = {}
         self.tried_ids: list[ServerId] = []
 
+    @property
+    def _candidates(self) -> Sequence[BackendServer]:
+        """The servers that accept new requests now.
+
+        A request may wait before an attempt, and servers leave meanwhile.
+        """
+        return self._forwarder.list_servers(self._context.service.name)
+
     async def run(self) -> _Answer | Refusal | None:
         """Make attempts until there is an answer.
 
@@ -303,8 +301,8 @@
 
     def _is_out_of_reach(self) -> bool:
         """Tell whether this router reaches no server of the service."""
-        health = self._forwarder.health
-        return bool(self._candidates) and not health.is_any_reachable(self._candidates)
+        candidates, health = self._candidates, self._forwarder.health
+        return bool(candidates) and not health.is_any_reachable(candidates)
 
     def _make_wait_refusal(self) -> Refusal:
         """Return the refusal of a request that no server takes now."""
@@ -463,7 +461,7 @@
         """
         context = self._context
         remaining = context.timeout_left
-        has_untried = len(self.tried_ids) < len(self._candidates)
+        has_untried = any(s.id not in self.tried_ids for s in self._candidates)
         may_retry = context.route.is_repeatable and has_untried
         if may_retry and self._sent_count < context.route.max_attempts:
             return min(
