Bound the memory of all answers that are read at the same time

Operators of a similar system saw a machine that kept the endless bytes of faulty servers until it ran out of memory, and the requests of all its clients end with it.

All bodies of answers, and incomplete events, now share a fifth of the process's memory (limits.memory_mb). Nothing waits for memory, so that readers cannot block one another. The server that sends most at the same time loses its largest unfinished body; its connection is closed, and the caller is told that the request may have run. Bodies below 16 KB do not count, so that other requests pass. An answer that announces more than the maximum is refused at its head.

--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -265,6 +265,7 @@
     :param min_lease: shortest lease that the store grants.
     :param max_value_bytes: largest value that the store accepts, in bytes.
     :param capacity: processor capacity of the host, in cores.
+    :param memory_bytes: memory that a process may take before it is killed.
     :param is_first_start: whether the whole system starts for the first time.
     :param inner: listening address for the requests of other routers; None if the
         daemon does not serve any.
@@ -286,6 +287,7 @@
     min_lease: timedelta
     max_value_bytes: int
     capacity: float = 1.0
+    memory_bytes: int = 256 << 20
     is_first_start: bool = False
     inner: Address | None = None
     seeds: tuple[Address, ...] = ()
--- a/hibiscustiller/ingress/_events.py
+++ b/hibiscustiller/ingress/_events.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from hibiscustiller.wire import BodyHold
+
 _EVENT_END_PATTERN = re.compile(rb"\r?\n\r?\n")
 _ID_FIELD_PATTERN = re.compile(rb"(?:^|\n)id: ?(\d+)")
 # Far above the few hundred bytes of an event with a few tokens.
@@ -46,9 +48,13 @@
 
 
 class EventSplitter:
-    """Incremental splitter, which buffers bytes until an event is complete."""
+    """Incremental splitter, which buffers bytes until an event is complete.
+
+    :param hold: the memory of incomplete events, to be released by the caller.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, hold: BodyHold) -> None:
+        self._hold = hold
         self._rest = b""
 
     @property
@@ -60,6 +66,7 @@
         """Add bytes and return the events that they complete.
 
         :raises ValueError: if an incomplete event exceeds the maximum size.
+        :raises TransportError: if there is no memory for an incomplete event.
         """
         buffer = self._rest + data
         events = []
@@ -72,4 +79,5 @@
         self._rest = buffer[start:]
         if len(self._rest) > _MAX_EVENT_BYTES:
             raise ValueError(f"an event is longer than {_MAX_EVENT_BYTES} bytes")
+        self._hold.resize(len(self._rest))
         return events
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -54,6 +54,7 @@
     rank_by_rendezvous,
 )
 from hibiscustiller.wire import (
+    BodyMemory,
     Connect,
     DatagramSocket,
     HttpClient,
@@ -92,6 +93,9 @@
 # Below the file descriptor limit of the smallest hosts, with room left for connections
 # to backend servers.
 _MAX_FRONT_CONNECTIONS = 3000
+# Share of the process's memory for bodies of answers. At rest the process takes a fifth
+# of the memory of the smallest hosts, and copies and buffers take as much again.
+_BODY_SHARE_OF_MEMORY = 0.2
 _STOPPED = Refusal(
     RefusalReason.BACKEND_TIMEOUT,
     Verdict.MAY_HAVE_RUN,
@@ -141,7 +145,9 @@
             self._has_other_routers,
             self._handle_reach_change,
         )
-        self._server_client = HttpClient(clock, _CONNECT_TIMEOUT, connect)
+        memory = BodyMemory(int(settings.memory_bytes * _BODY_SHARE_OF_MEMORY))
+        self._body_memory = memory
+        self._server_client = HttpClient(clock, _CONNECT_TIMEOUT, connect, memory)
         self._health = ServerHealth(
             clock,
             self.view.get_server,
@@ -213,7 +219,7 @@
             settings.domain,
             self.view,
             self._health,
-            HttpClient(clock, _CONNECT_TIMEOUT),
+            HttpClient(clock, _CONNECT_TIMEOUT, memory=self._body_memory),
             budgets,
             clock,
             self._random_state,
@@ -273,7 +279,7 @@
 
     def _build_store_clients(self) -> None:
         settings, clock = self._settings, self._clock
-        self._store_client = HttpClient(clock, _STORE_TIMEOUT)
+        self._store_client = HttpClient(clock, _STORE_TIMEOUT, memory=self._body_memory)
         store = MetadataStore(
             self._store_client,
             settings.store,
@@ -337,7 +343,7 @@
             settings.seeds,
             settings.inner,
             self._fleet_watcher,
-            HttpClient(clock, _CONNECT_TIMEOUT),
+            HttpClient(clock, _CONNECT_TIMEOUT, memory=self._body_memory),
             clock,
             first_read_delay,
         )
@@ -375,7 +381,7 @@
             lambda: self.view.has_lease_holder,
             lambda: self.view.is_settled,
             self.models.list_groups,
-            HttpClient(clock, _CONNECT_TIMEOUT, self._connect),
+            HttpClient(clock, _CONNECT_TIMEOUT, self._connect, self._body_memory),
             clock,
             self._get_election_delay,
             _CONTROL_RENEWAL_PERIOD,
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -8,6 +8,7 @@
 import math
 import random
 from collections.abc import Callable, Sequence
+from contextlib import ExitStack
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -189,7 +190,11 @@
 
     async def forward(self, context: RequestContext, responder: Responder) -> None:
         """Forward a request and send the answer, or a refusal, to the caller."""
-        attempts = _PlainAttempts(self, context)
+        with ExitStack() as holds:
+            await self._forward(_PlainAttempts(self, context, holds), responder)
+
+    async def _forward(self, attempts: _PlainAttempts, responder: Responder) -> None:
+        context = attempts.context
         answer = await attempts.run()
         if answer is None:
             answer = await self.routers.forward(
@@ -222,11 +227,17 @@
 
 
 class _PlainAttempts:
-    """The attempts of one request at different servers."""
+    """The attempts of one request at different servers.
+
+    :param holds: memory of the answers, released after one of them was passed on.
+    """
 
-    def __init__(self, forwarder: PlainForwarder, context: RequestContext) -> None:
+    def __init__(
+        self, forwarder: PlainForwarder, context: RequestContext, holds: ExitStack
+    ) -> None:
         self._forwarder = forwarder
-        self._context = context
+        self._holds = holds
+        self.context = context
         self._sent_count = 0
         self.may_have_run = False
         # Servers that take no request now, with the expected wait.
@@ -239,7 +250,7 @@
 
         A request may wait before an attempt, and servers leave meanwhile.
         """
-        return self._forwarder.list_servers(self._context.service.name)
+        return self._forwarder.list_servers(self.context.service.name)
 
     async def run(self) -> _Answer | Refusal | None:
         """Make attempts until there is an answer.
@@ -247,7 +258,7 @@
         :returns: the answer, the reason why there is none, or None if another router
             has to answer, because this one reaches no server.
         """
-        context = self._context
+        context = self.context
         last_answer: _Answer | None = None
         has_retry = False
         while (
@@ -321,14 +332,14 @@
         """
         if self._sent_count == 0:
             return False
-        context, crashes = self._context, self._forwarder.crashes
+        context, crashes = self.context, self._forwarder.crashes
         refusal = await crashes.admit(context.fingerprint, context.time_left)
         return refusal is not None
 
     def _choose(self) -> BackendServer | None:
-        if self._sent_count >= max(1, self._context.route.max_attempts):
+        if self._sent_count >= max(1, self.context.route.max_attempts):
             return None
-        service, load = self._context.service, self._forwarder.load
+        service, load = self.context.service, self._forwarder.load
         untried = [
             server
             for server in self._candidates
@@ -343,11 +354,11 @@
         if answer.facts.is_not_run:
             return True
         # The cause of a server error may be limited to that server.
-        return _is_server_error(answer) and self._context.route.is_repeatable
+        return _is_server_error(answer) and self.context.route.is_repeatable
 
     async def _try_server(self, server: BackendServer) -> _Answer | None:
         """Make one attempt and record its result; None without a usable answer."""
-        forwarder, context = self._forwarder, self._context
+        forwarder, context = self._forwarder, self.context
         started_at = context.clock.monotonic()
         sent_before = self._sent_count
         context.log_presence(server, forwarder.get_presence(server))
@@ -387,7 +398,7 @@
         :raises TimeoutError: if there is no answer in time.
         :raises TransportError: if the request cannot be sent or the answer is unusable.
         """
-        context = self._context
+        context = self.context
         exchange = await self._forwarder.client.open_exchange(
             server.address,
             context.make_server_request(server),
@@ -419,7 +430,7 @@
 
         :returns: whether it has.
         """
-        forwarder, context = self._forwarder, self._context
+        forwarder, context = self._forwarder, self.context
         broken_at = context.clock.monotonic()
         if not await forwarder.health.check_ended(server):
             return False
@@ -440,7 +451,7 @@
         self._sent_count += 1
 
     async def _read_answer(self, exchange: Exchange, server: BackendServer) -> _Answer:
-        context, forwarder = self._context, self._forwarder
+        context, forwarder = self.context, self._forwarder
         sent_at = context.clock.monotonic()
         await exchange.read_head(self._compute_head_timeout())
         facts = read_answer_facts(exchange.status, exchange.fields)
@@ -448,7 +459,8 @@
         if context.has_statements(facts, exchange):
             forwarder.health.statements.record(server, facts)
             forwarder.rate_limits.observe(server, facts.rate_limit, sent_at)
-        body = await exchange.read_body(context.timeout_left, MAX_BODY_BYTES)
+        hold = self._holds.enter_context(forwarder.client.memory.hold(server.address))
+        body = await exchange.read_body(hold, context.timeout_left, MAX_BODY_BYTES)
         answer = _Answer(exchange.status, exchange.fields, body, facts)
         if not context.is_refused_by(facts, exchange):
             _check_answer(answer, context)
@@ -459,7 +471,7 @@
 
         It is shorter where the request may still be sent to another server.
         """
-        context = self._context
+        context = self.context
         remaining = context.timeout_left
         has_untried = any(s.id not in self.tried_ids for s in self._candidates)
         may_retry = context.route.is_repeatable and has_untried
@@ -471,7 +483,7 @@
 
     def _make_non_retryable_failure(self) -> _Answer | Refusal:
         """Return the final answer of a request that must not be retried."""
-        if self._context.time_left <= timedelta(0):
+        if self.context.time_left <= timedelta(0):
             message = "the server did not answer in time"
             return self._make_failure(RefusalReason.BACKEND_TIMEOUT, message, None)
         message = "the server gave no usable answer"
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -37,6 +37,7 @@
     Verdict,
 )
 from hibiscustiller.wire import (
+    BodyHold,
     Exchange,
     HttpClient,
     RawRequest,
@@ -244,19 +245,21 @@
             if self._may_have_run and exchange.status in NOT_RUN_STATUSES:
                 # The other router knows nothing of the earlier attempts.
                 return False
-            if exchange.status == _OK and is_event_stream(exchange):
-                await self._relay_events(exchange)
-            elif self._responder.is_started:
-                message = f"status {exchange.status} after the answer had begun"
-                raise TransportError(message, Verdict.MAY_HAVE_RUN)
-            else:
-                await self._relay_whole_answer(exchange)
+            with self._forwarder.client.memory.hold(peer.inner) as hold:
+                if exchange.status == _OK and is_event_stream(exchange):
+                    await self._relay_events(exchange, EventSplitter(hold))
+                elif self._responder.is_started:
+                    message = f"status {exchange.status} after the answer had begun"
+                    raise TransportError(message, Verdict.MAY_HAVE_RUN)
+                else:
+                    await self._relay_whole_answer(exchange, hold)
         finally:
             await exchange.close()
         return True
 
-    async def _relay_whole_answer(self, exchange: Exchange) -> None:
-        body = await exchange.read_body(self._context.timeout_left, MAX_BODY_BYTES)
+    async def _relay_whole_answer(self, exchange: Exchange, hold: BodyHold) -> None:
+        timeout = self._context.timeout_left
+        body = await exchange.read_body(hold, timeout, MAX_BODY_BYTES)
         if not exchange.is_framed:
             message = "the answer of a router has no end of its own"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
@@ -266,9 +269,8 @@
             self._responder.send_fields(exchange.status, fields, body, length)
         )
 
-    async def _relay_events(self, exchange: Exchange) -> None:
+    async def _relay_events(self, exchange: Exchange, splitter: EventSplitter) -> None:
         """Relay whole events, so that another router can go on after the last one."""
-        splitter = EventSplitter()
         while True:
             part = await exchange.read_part(self._context.timeout_left)
             if part is None:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -55,7 +55,13 @@
     ServerId,
     Verdict,
 )
-from hibiscustiller.wire import Exchange, HttpClient, Responder, find_described_length
+from hibiscustiller.wire import (
+    BodyHold,
+    Exchange,
+    HttpClient,
+    Responder,
+    find_described_length,
+)
 
 _STATUS_OK = 200
 # How often a paused stream looks up whether one of its stages is known to be lost.
@@ -569,10 +575,12 @@
             message = "the answer has another request id or lacks the server's seal"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
         if exchange.status != _STATUS_OK:
-            return await self._relay_whole_answer(exchange)
+            return await self._relay_whole_answer(exchange, grant)
         if not is_event_stream(exchange):
-            return await self._relay_whole_answer(exchange)
-        return await self._relay_events(exchange, grant)
+            return await self._relay_whole_answer(exchange, grant)
+        memory = self._forwarder.client.memory
+        with memory.hold(grant.pipeline.entry.address) as hold:
+            return await self._relay_events(exchange, grant, EventSplitter(hold))
 
     def _record_statements(self, grant: Grant, facts: AnswerFacts) -> None:
         """Record what an answer says of its server, or of the server at fault.
@@ -609,7 +617,7 @@
             )
             self._context.log("attempt_refused", server=server.id, used_share=share)
 
-    async def _relay_whole_answer(self, exchange: Exchange) -> _Outcome:
+    async def _relay_whole_answer(self, exchange: Exchange, grant: Grant) -> _Outcome:
         """Relay an answer that is no stream, provided that nothing was sent yet.
 
         Server errors of resumable requests are not relayed, since another server may
@@ -617,8 +625,13 @@
         relayed either, since the server did not state that.
         """
         self._may_have_run = True
+        memory = self._forwarder.client.memory
+        with memory.hold(grant.pipeline.entry.address) as hold:
+            return await self._relay_body(exchange, hold)
+
+    async def _relay_body(self, exchange: Exchange, hold: BodyHold) -> _Outcome:
         remaining = self._context.timeout_left
-        body = await exchange.read_body(remaining, MAX_BODY_BYTES)
+        body = await exchange.read_body(hold, remaining, MAX_BODY_BYTES)
         can_resume = self._context.route.is_resumable
         is_failure = exchange.status >= 500
         if self._responder.is_started or (is_failure and can_resume):
@@ -632,8 +645,9 @@
         )
         return _Outcome.FAILED if is_failure else _Outcome.ANSWERED
 
-    async def _relay_events(self, exchange: Exchange, grant: Grant) -> _Outcome:
-        splitter = EventSplitter()
+    async def _relay_events(
+        self, exchange: Exchange, grant: Grant, splitter: EventSplitter
+    ) -> _Outcome:
         clock = self._context.clock
         last_event_at: timedelta | None = None
         while True:
--- a/hibiscustiller/ingress/tests/test_parts.py
+++ b/hibiscustiller/ingress/tests/test_parts.py
@@ -23,9 +23,11 @@
 from hibiscustiller.layers import EngineLoad, EngineUse
 from hibiscustiller.layers.tests.fixtures import LayerRange, make_engine
 from hibiscustiller.platform import Revision, decode_fleet_document
+from hibiscustiller.settings import Address
 from hibiscustiller.standins import make_event
 from hibiscustiller.utils import ManualClock
 from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire import BodyMemory
 
 SECOND = timedelta(seconds=1)
 
@@ -83,7 +85,7 @@
 def test_events_are_complete_whatever_the_chunk_sizes(chunk_sizes):
     """Guards against events that are forwarded in part or changed."""
     stream = b"".join(make_event(number) for number in range(9)) + b"id: 9\nda"
-    splitter = EventSplitter()
+    splitter = EventSplitter(make_hold())
     events = []
     position = 0
     while position < len(stream):
@@ -100,10 +102,15 @@
     Such a field announces a change of the weights.
     """
     data = b"weight-versions: 3\r\nid: 4\r\ndata: x\r\n\r\n"
-    (event,) = EventSplitter().feed(data)
+    (event,) = EventSplitter(make_hold()).feed(data)
     assert (event.id, event.data) == (4, data)
 
 
+def make_hold():
+    """Return the memory of an answer, without a bound."""
+    return BodyMemory().hold(Address("127.0.0.1", 9))
+
+
 def make_view(*servers):
     """Return a clock, and a view of these servers with a drain time of two seconds."""
     clock = ManualClock()
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -17,6 +17,9 @@
 _PATH_VARIABLE = "HIBISCUSTILLER_NODE_FILE"
 # Without a bound in the file the shortest useful lease is assumed.
 _DEFAULT_MIN_LEASE_MS = 1000
+# Without a limit in the file, about that of the smallest hosts is assumed.
+_DEFAULT_MEMORY_MB = 256
+_BYTES_PER_MB = 1_000_000
 
 
 def find_host_settings(environment: Mapping[str, str] = os.environ) -> Path:
@@ -82,6 +85,7 @@
         ),
         max_value_bytes=int(store["value_bytes"]),
         capacity=_read_capacity(values.get("limits", {})),
+        memory_bytes=_read_memory(values.get("limits", {})),
         is_first_start=bool(values.get("bootstrap", False)),
         inner=parse_address(inner) if inner else None,
         seeds=tuple(parse_address(seed) for seed in values.get("seeds") or ()),
@@ -92,6 +96,13 @@
     return timedelta(milliseconds=values[name])
 
 
+def _read_memory(limits: Mapping[str, Any]) -> int:
+    memory_mb = float(limits.get("memory_mb", _DEFAULT_MEMORY_MB))
+    if memory_mb <= 0:
+        raise ValueError(f"memory_mb must be above 0, got {memory_mb:g}")
+    return int(memory_mb * _BYTES_PER_MB)
+
+
 def _read_capacity(limits: Mapping[str, Any]) -> float:
     # A share of a core that is so many times as fast as a usual one.
     return float(limits.get("cpu_share", 1.0)) * float(limits.get("cores", 1))
--- a/hibiscustiller/platform/tests/test_decoding.py
+++ b/hibiscustiller/platform/tests/test_decoding.py
@@ -81,6 +81,7 @@
     assert found.drain == timedelta(seconds=2)
     assert found.retry_slack == 198
     assert found.min_lease == timedelta(seconds=1)
+    assert found.memory_bytes == 300_000_000
 
 
 def test_bad_settings_name_what_is_wrong():
@@ -89,9 +90,11 @@
         "node_name": "node_name is missing",
         'front = "10.1.0.40:8227"': "front is missing",
         "[bounds]": "bounds is missing",
+        "memory_mb = 300": "memory_mb must be above 0, got -1",
     }
     for removed, message in cases.items():
-        text = SETTINGS.replace(removed, "[other]" if "[" in removed else "x = 1 #")
+        added = "memory_mb = -1" if "memory" in removed else "x = 1 #"
+        text = SETTINGS.replace(removed, "[other]" if "[" in removed else added)
         try:
             parse_host_settings(text)
         except SettingsError as error:
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -20,6 +20,7 @@
     describe_refusal,
     make_refusal_headers,
 )
+from hibiscustiller.wire._memory import BodyHold, BodyMemory
 from hibiscustiller.wire._sockets import (
     Connect,
     is_readable,
@@ -29,6 +30,8 @@
 
 __all__ = [
     "AnswerStream",
+    "BodyHold",
+    "BodyMemory",
     "Connect",
     "DatagramSocket",
     "Exchange",
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -20,6 +20,7 @@
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, Verdict
 from hibiscustiller.wire._deadlines import wait_at_most
+from hibiscustiller.wire._memory import BodyHold, BodyMemory
 from hibiscustiller.wire._sockets import (
     Connect,
     is_readable,
@@ -72,6 +73,7 @@
     :param clock: tells how long a connection has been idle.
     :param connect_timeout: longest wait for a connection.
     :param connect: opens connections.
+    :param memory: bounds the memory of answers; None for no bound on their sum.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         clock: Clock,
         connect_timeout: timedelta = timedelta(seconds=1),
         connect: Connect = open_connection,
+        memory: BodyMemory | None = None,
     ) -> None:
+        self.memory = memory or BodyMemory()
         self.clock = clock
         self._open_connection = connect
         self._connect_timeout = connect_timeout
@@ -116,7 +120,8 @@
             )
             if before_send is not None:
                 before_send()
-            answer = await wait_at_most(timeout, _exchange(connection, data))
+            with self.memory.hold(address) as hold:
+                answer = await wait_at_most(timeout, _exchange(connection, data, hold))
             is_reusable = connection.state.our_state is h11.DONE
             return answer
         except TransportError:
@@ -367,19 +372,24 @@
         self._is_reusable = True
         return None
 
-    async def read_body(self, timeout: timedelta, max_bytes: int) -> bytes:
+    async def read_body(
+        self, hold: BodyHold, timeout: timedelta, max_bytes: int
+    ) -> bytes:
         """Read the whole body; see :meth:`read_part`.
 
+        :param hold: memory of the body, to be released when it has been passed on.
         :param timeout: longest wait for all of it.
         """
         clock = self._client.clock
         deadline = clock.monotonic() + timeout
-        body = bytearray()
+        length = find_described_length(self.fields)
+        if length is not None and int(length) > max_bytes:
+            raise TransportError("answer too large", Verdict.MAY_HAVE_RUN)
         while (part := await self.read_part(deadline - clock.monotonic())) is not None:
-            body += part
-            if len(body) > max_bytes:
+            hold.append(part)
+            if hold.size > max_bytes:
                 raise TransportError("answer too large", Verdict.MAY_HAVE_RUN)
-        return bytes(body)
+        return hold.finish()
 
     async def close(self) -> None:
         """Return the connection for the next request, or close it."""
@@ -551,11 +561,11 @@
         ) from error
 
 
-async def _exchange(connection: _Connection, request: bytes) -> HttpAnswer:
+async def _exchange(
+    connection: _Connection, request: bytes, hold: BodyHold
+) -> HttpAnswer:
     await connection.sock.sendall(request)
     head: h11.Response | None = None
-    parts: list[bytes] = []
-    size = 0
     while True:
         event = connection.state.next_event()
         if event is h11.NEED_DATA:
@@ -566,12 +576,11 @@
         elif isinstance(event, h11.Response):
             head = event
         elif isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > _MAX_ANSWER_BYTES:
+            hold.append(event.data)
+            if hold.size > _MAX_ANSWER_BYTES:
                 raise h11.RemoteProtocolError("answer too large")
-            parts.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage) and head is not None:
-            return HttpAnswer(head.status_code, _decode_headers(head), b"".join(parts))
+            return HttpAnswer(head.status_code, _decode_headers(head), hold.finish())
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("connection closed before the answer")
 
--- a/hibiscustiller/wire/tests/test_endless_answers.py
+++ b/hibiscustiller/wire/tests/test_endless_answers.py
@@ -26,7 +26,8 @@
     )
     try:
         await exchange.read_head(TIMEOUT)
-        return await exchange.read_body(TIMEOUT, MAX_BODY_BYTES)
+        with client.memory.hold(address) as hold:
+            return await exchange.read_body(hold, TIMEOUT, MAX_BODY_BYTES)
     finally:
         await exchange.close()
 
