--- a/hibiscustiller/ingress/tests/soak/faults.py
+++ b/hibiscustiller/ingress/tests/soak/faults.py
@@ -45,6 +45,8 @@
         self.counts = defaultdict(int)
         # Spans in which a server named its limit, by its id.
         self.limited_spans = defaultdict(list)
+        # When the entries of servers were removed and their processes ended, by id.
+        self.withdrawn_spans = defaultdict(list)
         # Targets of current faults. No other fault may restart them meanwhile.
         self._occupied = set()
 
@@ -59,6 +61,7 @@
             "server-paused": self._pause_server,
             "server-limited": self._limit_server,
             "server-leaves": self._let_server_leave,
+            "server-withdraws": self._let_server_withdraw,
             "request-crashes-servers": self._crash_servers,
             "part-crashes-servers": self._crash_servers_by_part,
             "store-paused": self._pause_store,
@@ -239,6 +242,25 @@
 
         await self._inject_at_server(inject)
 
+    async def _let_server_withdraw(self):
+        """Let a server remove its entry without a word, and end some time later."""
+
+        async def inject(program, proxy):
+            incarnation = program.incarnation
+            program.signal(signal.SIGHUP)
+            if await self._deployment.wait_until_removed(program.name):
+                removed_at = time.monotonic()
+                await curio.sleep(_LEAVING_TIME_S)
+                if program.incarnation == incarnation:
+                    span = (removed_at, time.monotonic())
+                    self.withdrawn_spans[program.name].append(span)
+            await program.kill()
+            await proxy.stop()
+            program.start()
+            await proxy.start()
+
+        await self._inject_at_server(inject)
+
     async def _crash_servers(self):
         await self._run_exclusively(
             "crashing-request", self._callers.repeat_crashing_request
--- a/hibiscustiller/ingress/tests/soak/run.py
+++ b/hibiscustiller/ingress/tests/soak/run.py
@@ -84,6 +84,7 @@
         self._check_crashes()
         self._check_limits()
         self._check_leaving()
+        self._check_withdrawn()
         self._check_logs()
         self.callers.check_times(self.faults.is_disturbed)
         self.callers.check_versions(self.faults.is_disturbed_or_disconnected)
@@ -237,6 +238,21 @@
                     f"{call.daemon} knew that it leaves"
                 )
 
+    def _check_withdrawn(self):
+        """Check that servers whose entries were removed get no more requests."""
+        calls_by_id = {call.request_id: call for call in self.callers.calls}
+        for run in self.deployment.read_runs():
+            daemon = calls_by_id[run["request"]].daemon
+            for removed_at, ended_at in self.faults.withdrawn_spans[run["server"]]:
+                is_late = removed_at + _DRAIN_S < run["at"] < ended_at
+                if is_late and not self.faults.is_disturbed_or_disconnected(
+                    daemon, removed_at, run["at"]
+                ):
+                    self.result.problems.append(
+                        f"{run['request']} reached {run['server']} "
+                        f"{run['at'] - removed_at:.2f} s after its entry was removed"
+                    )
+
     def _is_sender_disturbed(self, call, run):
         since = run["at"] - _CONVERGENCE_LIMIT_S
         return self.faults.is_disturbed(call.daemon, since, run["at"])
--- a/hibiscustiller/ingress/tests/soak/site.py
+++ b/hibiscustiller/ingress/tests/soak/site.py
@@ -32,6 +32,7 @@
 GRACE_S = 4.0
 _STORE_TIMEOUT = timedelta(seconds=1)
 _MAX_WRITE_ATTEMPTS = 20
+_MAX_READS = 40
 # Below the ephemeral ports: an outgoing connection could otherwise occupy the port of a
 # program while it is down.
 _PORT_RANGE = range(20000, 32000)
@@ -126,11 +127,27 @@
         for proxy in self.proxies:
             await proxy.stop()
 
-    async def write_document(self, document):
-        """Write a configuration, and return once the store has accepted it."""
+    def _make_store(self):
         client = HttpClient(self.clock)
         address = Address("127.0.0.1", self.store_port)
-        store = MetadataStore(client, address, _STORE_TIMEOUT, 1 << 20)
+        return MetadataStore(client, address, _STORE_TIMEOUT, 1 << 20)
+
+    async def wait_until_removed(self, server_id):
+        """Wait until the store has no entry of a server; tell whether it has none."""
+        store = self._make_store()
+        for _ in range(_MAX_READS):
+            try:
+                if await store.get(f"servers/{server_id}") is None:
+                    return True
+            except StoreUnavailableError:
+                # A fault may delay the store.
+                pass
+            await curio.sleep(0.05)
+        return False
+
+    async def write_document(self, document):
+        """Write a configuration, and return once the store has accepted it."""
+        store = self._make_store()
         data = json.dumps(document).encode()
         for _ in range(_MAX_WRITE_ATTEMPTS):
             try:
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -75,8 +75,14 @@
         self._wanted: dict[str, bytes] = {}
         self._written: dict[str, bytes] = {}
         self._lease: LeaseId | None = None
+        self._is_withdrawn = False
         self._is_changed = curio.UniversalEvent()
 
+    def withdraw(self) -> None:
+        """Remove all entries soon, and write none again."""
+        self._is_withdrawn = True
+        self._is_changed.set()
+
     def put(self, key: str, value: Any) -> None:
         """Write an entry soon."""
         self._wanted[key] = json.dumps(value).encode()
@@ -93,6 +99,11 @@
             self._is_changed.clear()
 
     async def _write_all(self) -> None:
+        if self._is_withdrawn:
+            if self._lease is not None:
+                await self._store.revoke_lease(self._lease)
+                self._lease = None
+            return
         if self._lease is None or not await self._store.keep_alive(self._lease):
             self._written.clear()
             self._lease = await self._store.grant_lease(_ENTRY_TTL)
@@ -228,7 +239,7 @@
     def leave() -> None:
         faults.is_leaving = True
 
-    _handle_signals(toggle_limit, leave)
+    _handle_signals(toggle_limit, leave, keeper.withdraw)
     await finder.engine.start()
     await keeper.run()
 
@@ -262,17 +273,23 @@
     def leave() -> None:
         server.is_leaving = True
 
-    _handle_signals(toggle_limit, leave)
+    _handle_signals(toggle_limit, leave, keeper.withdraw)
     await server.start()
     await keeper.run()
 
 
 def _handle_signals(
-    toggle_limit: Callable[[], None], leave: Callable[[], None]
+    toggle_limit: Callable[[], None],
+    leave: Callable[[], None],
+    withdraw: Callable[[], None],
 ) -> None:
-    """Change what a server says of itself on signals SIGUSR1 and SIGUSR2."""
+    """Change what a server says of itself on signals SIGUSR1 and SIGUSR2.
+
+    On SIGHUP it removes its entry without a word, and serves on.
+    """
     signal.signal(signal.SIGUSR1, lambda number, frame: toggle_limit())
     signal.signal(signal.SIGUSR2, lambda number, frame: leave())
+    signal.signal(signal.SIGHUP, lambda number, frame: withdraw())
 
 
 def _make_keeper(client: HttpClient, address: Address, clock: Clock) -> _EntryKeeper:
