--- a/hibiscustiller/ingress/tests/soak/site.py
+++ b/hibiscustiller/ingress/tests/soak/site.py
@@ -93,7 +93,7 @@
         front, ready, inner = (self._choose_port() for _ in range(3))
         proxy = LoopbackProxy(self._choose_port(), self.store_port)
         path = self.directory / f"{name}.toml"
-        path.write_text(_make_settings(name, front, ready, inner, proxy.port))
+        path.write_text(make_settings(name, front, ready, inner, proxy.port))
         arguments = ["-m", "hibiscustiller.ingress", "--settings", str(path)]
         self.daemons.append(Program(name, arguments, self.directory))
         self.front_addresses.append(Address("127.0.0.1", front))
@@ -211,7 +211,8 @@
     return f"/version-{version}/"
 
 
-def _make_settings(name, front, ready, inner, store_port):
+def make_settings(name, front, ready, inner, store_port):
+    """Return the settings file of a daemon, as the platform writes it."""
     domain = "east" if name.endswith("1") else "north"
     return f"""
 node_name = "{name}"
