Bound the memory of the bodies of all requests

Bodies of callers were bounded one by one (max_body_bytes), as those of answers were. Many clients that send large bodies slowly could exceed the memory of the process, which ends with all its requests.

They now share a fifth of the process's memory. The host that sends most at the same time loses its largest unfinished body; that request is refused as not run (429). Memory is released once the request was answered.

Evidence: test_many_large_requests_are_bounded_together, 40 bodies of 8 MB at once and a limit of 96 MB.

--- a/benchmarks/bench_endless_answers.py
+++ b/benchmarks/bench_endless_answers.py
@@ -16,7 +16,7 @@
 from hibiscustiller.ingress.tests.fixtures import exchange, make_document
 from hibiscustiller.ingress.tests.soak.processes import Program
 from hibiscustiller.ingress.tests.soak.site import make_settings, wait_for_port
-from hibiscustiller.ingress.tests.test_many_endless_answers import (
+from hibiscustiller.ingress.tests.test_many_endless_bodies import (
     HEADS,
     LargeAnswerServer,
 )
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -93,8 +93,9 @@
 # Below the file descriptor limit of the smallest hosts, with room left for connections
 # to backend servers.
 _MAX_FRONT_CONNECTIONS = 3000
-# Share of the process's memory for bodies of answers. At rest the process takes a fifth
-# of the memory of the smallest hosts, and copies and buffers take as much again.
+# Share of the process's memory for bodies of answers, and as much again for those of
+# requests. At rest the process takes a fifth of the memory of the smallest hosts;
+# copies and buffers take the rest.
 _BODY_SHARE_OF_MEMORY = 0.2
 _STOPPED = Refusal(
     RefusalReason.BACKEND_TIMEOUT,
@@ -145,8 +146,9 @@
             self._has_other_routers,
             self._handle_reach_change,
         )
-        memory = BodyMemory(int(settings.memory_bytes * _BODY_SHARE_OF_MEMORY))
-        self._body_memory = memory
+        max_body_bytes = int(settings.memory_bytes * _BODY_SHARE_OF_MEMORY)
+        self._body_memory = memory = BodyMemory(max_body_bytes)
+        self._request_memory = BodyMemory(max_body_bytes)
         self._server_client = HttpClient(clock, _CONNECT_TIMEOUT, connect, memory)
         self._health = ServerHealth(
             clock,
@@ -395,6 +397,7 @@
             self._dispatcher.handle,
             HttpLimits(max_connections=_MAX_FRONT_CONNECTIONS),
             "front",
+            self._request_memory,
         )
         self._readiness_server = HttpServer(
             settings.readiness,
@@ -409,6 +412,7 @@
                 self._handle_inner,
                 _INTERNAL_HTTP_LIMITS,
                 "inner",
+                self._request_memory,
             )
         # This also applies the client limits of a new document, which must hold for the
         # first request after it.
--- a/hibiscustiller/ingress/tests/test_many_endless_answers.py
+++ b/hibiscustiller/ingress/tests/test_many_endless_bodies.py
@@ -1,4 +1,4 @@
-"""Memory of a router beside many answers that do not end, at the same time."""
+"""Memory of a router beside many bodies that do not end, at the same time."""
 
 import gc
 import random
@@ -13,6 +13,8 @@
 from hibiscustiller.ingress import Gateway
 from hibiscustiller.ingress._exposition import ExposedMetrics
 from hibiscustiller.ingress.tests.fixtures import (
+    HOST,
+    KEY,
     RawServer,
     World,
     make_document,
@@ -28,6 +30,8 @@
 # Sound answers beside them, and the size of each in MB.
 LARGE_COUNT = 3
 SOUND_PARTS = 4
+MAX_REQUEST_BYTES = 8 << 20
+PART = b"x" * (1 << 18)
 TIMEOUT_S = 3.0
 # An answer must arrive within half a second after the route's timeout.
 MAX_ANSWER_TIME_S = TIMEOUT_S + 0.5
@@ -194,6 +198,62 @@
     await check_many_answers("announced")
 
 
+async def send_endless_body(world, number):
+    """Send a large body whose end never comes; return the status of the answer."""
+    sock = await world.connect()
+    async with sock:
+        await sock.sendall(
+            b"POST /book/%d HTTP/1.1\r\nhost: %s\r\nrequest-id: large-%d\r\n"
+            b"authorization: Token %s\r\ncontent-length: %d\r\n\r\n"
+            % (number, HOST.encode(), number, KEY.encode(), MAX_REQUEST_BYTES)
+        )
+        try:
+            for _ in range(MAX_REQUEST_BYTES // len(PART) - 1):
+                await sock.sendall(PART)
+                await curio.sleep(0)
+            answer = await sock.recv(1000)
+        except OSError:
+            # The router closed the connection while more was sent.
+            return 0
+    return int(answer.split()[1]) if answer else 0
+
+
+async def test_many_large_requests_are_bounded_together():
+    """Guards against a router that runs out of memory as its callers send much."""
+    peaks, small = [], []
+
+    async def request_others():
+        while True:
+            small.append((await world.request(f"/stock/{len(small)}")).status)
+            peaks.append(read_memory())
+            await curio.sleep(0.02)
+
+    async with SmallWorld() as world:
+        document = make_document(version=2)
+        document["limits"]["max_body_bytes"] = MAX_REQUEST_BYTES
+        document["limits"]["header_timeout_ms"] = int(TIMEOUT_S * 1000)
+        world.store.put("op/config", document)
+        await world.wait_until(lambda: world.gateway.view.document.version == 2)
+        gc.collect()
+        before = read_memory()
+        beside = await curio.spawn(request_others, daemon=True)
+        async with curio.TaskGroup() as group:
+            for number in range(ENDLESS_COUNT):
+                await group.spawn(send_endless_body, world, number)
+        assert not beside.terminated
+        await beside.cancel()
+        statuses = set(group.results)
+        assert world.gateway._request_memory.used_bytes == 0
+        assert not any(
+            "large" in str(r.headers_by_name) for r in world.plain[0].requests
+        )
+    # Those that were not dropped are too slow.
+    assert statuses <= {0, 408, 429}, statuses
+    assert 429 in statuses, statuses
+    assert max(peaks) - before < MEMORY_BYTES, (max(peaks), before)
+    assert set(small) == {200}, small
+
+
 def read_memory():
     """Return the memory of this process, in bytes."""
     status = Path("/proc/self/status").read_text()
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -24,6 +24,7 @@
     log_event,
 )
 from hibiscustiller.wire._deadlines import wait_at_most
+from hibiscustiller.wire._memory import BodyHold, BodyMemory
 from hibiscustiller.wire._sockets import is_readable, set_tcp_options
 
 _RECEIVE_BYTES = 65536
@@ -254,12 +255,14 @@
     """A listening server.
 
     :param address: where it listens; a port of 0 is replaced by the bound port.
+    :param memory: bounds the memory of the bodies of all requests.
     """
 
     address: Address
     handle: Handler
     limits: HttpLimits
     name: str
+    memory: BodyMemory = field(default_factory=BodyMemory)
     _socket: Any = None
     _accept_task: Any = None
     _tasks: set[Any] = field(default_factory=set)
@@ -422,17 +425,20 @@
 
     async def _serve_connection(self, sock: Any) -> None:
         set_tcp_options(sock)
+        # The connections of a host count together.
+        client = Address(sock.getpeername()[0], 0)
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
         )
         while True:
             responder = Responder(connection, sock, self.limits.write_timeout)
-            request = await self._read_or_refuse(connection, sock, responder)
-            if request is None:
-                return
-            responder.is_head = request.method == "HEAD"
-            responder.should_close = lambda: self._is_ending
-            await self._handle_request(request, responder, sock.fileno())
+            with self.memory.hold(client) as hold:
+                request = await self._read_or_refuse(connection, sock, responder, hold)
+                if request is None:
+                    return
+                responder.is_head = request.method == "HEAD"
+                responder.should_close = lambda: self._is_ending
+                await self._handle_request(request, responder, sock.fileno())
             if not responder.is_finished or connection.our_state is h11.MUST_CLOSE:
                 return
             try:
@@ -444,11 +450,21 @@
                 await curio.sleep(0)
 
     async def _read_or_refuse(
-        self, connection: h11.Connection, sock: Any, responder: Responder
+        self,
+        connection: h11.Connection,
+        sock: Any,
+        responder: Responder,
+        hold: BodyHold,
     ) -> HttpRequest | None:
-        """Read one request; None if the connection is to be closed."""
+        """Read one request; None if the connection is to be closed.
+
+        :param hold: memory of its body.
+        """
         try:
-            return await self._read_request(connection, sock)
+            return await self._read_request(connection, sock, hold)
+        except TransportError:
+            # The body was dropped.
+            refusal = _NO_MEMORY
         except h11.RemoteProtocolError as error:
             refusal = _describe_protocol_error(error)
         except _RequestRefusedError as error:
@@ -490,7 +506,7 @@
             self._busy_count -= 1
 
     async def _read_request(
-        self, connection: h11.Connection, sock: Any
+        self, connection: h11.Connection, sock: Any, hold: BodyHold
     ) -> HttpRequest | None:
         """Read one request; None if the client closed between requests."""
         event = connection.next_event()
@@ -498,7 +514,7 @@
             connection.receive_data(await self._receive_first(sock))
             event = connection.next_event()
         return await wait_at_most(
-            self.limits.read_timeout, self._read_rest(connection, sock, event)
+            self.limits.read_timeout, self._read_rest(connection, sock, event, hold)
         )
 
     async def _receive_first(self, sock: Any) -> bytes:
@@ -513,11 +529,9 @@
             del self._idle_socks_by_task[task]
 
     async def _read_rest(
-        self, connection: h11.Connection, sock: Any, event: Any
+        self, connection: h11.Connection, sock: Any, event: Any, hold: BodyHold
     ) -> HttpRequest | None:
         head: h11.Request | None = None
-        # Separate objects for very small parts would multiply the memory used.
-        body = bytearray()
         parts = 0
         while True:
             if event is h11.NEED_DATA:
@@ -532,14 +546,14 @@
                 head = event
                 _check_head(head, self.limits)
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self.limits.max_body_bytes:
+                hold.append(event.data)
+                if hold.size > self.limits.max_body_bytes:
                     raise _make_too_large_error(self.limits.max_body_bytes)
                 parts += 1
                 if parts % _PARTS_PER_TURN == 0:
                     await curio.sleep(0)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _make_request(head, bytes(body))
+                return _make_request(head, hold.finish())
             else:
                 return None
             event = connection.next_event()
@@ -604,6 +618,12 @@
             raise _make_too_large_error(limits.max_body_bytes)
 
 
+_NO_MEMORY = Refusal(
+    RefusalReason.OVERLOADED,
+    Verdict.NOT_RUN,
+    "the bodies of all requests take too much memory",
+    timedelta(seconds=1),
+)
 _SLOW_REQUEST = Refusal(
     RefusalReason.REQUEST_TIMEOUT,
     Verdict.NOT_RUN,
--- a/hibiscustiller/wire/_memory.py
+++ b/hibiscustiller/wire/_memory.py
@@ -1,8 +1,9 @@
-"""A bound on the memory that bodies of answers take, over all connections.
+"""A bound on the memory that bodies take, over all connections.
 
-Each body is bounded by itself. Many large ones at the same time, from servers that send
-without end, would still exceed the memory of the process. Nothing waits for memory: a
-body that would exceed the bound ends another one, or itself. This module does no I/O.
+Each body is bounded by itself. Many large ones at the same time, such as those of
+servers that send without end, would still exceed the memory of the process. Nothing
+waits for memory: a body that would exceed the bound drops another one, or itself. This
+module does no I/O.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 
 
 class BodyMemory:
-    """The bytes of all bodies that are being read or passed on.
+    """The bytes of all bodies that are read or not yet passed on.
 
     :param max_bytes: bound on their sum; None for no bound.
     """
@@ -30,9 +31,9 @@
         self.used_bytes = 0
 
     def hold(self, sender: Address) -> BodyHold:
-        """Return the memory of one answer, to be released when it was passed on.
+        """Return the memory of one body, to be released when it was passed on.
 
-        :param sender: the server or router that sends the answer.
+        :param sender: the server, router or client that sends it.
         """
         return BodyHold(self, sender)
 
@@ -63,8 +64,8 @@
     def _choose_victim(self) -> BodyHold:
         """Choose the body that is dropped for lack of memory.
 
-        The server that sends most at the same time is the one in trouble; a sound one
-        with large answers is spared beside it. Complete bodies are not dropped.
+        The sender that sends most at the same time is the one in trouble; a sound one
+        with large bodies is spared beside it. Complete bodies are not dropped.
         """
         unfinished = [hold for hold in self._holds if hold.is_open]
         bytes_by_sender: Counter[Address] = Counter()
@@ -76,9 +77,9 @@
 
 
 class BodyHold:
-    """The memory of the body of one answer.
+    """The memory of one body.
 
-    :param sender: the server or router that sends it.
+    :param sender: the server, router or client that sends it.
     """
 
     def __init__(self, memory: BodyMemory, sender: Address) -> None:
@@ -117,7 +118,7 @@
         if change > 0 and not self.is_dropped:
             self._memory.take(self, change)
         if self.is_dropped:
-            message = f"{self.sender}: no memory is left for the answer"
+            message = f"{self.sender}: no memory is left for the body"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
         self.size, self._counted_bytes = size, counted
         if change < 0:
@@ -132,9 +133,9 @@
     def drop(self) -> None:
         """Drop the body for lack of memory."""
         log_event(
-            "answer_dropped",
+            "body_dropped",
             level="warning",
-            server=self.sender,
+            sender=self.sender,
             bytes=self.size,
             held=self._memory.used_bytes,
         )
