Count the time of a last resort from when a server may have begun to leave

A server that announces that it leaves is a last resort for pipelines for half the drain time. The time began when a router learnt of it.

The time now also ends 0.7 of the drain time after the moment at which the router last knew that its state was that of the store. Where changes arrive at once, nothing changes.

Evidence: test_leaving_servers_are_no_last_resort_after_the_drain_time.

--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -450,6 +450,8 @@
         self._record_outages(router_id, message)
         if after == self._watcher.revision < to:
             await self._apply_message(message, after, to)
+        if self._watcher.revision >= to:
+            self._view.record_current()
         await self._learn_what_the_store_lacks(router_id, message, to)
         await self._stop_following_if_possible(to)
 
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -37,6 +37,9 @@
 # for the platform's drain time. The delays of the store and of the watch use up a part
 # of it.
 _LEAVING_DRAIN_FRACTION = 0.5
+# The same, from the moment at which this router last knew that its state was current.
+# It may learn late that a server leaves, if its source was lost.
+_CURRENT_DRAIN_FRACTION = 0.7
 # An entry of a server that left before the store was restored is not used for this
 # time. The platform removes the entry of a silent server within some seconds; one that
 # is still there belongs to a running server.
@@ -106,6 +109,8 @@
         # When the entry of each server last changed.
         self._changed_at_by_id: dict[ServerId, timedelta] = {}
         self._first_read_at: timedelta | None = None
+        # When the state was last known to be that of the store.
+        self._current_at: timedelta | None = None
         self._listeners: list[Callable[[], object]] = []
         self.document: FleetDocument | None = None
         self.peers_by_id: dict[RouterId, Peer] = {}
@@ -154,6 +159,10 @@
         self._notify_listeners()
         return True
 
+    def record_current(self) -> None:
+        """Record that the state is that of the store now."""
+        self._current_at = self._clock.monotonic()
+
     def apply_server(self, server: BackendServer, *, is_restored: bool = False) -> None:
         """Add or update a server.
 
@@ -449,6 +458,10 @@
 
     def _record_leaving(self, server: BackendServer) -> None:
         until = self._clock.monotonic() + self._drain * _LEAVING_DRAIN_FRACTION
+        if self._current_at is not None:
+            # The server may have begun to leave right after that moment.
+            latest = self._current_at + self._drain * _CURRENT_DRAIN_FRACTION
+            until = min(until, latest)
         self._leaving_by_id.setdefault(server.id, (server, until))
 
     def _notify_listeners(self) -> None:
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -351,9 +351,13 @@
         changes = await self._wait_for_changes(after, wait)
         if changes is None:
             return False
+        if self.is_watch_current:
+            # No change came before these.
+            self._view.record_current()
         self._record_success()
         # Some of them may have arrived from other routers during the call.
         await self._apply_batch(ChangeBatch(after, changes.revision, changes.items))
+        self._view.record_current()
         self._view.drop_missing()
         return True
 
@@ -403,6 +407,7 @@
         self._record_success()
         self._must_read_all = self._must_catch_up = False
         await self._apply_full_state(found)
+        self._view.record_current()
 
     async def _apply_full_state(self, found: Changes) -> None:
         """Replace the known state by a complete one.
--- a/hibiscustiller/discovery/tests/test_servers_that_leave.py
+++ b/hibiscustiller/discovery/tests/test_servers_that_leave.py
@@ -14,6 +14,8 @@
 REWRITE_TIME_S = 2.0
 # A removal that takes longer is not waited for.
 MAX_REMOVAL_TIME_S = 5.0
+# Pipelines are found again this much later at most.
+PIPELINE_DELAY_S = 0.27
 SERVICE = "orders"
 
 
@@ -146,5 +148,35 @@
                 assert list_ids(member) >= set(server_ids), member.router_id
 
 
+async def test_leaving_servers_are_no_last_resort_after_the_drain_time():
+    """Guards against DRAIN: the time of a last resort began when a router learnt of it.
+
+    A router whose source is killed learns of a change more than a second late.
+    """
+    async with Fleet(12) as fleet:
+        server_ids = put_servers(fleet, 8)
+        await fleet.wait_for_all()
+        numbers, others = split_followers(fleet)
+        ages = []
+        for server_id in server_ids:
+            for number in numbers:
+                await fleet.members[number].kill()
+            began_at = time.monotonic()
+            fleet.store.put(f"servers/{server_id}", make_entry("draining"))
+            while time.monotonic() - began_at < DRAIN_S + 1.0:
+                age_s = time.monotonic() - began_at
+                for member in others:
+                    leaving = member.view.list_leaving(SERVICE)
+                    if any(server.id == server_id for server in leaving):
+                        ages.append(age_s)
+                await curio.sleep(0.01)
+            for number in numbers:
+                await fleet.restart(fleet.members[number]).start()
+            await fleet.wait_for_all()
+            await curio.sleep(0.7)
+        assert ages
+        assert max(ages) < DRAIN_S - PIPELINE_DELAY_S, sorted(ages)[-5:]
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
