--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -279,8 +279,8 @@
   # Time since the beginning of that outage; 0 if the sender knows of none, or is of an
   # earlier version.
   outageBeganMs @10 :UInt64;
-  # Since when the sender reaches the store without a failed call, and the time since
-  # the store's last answer to it; 0 if there is none.
+  # For how long the sender has reached the store without a failed call, and the time
+  # since the store's last answer to it; 0 if there is none.
   reachedSinceMs @11 :UInt64;
   answeredMs @12 :UInt64;
 }
