Log what was tried for a stream that is cut

Callers saw streams that ended midway. The output told that an attempt had failed, but not how long the engine had been silent, whether it could be reached, what the caller had, and how many further attempts were refused. stream_cut and new fields of attempt_failed tell the hypotheses of the incident apart. No decision changes.

--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -173,6 +173,8 @@
             context.log("caller_left", reason=error)
             raise TransportError(str(error), Verdict.MAY_HAVE_RUN) from error
         if refusal is not None:
+            if responder.is_started:
+                stream.log_cut(refusal)
             await self._refuse(context, responder, refusal)
 
     async def _refuse(
@@ -239,6 +241,8 @@
         # Shortest expected wait for an engine that takes no request now.
         self._shortest_wait: timedelta | None = None
         self._attempt_count = 0
+        # Attempts that servers refused as not run.
+        self._refused_count = 0
         self._event_count = 0
         # When the current attempt was sent, and the number of its new events.
         self._sent_at: timedelta | None = None
@@ -283,6 +287,19 @@
             self._forwarder.metrics.count(f"streams.repeated.{outcome.value}")
             grant = next_grant
 
+    def log_cut(self, refusal: Refusal) -> None:
+        """Log that the answer ends before its end, and what was tried for it."""
+        self._forwarder.metrics.count("streams.cut")
+        self._context.log(
+            "stream_cut",
+            detail=refusal.message,
+            events=self._event_count,
+            attempts=self._attempt_count,
+            refused=self._refused_count,
+            stalled=",".join(sorted(self._stalled_ids)),
+            version=self._context.document_version,
+        )
+
     async def _find_accepting(self, grant: Grant | None) -> Grant | None:
         """Find a pipeline whose engines take one more request now.
 
@@ -527,7 +544,14 @@
 
     async def _handle_failure(self, grant: Grant, error: TransportError) -> _Outcome:
         context, entry = self._context, grant.pipeline.entry
-        context.log("attempt_failed", entry=entry.id, reason=error)
+        context.log(
+            "attempt_failed",
+            entry=entry.id,
+            reason=error,
+            silent_for=context.clock.monotonic() - self._last_progress_at,
+            events=self._attempt_event_count,
+            is_entry_reachable=self._forwarder.health.is_reachable(entry),
+        )
         if self._sent_at is not None:
             since = context.clock.monotonic()
             await self._forwarder.health.check([entry], since)
@@ -609,6 +633,7 @@
         refusing_servers = named_servers or [grant.pipeline.entry]
         forwarder, spec = self._forwarder, self._context.service.engine
         assert spec is not None
+        self._refused_count += 1
         for server in refusing_servers:
             self._excluded_ids.add(server.id)
             share = forwarder.load.get_used_share(spec, server)
