--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -15,6 +15,7 @@
 Path = list[tuple[str, int, int]]
 
 _STALL_S = 2.0
+_SILENCE_POLL_S = 0.005
 
 
 class EntryWriter(Protocol):
@@ -54,6 +55,9 @@
     :param breaks_after: a stream breaks off within the event after this many.
     :param is_of_other_request: answers bear another request's id.
     :param is_frozen: streams stand still after their first event.
+    :param is_silent: nothing is read, begun or sent, and no connection is closed, as by
+        a process that is stopped for a while. New connections are accepted.
+    :param max_running: requests that run at the same time; more are refused as not run.
     :param begins_after_s: time that a request waits before it begins to run.
     :param rate_limit: requests per second that answers name as the engine's limit.
     :param is_leaving: all answers say that the engine leaves.
@@ -64,6 +68,8 @@
     breaks_after: int | None = None
     is_of_other_request: bool = False
     is_frozen: bool = False
+    is_silent: bool = False
+    max_running: int | None = None
     begins_after_s: float = 0.0
     rate_limit: float | None = None
     is_leaving: bool = False
@@ -134,6 +140,8 @@
         self.orders: list[dict[str, Any]] = []
         self.requests: list[HttpRequest] = []
         self.paths: list[Path] = []
+        # Requests that hold a place, also if their callers left while it was silent.
+        self.running_count = 0
         self.last_fence = 0
         self.is_alive = False
         self.state = "ready"
@@ -234,10 +242,41 @@
         await responder.send_json(202, {})
 
     async def _answer_request(self, request: HttpRequest, responder: Responder) -> None:
+        await self._wait_while_silent()
         path = _parse_path(request.headers_by_name["hop-count"])
         stages = await self._find_members(path)
         self.requests.append(request)
         self.paths.append(path)
+        max_running = self.faults.max_running
+        if max_running is not None and self.running_count >= max_running:
+            headers = {
+                "Not-Executed": "1",
+                "Request-Id": request.headers_by_name["request-id"],
+            }
+            await responder.send_json(503, {}, headers)
+            return
+        self.running_count += 1
+        try:
+            await self._run_request(request, responder, path, stages)
+        finally:
+            # A silent process does not notice that a caller has left.
+            await curio.spawn(self._end_run, daemon=True)
+
+    async def _end_run(self) -> None:
+        await self._wait_while_silent()
+        self.running_count -= 1
+
+    async def _wait_while_silent(self) -> None:
+        while self.faults.is_silent:
+            await curio.sleep(_SILENCE_POLL_S)
+
+    async def _run_request(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        path: Path,
+        stages: Sequence[PipelineMember | None],
+    ) -> None:
         try:
             for stage, (address, first, end) in zip(stages, path, strict=True):
                 is_dead = stage is None or not stage.is_alive
@@ -297,6 +336,7 @@
         if self.faults.is_leaving:
             headers["Server-Leaving"] = "1"
         last = int(request.headers_by_name.get("last-event-id", -1))
+        await self._wait_while_silent()
         await responder.start(200, "text/event-stream", headers)
         for number in range(last + 1, self._event_count):
             while not all(stage is not None and stage.is_alive for stage in stages):
@@ -306,6 +346,7 @@
                 self.faults.breaks_after = None
                 await responder.send_part(b"id: %d\nda" % number)
                 return
+            await self._wait_while_silent()
             await responder.send_part(make_event(number))
             while self.faults.is_frozen:
                 await curio.sleep(self._event_period_s)
