Keep a silent attempt of a stream open beside a second one

After 1.3 s without an event, or as soon as a stage accepted no connection for 0.22 s, the attempt was closed and its place given back; only then was another pipeline sought. What refused next (full engines, the route's attempts, the retry budget) ended the request, although the first engine went on a moment later.

An attempt is now a type of its own (_stream_attempts), the choice of the next pipeline another one (_pipeline_search), and a silent attempt is closed only when a second one has answered, when its own connection ends, or when the process of a stage is known to have ended. A second attempt is prepared by a task of its own up to its first new event, so that only one attempt writes to the caller; if the first goes on, the second is closed. It needs a place, a permission of limited servers, a retry of the budget and an engine that is not silent for all its streams (_open_attempts): if a whole service is silent, nothing is sent twice. While this router reaches no server, another router is asked beside the silent attempt in the same way.

No cost while events arrive: the second task exists only beside a silence.

--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -198,7 +198,13 @@
 
 
 async def send_refusal(responder: Responder, refusal: Refusal) -> None:
-    """Send a refusal by this router to the caller."""
+    """Send a refusal by this router to the caller.
+
+    :raises TransportError: if the answer has begun. It is too late for another status:
+        the connection is closed, and the caller sees an incomplete answer.
+    """
+    if responder.is_started:
+        raise TransportError(refusal.message, refusal.verdict)
     headers = {"x-verdict": refusal.verdict.value}
     if refusal.retry_after is not None:
         # Fractions of a second spread the callers' retries better than whole seconds.
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -14,9 +14,11 @@
 from hibiscustiller.ingress._connections import cap_engine_slots
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._health import ServerHealth
+from hibiscustiller.ingress._open_attempts import OpenAttempts
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._rate_limits import RateLimits
 from hibiscustiller.ingress._router_forwarding import RouterForwarder
+from hibiscustiller.ingress._stream_attempts import StreamServices
 from hibiscustiller.ingress._streams import StreamForwarder
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
@@ -260,21 +262,24 @@
             self._random_state,
         )
         return StreamForwarder(
-            self._client,
-            admission,
-            selector,
-            self._load,
-            self._health,
-            self._crashes,
-            self._parts,
-            self._unanswered,
-            self._rate_limits,
-            self._budgets,
-            lambda excluded: self._find_alternative(service.name, excluded),
-            self._view.count_routers,
-            self._metrics,
-            self._routers,
-            self._view.get_presence,
+            StreamServices(
+                self._client,
+                admission,
+                selector,
+                self._load,
+                self._health,
+                self._crashes,
+                self._parts,
+                self._unanswered,
+                self._rate_limits,
+                self._budgets,
+                lambda excluded: self._find_alternative(service.name, excluded),
+                self._view.count_routers,
+                self._metrics,
+                self._routers,
+                self._view.get_presence,
+                OpenAttempts(self._clock),
+            )
         )
 
     def _make_admission(
--- /dev/null
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -0,0 +1,212 @@
+"""Search for the pipeline of a stream's next attempt."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from datetime import timedelta
+
+import curio
+
+from hibiscustiller.ingress._context import RequestContext
+from hibiscustiller.ingress._stream_attempts import StreamAttempt, StreamServices
+from hibiscustiller.layers import Demand, Grant
+from hibiscustiller.platform import AnswerFacts
+from hibiscustiller.utils import ServerId
+
+# Load reports of the other routers lag behind. An engine that is known to be used less
+# than this still has spare capacity, so that a refusal must have another cause.
+_SPARE_CAPACITY_USED_SHARE = 0.5
+
+
+class PipelineSearch:
+    """The engines that one stream may be sent to next.
+
+    Attributes: ``stalled_ids`` are servers of pipelines that were left because another
+    attempt answered first. ``refusal_count`` is the number of refused attempts.
+    ``shortest_wait`` is the shortest expected wait for an engine that takes no request
+    now; None if none was named in the latest search.
+    """
+
+    def __init__(
+        self, services: StreamServices, context: RequestContext, demand: Demand
+    ) -> None:
+        self._services = services
+        self._context = context
+        self._demand = demand
+        self._excluded_ids: set[ServerId] = set()
+        self._entry_ids: set[ServerId] = set()
+        self.stalled_ids: set[ServerId] = set()
+        self.refusal_count = 0
+        self.shortest_wait: timedelta | None = None
+
+    def exclude(self, server_id: ServerId) -> None:
+        """Exclude a server from further attempts of this request."""
+        self._excluded_ids.add(server_id)
+
+    def record_sent(self, entry_id: ServerId) -> None:
+        """Record that the request was sent to an engine."""
+        self._entry_ids.add(entry_id)
+
+    def exclude_refusing(self, attempt: StreamAttempt, facts: AnswerFacts) -> None:
+        """Exclude the server that refused an attempt as not run.
+
+        The entry is taken to have refused if the answer names no server of the
+        pipeline.
+        """
+        named_servers = [
+            server
+            for server in attempt.pipeline.servers
+            if server.address == facts.failed_server
+        ]
+        services, spec = self._services, self._context.service.engine
+        assert spec is not None
+        self.refusal_count += 1
+        for server in named_servers or [attempt.entry]:
+            self.exclude(server.id)
+            share = services.load.get_used_share(spec, server)
+            services.health.refusals.record_refusal(
+                server, share < _SPARE_CAPACITY_USED_SHARE
+            )
+            self._context.log("attempt_refused", server=server.id, used_share=share)
+
+    def exclude_unreachable(self, attempt: StreamAttempt) -> None:
+        """Exclude engines of a pipeline that are known to be unreachable."""
+        # A leaving engine completes the requests that it has, so it is not excluded.
+        self._excluded_ids |= self._list_unreachable(attempt)
+
+    def are_all_reachable(self, attempt: StreamAttempt) -> bool:
+        """Tell whether no engine of a pipeline is known to be unreachable."""
+        return not self._list_unreachable(attempt)
+
+    async def find_next(self) -> Grant | None:
+        """Acquire a place at a pipeline for the next attempt, after one has ended.
+
+        A server that already ran the request may run it again, but the route limits the
+        number of different entry servers. Excluded servers do not count.
+
+        :returns: None if the limit is reached or no pipeline is left.
+        """
+        if self._is_limit_reached:
+            return None
+        refusing_ids = self._services.health.refusals.list_refusing()
+        admission = self._services.admission
+        silent_ids = self._services.open_attempts.list_silent()
+        avoided_ids = self.stalled_ids | silent_ids | refusing_ids
+        for ids in (avoided_ids, refusing_ids, set()):
+            grant = await admission.find_replacement(
+                self._demand, self._excluded_ids | ids
+            )
+            if grant is not None:
+                return grant
+        return self._reserve_fallback(self._excluded_ids)
+
+    async def find_second(self, first: StreamAttempt) -> Grant | None:
+        """Acquire a place for an attempt beside another one, which is silent.
+
+        Only pipelines that probably answer are of use: the silent engine may go on at
+        any time.
+
+        :returns: None if there is no such pipeline, or the route allows no other.
+        """
+        unusable_ids = self._list_unusable(first)
+        if self._is_limit_reached:
+            unusable_ids |= {
+                pipeline.entry.id
+                for pipeline in self._services.selector.pipelines
+                if pipeline.entry.id not in self._entry_ids
+            }
+        grant = None
+        if self._has_pipeline(unusable_ids):
+            grant = await self._services.admission.find_replacement(
+                self._demand, unusable_ids
+            )
+        if grant is not None or self._is_limit_reached:
+            return grant
+        return self._reserve_fallback(unusable_ids)
+
+    async def find_accepting(
+        self, grant: Grant | None, first: StreamAttempt | None = None
+    ) -> Grant | None:
+        """Find a pipeline whose engines take one more request now.
+
+        :param grant: place at a pipeline, which is released if it is not used.
+        :param first: the attempt beside which another one is made; None for a single
+            one.
+        :returns: the place that may be used; None if no pipeline takes the request.
+        """
+        admission = self._services.admission
+        rejecting_ids: set[ServerId] = set()
+        self.shortest_wait = None
+        while grant is not None:
+            try:
+                wait = await self._ask_engines(grant, rejecting_ids)
+            except curio.CancelledError:
+                await admission.release(grant)
+                raise
+            if wait is None:
+                return grant
+            self.shortest_wait = min(wait, self.shortest_wait or wait)
+            await admission.release(grant)
+            excluded_ids = self._excluded_ids
+            if first is not None:
+                excluded_ids = self._list_unusable(first)
+            grant = await admission.find_replacement(
+                self._demand, excluded_ids | rejecting_ids
+            )
+        return None
+
+    @property
+    def _is_limit_reached(self) -> bool:
+        """Whether the route allows no further entry server."""
+        limit = max(1, self._context.route.max_attempts)
+        return len(self._entry_ids - self._excluded_ids) >= limit
+
+    def _list_unusable(self, first: StreamAttempt) -> set[ServerId]:
+        """Return the servers that are of no use beside another attempt."""
+        services = self._services
+        return {
+            *self._excluded_ids,
+            *self._list_unreachable(first),
+            *services.open_attempts.list_silent(),
+            *services.health.refusals.list_refusing(),
+        }
+
+    def _list_unreachable(self, attempt: StreamAttempt) -> set[ServerId]:
+        is_reachable = self._services.health.is_reachable
+        return {s.id for s in attempt.pipeline.servers if not is_reachable(s)}
+
+    def _has_pipeline(self, excluded_ids: Collection[ServerId]) -> bool:
+        return any(
+            not set(pipeline.server_ids) & set(excluded_ids)
+            for pipeline in self._services.selector.pipelines
+        )
+
+    def _reserve_fallback(self, excluded_ids: Collection[ServerId]) -> Grant | None:
+        """Reserve a place at a pipeline that is not among the current ones.
+
+        Every current pipeline has an excluded stage, but the remaining engines may form
+        another one.
+        """
+        services = self._services
+        fallback = services.find_fallback_pipeline(excluded_ids)
+        if fallback is None:
+            return None
+        return services.admission.reserve(fallback, self._demand)
+
+    async def _ask_engines(
+        self, grant: Grant, rejecting_ids: set[ServerId]
+    ) -> timedelta | None:
+        """Ask for permission to send the request to each engine of a pipeline.
+
+        :param rejecting_ids: the engine that does not take it is added.
+        :returns: None if all take it, or else the expected wait for the one that does
+            not.
+        """
+        for server in grant.pipeline.servers:
+            wait = await self._services.rate_limits.acquire(
+                server, self._context.priority
+            )
+            if wait is not None:
+                rejecting_ids.add(server.id)
+                return wait
+        return None
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 from hibiscustiller.discovery import FleetView, Peer
@@ -99,17 +99,21 @@
         last_event: int | None = None,
         *,
         may_have_run: bool = False,
+        on_progress: Callable[[int | None], None] = lambda last_event: None,
     ) -> Refusal | None:
         """Let another router answer a request.
 
         :param last_event: id of the last event that this router sent; None if it sent
             none.
         :param may_have_run: whether a server may have run the request already.
+        :param on_progress: called with the id of the last event whenever events were
+            sent to the caller.
         :returns: why no router answered; None if one did.
-        :raises TransportError: if an answer that has begun cannot be completed, or the
-            caller has disconnected.
+        :raises TransportError: if the caller has disconnected.
         """
-        forwarding = _Forwarding(self, context, responder, last_event, may_have_run)
+        forwarding = _Forwarding(
+            self, context, responder, last_event, may_have_run, on_progress
+        )
         return await forwarding.run()
 
     def choose(self, tried: Collection[RouterId]) -> Peer | None:
@@ -156,7 +160,9 @@
         responder: Responder,
         last_event: int | None,
         may_have_run: bool,
+        on_progress: Callable[[int | None], None],
     ) -> None:
+        self._on_progress = on_progress
         self._forwarder = forwarder
         self._context = context
         self._responder = responder
@@ -209,14 +215,8 @@
         )
 
     def _make_failure(self) -> Refusal:
-        """Return why no router answered.
-
-        :raises TransportError: if the answer has begun, so that no other status can be
-            sent.
-        """
+        """Return why no router answered."""
         message = "this router reaches no server, and no other router answered"
-        if self._responder.is_started:
-            raise TransportError(message, Verdict.MAY_HAVE_RUN)
         if self._context.time_left <= timedelta(0) and self._may_have_run:
             return Refusal(RefusalReason.BACKEND_TIMEOUT, Verdict.MAY_HAVE_RUN, message)
         if self._may_have_run:
@@ -283,6 +283,7 @@
                 raise TransportError(str(error), Verdict.MAY_HAVE_RUN) from error
             if events:
                 self._may_have_run = True
+                self._on_progress(self._last_event)
                 await self._start_response(exchange)
                 data = b"".join(event.data for event in events)
                 await send_to_caller(self._responder.send_part(data))
--- a/hibiscustiller/ingress/tests/test_failures_elsewhere.py
+++ b/hibiscustiller/ingress/tests/test_failures_elsewhere.py
@@ -2,6 +2,7 @@
 
 import re
 import sys
+import time
 from datetime import timedelta
 from functools import partial
 
@@ -213,6 +214,29 @@
         assert len(world.engines[0].requests) == 2
 
 
+async def test_streams_continue_after_a_stall_of_the_router():
+    """Guards against a stall of the router's own that is taken for the engine's.
+
+    The engine is recorded as unreachable when the router stalls between two events.
+    """
+    async with World(("e0",), ("north",)) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(1)
+        world.engines[0]._event_period_s = 0.03
+        health = world.gateway._health
+
+        async def stall(answer):
+            server = world.gateway.view.get_server("e0")
+            outage = _Outage(server.born, is_ended=False, has_lost_layers=False)
+            health._record_outage(server, outage, TimeoutError("no answer"))
+            if answer.body.count(b"id: ") == 6:
+                time.sleep(0.1)
+
+        answer = await world.request("/chat/1", on_data=stall)
+        assert (answer.status, answer.is_complete) == (200, True), answer
+        assert len(world.engines[0].requests) == 1
+
+
 async def test_stop_under_load_answers_all_requests_that_were_forwarded():
     """Guards against a stop that aborts requests on new or keep-alive connections."""
     async with World() as world:
