--- a/hibiscustiller/ingress/tests/test_silent_engines.py
+++ b/hibiscustiller/ingress/tests/test_silent_engines.py
@@ -67,7 +67,7 @@
 
     def count_arrivals(self):
         """Return the number of requests that reached the engines."""
-        return sum(len(engine.requests) for engine in self.engines)
+        return sum(engine.arrival_count for engine in self.engines)
 
 
 def find_event_ids(body):
--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -140,6 +140,8 @@
         self.orders: list[dict[str, Any]] = []
         self.requests: list[HttpRequest] = []
         self.paths: list[Path] = []
+        # Requests that were sent to it, also those that it did not begin.
+        self.arrival_count = 0
         # Requests that hold a place, also if their callers left while it was silent.
         self.running_count = 0
         self.last_fence = 0
@@ -242,6 +244,7 @@
         await responder.send_json(202, {})
 
     async def _answer_request(self, request: HttpRequest, responder: Responder) -> None:
+        self.arrival_count += 1
         await self._wait_while_silent()
         path = _parse_path(request.headers_by_name["hop-count"])
         stages = await self._find_members(path)
--- a/hibiscustiller/standins/_plain_server.py
+++ b/hibiscustiller/standins/_plain_server.py
@@ -11,6 +11,7 @@
 from hibiscustiller.wire import HttpLimits, HttpRequest, HttpServer, Responder
 
 _SILENCE_S = 3.0
+_SILENCE_POLL_S = 0.005
 
 
 class PlainServerStandin:
@@ -34,7 +35,10 @@
 
     Attributes: ``rate_limit`` is the number of requests per second that it names as its
     limit in its answers; None to name none. ``is_leaving`` makes all answers say that
-    it leaves. ``pause_s`` is the time for which its refusals want no requests.
+    it leaves. ``pause_s`` is the time for which its refusals want no requests. While
+    ``is_silent`` is set, nothing is begun or sent, as by a process that is stopped for
+    a while; new connections are accepted. ``arrival_count`` is the number of requests
+    that were sent to it, also those that it did not begin.
     """
 
     def __init__(
@@ -68,6 +72,8 @@
         self.on_crash = on_crash
         self.on_run = on_run
         self._is_down = False
+        self.is_silent = False
+        self.arrival_count = 0
         self.rate_limit: float | None = None
         self.is_leaving = False
         self.pause_s: float | None = None
@@ -119,6 +125,9 @@
         )
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
+        self.arrival_count += 1
+        while self.is_silent:
+            await curio.sleep(_SILENCE_POLL_S)
         if request.headers_by_name.get("expect-instance") != self.id:
             headers = {"Instance-Id": self.id}
             if "request-id" in request.headers_by_name:
