Keep a silent attempt of a plain request open beside a second one

Callers got 502 after 0.3 s although their server, silent for 0.8 s, would have answered in time: after 0.6 of the target latency the attempt was closed, and what came next decided (a server that was down, full or faulty, or a budget that was spent). With all servers silent, each request was sent twice.

An attempt of a repeatable request now stays open while others are made beside it; the first answer that may be passed on wins and the others are closed. A further attempt needs a retry of the budget, the permissions as before and a server that is not silent for all its requests (_open_attempts). Requests that must not be repeated are sent as before, one attempt at a time. A request with attempts behind it is passed on to another router only at the cost of a retry, and never if it may have run and must not be repeated.

--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -31,6 +31,7 @@
 from hibiscustiller.ingress._inspection import InspectionServer
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._monitor import EngineMonitor
+from hibiscustiller.ingress._open_attempts import OpenAttempts
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder, PlainServerSelector
 from hibiscustiller.ingress._rate_limits import RateLimits
@@ -263,6 +264,7 @@
             self._router_forwarder,
             self.view.get_presence,
             self.view.list_servers,
+            OpenAttempts(clock),
         )
         self._dispatcher = RequestDispatcher(
             self.view,
--- a/hibiscustiller/ingress/_open_attempts.py
+++ b/hibiscustiller/ingress/_open_attempts.py
@@ -1,8 +1,8 @@
-"""Which engines are silent, as told by the streams of this router that wait for them.
+"""Which servers are silent, as told by the attempts of this router that wait for them.
 
-An engine that is silent for all its streams does not answer a further request either. A
-second attempt is sent only to engines that are not silent, so that a silence of a whole
-service causes no storm of attempts. This module does no I/O.
+A server that is silent for all requests does not answer a further one either. A second
+attempt beside a silent one is sent only to servers that are not silent, so that a
+silence of a whole service causes no storm of attempts. This module does no I/O.
 """
 
 from __future__ import annotations
@@ -10,33 +10,42 @@
 from datetime import timedelta
 from typing import Protocol
 
-from hibiscustiller.layers import Pipeline
 from hibiscustiller.utils import Clock, ServerId
 
-# Events come every 250 ms or faster, and first events take up to about half a second.
-_SILENCE_TIME = timedelta(milliseconds=650)
 # The evidence is gathered at most once in this time.
 _REFRESH_PERIOD = timedelta(milliseconds=50)
+# Answers of closed attempts are kept for the longest silence that is asked for.
+_ANSWER_RETENTION = timedelta(seconds=5)
 
 
 class WaitingAttempt(Protocol):
-    """An attempt as far as the silence of its engines is concerned.
+    """An attempt as far as the silence of its servers is concerned.
 
-    Attributes: see :class:`~hibiscustiller.ingress._stream_attempts.StreamAttempt`.
+    Attributes: ``waiting_since`` is when the attempt began or last got an event, and
+    ``answered_at`` when it last got one, None if it got none. ``is_second`` tells
+    whether it was made beside another attempt.
     """
 
-    event_count: int
-    progress_at: timedelta
     is_second: bool
 
     @property
-    def pipeline(self) -> Pipeline:
-        """The engines that run the request."""
+    def server_ids(self) -> tuple[ServerId, ...]:
+        """The servers that have to answer."""
+        ...
+
+    @property
+    def waiting_since(self) -> timedelta:
+        """See the attributes."""
+        ...
+
+    @property
+    def answered_at(self) -> timedelta | None:
+        """See the attributes."""
         ...
 
 
 class OpenAttempts:
-    """The attempts that wait for engines, by which silent engines are known.
+    """The attempts that wait for servers, by which silent servers are known.
 
     :param clock: source of time.
     """
@@ -44,60 +53,64 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._attempts: set[WaitingAttempt] = set()
-        # When engines last sent an event to an attempt that is closed.
+        # When servers last answered attempts that are closed.
         self._answered_at_by_id: dict[ServerId, timedelta] = {}
-        self._silent_ids: frozenset[ServerId] = frozenset()
-        self._refreshed_at: timedelta | None = None
+        # Silent servers by the length of the silence, and when they were found.
+        self._found_by_silence: dict[timedelta, tuple[timedelta, frozenset]] = {}
 
     def add(self, attempt: WaitingAttempt) -> None:
         """Add an attempt that begins."""
         self._attempts.add(attempt)
         if attempt.is_second:
-            self._refreshed_at = None
+            self._found_by_silence.clear()
 
     def discard(self, attempt: WaitingAttempt) -> None:
         """Remove an attempt that is closed."""
         self._attempts.discard(attempt)
-        if attempt.event_count:
-            for server_id in attempt.pipeline.server_ids:
-                self._record_answer(self._answered_at_by_id, server_id, attempt)
+        _record_answer(self._answered_at_by_id, attempt)
 
-    def list_silent(self) -> frozenset[ServerId]:
-        """Return the engines that answer none of the attempts that wait for them.
+    def list_silent(self, silence: timedelta) -> frozenset[ServerId]:
+        """Return the servers that answer none of the attempts that wait for them.
 
-        Where it is not known whether an engine answers, one second attempt may find
-        out; while it waits, the engine counts as silent for all others.
+        Where it is not known whether a server answers, one second attempt may find out;
+        while it waits, the server counts as silent for all others.
+
+        :param silence: time without an answer.
         """
         now = self._clock.monotonic()
-        if self._refreshed_at is None or now - self._refreshed_at >= _REFRESH_PERIOD:
-            self._silent_ids = self._find_silent(now)
-            self._refreshed_at = now
-        return self._silent_ids
+        found_at, silent_ids = self._found_by_silence.get(silence, (None, frozenset()))
+        if found_at is None or now - found_at >= _REFRESH_PERIOD:
+            silent_ids = self._find_silent(now, silence)
+            self._found_by_silence[silence] = now, silent_ids
+        return silent_ids
 
-    def _find_silent(self, now: timedelta) -> frozenset[ServerId]:
-        oldest = now - _SILENCE_TIME
+    def _find_silent(self, now: timedelta, silence: timedelta) -> frozenset[ServerId]:
         self._answered_at_by_id = {
             server_id: answered_at
             for server_id, answered_at in self._answered_at_by_id.items()
-            if answered_at > oldest
+            if now - answered_at < _ANSWER_RETENTION
         }
         answered_at_by_id = dict(self._answered_at_by_id)
         awaited_ids: set[ServerId] = set()
         for attempt in self._attempts:
-            has_waited = attempt.progress_at <= oldest
-            is_probe = attempt.is_second and not attempt.event_count
-            for server_id in attempt.pipeline.server_ids:
-                if has_waited or is_probe:
-                    awaited_ids.add(server_id)
-                if attempt.event_count and not has_waited:
-                    self._record_answer(answered_at_by_id, server_id, attempt)
-        return frozenset(awaited_ids - set(answered_at_by_id))
-
-    @staticmethod
-    def _record_answer(
-        answered_at_by_id: dict[ServerId, timedelta],
-        server_id: ServerId,
-        attempt: WaitingAttempt,
-    ) -> None:
-        known = answered_at_by_id.get(server_id, attempt.progress_at)
-        answered_at_by_id[server_id] = max(known, attempt.progress_at)
+            has_waited = now - attempt.waiting_since >= silence
+            if has_waited or (attempt.is_second and attempt.answered_at is None):
+                awaited_ids.update(attempt.server_ids)
+            _record_answer(answered_at_by_id, attempt)
+        answering_ids = {
+            server_id
+            for server_id, answered_at in answered_at_by_id.items()
+            if now - answered_at < silence
+        }
+        return frozenset(awaited_ids - answering_ids)
+
+
+def _record_answer(
+    answered_at_by_id: dict[ServerId, timedelta], attempt: WaitingAttempt
+) -> None:
+    """Record the latest answer of an attempt's servers, if there is one."""
+    if attempt.answered_at is None:
+        return
+    for server_id in attempt.server_ids:
+        known = answered_at_by_id.get(server_id, attempt.answered_at)
+        answered_at_by_id[server_id] = max(known, attempt.answered_at)
--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -16,6 +16,9 @@
 # Load reports of the other routers lag behind. An engine that is known to be used less
 # than this still has spare capacity, so that a refusal must have another cause.
 _SPARE_CAPACITY_USED_SHARE = 0.5
+# Events come every 250 ms or faster, and first events take up to about half a second.
+# An engine that sends none for longer to any stream is silent.
+_SILENCE_TIME = timedelta(milliseconds=650)
 
 
 class PipelineSearch:
@@ -90,7 +93,7 @@
             return None
         refusing_ids = self._services.health.refusals.list_refusing()
         admission = self._services.admission
-        silent_ids = self._services.open_attempts.list_silent()
+        silent_ids = self._services.open_attempts.list_silent(_SILENCE_TIME)
         avoided_ids = self.stalled_ids | silent_ids | refusing_ids
         for ids in (avoided_ids, refusing_ids, set()):
             grant = await admission.find_replacement(
@@ -167,7 +170,7 @@
         return {
             *self._excluded_ids,
             *self._list_unreachable(first),
-            *services.open_attempts.list_silent(),
+            *services.open_attempts.list_silent(_SILENCE_TIME),
             *services.health.refusals.list_refusing(),
         }
 
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -1,6 +1,7 @@
 """Forwarding of requests to plain services, which run no model.
 
-A request is retried at another server only where that is safe.
+A request is retried at another server only where that is safe. An attempt that is only
+silent stays open meanwhile.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 )
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._health import ServerHealth
+from hibiscustiller.ingress._open_attempts import OpenAttempts
 from hibiscustiller.ingress._part_history import compute_crash_id
 from hibiscustiller.ingress._rate_limits import RateLimits
 from hibiscustiller.ingress._router_forwarding import RouterForwarder
@@ -53,9 +55,9 @@
 )
 from hibiscustiller.wire import Exchange, HttpClient, Responder, find_described_length
 
-# A retryable request is sent to another server if no head of an answer has arrived
-# within this share of the route's target latency.
-_HEAD_TIMEOUT_SHARE_OF_TARGET = 0.6
+# A repeatable request is sent to another server as well if no head of an answer has
+# arrived within this share of the route's target latency.
+_SILENCE_SHARE_OF_TARGET = 0.6
 _LATENCY_SMOOTHING = 0.2
 _FAILURE_SMOOTHING = 0.25
 # A failure rate of one in two multiplies the cost of a server by six.
@@ -156,6 +158,7 @@
     :param routers: passes requests on while this router reaches no server.
     :param get_presence: tells whether a server still has an entry in the store.
     :param list_servers: returns the servers of a service that accept new requests.
+    :param open_attempts: the attempts of all requests to plain services.
     """
 
     def __init__(
@@ -173,7 +176,9 @@
         routers: RouterForwarder,
         get_presence: Callable[[BackendServer], ServerPresence],
         list_servers: Callable[[ServiceName], Sequence[BackendServer]],
+        open_attempts: OpenAttempts,
     ) -> None:
+        self.open_attempts = open_attempts
         self.routers = routers
         self.list_servers = list_servers
         self.get_presence = get_presence
@@ -226,9 +231,40 @@
         )
 
 
+@dataclass(eq=False)
+class _PlainAttempt:
+    """One request at one server.
+
+    :param started_at: when it began, on the monotonic clock.
+    :param is_second: whether it was made beside another attempt.
+    :param is_sent: whether the first byte has left.
+    :param has_head: whether the head of the answer has arrived.
+    :param answered_at: when the whole answer had arrived; None before.
+    """
+
+    server: BackendServer
+    started_at: timedelta
+    is_second: bool
+    is_sent: bool = False
+    has_head: bool = False
+    answered_at: timedelta | None = None
+
+    @property
+    def server_ids(self) -> tuple[ServerId, ...]:
+        """The server that has to answer."""
+        return (self.server.id,)
+
+    @property
+    def waiting_since(self) -> timedelta:
+        """When the attempt began."""
+        return self.started_at
+
+
 class _PlainAttempts:
     """The attempts of one request at different servers.
 
+    An attempt whose server is silent stays open while another one is made beside it.
+
     :param holds: memory of the answers, released after one of them was passed on.
     """
 
@@ -239,6 +275,11 @@
         self._holds = holds
         self.context = context
         self._sent_count = 0
+        self._has_retry = False
+        # Latest answer that may only be passed on if no server gives a better one.
+        self._last_answer: _Answer | None = None
+        # Why the latest search for a server found none.
+        self._end_reason = ""
         self.may_have_run = False
         # Servers that take no request now, with the expected wait.
         self._waits_by_id: dict[ServerId, timedelta] = {}
@@ -252,66 +293,170 @@
         """
         return self._forwarder.list_servers(self.context.service.name)
 
+    @property
+    def _has_run(self) -> bool:
+        """Whether a server is known to have run the request."""
+        return self._last_answer is not None and not self._last_answer.facts.is_not_run
+
     async def run(self) -> _Answer | Refusal | None:
         """Make attempts until there is an answer.
 
         :returns: the answer, the reason why there is none, or None if another router
             has to answer, because this one reaches no server.
         """
+        server = await self._acquire_server()
+        if server is not None:
+            answer = await self._run_from(server, is_second=False)
+            if answer is not None:
+                return answer
+        self.may_have_run |= self._has_run
+        if await self._may_forward_to_router():
+            return None
+        return self._make_final_failure()
+
+    async def _may_forward_to_router(self) -> bool:
+        """Tell whether another router has to answer, as this one reaches no server."""
         context = self.context
-        last_answer: _Answer | None = None
-        has_retry = False
-        while (
-            not await self._is_blocked_by_crashes()
-            and (server := self._choose()) is not None
-        ):
-            if context.time_left <= timedelta(0):
-                return self._make_failure(
-                    RefusalReason.BACKEND_TIMEOUT, "the request timed out", last_answer
+        if not context.may_forward_to_router or not self._is_out_of_reach:
+            return False
+        if self.may_have_run and not context.route.is_repeatable:
+            return False
+        if self._sent_count == 0 or self._has_retry:
+            return True
+        return await self._forwarder.budgets.try_spend(context.service.name)
+
+    def _make_final_failure(self) -> _Answer | Refusal:
+        if self.context.time_left <= timedelta(0):
+            return self._make_failure(
+                RefusalReason.BACKEND_TIMEOUT, "the request timed out"
+            )
+        if self.may_have_run and not self.context.route.is_repeatable:
+            message = "the server gave no usable answer"
+            return self._make_failure(RefusalReason.BACKEND_FAILED, message)
+        if self._waits_by_id and not self._has_run and not self.may_have_run:
+            return self._make_wait_refusal()
+        if not self.tried_ids and self._candidates:
+            message = "the connections of every server are in use"
+            return self._make_failure(RefusalReason.OVERLOADED, message)
+        return self._make_failure(
+            RefusalReason.NO_ROUTE, "no server accepted the request"
+        )
+
+    async def _run_from(
+        self, server: BackendServer, *, is_second: bool
+    ) -> _Answer | None:
+        """Make an attempt, and others after it, or beside it while it is silent.
+
+        :param is_second: whether another attempt is open.
+        :returns: the first answer that may be passed on; None if no server gave one.
+        """
+        started_at = self.context.clock.monotonic()
+        attempt = _PlainAttempt(server, started_at, is_second)
+        if not self.context.route.is_repeatable:
+            answer = await self._try_server(attempt)
+            if answer is not None or self.may_have_run:
+                return answer
+            return await self._run_next(is_second=False)
+        async with curio.TaskGroup(wait=object) as group:
+            task = await group.spawn(self._try_server, attempt)
+            if self._may_send_more:
+                async with curio.ignore_after(self._silence_time.total_seconds()):
+                    await task.wait()
+                if not task.terminated and not attempt.has_head:
+                    # Links that fell silent are noticed by nothing else.
+                    await curio.spawn(
+                        self._forwarder.health.check, [server], daemon=True
+                    )
+                    await group.spawn(self._run_beside, attempt)
+        if group.completed is not None:
+            return group.result
+        return await self._run_next(is_second=is_second)
+
+    async def _run_beside(self, first: _PlainAttempt) -> _Answer | None:
+        """Make attempts at other servers while one is silent.
+
+        The silent one stays open, since its server may answer at any time.
+        """
+        is_logged = False
+        while True:
+            tried_count = len(self.tried_ids)
+            answer = await self._run_next(is_second=True)
+            other_ids = self.tried_ids[tried_count:]
+            if other_ids or not is_logged:
+                is_logged = True
+                self.context.log(
+                    "attempt_silent",
+                    server=first.server.id,
+                    silent_for=self.context.clock.monotonic() - first.started_at,
+                    others=",".join(other_ids),
+                    reason="" if answer is not None else self._end_reason,
                 )
+            if answer is not None or not self._may_send_more:
+                return answer
+            await self.context.clock.sleep(self._silence_time)
+
+    async def _run_next(self, *, is_second: bool) -> _Answer | None:
+        """Make attempts at the servers that are left.
+
+        :param is_second: as for :meth:`_run_from`.
+        """
+        server = await self._acquire_server(is_second=is_second)
+        if server is None:
+            return None
+        return await self._run_from(server, is_second=is_second)
+
+    async def _acquire_server(self, *, is_second: bool = False) -> BackendServer | None:
+        """Choose the server of an attempt, with all permissions to send to it.
+
+        :param is_second: as for :meth:`_run_from`.
+        :returns: None if there is no such server; the reason is kept.
+        """
+        context, forwarder = self.context, self._forwarder
+        while True:
+            if await self._is_blocked_by_crashes():
+                self._end_reason = "the crash history permits no further attempt"
+                return None
+            server = self._choose(is_second=is_second)
+            if server is None:
+                self._end_reason = "no other server may be tried"
+                return None
+            if context.time_left <= timedelta(0):
+                self._end_reason = "the request timed out"
+                return None
             is_retry = self._sent_count > 0
-            budgets = self._forwarder.budgets
-            if is_retry and not has_retry:
-                if not await budgets.try_spend(context.service.name):
-                    break
-                has_retry = True
-            if context.may_forward_to_router and self._is_out_of_reach():
-                if last_answer is not None and not last_answer.facts.is_not_run:
-                    self.may_have_run = True
+            if is_retry and not self._has_retry:
+                if not await forwarder.budgets.try_spend(context.service.name):
+                    self._end_reason = "the retry budget is exhausted"
+                    return None
+                self._has_retry = True
+            if context.may_forward_to_router and self._is_out_of_reach:
+                self._end_reason = "this router reaches no server"
                 return None
-            rate_limits = self._forwarder.rate_limits
-            wait = await rate_limits.acquire(server, context.priority)
+            wait = await forwarder.rate_limits.acquire(server, context.priority)
             if wait is not None:
                 self._waits_by_id[server.id] = wait
                 continue
             if is_retry:
-                has_retry = False
-                self._forwarder.metrics.count("plain.repeated")
+                self._has_retry = False
+                forwarder.metrics.count("plain.repeated")
             self.tried_ids.append(server.id)
-            answer = await self._try_server(server)
-            if answer is None:
-                if self.may_have_run and not context.route.is_repeatable:
-                    return self._make_non_retryable_failure()
-                continue
-            if not self._should_retry(answer):
-                return answer
-            last_answer = answer
-        if context.time_left <= timedelta(0):
-            return self._make_failure(
-                RefusalReason.BACKEND_TIMEOUT, "the request timed out", last_answer
-            )
-        has_run = last_answer is not None and not last_answer.facts.is_not_run
-        if self._waits_by_id and not has_run and not self.may_have_run:
-            return self._make_wait_refusal()
-        if not self.tried_ids and self._candidates:
-            message = "the connections of every server are in use"
-            return self._make_failure(RefusalReason.OVERLOADED, message, last_answer)
-        return self._make_failure(
-            RefusalReason.NO_ROUTE, "no server accepted the request", last_answer
-        )
+            return server
+
+    @property
+    def _silence_time(self) -> timedelta:
+        """Time without a head after which another server is tried."""
+        return self.context.route.target_latency * _SILENCE_SHARE_OF_TARGET
 
+    @property
+    def _may_send_more(self) -> bool:
+        """Whether the route allows a further attempt, and an untried server is left."""
+        if self._sent_count >= max(1, self.context.route.max_attempts):
+            return False
+        return any(s.id not in self.tried_ids for s in self._candidates)
+
+    @property
     def _is_out_of_reach(self) -> bool:
-        """Tell whether this router reaches no server of the service."""
+        """Whether this router reaches no server of the service."""
         candidates, health = self._candidates, self._forwarder.health
         return bool(candidates) and not health.is_any_reachable(candidates)
 
@@ -336,15 +481,20 @@
         refusal = await crashes.admit(context.fingerprint, context.time_left)
         return refusal is not None
 
-    def _choose(self) -> BackendServer | None:
+    def _choose(self, *, is_second: bool) -> BackendServer | None:
+        """Choose an untried server; beside another attempt, one that is not silent."""
         if self._sent_count >= max(1, self.context.route.max_attempts):
             return None
         service, load = self.context.service, self._forwarder.load
+        silent_ids: frozenset[ServerId] = frozenset()
+        if is_second:
+            silent_ids = self._forwarder.open_attempts.list_silent(self._silence_time)
         untried = [
             server
             for server in self._candidates
             if server.id not in self.tried_ids
             and server.id not in self._waits_by_id
+            and server.id not in silent_ids
             and has_free_connection(service, load.get(server.id))
         ]
         usable = [s for s in untried if self._forwarder.health.is_usable(s)]
@@ -356,49 +506,66 @@
         # The cause of a server error may be limited to that server.
         return _is_server_error(answer) and self.context.route.is_repeatable
 
-    async def _try_server(self, server: BackendServer) -> _Answer | None:
-        """Make one attempt and record its result; None without a usable answer."""
-        forwarder, context = self._forwarder, self.context
-        started_at = context.clock.monotonic()
-        sent_before = self._sent_count
+    async def _try_server(self, attempt: _PlainAttempt) -> _Answer | None:
+        """Make one attempt and record its result.
+
+        :returns: the answer if it may be passed on; any other one is kept.
+        """
+        forwarder, context, server = self._forwarder, self.context, attempt.server
         context.log_presence(server, forwarder.get_presence(server))
         forwarder.load.add_unlayered(server.id, 1)
+        forwarder.open_attempts.add(attempt)
         answer = None
-        is_crash_recorded = False
+        # An attempt is cancelled if another one has answered, or the caller has left.
+        has_failed = is_crash_recorded = False
         try:
-            answer = await self._exchange_messages(server)
-            if not answer.facts.is_not_run and not _is_server_error(answer):
+            answer = await self._exchange_messages(attempt)
+            attempt.answered_at = context.clock.monotonic()
+            has_failed = _is_server_error(answer)
+            if not answer.facts.is_not_run and not has_failed:
                 forwarder.crashes.record_answer(context.fingerprint)
                 forwarder.unanswered.record_answer(context.fingerprint)
         except TimeoutError as error:
-            self.may_have_run = True
+            has_failed = self.may_have_run = True
             context.log("attempt_failed", server=server.id, reason=error)
-            # Links that fell silent are noticed by nothing else.
             await curio.spawn(forwarder.health.check, [server], daemon=True)
         except TransportError as error:
+            has_failed = True
             context.log("attempt_failed", server=server.id, reason=error)
             if error.verdict is Verdict.MAY_HAVE_RUN:
                 self.may_have_run = True
-                is_crash_recorded = await self._check_crash(server, started_at)
+                is_crash_recorded = await self._check_crash(server, attempt.started_at)
             else:
                 await forwarder.health.check([server])
         finally:
+            forwarder.open_attempts.discard(attempt)
             forwarder.load.add_unlayered(server.id, -1)
-            latency = context.clock.monotonic() - started_at
-            failed = answer is None or _is_server_error(answer)
-            forwarder.servers.record_answer(server.id, latency, failed)
-            is_unanswered = answer is None and self._sent_count > sent_before
+            latency = context.clock.monotonic() - attempt.started_at
+            forwarder.servers.record_answer(server.id, latency, has_failed)
+            is_unanswered = answer is None and attempt.is_sent
             if is_unanswered and not is_crash_recorded:
-                forwarder.unanswered.add(context, [server], started_at, has_begun=False)
+                self.may_have_run = True
+                forwarder.unanswered.add(
+                    context, [server], attempt.started_at, has_begun=False
+                )
+        if answer is not None and self._should_retry(answer):
+            if not self._has_run:
+                self._last_answer = answer
+            return None
         return answer
 
-    async def _exchange_messages(self, server: BackendServer) -> _Answer:
+    async def _exchange_messages(self, attempt: _PlainAttempt) -> _Answer:
         """Send the request and read the answer.
 
         :raises TimeoutError: if there is no answer in time.
         :raises TransportError: if the request cannot be sent or the answer is unusable.
         """
-        context = self.context
+        context, server = self.context, attempt.server
+
+        def record_sent() -> None:
+            self._sent_count += 1
+            attempt.is_sent = True
+
         exchange = await self._forwarder.client.open_exchange(
             server.address,
             context.make_server_request(server),
@@ -406,13 +573,13 @@
             # If the server has just closed a pooled connection, it would be unknown
             # whether the request ran.
             is_fresh=not context.route.is_repeatable,
-            on_sent=self._count_sent,
+            on_sent=record_sent,
             max_idle=compute_max_idle_connections(
                 context.service, self._forwarder.count_routers()
             ),
         )
         try:
-            answer = await self._read_answer(exchange, server)
+            answer = await self._read_answer(exchange, attempt)
             # The connection of a crashed process ends like an answer without framing.
             health = self._forwarder.health
             if not exchange.is_framed and await health.check_ended(server):
@@ -447,13 +614,11 @@
         )
         return True
 
-    def _count_sent(self) -> None:
-        self._sent_count += 1
-
-    async def _read_answer(self, exchange: Exchange, server: BackendServer) -> _Answer:
+    async def _read_answer(self, exchange: Exchange, attempt: _PlainAttempt) -> _Answer:
         context, forwarder = self.context, self._forwarder
-        sent_at = context.clock.monotonic()
-        await exchange.read_head(self._compute_head_timeout())
+        server, sent_at = attempt.server, context.clock.monotonic()
+        await exchange.read_head(context.timeout_left)
+        attempt.has_head = True
         facts = read_answer_facts(exchange.status, exchange.fields)
         # The statements of the head count, whatever becomes of the body.
         if context.has_statements(facts, exchange):
@@ -466,39 +631,13 @@
             _check_answer(answer, context)
         return answer
 
-    def _compute_head_timeout(self) -> timedelta:
-        """Return the timeout for the head of an answer.
-
-        It is shorter where the request may still be sent to another server.
-        """
-        context = self.context
-        remaining = context.timeout_left
-        has_untried = any(s.id not in self.tried_ids for s in self._candidates)
-        may_retry = context.route.is_repeatable and has_untried
-        if may_retry and self._sent_count < context.route.max_attempts:
-            return min(
-                remaining, context.route.target_latency * _HEAD_TIMEOUT_SHARE_OF_TARGET
-            )
-        return remaining
-
-    def _make_non_retryable_failure(self) -> _Answer | Refusal:
-        """Return the final answer of a request that must not be retried."""
-        if self.context.time_left <= timedelta(0):
-            message = "the server did not answer in time"
-            return self._make_failure(RefusalReason.BACKEND_TIMEOUT, message, None)
-        message = "the server gave no usable answer"
-        return self._make_failure(RefusalReason.BACKEND_FAILED, message, None)
-
-    def _make_failure(
-        self, reason: RefusalReason, message: str, last_answer: _Answer | None
-    ) -> _Answer | Refusal:
+    def _make_failure(self, reason: RefusalReason, message: str) -> _Answer | Refusal:
         """Return the final answer of a request that no server has completed.
 
-        :param last_answer: latest answer of a server. If the request has run, it is
-            preferred to a refusal.
+        The answer of a server that has run the request is preferred to a refusal.
         """
-        if last_answer is not None and not last_answer.facts.is_not_run:
-            return last_answer
+        if self._last_answer is not None and self._has_run:
+            return self._last_answer
         may_have_run = self.may_have_run
         if may_have_run and reason is RefusalReason.NO_ROUTE:
             reason = RefusalReason.BACKEND_FAILED
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -150,6 +150,21 @@
         """The engine that receives the request."""
         return self.pipeline.entry
 
+    @property
+    def server_ids(self) -> tuple[ServerId, ...]:
+        """The ids of the engines in order of their stages."""
+        return self.pipeline.server_ids
+
+    @property
+    def waiting_since(self) -> timedelta:
+        """When the attempt began, or the latest event was passed on."""
+        return self.progress_at
+
+    @property
+    def answered_at(self) -> timedelta | None:
+        """When the latest event was passed on; None if there was none."""
+        return self.progress_at if self.event_count else None
+
     @property
     def silent_for(self) -> timedelta:
         """Time without a new event."""
