End second attempts with the request's time, and keep trials of parts apart

Found by reading the change: at the end of a request's time its stream waited for a second attempt that was still connecting (up to 0.35 s); a part that was quarantined while the request waited for a permission made its attempt a trial; and a caller that left while another router answered was taken for a failure of the attempt beside.

--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -57,6 +57,8 @@
 _RETRY_AFTER = timedelta(milliseconds=500)
 _OK = 200
 
+OnProgress = Callable[[int | None, int], None]
+
 
 class RouterForwarder:
     """Passes requests on to other routers and relays their answers.
@@ -99,15 +101,15 @@
         last_event: int | None = None,
         *,
         may_have_run: bool = False,
-        on_progress: Callable[[int | None], None] = lambda last_event: None,
+        on_progress: OnProgress = lambda last_event, event_count: None,
     ) -> Refusal | None:
         """Let another router answer a request.
 
         :param last_event: id of the last event that this router sent; None if it sent
             none.
         :param may_have_run: whether a server may have run the request already.
-        :param on_progress: called with the id of the last event whenever events were
-            sent to the caller.
+        :param on_progress: called with the id of the last event and the number of new
+            events before these are sent to the caller.
         :returns: why no router answered; None if one did.
         :raises TransportError: if the caller has disconnected.
         """
@@ -160,7 +162,7 @@
         responder: Responder,
         last_event: int | None,
         may_have_run: bool,
-        on_progress: Callable[[int | None], None],
+        on_progress: OnProgress,
     ) -> None:
         self._on_progress = on_progress
         self._forwarder = forwarder
@@ -283,7 +285,7 @@
                 raise TransportError(str(error), Verdict.MAY_HAVE_RUN) from error
             if events:
                 self._may_have_run = True
-                self._on_progress(self._last_event)
+                self._on_progress(self._last_event, len(events))
                 await self._start_response(exchange)
                 data = b"".join(event.data for event in events)
                 await send_to_caller(self._responder.send_part(data))
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -162,6 +162,8 @@
         # Entry servers that ended the stream as complete without an event.
         self._eventless_ids: set[ServerId] = set()
         self._may_have_run = False
+        # Whether the next attempt is a trial of a quarantined part.
+        self._is_trial = False
         self._attempt_count = 0
         self._event_count = 0
         self._stall_timeout = _compute_stall_timeout(context.route)
@@ -228,16 +230,14 @@
 
     def _make_attempt(self, grant: Grant, *, is_second: bool = False) -> StreamAttempt:
         self._attempt_count += 1
-        parts = self._context.facts.prompt_parts
-        # The parts were checked just before. A second attempt is never a trial.
-        is_trial = not is_second and self._services.parts.is_quarantined(parts)
         return StreamAttempt(
             self._services,
             self._context,
             grant,
             self._attempt_count,
             self._last_event,
-            is_trial=is_trial,
+            # A second attempt is not made for a quarantined part.
+            is_trial=self._is_trial and not is_second,
             is_second=is_second,
         )
 
@@ -246,7 +246,10 @@
         refusal = self._services.crashes.check(self._context.fingerprint)
         if refusal is not None:
             return refusal
-        return self._services.parts.admit(self._context.facts.prompt_parts)
+        history, parts = self._services.parts, self._context.facts.prompt_parts
+        refusal = history.admit(parts)
+        self._is_trial = refusal is None and history.is_quarantined(parts)
+        return refusal
 
     async def _check_retry_allowed(self, outcome: Outcome) -> Refusal | None:
         """Return the reason why the request may not be retried; None if it may."""
@@ -598,7 +601,10 @@
         :raises TransportError: if its answer began but could not be completed.
         """
         event_count = self._event_count
-        refusal = await self._forward_to_router()
+        try:
+            refusal = await self._forward_to_router()
+        except TransportError as error:
+            raise CallerDisconnectedError(str(error)) from error
         if refusal is None:
             raise _AnsweredElsewhereError
         if self._event_count > event_count:
@@ -609,11 +615,12 @@
         """Let another router give the rest of the answer.
 
         :returns: why no router did; None if one did.
+        :raises TransportError: if the caller has disconnected.
         """
 
-        def record_progress(last_event: int | None) -> None:
+        def record_progress(last_event: int | None, event_count: int) -> None:
             self._last_event = last_event
-            self._event_count += 1
+            self._event_count += event_count
             self._may_have_run = True
 
         return await self._services.routers.forward(
@@ -711,8 +718,11 @@
         return None
 
     async def _take_second(self) -> StreamAttempt | None:
-        """Return the second attempt when it has answered; None if there is none."""
-        if self._second is None:
+        """Return the second attempt when it has answered.
+
+        :returns: None if there is none, it has failed, or no time is left for it.
+        """
+        if self._second is None or self._context.time_left <= timedelta(0):
             return None
         attempt = await self._join_second()
         self._second = None
