--- a/hibiscustiller/ingress/tests/test_silent_engines.py
+++ b/hibiscustiller/ingress/tests/test_silent_engines.py
@@ -192,6 +192,28 @@
         await world.wait_until(lambda: not world.gateway._load.get_own_use(), 1.0)
 
 
+async def test_streams_that_cannot_be_resumed_wait_for_their_engine():
+    """Guards against a second run of a stream that must not be resumed."""
+    async with SilentWorld(2) as world:
+        tasks = await world.start_streams(4, "/once/1")
+        await world.silence(world.engines)
+        await check_streams(tasks)
+        assert world.count_arrivals() == 4
+
+
+async def test_streams_of_a_router_that_stops_wait_for_their_engine():
+    """Guards against streams that are cut by a planned stop beside a silence."""
+    async with SilentWorld(2, room=4) as world:
+        for engine in world.engines:
+            # The stream, with the silence, ends within the grace time of 3 s.
+            engine._event_period_s = 0.012
+        tasks = await world.start_streams(8)
+        stop = await curio.spawn(world.gateway.stop)
+        await world.silence(world.engines, 1.4)
+        await check_streams(tasks)
+        await stop.join()
+
+
 async def test_streams_are_not_cut_by_changes_of_the_configuration():
     """Guards against streams that end because the configuration changed.
 
