Show a stream that is refused as not run while its engine runs it

A router without new connections asks another one beside a silent attempt that has no event yet. The other router refuses (its engine is full), and the caller gets 503 with the verdict not-run: the attempt that runs is closed, and a caller may repeat a request that was run.

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -4,6 +4,11 @@
 
 import curio
 
+from hibiscustiller.ingress.tests.cuts import Cut, ServerLinks
+from hibiscustiller.ingress.tests.test_silent_engines import (
+    SilentWorld,
+    check_whole,
+)
 from hibiscustiller.ingress.tests.test_silent_plain_servers import (
     TIMEOUT_MS,
     PlainWorld,
@@ -45,5 +50,33 @@
         assert all(ended), ended
 
 
+class CutStreamWorld(SilentWorld):
+    """A second gateway whose new connections to servers are refused."""
+
+    async def start_cut_stream(self):
+        """Start a stream at the second gateway, and refuse its new connections."""
+        links = ServerLinks()
+        other = await self.start_other("router-2", links.connect)
+
+        def has_pipelines():
+            forwarder = other.models.forwarders_by_service.get("engines")
+            return forwarder and len(forwarder.selector.pipelines) == len(self.engines)
+
+        await self.wait_until(has_pipelines)
+        task = await curio.spawn(lambda: self.stream(gateway=other))
+        await self.wait_until(lambda: self.count_arrivals() == 1)
+        await links.cut(Cut.REFUSED_NEW)
+        return task
+
+
+async def test_a_refusal_of_another_router_leaves_the_silent_attempt():
+    """Guards against "not run" for a stream whose engine runs it and would answer."""
+    async with CutStreamWorld(1, room=1) as world:
+        world.engines[0].faults.begins_after_s = 2.0
+        task = await world.start_cut_stream()
+        answer, _ = await task.join()
+        check_whole(answer)
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
