Show a stream that waits for another router while its engine goes on

The other router is not asked beside the silent attempt but instead of it: the events of the attempt are not read until the other router has answered. If that one's engine is stuck, the caller gets 504.

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -78,5 +78,18 @@
         check_whole(answer)
 
 
+async def test_a_silent_attempt_goes_on_while_another_router_is_asked():
+    """Guards against events that wait for another router whose engine is stuck."""
+    async with CutStreamWorld(2, room=1) as world:
+        for engine in world.engines:
+            engine.faults.begins_after_s = 2.0
+        task = await world.start_cut_stream()
+        stuck = next(engine for engine in world.engines if not engine.requests)
+        stuck.faults.begins_after_s = 60.0
+        answer, gap = await task.join()
+        check_whole(answer)
+        assert gap < 2.0 + MARGIN_S, gap
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
