Show a silent stream that is passed on without a retry of the budget

While a router reaches no server, a silent stream is passed on every 150 ms, and none of it counts as a retry; each also counts as a new request at the other router, which raises its budget.

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -91,5 +91,17 @@
         assert gap < 2.0 + MARGIN_S, gap
 
 
+async def test_another_router_is_asked_within_the_retry_budget():
+    """Guards against a silent stream that is sent again and again without a retry."""
+    async with CutStreamWorld(1, room=1, retry_slack=0.0) as world:
+        world.engines[0].faults.is_frozen = True
+        task = await world.start_cut_stream()
+        await curio.sleep(3.5)
+        count = world.count_arrivals()
+        await task.cancel()
+        # A budget of 0.2 for one request allows no repeat.
+        assert count == 1, count
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
