Show streams that are held by a stuck second attempt

A second attempt at an engine that is stuck is waited for until the request times out, although a third engine is sound and the route allows it, also when the first attempt has broken meanwhile.

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -5,6 +5,7 @@
 import curio
 
 from hibiscustiller.ingress.tests.cuts import Cut, ServerLinks
+from hibiscustiller.ingress.tests.fixtures import make_document
 from hibiscustiller.ingress.tests.test_silent_engines import (
     SilentWorld,
     check_whole,
@@ -50,6 +51,50 @@
         assert all(ended), ended
 
 
+async def test_a_stuck_second_attempt_does_not_hold_a_stream():
+    """Guards against a silent second attempt that prevents one at a sound engine."""
+    async with SilentWorld(3) as world:
+        document = make_document(2)
+        for route in document["routes"]:
+            if route["name"] == "chat":
+                route["max_attempts"] = 3
+        world.store.put("op/config", document)
+        await world.wait_until(lambda: world.gateway.view.document.version == 2)
+        tasks = await world.start_streams(1)
+        first = next(engine for engine in world.engines if engine.requests)
+        first.faults.is_silent = True
+        others = [engine for engine in world.engines if engine is not first]
+        for engine in others:
+            engine.faults.begins_after_s = 60.0
+        await world.wait_until(lambda: any(engine.requests for engine in others))
+        sound = next(engine for engine in others if not engine.requests)
+        sound.faults.begins_after_s = 0.0
+        await curio.sleep(4.0)
+        requests = list(sound.requests)
+        for task in tasks:
+            await task.cancel()
+        assert requests
+
+
+async def test_a_stuck_second_attempt_does_not_hold_a_stream_whose_first_one_broke():
+    """Guards against streams that wait for a stuck engine beside a sound one."""
+    async with SilentWorld(3) as world:
+        tasks = await world.start_streams(1)
+        first = next(engine for engine in world.engines if engine.requests)
+        first.faults.is_silent = True
+        others = [engine for engine in world.engines if engine is not first]
+        for engine in others:
+            engine.faults.begins_after_s = 60.0
+        await world.wait_until(lambda: any(engine.requests for engine in others))
+        sound = next(engine for engine in others if not engine.requests)
+        sound.faults.begins_after_s = 0.0
+        await first.server.close()
+        await curio.sleep(0.1)
+        async with curio.timeout_after(6.0):
+            answer, _ = await tasks[0].join()
+        check_whole(answer)
+
+
 class CutStreamWorld(SilentWorld):
     """A second gateway whose new connections to servers are refused."""
 
