Show plain requests sent twice while connections are slow

An attempt counts once its first byte leaves. If the connection takes longer than the silence, the second attempt counts as the first one: it needs no retry, and max_attempts does not hold it back.

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -15,6 +15,7 @@
     PlainWorld,
 )
 from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire import open_connection
 
 # Time that an answer may take beyond the route's time-out.
 MARGIN_S = 0.7
@@ -148,5 +149,40 @@
         assert count == 1, count
 
 
+class SlowConnectWorld(PlainWorld):
+    """Servers that take longer to accept a connection than a request waits alone."""
+
+    is_slow = False
+
+    def _make_gateway(self, name, connect=open_connection):
+        async def connect_slowly(address, timeout):
+            if self.is_slow:
+                await curio.sleep(min(0.2, timeout.total_seconds() / 2))
+            return await open_connection(address, timeout)
+
+        return super()._make_gateway(name, connect_slowly)
+
+
+async def test_slow_connections_do_not_add_attempts():
+    """Guards against requests sent twice on a route that allows one attempt."""
+    async with SlowConnectWorld() as world:
+        document = make_document(3)
+        for route in document["routes"]:
+            route["timeout_ms"] = TIMEOUT_MS
+            route["max_attempts"] = 1
+        world.store.put("op/config", document)
+        await world.wait_until(lambda: world.gateway.view.document.version == 3)
+        world.is_slow = True
+        for plain in world.plain:
+            plain.is_silent = True
+        tasks = await world.start_requests(12)
+        await curio.sleep(1.0)
+        for plain in world.plain:
+            plain.is_silent = False
+        for task in tasks:
+            await task.join()
+        assert world.count_arrivals() <= 12, world.count_arrivals()
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
