Show permissions of limited engines that searches use up

With a spent retry budget, each silent stream takes a permission of the sound engine every 150 ms and sends nothing, so that new requests are refused at a limited engine.

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -8,6 +8,7 @@
 from hibiscustiller.ingress.tests.fixtures import make_document
 from hibiscustiller.ingress.tests.test_silent_engines import (
     SilentWorld,
+    check_streams,
     check_whole,
 )
 from hibiscustiller.ingress.tests.test_silent_plain_servers import (
@@ -149,6 +150,30 @@
         assert count == 1, count
 
 
+async def test_searches_without_a_retry_budget_use_no_permissions():
+    """Guards against permissions of limited engines that are taken and not used."""
+    async with SilentWorld(2, retry_slack=0.0) as world:
+        for engine in world.engines:
+            engine.faults.rate_limit = 1000.0
+        tasks = await world.start_streams(8)
+        silent, sound = world.engines
+        arrival_count, granted = sound.arrival_count, []
+        rate_limits = world.gateway._rate_limits
+        acquire = rate_limits.acquire
+
+        async def record_granted(server, priority):
+            wait = await acquire(server, priority)
+            if wait is None and server.id == sound.id:
+                granted.append(server.id)
+            return wait
+
+        rate_limits.acquire = record_granted
+        await world.silence([silent], 1.9)
+        used_count = sound.arrival_count - arrival_count
+        await check_streams(tasks)
+        assert len(granted) <= used_count, (len(granted), used_count)
+
+
 class SlowConnectWorld(PlainWorld):
     """Servers that take longer to accept a connection than a request waits alone."""
 
