Show runs that are kept although their request was answered

The silent attempt of a plain request is cancelled, and kept as a run without an answer, only after the answer of the other one has dropped the runs of the request. If the silent server then ends, as it does when it is restarted, the end counts as one under a sound request (crash_after_attempt, servers_ended_under_request count=1).

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -14,6 +14,7 @@
 from hibiscustiller.ingress.tests.test_silent_plain_servers import (
     TIMEOUT_MS,
     PlainWorld,
+    join_all,
 )
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import open_connection
@@ -209,5 +210,18 @@
         assert world.count_arrivals() <= 12, world.count_arrivals()
 
 
+async def test_an_answered_request_is_no_cause_of_a_later_crash():
+    """Guards against sound requests that count as the cause of a server's end.
+
+    The server is silent, and another one answers; runs that are left count if the
+    silent one is killed.
+    """
+    async with PlainWorld() as world:
+        stuck, _ = world.plain
+        await join_all(await world.request_one_of(stuck))
+        await world.wait_until(lambda: world.get_in_flight(stuck.id) == 0)
+        assert world.gateway.describe()["unanswered_runs"] == 0
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
