Show a series of second attempts at a faulty engine

An engine that answers wrongly is not excluded, since it may have run the request. While the first engine is silent, the search for a second attempt chooses it again every 150 ms, and each attempt runs the prompt and spends a retry of the budget that all routers share.

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -223,5 +223,22 @@
         assert world.gateway.describe()["unanswered_runs"] == 0
 
 
+async def test_a_faulty_engine_gets_no_series_of_second_attempts():
+    """Guards against one silent stream that spends the retries of a service.
+
+    Each second attempt fails at once, and the route allows two attempts.
+    """
+    async with SilentWorld(2) as world:
+        tasks = await world.start_streams(1)
+        silent, faulty = world.engines
+        if not silent.requests:
+            silent, faulty = faulty, silent
+        faulty.faults.is_of_other_request = True
+        await world.silence([silent], 2.6)
+        count = faulty.arrival_count
+        await check_streams(tasks)
+        assert count <= 2, count
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
