End the search beside a silent plain request with the request

Callers got no answer after their time-out, or after their only attempt had failed, while an untried server was left that may not be tried (a spent budget, a silent or limited server): the search was repeated without end. It now ends with the attempt beside which it looks, and with the request's time.

--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -239,6 +239,7 @@
     :param is_second: whether it was made beside another attempt.
     :param is_sent: whether the first byte has left.
     :param has_head: whether the head of the answer has arrived.
+    :param is_ended: whether there is an answer, or the attempt has failed.
     :param answered_at: when the whole answer had arrived; None before.
     """
 
@@ -247,6 +248,7 @@
     is_second: bool
     is_sent: bool = False
     has_head: bool = False
+    is_ended: bool = False
     answered_at: timedelta | None = None
 
     @property
@@ -394,6 +396,8 @@
             if answer is not None or not self._may_send_more:
                 return answer
             await self.context.clock.sleep(self._silence_time)
+            if first.is_ended or self.context.time_left <= timedelta(0):
+                return None
 
     async def _run_next(self, *, is_second: bool) -> _Answer | None:
         """Make attempts at the servers that are left.
@@ -538,6 +542,7 @@
             else:
                 await forwarder.health.check([server])
         finally:
+            attempt.is_ended = True
             forwarder.open_attempts.discard(attempt)
             forwarder.load.add_unlayered(server.id, -1)
             latency = context.clock.monotonic() - attempt.started_at
