Count an attempt of a plain request before its connection is open

With connections slower than the silence, the second attempt counted as the first one: it needed no retry, and max_attempts did not hold it back. An attempt now counts from its choice, and no longer if it ended before a byte was sent.

--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -276,7 +276,8 @@
         self._forwarder = forwarder
         self._holds = holds
         self.context = context
-        self._sent_count = 0
+        # Attempts that were sent, or are about to be.
+        self._attempt_count = 0
         self._has_retry = False
         # Latest answer that may only be passed on if no server gives a better one.
         self._last_answer: _Answer | None = None
@@ -323,7 +324,7 @@
             return False
         if self.may_have_run and not context.route.is_repeatable:
             return False
-        if self._sent_count == 0 or self._has_retry:
+        if self._attempt_count == 0 or self._has_retry:
             return True
         return await self._forwarder.budgets.try_spend(context.service.name)
 
@@ -427,7 +428,7 @@
             if context.time_left <= timedelta(0):
                 self._end_reason = "the request timed out"
                 return None
-            is_retry = self._sent_count > 0
+            is_retry = self._attempt_count > 0
             if is_retry and not self._has_retry:
                 if not await forwarder.budgets.try_spend(context.service.name):
                     self._end_reason = "the retry budget is exhausted"
@@ -444,6 +445,7 @@
                 self._has_retry = False
                 forwarder.metrics.count("plain.repeated")
             self.tried_ids.append(server.id)
+            self._attempt_count += 1
             return server
 
     @property
@@ -454,7 +456,7 @@
     @property
     def _may_send_more(self) -> bool:
         """Whether the route allows a further attempt, and an untried server is left."""
-        if self._sent_count >= max(1, self.context.route.max_attempts):
+        if self._attempt_count >= max(1, self.context.route.max_attempts):
             return False
         return any(s.id not in self.tried_ids for s in self._candidates)
 
@@ -479,7 +481,7 @@
 
         :returns: True if it permits none.
         """
-        if self._sent_count == 0:
+        if self._attempt_count == 0:
             return False
         context, crashes = self.context, self._forwarder.crashes
         refusal = await crashes.admit(context.fingerprint, context.time_left)
@@ -487,7 +489,7 @@
 
     def _choose(self, *, is_second: bool) -> BackendServer | None:
         """Choose an untried server; beside another attempt, one that is not silent."""
-        if self._sent_count >= max(1, self.context.route.max_attempts):
+        if self._attempt_count >= max(1, self.context.route.max_attempts):
             return None
         service, load = self.context.service, self._forwarder.load
         silent_ids: frozenset[ServerId] = frozenset()
@@ -543,6 +545,8 @@
                 await forwarder.health.check([server])
         finally:
             attempt.is_ended = True
+            if not attempt.is_sent:
+                self._attempt_count -= 1
             forwarder.open_attempts.discard(attempt)
             forwarder.load.add_unlayered(server.id, -1)
             latency = context.clock.monotonic() - attempt.started_at
@@ -568,7 +572,6 @@
         context, server = self.context, attempt.server
 
         def record_sent() -> None:
-            self._sent_count += 1
             attempt.is_sent = True
 
         exchange = await self._forwarder.client.open_exchange(
