Show plain requests that wait for a body beside a sound server

A server that falls silent between the head and the body of its answer holds a repeatable request until its time-out: the second attempt is made only while there is no head.

--- a/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
+++ b/hibiscustiller/ingress/tests/test_review_of_silent_attempts.py
@@ -5,7 +5,9 @@
 import curio
 
 from hibiscustiller.ingress.tests.cuts import Cut, ServerLinks
-from hibiscustiller.ingress.tests.fixtures import make_document
+from hibiscustiller.ingress.tests.fixtures import RawServer, make_document
+from hibiscustiller.ingress.tests.test_endless_answers import write_plain_entry
+from hibiscustiller.ingress.tests.test_failures_elsewhere import is_known, make_answer
 from hibiscustiller.ingress.tests.test_silent_engines import (
     SilentWorld,
     check_streams,
@@ -240,5 +242,28 @@
         assert count <= 2, count
 
 
+class HeadOnlyServer(RawServer):
+    """A plain server that sends the head of its answers and falls silent."""
+
+    async def serve(self, sock):
+        async with sock:
+            while request := await sock.recv(65536):
+                head = make_answer(request).partition(b"\r\n\r\n")[0]
+                await sock.sendall(head + b"\r\n\r\n")
+
+
+async def test_a_server_that_falls_silent_after_its_head_is_left():
+    """Guards against requests that wait for a body until their time is up."""
+    async with PlainWorld(1) as world, HeadOnlyServer() as server:
+        write_plain_entry(world, "head-only", server)
+        await world.wait_until(lambda: is_known(world, "head-only"))
+        tasks = await world.start_requests(8)
+        await curio.sleep(1.5)
+        ended = [task.terminated for task in tasks]
+        for task in tasks:
+            await task.cancel()
+        assert all(ended), ended
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
