Record the answer of a request after its other attempts have ended

The attempt that lost was kept as a run without an answer after the answer of the other one had dropped the runs of the request. If its server ended later, as in a restart, that counted as a crash under a sound request.

--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -311,12 +311,22 @@
         if server is not None:
             answer = await self._run_from(server, is_second=False)
             if answer is not None:
+                self._record_answer(answer)
                 return answer
         self.may_have_run |= self._has_run
         if await self._may_forward_to_router():
             return None
         return self._make_final_failure()
 
+    def _record_answer(self, answer: _Answer) -> None:
+        """Record that a request was answered, after all its attempts have ended.
+
+        A server that can answer a request does not crash under it.
+        """
+        if not answer.facts.is_not_run and not _is_server_error(answer):
+            self._forwarder.crashes.record_answer(self.context.fingerprint)
+            self._forwarder.unanswered.record_answer(self.context.fingerprint)
+
     async def _may_forward_to_router(self) -> bool:
         """Tell whether another router has to answer, as this one reaches no server."""
         context = self.context
@@ -528,9 +538,6 @@
             answer = await self._exchange_messages(attempt)
             attempt.answered_at = context.clock.monotonic()
             has_failed = _is_server_error(answer)
-            if not answer.facts.is_not_run and not has_failed:
-                forwarder.crashes.record_answer(context.fingerprint)
-                forwarder.unanswered.record_answer(context.fingerprint)
         except TimeoutError as error:
             has_failed = self.may_have_run = True
             context.log("attempt_failed", server=server.id, reason=error)
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -405,6 +405,7 @@
         body = await exchange.read_body(attempt.hold, remaining, MAX_BODY_BYTES)
         if not self._may_relay_whole_answer(attempt):
             return Outcome.BROKEN
+        await self._cancel_second()
         fields = make_caller_fields(exchange.fields)
         length = find_described_length(exchange.fields)
         await send_to_caller(
@@ -440,6 +441,8 @@
                 await self._wait(attempt)
         attempt.check_whole_events()
         await self._check_end(attempt)
+        # What is left of it afterwards would count as a run without an answer.
+        await self._cancel_second()
         await self._start_response(attempt)
         await send_to_caller(self._responder.finish())
         return Outcome.FINISHED
