Give an engine at which a second attempt failed no other one

One silent stream sent seven requests in 1.3 s to an engine that answered for another request, and spent a retry for each: a failed second attempt excluded nothing. Its entry now gets no further second attempt of the request.

--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -38,6 +38,8 @@
         self._demand = demand
         self._excluded_ids: set[ServerId] = set()
         self._entry_ids: set[ServerId] = set()
+        # Entry servers of second attempts that failed.
+        self._failed_ids: set[ServerId] = set()
         self.stalled_ids: set[ServerId] = set()
         self.refusal_count = 0
         self.shortest_wait: timedelta | None = None
@@ -50,6 +52,10 @@
         """Record that the request was sent to an engine."""
         self._entry_ids.add(entry_id)
 
+    def record_failed_second(self, entry_id: ServerId) -> None:
+        """Record that a second attempt failed; its entry gets no other one."""
+        self._failed_ids.add(entry_id)
+
     def exclude_refusing(self, attempt: StreamAttempt, facts: AnswerFacts) -> None:
         """Exclude the server that refused an attempt as not run.
 
@@ -111,13 +117,7 @@
 
         :returns: None if there is no such pipeline, or the route allows no other.
         """
-        unusable_ids = self._list_unusable(first)
-        if self._is_limit_reached:
-            unusable_ids |= {
-                pipeline.entry.id
-                for pipeline in self._services.selector.pipelines
-                if pipeline.entry.id not in self._entry_ids
-            }
+        unusable_ids = self._list_unusable_for_second(first)
         grant = None
         if self._has_pipeline(unusable_ids):
             grant = await self._services.admission.find_replacement(
@@ -127,6 +127,10 @@
             return grant
         return self._reserve_fallback(unusable_ids)
 
+    def may_find_second(self, first: StreamAttempt) -> bool:
+        """Tell whether a pipeline is known for an attempt beside another one."""
+        return self._has_pipeline(self._list_unusable_for_second(first))
+
     async def find_accepting(
         self, grant: Grant | None, first: StreamAttempt | None = None
     ) -> Grant | None:
@@ -152,7 +156,7 @@
             await admission.release(grant)
             excluded_ids = self._excluded_ids
             if first is not None:
-                excluded_ids = self._list_unusable(first)
+                excluded_ids = self._list_unusable_for_second(first)
             grant = await admission.find_replacement(
                 self._demand, excluded_ids | rejecting_ids
             )
@@ -164,15 +168,24 @@
         limit = max(1, self._context.route.max_attempts)
         return len(self._entry_ids - self._excluded_ids) >= limit
 
-    def _list_unusable(self, first: StreamAttempt) -> set[ServerId]:
-        """Return the servers that are of no use beside another attempt."""
+    def _list_unusable_for_second(self, first: StreamAttempt) -> set[ServerId]:
+        """Return the servers that may not get an attempt beside another one."""
         services = self._services
-        return {
+        unusable_ids = {
             *self._excluded_ids,
+            *self._failed_ids,
             *self._list_unreachable(first),
             *services.open_attempts.list_silent(_SILENCE_TIME),
             *services.health.refusals.list_refusing(),
         }
+        if self._is_limit_reached:
+            # Only servers that have run the request may run it once more.
+            unusable_ids |= {
+                pipeline.entry.id
+                for pipeline in services.selector.pipelines
+                if pipeline.entry.id not in self._entry_ids
+            }
+        return unusable_ids
 
     def _list_unreachable(self, attempt: StreamAttempt) -> set[ServerId]:
         is_reachable = self._services.health.is_reachable
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -664,6 +664,7 @@
                 await attempt.close(outcome)
         if outcome is None:
             return attempt
+        self._search.record_failed_second(attempt.entry.id)
         self._log_attempt(attempt, outcome)
         return None
 
