Ask for a retry before the permission of a limited engine

With a spent retry budget, each silent stream took a permission of the sound engine every 150 ms and sent nothing (10 to 13 for one request), so that new requests would be refused there. The budget is asked first, and a retry that is not sent is kept for the next attempt of the stream.

--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -169,6 +169,8 @@
         self._stall_timeout = _compute_stall_timeout(context.route)
         self._second: curio.Task | None = None
         self._second_search_at = timedelta(0)
+        # Whether the budget has allowed a retry that was not sent yet.
+        self._has_retry = False
         self._is_answered_elsewhere = False
 
     async def run(self, grant: Grant) -> Refusal | None:
@@ -265,8 +267,9 @@
         refusal = await self._wait_until_retryable()
         if refusal is not None:
             return refusal
-        if not await self._services.budgets.try_spend(context.service.name):
+        if not await self._acquire_retry():
             return self._make_refusal("the retry budget is exhausted")
+        self._has_retry = False
         return None
 
     async def _wait_until_retryable(self) -> Refusal | None:
@@ -681,21 +684,27 @@
         found = await self._search.find_second(first)
         if found is None:
             return None, "no other pipeline is known to answer"
-        grant = await self._search.find_accepting(found, first)
-        if grant is None:
-            return None, "no pipeline takes another request now"
         may_send = False
         try:
-            may_send = await self._services.budgets.try_spend(
-                self._context.service.name
-            )
+            may_send = await self._acquire_retry()
         finally:
             if not may_send:
-                await self._services.admission.release(grant)
+                await self._services.admission.release(found)
         if not may_send:
             return None, "the retry budget is exhausted"
+        grant = await self._search.find_accepting(found, first)
+        if grant is None:
+            return None, "no pipeline takes another request now"
+        self._has_retry = False
         return grant, ""
 
+    async def _acquire_retry(self) -> bool:
+        """Ask the budget for a retry, unless one is left; tell whether there is one."""
+        if not self._has_retry:
+            name = self._context.service.name
+            self._has_retry = await self._services.budgets.try_spend(name)
+        return self._has_retry
+
     async def _read_to_answer(self, attempt: StreamAttempt) -> Outcome | None:
         """Read the answer of a second attempt until it can be relayed.
 
