Ask another router beside a silent stream, and replace a second attempt that is stuck

While a router reached no server, a silent stream was not read until another router had answered; that router's refusal ended the stream, as not run although an engine ran it; it was asked again every 150 ms at the cost of no retry. A second attempt at a stuck engine held the stream until its time-out, also after the first had broken. Both are faults of who looks after the task beside the silent attempt.

The other router is now asked by that task, for a retry of the budget, and the caller's connection is handed over when its answer begins; until then the silent attempt is read and may go on. A second attempt goes on alone, silent or not, when the first has ended, and may get another one beside it; one that is silent for as long as a stalled stream is closed if another pipeline is known to answer. Comments of an engine do not count as the begin of an answer.

--- a/hibiscustiller/ingress/_open_attempts.py
+++ b/hibiscustiller/ingress/_open_attempts.py
@@ -14,8 +14,6 @@
 
 # The evidence is gathered at most once in this time.
 _REFRESH_PERIOD = timedelta(milliseconds=50)
-# Answers of closed attempts are kept for the longest silence that is asked for.
-_ANSWER_RETENTION = timedelta(seconds=5)
 
 
 class WaitingAttempt(Protocol):
@@ -56,6 +54,7 @@
         # When servers last answered attempts that are closed.
         self._answered_at_by_id: dict[ServerId, timedelta] = {}
         # Silent servers by the length of the silence, and when they were found.
+        self._longest_silence = timedelta(0)
         self._found_by_silence: dict[timedelta, tuple[timedelta, frozenset]] = {}
 
     def add(self, attempt: WaitingAttempt) -> None:
@@ -78,6 +77,7 @@
         :param silence: time without an answer.
         """
         now = self._clock.monotonic()
+        self._longest_silence = max(self._longest_silence, silence)
         found_at, silent_ids = self._found_by_silence.get(silence, (None, frozenset()))
         if found_at is None or now - found_at >= _REFRESH_PERIOD:
             silent_ids = self._find_silent(now, silence)
@@ -88,7 +88,7 @@
         self._answered_at_by_id = {
             server_id: answered_at
             for server_id, answered_at in self._answered_at_by_id.items()
-            if now - answered_at < _ANSWER_RETENTION
+            if now - answered_at < self._longest_silence
         }
         answered_at_by_id = dict(self._answered_at_by_id)
         awaited_ids: set[ServerId] = set()
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -108,8 +108,9 @@
         :param last_event: id of the last event that this router sent; None if it sent
             none.
         :param may_have_run: whether a server may have run the request already.
-        :param on_progress: called with the id of the last event and the number of new
-            events before these are sent to the caller.
+        :param on_progress: called before anything is sent to the caller, with the id of
+            the last event and the number of new events. What it raises ends the
+            attempt at this router.
         :returns: why no router answered; None if one did.
         :raises TransportError: if the caller has disconnected.
         """
@@ -265,6 +266,7 @@
         if not exchange.is_framed:
             message = "the answer of a router has no end of its own"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        self._on_progress(self._last_event, 0)
         fields = make_router_answer_fields(exchange.fields)
         length = find_described_length(exchange.fields)
         await send_to_caller(
@@ -292,6 +294,7 @@
         if splitter.rest or not exchange.is_framed:
             message = "the stream of a router ended early"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        self._on_progress(self._last_event, 0)
         await self._start_response(exchange)
         await send_to_caller(self._responder.finish())
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -66,11 +66,7 @@
 
 
 class _SupersededError(Exception):
-    """Another attempt of the stream has answered first."""
-
-
-class _AnsweredElsewhereError(Exception):
-    """Another router has given the rest of the answer."""
+    """Another attempt of the stream, or another router, has answered first."""
 
 
 class StreamForwarder:
@@ -144,7 +140,10 @@
 class _Stream:
     """One caller's stream and its attempts.
 
-    Attributes: ``_second`` is the task of an attempt beside the one that is relayed.
+    Attributes: ``_second`` is the task beside the attempt that is relayed: of a second
+    attempt, ``_second_attempt`` while it is open, or of another router's answer, to
+    which ``_is_handed_over`` tells that the caller's connection belongs. At each moment
+    only one of them writes to the caller.
     """
 
     def __init__(
@@ -171,6 +170,11 @@
         self._second_search_at = timedelta(0)
         # Whether the budget has allowed a retry that was not sent yet.
         self._has_retry = False
+        self._second_attempt: StreamAttempt | None = None
+        # Whether the second attempt is to stay open when its task is cancelled.
+        self._is_adopting_second = False
+        self._is_cancelling_second = False
+        self._is_handed_over = False
         self._is_answered_elsewhere = False
 
     async def run(self, grant: Grant) -> Refusal | None:
@@ -192,10 +196,11 @@
                 attempt = self._make_attempt(accepting)
             try:
                 outcome = await self._run_attempt(attempt)
-                if outcome in _FINAL_OUTCOMES or self._is_answered_elsewhere:
+                if outcome in _FINAL_OUTCOMES:
                     return None
-                # The second attempt goes on alone, or has failed as well.
                 attempt = await self._take_second()
+                if self._is_answered_elsewhere:
+                    return None
             finally:
                 await self._cancel_second()
             if attempt is not None:
@@ -313,9 +318,6 @@
             outcome = Outcome.SUPERSEDED
             self._may_have_run = True
             self._search.stalled_ids.update(attempt.pipeline.server_ids)
-        except _AnsweredElsewhereError:
-            outcome = Outcome.SUPERSEDED
-            self._is_answered_elsewhere = True
         except TransportError as error:
             outcome = await self._handle_failure(attempt, error)
         except TimeoutError:
@@ -408,7 +410,7 @@
         body = await exchange.read_body(attempt.hold, remaining, MAX_BODY_BYTES)
         if not self._may_relay_whole_answer(attempt):
             return Outcome.BROKEN
-        await self._cancel_second()
+        await self._end_second()
         fields = make_caller_fields(exchange.fields)
         length = find_described_length(exchange.fields)
         await send_to_caller(
@@ -436,7 +438,7 @@
                     gap = (now - last_event_at) / len(events)
                     self._services.selector.record_gap(attempt.pipeline, gap)
                 last_event_at = now
-                await self._cancel_second()
+                await self._end_second()
                 await self._send_events(attempt, events)
             elif attempt.is_at_end:
                 break
@@ -445,7 +447,7 @@
         attempt.check_whole_events()
         await self._check_end(attempt)
         # What is left of it afterwards would count as a run without an answer.
-        await self._cancel_second()
+        await self._end_second()
         await self._start_response(attempt)
         await send_to_caller(self._responder.finish())
         return Outcome.FINISHED
@@ -578,17 +580,21 @@
 
         The silent attempt stays open, since its engine may go on at any time.
 
-        :raises _SupersededError: if the second attempt has answered.
-        :raises _AnsweredElsewhereError: if another router has given the answer.
+        :raises _SupersededError: if the second attempt, or another router, has begun to
+            answer.
         """
+        if self._is_handed_over:
+            raise _SupersededError
         now = self._context.clock.monotonic()
-        if self._second is not None:
-            if not self._second.terminated:
-                return
+        if self._second is not None and self._second.terminated:
             if await self._join_second() is not None:
                 raise _SupersededError
             self._second = None
             self._second_search_at = now + _SECOND_SEARCH_PERIOD
+        elif self._second is not None:
+            if not self._is_second_stuck(first):
+                return
+            await self._cancel_second()
         is_stalled = first.silent_for >= self._stall_timeout
         if not is_stalled and self._search.are_all_reachable(first):
             return
@@ -596,26 +602,36 @@
             return
         self._second_search_at = now + _SECOND_SEARCH_PERIOD
         if is_stalled and self._may_forward_to_router:
-            await self._forward_beside()
-            return
-        self._second = await curio.spawn(self._open_second, first)
+            self._second = await curio.spawn(self._forward_second)
+        else:
+            self._second = await curio.spawn(self._open_second, first)
+
+    def _is_second_stuck(self, first: StreamAttempt) -> bool:
+        """Tell whether the second attempt is silent too, and there is another choice.
+
+        At most two attempts are open at the same time.
+        """
+        second = self._second_attempt
+        if second is None or second.silent_for < self._stall_timeout:
+            return False
+        return self._search.may_find_second(first)
 
-    async def _forward_beside(self) -> None:
+    async def _forward_second(self) -> None:
         """Let another router answer while an attempt of this one is silent.
 
-        :raises _AnsweredElsewhereError: if it has.
-        :raises TransportError: if its answer began but could not be completed.
+        The attempt stays open, and goes on, until the other router's answer begins.
         """
-        event_count = self._event_count
+        if not await self._acquire_retry():
+            return
+        self._has_retry = False
+        self._may_have_run = True
         try:
             refusal = await self._forward_to_router()
         except TransportError as error:
-            raise CallerDisconnectedError(str(error)) from error
-        if refusal is None:
-            raise _AnsweredElsewhereError
-        if self._event_count > event_count:
-            # The silent attempt must not go on after events of another run.
-            raise TransportError(refusal.message, refusal.verdict)
+            # The caller has left, or the silent attempt has gone on.
+            self._context.log("forwarding_ended", level="debug", reason=error)
+            return
+        self._is_answered_elsewhere = refusal is None
 
     async def _forward_to_router(self) -> Refusal | None:
         """Let another router give the rest of the answer.
@@ -625,6 +641,10 @@
         """
 
         def record_progress(last_event: int | None, event_count: int) -> None:
+            if self._is_cancelling_second:
+                message = "the first attempt has gone on"
+                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+            self._is_handed_over = True
             self._last_event = last_event
             self._event_count += event_count
             self._may_have_run = True
@@ -654,7 +674,7 @@
         if grant is None:
             return None
         self._services.metrics.count("streams.repeated.silent")
-        attempt = self._make_attempt(grant, is_second=True)
+        attempt = self._second_attempt = self._make_attempt(grant, is_second=True)
         outcome: Outcome | None = Outcome.BROKEN
         try:
             outcome = await self._read_to_answer(attempt)
@@ -662,7 +682,12 @@
             outcome = await self._handle_failure(attempt, error)
         except TimeoutError:
             self._may_have_run = True
+        except curio.CancelledError:
+            if not self._is_adopting_second:
+                raise
+            outcome = None
         finally:
+            self._second_attempt = None
             if outcome is not None:
                 await attempt.close(outcome)
         if outcome is None:
@@ -722,7 +747,8 @@
                 return None
             self._may_have_run = True
             return Outcome.BROKEN
-        while not self._find_new_events(attempt)[0]:
+        # Comments are events without an id, and no part of the answer.
+        while all(event.id is None for event in self._find_new_events(attempt)[0]):
             if attempt.is_at_end:
                 attempt.check_whole_events()
                 await self._check_end(attempt)
@@ -731,14 +757,24 @@
         return None
 
     async def _take_second(self) -> StreamAttempt | None:
-        """Return the second attempt when it has answered.
+        """Return the second attempt, which goes on alone after the first has ended.
+
+        It may be silent itself, and get another one beside it.
 
         :returns: None if there is none, it has failed, or no time is left for it.
         """
         if self._second is None or self._context.time_left <= timedelta(0):
             return None
-        attempt = await self._join_second()
+        second = self._second_attempt
+        if second is not None and second.exchange is not None:
+            self._is_adopting_second = True
+            await self._second.cancel()
+            self._is_adopting_second = False
+            attempt = _get_result(self._second)
+        else:
+            attempt = await self._join_second()
         self._second = None
+        self._is_handed_over = False
         if attempt is not None:
             attempt.is_second = False
         return attempt
@@ -748,21 +784,44 @@
         try:
             return await self._second.join()
         except curio.TaskError as error:
+            # It is not known how far the attempt got.
+            self._may_have_run = True
             self._context.log(
                 "second_attempt_failed", level="error", reason=repr(error.__cause__)
             )
             return None
 
+    async def _end_second(self) -> None:
+        """Close the second attempt, since the first one has answered.
+
+        :raises _SupersededError: if another router has begun to answer.
+        """
+        if self._is_handed_over:
+            raise _SupersededError
+        await self._cancel_second()
+
     async def _cancel_second(self) -> None:
         """Close the second attempt, if there is one."""
-        second, self._second = self._second, None
+        second = self._second
         if second is None:
             return
-        await second.cancel()
-        attempt = None if second.exception is not None else second.result
-        if attempt is not None:
-            await attempt.close(Outcome.SUPERSEDED)
-            self._log_attempt(attempt, Outcome.SUPERSEDED)
+        self._is_cancelling_second = True
+        try:
+            await second.cancel()
+        finally:
+            self._is_cancelling_second = False
+            self._second = None
+            attempt = _get_result(second)
+            if attempt is not None:
+                await attempt.close(Outcome.SUPERSEDED)
+                self._log_attempt(attempt, Outcome.SUPERSEDED)
+
+
+def _get_result(task: curio.Task) -> StreamAttempt | None:
+    """Return the attempt of a task that has ended with one."""
+    if not task.terminated or task.exception is not None:
+        return None
+    return task.result
 
 
 def _is_stream(attempt: StreamAttempt) -> bool:
--- a/hibiscustiller/ingress/tests/cuts.py
+++ b/hibiscustiller/ingress/tests/cuts.py
@@ -78,12 +78,10 @@
 
     async def recv(self, size):
         self._check()
-        self._receiver = await curio.spawn(self._sock.recv, size)
-        try:
-            await self._receiver.wait()
-        except curio.CancelledError:
-            await self._receiver.cancel()
-            raise
+        if self._receiver is None:
+            self._receiver = await curio.spawn(self._sock.recv, size, daemon=True)
+        # It goes on if this wait ends: cancelled, it might lose what has just arrived.
+        await self._receiver.wait()
         receiver, self._receiver = self._receiver, None
         self._check()
         if self.is_silent:
@@ -98,6 +96,8 @@
             await self._sock.sendall(data)
 
     async def close(self):
+        if self._receiver is not None:
+            await self._receiver.cancel()
         await self._sock.close()
 
     def _check(self):
