Receive signals of the daemon in a task

A router hung for good, also for SIGTERM, when a second signal followed the first within a quarter of a millisecond; a SIGHUP while it read its settings ended it. The handler called curio.UniversalEvent.set(), which takes a lock that is not reentrant, so that a handler that interrupted the main thread inside set(), wait() or clear() waited for its own thread.

The handlers are installed before the settings are read, and signals are kept until the task runs. After the stop the signals are ignored, since the interpreter restores their default action before it exits.

--- a/hibiscustiller/ingress/__main__.py
+++ b/hibiscustiller/ingress/__main__.py
@@ -19,37 +19,38 @@
 from hibiscustiller.platform import find_host_settings, load_host_settings
 from hibiscustiller.utils import (
     BoundedHandler,
+    SignalReceiver,
     SystemClock,
     configure_logging,
     log_event,
 )
 
 _INVALID_SETTINGS_EXIT_CODE = 2
+_ENDING_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 
 
-async def run_gateway(path: Path, inspection_port: int) -> None:
-    """Run one daemon until SIGTERM or SIGINT; SIGHUP reloads the settings."""
+async def run_gateway(
+    path: Path, inspection_port: int, signals: SignalReceiver
+) -> None:
+    """Run one daemon until SIGTERM or SIGINT; SIGHUP reloads the settings.
+
+    Signals during the shutdown change nothing.
+
+    :param path: the settings file.
+    :param signals: receives the signals, also those that arrive before the start.
+    """
     settings = load_host_settings(path)
     gateway = Gateway(
         settings, SystemClock(), random.Random(), ExposedMetrics(), inspection_port
     )
-    signal_event = curio.UniversalEvent()
-    received_signals: set[int] = set()
-
-    def record_signal(number: int, frame: object) -> None:
-        received_signals.add(number)
-        signal_event.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, record_signal)
     await gateway.start()
-    while not received_signals & {signal.SIGTERM, signal.SIGINT}:
-        await signal_event.wait()
-        signal_event.clear()
-        if signal.SIGHUP in received_signals:
-            received_signals.discard(signal.SIGHUP)
+    received: frozenset[signal.Signals] = frozenset()
+    while not received & _ENDING_SIGNALS:
+        received = await signals.receive()
+        if signal.SIGHUP in received:
             _reload(gateway, path)
     await gateway.stop()
+    await signals.close()
 
 
 def _reload(gateway: Gateway, path: Path) -> None:
@@ -81,9 +82,10 @@
 )
 def main(path: Path | None, inspection_port: int, log_level: str) -> None:
     """Run the router on the platform until SIGTERM."""
+    signals = SignalReceiver([*_ENDING_SIGNALS, signal.SIGHUP])
     configure_logging(log_level, BoundedHandler(sys.stdout))
     try:
-        curio.run(run_gateway, path or find_host_settings(), inspection_port)
+        curio.run(run_gateway, path or find_host_settings(), inspection_port, signals)
     except SettingsError as error:
         for problem in error.problems:
             click.echo(problem, err=True)
--- a/hibiscustiller/utils/__init__.py
+++ b/hibiscustiller/utils/__init__.py
@@ -29,6 +29,7 @@
 from hibiscustiller.utils._invariants import check_invariant, violations_by_name
 from hibiscustiller.utils._logging import configure_logging, format_fields, log_event
 from hibiscustiller.utils._metrics import Metrics, make_metrics
+from hibiscustiller.utils._signals import SignalReceiver
 from hibiscustiller.utils._verdicts import Refusal, RefusalReason, Verdict
 
 __all__ = [
@@ -54,6 +55,7 @@
     "RouterId",
     "ServerId",
     "ServiceName",
+    "SignalReceiver",
     "SystemClock",
     "TeamId",
     "Verdict",
