Show signal handlers outside the daemon that take a lock

The handlers of the router of the command line and of the stand-ins call UniversalEvent.set(), and that of the metadata store's SIGUSR1 changes the store in the midst of other calls. The soak could take a stand-in that hangs for a fault of the daemon.

The other test finds the handlers in the source.

--- a/hibiscustiller/ingress/tests/test_signals.py
+++ b/hibiscustiller/ingress/tests/test_signals.py
@@ -15,7 +15,12 @@
 import curio
 
 from hibiscustiller.ingress.tests.fixtures import exchange
-from hibiscustiller.ingress.tests.soak.site import GRACE_S, Deployment, wait_for_port
+from hibiscustiller.ingress.tests.soak.site import (
+    GRACE_S,
+    Deployment,
+    make_versioned_document,
+    wait_for_port,
+)
 from hibiscustiller.utils._testing import collect_tests
 
 _SEED = 44
@@ -31,6 +36,8 @@
 _PAIRS = 3000
 _PAIRS_PER_PROBE = 100
 _FLOOD_SIGNALS = 4000
+# Long enough for some thousand pairs of signals.
+_STANDIN_LENGTH_S = 4.0
 # The longest time in which the pairs are sent, in seconds.
 _PAIRS_LENGTH_S = 12.0
 # Signals of a process that ends: after the last SIGTERM or SIGINT of a series it exits.
@@ -249,6 +256,28 @@
                 return descriptor
 
 
+async def test_stand_ins_serve_on_after_pairs_of_signals():
+    """Guards against stand-ins that hang, and look like a fault of the daemon."""
+    async with _make_site() as site:
+        deployment = site.deployment
+        server = deployment.servers_by_id["p0"]
+        random_state = random.Random(_SEED)
+        end_at = time.monotonic() + _STANDIN_LENGTH_S
+        while time.monotonic() < end_at:
+            _send_series(server, [signal.SIGHUP] * 2, random_state)
+            _send_series(deployment.store, [signal.SIGUSR2] * 2, random_state)
+            await curio.sleep(random_state.uniform(0.0, 0.002))
+        port = deployment.proxies_by_server["p0"].port
+        async with curio.timeout_after(_READY_TIME_LIMIT_S):
+            await deployment.write_document(make_versioned_document(2))
+            sock = await curio.open_connection("127.0.0.1", port)
+            async with sock:
+                answer = await exchange(
+                    sock, "/stock/1", method="GET", body=b"", request_id="last"
+                )
+        assert answer.is_complete
+
+
 async def _run_by_hand(count, seed):
     started_at = time.monotonic()
     async with _make_site() as site:
--- a/hibiscustiller/utils/tests/test_signals.py
+++ b/hibiscustiller/utils/tests/test_signals.py
@@ -1,11 +1,14 @@
 """Tests of the delivery of signals to a task."""
 
+import ast
 import contextlib
 import signal
 import sys
+from pathlib import Path
 
 import curio
 
+import hibiscustiller
 from hibiscustiller.utils import SignalReceiver
 from hibiscustiller.utils._testing import collect_tests
 
@@ -76,5 +79,26 @@
         signal.signal(kind, signal.SIG_DFL)
 
 
+def test_handlers_are_installed_by_the_receiver_only():
+    """Guards against further signal handlers, which may take locks or change state."""
+    root = Path(hibiscustiller.__file__).parent
+    paths = [path for path in root.rglob("*.py") if "tests" not in path.parts]
+    installers = [
+        path.relative_to(root).as_posix()
+        for path in paths
+        if any(map(_installs_handler, ast.walk(ast.parse(path.read_text()))))
+    ]
+    assert installers == ["utils/_signals.py"], installers
+
+
+def _installs_handler(node):
+    return (
+        isinstance(node, ast.Attribute)
+        and node.attr in ("signal", "set_wakeup_fd", "siginterrupt", "sigaction")
+        and isinstance(node.value, ast.Name)
+        and node.value.id == "signal"
+    )
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
