Receive signals of the command line's router and the stand-ins in a task

The router of the command line and the stand-ins could hang for good after signals in quick succession: their handlers called UniversalEvent.set(), which takes a lock that is not reentrant. The store's handler of SIGUSR1 changed its state in the midst of other calls. They use SignalReceiver now; actions run in a task of the kernel, where no other task is in the midst of a call without an await.

--- a/hibiscustiller/cli/_daemon.py
+++ b/hibiscustiller/cli/_daemon.py
@@ -6,12 +6,11 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-import curio
-
 from hibiscustiller.serving import Router
 from hibiscustiller.settings import Settings
 from hibiscustiller.utils import (
     Metrics,
+    SignalReceiver,
     SystemClock,
     configure_logging,
     make_metrics,
@@ -38,16 +37,11 @@
     :param start: called first.
     :param stop: called once, after the first SIGTERM or SIGINT.
     """
-    is_ending = curio.UniversalEvent()
-
-    def request_end(number: int, frame: object) -> None:
-        is_ending.set()
-
-    signal.signal(signal.SIGTERM, request_end)
-    signal.signal(signal.SIGINT, request_end)
+    signals = SignalReceiver([signal.SIGTERM, signal.SIGINT])
     await start()
-    await is_ending.wait()
+    await signals.receive()
     await stop()
+    await signals.close()
 
 
 def _make_metrics(settings: Settings) -> Metrics:
--- a/hibiscustiller/ingress/tests/test_signals.py
+++ b/hibiscustiller/ingress/tests/test_signals.py
@@ -276,6 +276,9 @@
                     sock, "/stock/1", method="GET", body=b"", request_id="last"
                 )
         assert answer.is_complete
+        # The signals have taken effect.
+        assert await deployment.wait_until_removed("p0")
+        assert site.count_lines("store_restored")
 
 
 async def _run_by_hand(count, seed):
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -28,7 +28,7 @@
 from hibiscustiller.standins._layered_engine import Path as PipelinePath
 from hibiscustiller.standins._metadata_store import MetadataStoreStandin
 from hibiscustiller.standins._plain_server import PlainServerStandin
-from hibiscustiller.utils import Clock, SystemClock, log_event
+from hibiscustiller.utils import Clock, SignalReceiver, SystemClock, log_event
 from hibiscustiller.wire import HttpClient, HttpRequest, is_readable, wait_for_event
 
 # Three renewals fit, as on the platform.
@@ -179,17 +179,23 @@
     later what operators and servers had written is written again.
     """
     store = MetadataStoreStandin(SystemClock(), Address("127.0.0.1", port))
-    restore_requested = curio.UniversalEvent()
-    signal.signal(signal.SIGUSR1, lambda number, frame: store.forget_history())
-    signal.signal(signal.SIGUSR2, lambda number, frame: restore_requested.set())
+    is_restore_requested = False
+
+    def request_restore() -> None:
+        nonlocal is_restore_requested
+        is_restore_requested = True
+
+    await _handle_signals(
+        {signal.SIGUSR1: store.forget_history, signal.SIGUSR2: request_restore}
+    )
     await store.start()
     copies = deque([store.copy()], maxlen=_COPIES)
     while True:
         await curio.sleep(_STORE_PERIOD_S)
         store.expire_leases()
         copies.append(store.copy())
-        if restore_requested.is_set():
-            restore_requested.clear()
+        if is_restore_requested:
+            is_restore_requested = False
             newest = store.copy()
             store.restore(copies[0])
             copies.clear()
@@ -239,7 +245,7 @@
     def leave() -> None:
         faults.is_leaving = True
 
-    _handle_signals(toggle_limit, leave, keeper.withdraw)
+    await _handle_server_signals(toggle_limit, leave, keeper.withdraw)
     await finder.engine.start()
     await keeper.run()
 
@@ -273,12 +279,12 @@
     def leave() -> None:
         server.is_leaving = True
 
-    _handle_signals(toggle_limit, leave, keeper.withdraw)
+    await _handle_server_signals(toggle_limit, leave, keeper.withdraw)
     await server.start()
     await keeper.run()
 
 
-def _handle_signals(
+async def _handle_server_signals(
     toggle_limit: Callable[[], None],
     leave: Callable[[], None],
     withdraw: Callable[[], None],
@@ -287,9 +293,23 @@
 
     On SIGHUP it removes its entry without a word, and serves on.
     """
-    signal.signal(signal.SIGUSR1, lambda number, frame: toggle_limit())
-    signal.signal(signal.SIGUSR2, lambda number, frame: leave())
-    signal.signal(signal.SIGHUP, lambda number, frame: withdraw())
+    await _handle_signals(
+        {signal.SIGUSR1: toggle_limit, signal.SIGUSR2: leave, signal.SIGHUP: withdraw}
+    )
+
+
+async def _handle_signals(
+    actions_by_signal: dict[signal.Signals, Callable[[], None]],
+) -> None:
+    """Run an action in a task of the kernel for each kind of signal that arrives."""
+    signals = SignalReceiver(actions_by_signal)
+
+    async def run() -> None:
+        while True:
+            for number in await signals.receive():
+                actions_by_signal[number]()
+
+    await curio.spawn(run, daemon=True)
 
 
 def _make_keeper(client: HttpClient, address: Address, clock: Clock) -> _EntryKeeper:
