Check in the test that each pair of signals has an effect

The daemon must read the settings that are put in place before the last signal of a pair; the count of its log lines does not show it, since the log drops lines of a flood.

--- a/hibiscustiller/ingress/tests/soak/processes.py
+++ b/hibiscustiller/ingress/tests/soak/processes.py
@@ -10,6 +10,11 @@
 import curio
 
 _POLL_S = 0.02
+# Longest gap between the signals of a series, in seconds.
+_MAX_GAP_S = 0.004
+# Smallest gap that is drawn besides none. A process needs longer to handle a signal.
+_MIN_GAP_S = 0.00001
+_NO_GAP_SHARE = 0.1
 
 
 class Program:
@@ -88,3 +93,24 @@
             if line.startswith("VmRSS:"):
                 return int(line.split()[1]) / 1024
         return None
+
+
+def send_series(program, numbers, random_state):
+    """Send signals to a program, 0 to 4 ms apart."""
+    for position, number in enumerate(numbers):
+        if position:
+            wait_for_gap(random_state)
+        program.signal(number)
+
+
+def wait_for_gap(random_state):
+    """Wait 0 to 4 ms. Short gaps are as likely as long ones.
+
+    It does not sleep, since that takes longer than the shortest gaps.
+    """
+    gap_s = _MIN_GAP_S * (_MAX_GAP_S / _MIN_GAP_S) ** random_state.random()
+    if random_state.random() < _NO_GAP_SHARE:
+        gap_s = 0.0
+    end_at = time.monotonic() + gap_s
+    while time.monotonic() < end_at:
+        pass
--- a/hibiscustiller/ingress/tests/test_signals.py
+++ b/hibiscustiller/ingress/tests/test_signals.py
@@ -15,6 +15,7 @@
 import curio
 
 from hibiscustiller.ingress.tests.fixtures import exchange
+from hibiscustiller.ingress.tests.soak.processes import send_series, wait_for_gap
 from hibiscustiller.ingress.tests.soak.site import (
     GRACE_S,
     Deployment,
@@ -30,10 +31,7 @@
 _EXIT_SLACK_S = 1.5
 # A daemon that lives answers its readiness probe within a fraction of this time.
 _READY_TIME_LIMIT_S = 5.0
-_MAX_GAP_S = 0.004
-# Smallest gap that is drawn; a shorter one lets the kernel merge the signals.
-_MIN_GAP_S = 0.00001
-_PAIRS = 3000
+_PAIRS = 2000
 _PAIRS_PER_PROBE = 100
 _FLOOD_SIGNALS = 4000
 # Long enough for some thousand pairs of signals.
@@ -60,9 +58,11 @@
         self.front = self.deployment.front_addresses[0]
         self.settings_path = self.deployment.directory / f"{self.daemon.name}.toml"
         text = self.settings_path.read_text()
-        self.settings_path.write_text(
-            text.replace(f"grace_s = {GRACE_S}", f"grace_s = {_SHORT_GRACE_S}")
+        self._settings_text = text.replace(
+            f"grace_s = {GRACE_S}", f"grace_s = {_SHORT_GRACE_S}"
         )
+        self.restore_settings()
+        self._log_position = 0
         self.served_count = 0
         self._callers = []
 
@@ -119,6 +119,33 @@
             assert self.daemon.is_running, f"the daemon ended after {cause}"
             await curio.sleep(0.005)
 
+    def stage_settings(self, number):
+        """Write settings with an invalid value that the daemon logs when it reads them.
+
+        :returns: a function that puts them in place.
+        """
+        path = self.settings_path.with_suffix(f".{number % 2}")
+        text = self._settings_text.replace(
+            "retry_budget_ratio = 0.2", f'retry_budget_ratio = "version-{number}-"'
+        )
+        path.write_text(text)
+        return lambda: path.replace(self.settings_path)
+
+    def restore_settings(self):
+        self.settings_path.write_text(self._settings_text)
+
+    async def wait_for_settings(self, number):
+        """Wait until the daemon has logged the value of :meth:`stage_settings`."""
+        deadline = time.monotonic() + _READY_TIME_LIMIT_S
+        with self.daemon.log_path.open() as log:
+            log.seek(self._log_position)
+            text = ""
+            while f"version-{number}-" not in (text := text + log.read()):
+                assert time.monotonic() < deadline, f"signal {number} has no effect"
+                assert self.daemon.is_running, f"the daemon ended at signal {number}"
+                await curio.sleep(0.001)
+            self._log_position = log.tell()
+
     def count_lines(self, event):
         return (
             self.deployment.directory.joinpath(f"{self.daemon.name}.log")
@@ -138,37 +165,31 @@
             await site.stop()
 
 
-def _draw_gap(random_state):
-    """Return a gap of 0 to 4 ms in seconds; short ones are as likely as long ones."""
-    if random_state.random() < 0.1:
-        return 0.0
-    return _MIN_GAP_S * (_MAX_GAP_S / _MIN_GAP_S) ** random_state.random()
-
-
-def _send_series(program, numbers, random_state):
-    """Send signals, and wait between them without a pause of the process."""
-    for position, number in enumerate(numbers):
-        if position:
-            end_at = time.monotonic() + _draw_gap(random_state)
-            while time.monotonic() < end_at:
-                pass
-        program.signal(number)
+async def _send_reloads(site, number, random_state):
+    """Change the settings twice, each time with a SIGHUP, and wait for the second."""
+    for put in [site.stage_settings(2 * number), site.stage_settings(2 * number + 1)]:
+        put()
+        site.daemon.signal(signal.SIGHUP)
+        wait_for_gap(random_state)
+    await site.wait_for_settings(2 * number + 1)
 
 
 async def _send_pairs(site, count, length_s, random_state):
-    """Send pairs of SIGHUP, and check regularly that the daemon lives.
+    """Send pairs of SIGHUP; each must be handled, and the daemon must serve on.
 
     :returns: the number of pairs sent.
     """
     end_at = time.monotonic() + length_s
+    sent = 0
     for number in range(count):
         if time.monotonic() > end_at:
-            return number
-        _send_series(site.daemon, [signal.SIGHUP] * 2, random_state)
-        await curio.sleep(random_state.uniform(0.0, 0.002))
+            break
+        await _send_reloads(site, number, random_state)
+        sent = number + 1
         if number % _PAIRS_PER_PROBE == _PAIRS_PER_PROBE - 1:
             await site.check_alive(f"{number + 1} pairs of signals")
-    return count
+    site.restore_settings()
+    return sent
 
 
 async def test_daemon_serves_on_after_pairs_of_signals():
@@ -186,11 +207,11 @@
         for round_number, numbers in enumerate(_ENDING_SERIES):
             if round_number:
                 await site.start_daemon()
-            _send_series(site.daemon, numbers, random_state)
+            send_series(site.daemon, numbers, random_state)
             # Signals during the stop change nothing.
             await curio.sleep(_SHORT_GRACE_S / 4)
             reloaded = site.count_lines("settings_reloaded")
-            _send_series(site.daemon, (signal.SIGHUP, signal.SIGTERM), random_state)
+            send_series(site.daemon, (signal.SIGHUP, signal.SIGTERM), random_state)
             status = await site.daemon.wait(_SHORT_GRACE_S + _EXIT_SLACK_S)
             assert status == 0, f"exit status {status} after {numbers}"
             assert site.count_lines("stopping") == round_number + 1, numbers
@@ -204,7 +225,7 @@
         # More signals than a socket pair has room for.
         for _ in range(_FLOOD_SIGNALS):
             site.daemon.signal(signal.SIGHUP)
-        _send_series(site.daemon, (signal.SIGHUP, signal.SIGTERM), random_state)
+        send_series(site.daemon, (signal.SIGHUP, signal.SIGTERM), random_state)
         status = await site.daemon.wait(_SHORT_GRACE_S + _EXIT_SLACK_S)
         assert status == 0, f"exit status {status}"
         assert site.count_lines("settings_reloaded"), "no SIGHUP was handled"
@@ -225,7 +246,7 @@
             os.mkfifo(site.settings_path)
             site.daemon.start()
             pipe = await _open_for_writing(site.settings_path)
-            _send_series(site.daemon, numbers, random.Random(_SEED))
+            send_series(site.daemon, numbers, random.Random(_SEED))
             await curio.sleep(0.1)
             assert site.daemon.is_running, f"a signal ended the process: {numbers}"
             # A SIGHUP reads the settings again.
@@ -264,8 +285,8 @@
         random_state = random.Random(_SEED)
         end_at = time.monotonic() + _STANDIN_LENGTH_S
         while time.monotonic() < end_at:
-            _send_series(server, [signal.SIGHUP] * 2, random_state)
-            _send_series(deployment.store, [signal.SIGUSR2] * 2, random_state)
+            send_series(server, [signal.SIGHUP] * 2, random_state)
+            send_series(deployment.store, [signal.SIGUSR2] * 2, random_state)
             await curio.sleep(random_state.uniform(0.0, 0.002))
         port = deployment.proxies_by_server["p0"].port
         async with curio.timeout_after(_READY_TIME_LIMIT_S):
@@ -285,9 +306,9 @@
     started_at = time.monotonic()
     async with _make_site() as site:
         sent = await _send_pairs(site, count, float("inf"), random.Random(seed))
-        _send_series(site.daemon, (signal.SIGHUP, signal.SIGTERM), random.Random(seed))
+        send_series(site.daemon, (signal.SIGHUP, signal.SIGTERM), random.Random(seed))
         status = await site.daemon.wait(_SHORT_GRACE_S + _EXIT_SLACK_S)
-        reloads = site.count_lines("settings_reloaded")
+        reloads = site.count_lines("settings_unreadable")
     took = time.monotonic() - started_at
     print(f"{sent} pairs, {reloads} reloads, exit status {status}, {took:.0f} s")
 
