Show a SIGHUP that ends a daemon which imports its packages

A router whose settings change within the first tenths of a second is lost until it is restarted: the default action of SIGHUP ends a process.

--- a/hibiscustiller/ingress/tests/soak/processes.py
+++ b/hibiscustiller/ingress/tests/soak/processes.py
@@ -85,6 +85,15 @@
             self.signal(signal.SIGKILL)
             await self.wait(5)
 
+    def read_maps(self):
+        """Return the list of files that the process has mapped, as the kernel has it.
+
+        It is empty if the process does not run.
+        """
+        if not self.is_running:
+            return ""
+        return Path(f"/proc/{self._process.pid}/maps").read_text()
+
     def read_memory_mb(self):
         """Return the resident memory in MB; None if the process does not run."""
         if not self.is_running:
--- a/hibiscustiller/ingress/tests/test_signals.py
+++ b/hibiscustiller/ingress/tests/test_signals.py
@@ -264,6 +264,19 @@
             assert site.count_lines("settings_reloaded") == 1
 
 
+async def test_a_reload_while_packages_are_imported_does_not_end_the_daemon():
+    """Guards against a router that is lost since its settings change as it starts."""
+    async with _make_site() as site:
+        await site.daemon.kill()
+        site.daemon.start()
+        async with curio.timeout_after(_READY_TIME_LIMIT_S):
+            # Its packages import it among the first, before they are used.
+            while "capnp" not in site.daemon.read_maps():
+                await curio.sleep(0.001)
+        site.daemon.signal(signal.SIGHUP)
+        await site.check_alive("a signal while it imports packages")
+
+
 async def _open_for_writing(path):
     """Open a named pipe once another process reads it; returns the descriptor."""
     async with curio.timeout_after(_READY_TIME_LIMIT_S):
