Send the soak's signals in pairs

A daemon that is reloaded or stopped gets SIGHUP twice, SIGHUP and SIGTERM, or SIGTERM twice, 0 to 4 ms apart, as series of signals overlap on the platform; single signals did not show that a router hangs. The gaps have a random state of their own, so that the faults of a seed stay the same.

--- a/hibiscustiller/ingress/tests/soak/faults.py
+++ b/hibiscustiller/ingress/tests/soak/faults.py
@@ -1,11 +1,13 @@
 """Fault injection of a soak test, on programs, connections and the store."""
 
+import random
 import signal
 import time
 from collections import defaultdict
 
 import curio
 
+from hibiscustiller.ingress.tests.soak.processes import send_series
 from hibiscustiller.ingress.tests.soak.site import (
     GRACE_S,
     make_versioned_document,
@@ -17,6 +19,7 @@
 # Time allowed for a planned stop beyond the grace time, since the machine may be busy.
 _EXIT_SLACK_S = 1.5
 _STORE_KEY = "store"
+_SIGNAL_SEED = 44
 _WATCH_PERIOD_S = 0.05
 # Longer than the stable window, the window of the limit and some time.
 _LIMITED_TIME_S = 9.0
@@ -38,6 +41,8 @@
         self._deployment = deployment
         self._callers = callers
         self._random_state = random_state
+        # Separate, so that the signals do not change which faults a seed draws.
+        self._signal_random_state = random.Random(_SIGNAL_SEED)
         # Spans by what was disturbed: the number of a daemon, the id of a server or the
         # key of another target. "unplanned" has the spans of all unplanned faults.
         self._spans = defaultdict(list)
@@ -167,13 +172,14 @@
         await self._inject_at_daemon(inject)
 
     async def _stop_daemon(self):
-        """Stop a daemon as planned.
+        """Stop a daemon as planned, with a pair of signals.
 
         The daemon must answer the requests that it has and exit in time.
         """
 
         async def inject(number, program):
-            program.signal(signal.SIGTERM)
+            first = self._signal_random_state.choice((signal.SIGHUP, signal.SIGTERM))
+            send_series(program, (first, signal.SIGTERM), self._signal_random_state)
             status = await program.wait(GRACE_S + _EXIT_SLACK_S)
             if status != 0:
                 self.problems.append(
@@ -187,7 +193,8 @@
     async def _reload_daemon(self):
         number = self._choose_unoccupied(range(len(self._deployment.daemons)))
         if number is not None:
-            self._deployment.daemons[number].signal(signal.SIGHUP)
+            program = self._deployment.daemons[number]
+            send_series(program, [signal.SIGHUP] * 2, self._signal_random_state)
 
     # Backend servers.
 
