Stop servers for a moment in the soak, beside planned operations

No fault of the soak silenced several servers at once without counting as unplanned, so that an interrupted answer was never a problem.

The fault servers-silent stops one, some or all free servers of a service for 0.8 to 1.6 s; engine-full lets an engine refuse new requests meanwhile. Both count as planned, so the existing check reports each answer that had begun and does not end whole, and the checks of events and of repeated runs apply. Versions of the configuration now differ in the idle timeout, the time of streams and a weight.

--- a/hibiscustiller/ingress/tests/soak/faults.py
+++ b/hibiscustiller/ingress/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import signal
 import time
 from collections import defaultdict
+from functools import partial
 
 import curio
 
@@ -11,6 +12,7 @@
     make_versioned_document,
     wait_for_port,
 )
+from hibiscustiller.standins._programs import FULL_SIGNAL
 
 # Time for which a target counts as disturbed after a fault has ended.
 _SETTLING_TIME_S = 3.0
@@ -22,6 +24,10 @@
 _LIMITED_TIME_S = 9.0
 # Longer than the drain time of the configuration.
 _LEAVING_TIME_S = 4.0
+# Around the 1.3 s after which a stream is taken to be stalled, and shorter than the 2 s
+# after which a caller leaves.
+_SILENCE_S = (0.8, 1.6)
+_FULL_TIME_S = 3.0
 # Until what the copy lacks has been written again.
 _RESTORE_TIME_S = 1.6
 
@@ -59,6 +65,8 @@
             "daemon-reloaded": self._reload_daemon,
             "server-killed": self._kill_server,
             "server-paused": self._pause_server,
+            "servers-silent": self._silence_servers,
+            "engine-full": self._fill_engine,
             "server-limited": self._limit_server,
             "server-leaves": self._let_server_leave,
             "server-withdraws": self._let_server_withdraw,
@@ -297,6 +305,55 @@
 
         await self._inject_at_server(inject)
 
+    async def _silence_servers(self):
+        """Suspend one, some or all free servers of a service for a moment.
+
+        They lose nothing, so that requests that run must end whole.
+        """
+        prefix = self._random_state.choice(("e", "p"))
+        free = [
+            server_id
+            for server_id in self._deployment.servers_by_id
+            if server_id.startswith(prefix) and server_id not in self._occupied
+        ]
+        count = self._random_state.choice((1, (len(free) + 1) // 2, len(free)))
+        length_s = self._random_state.uniform(*_SILENCE_S)
+
+        async def silence(program):
+            program.pause()
+            await curio.sleep(length_s)
+            program.resume()
+
+        async with curio.TaskGroup() as group:
+            for server_id in self._random_state.sample(free, min(count, len(free))):
+                program = self._deployment.servers_by_id[server_id]
+                await group.spawn(
+                    partial(
+                        self._run_exclusively,
+                        server_id,
+                        partial(silence, program),
+                        is_planned=True,
+                    )
+                )
+
+    async def _fill_engine(self):
+        """Let an engine refuse new requests for some time.
+
+        The engine may be silent meanwhile, so that it does not count as occupied.
+        """
+        engine_ids = [key for key in self._deployment.servers_by_id if key[0] == "e"]
+        server_id = self._random_state.choice(engine_ids)
+        program = self._deployment.servers_by_id[server_id]
+
+        async def fill():
+            incarnation = program.incarnation
+            program.signal(FULL_SIGNAL)
+            await curio.sleep(self._draw_duration(_FULL_TIME_S))
+            if program.incarnation == incarnation:
+                program.signal(FULL_SIGNAL)
+
+        await self._run_exclusively(f"full-{server_id}", fill, is_planned=True)
+
     # The store and the links to it and to servers.
 
     async def _pause_store(self):
--- a/hibiscustiller/ingress/tests/soak/site.py
+++ b/hibiscustiller/ingress/tests/soak/site.py
@@ -195,6 +195,12 @@
     stock = next(route for route in document["routes"] if route["name"] == "stock")
     own = {**stock, "name": f"only-{version}", "prefix": make_probe_prefix(version)}
     document["routes"].append(own)
+    # Running requests must not be affected by changed times or weights.
+    document["limits"]["idle_timeout_ms"] = 2000 if version % 2 else 1000
+    stock["traffic_split"] = [{"service": "orders", "weight": 1.0 + version % 3}]
+    for route in document["routes"]:
+        if route["kind"] == "streaming" and not version % 2:
+            route["timeout_ms"] = 6000
     # The route of the previous version is kept for callers that still use it.
     if version > 1:
         prefix = make_probe_prefix(version - 1)
--- a/hibiscustiller/ingress/tests/test_soak.py
+++ b/hibiscustiller/ingress/tests/test_soak.py
@@ -8,12 +8,20 @@
 from hibiscustiller.ingress.tests.soak import Soak
 from hibiscustiller.utils._testing import collect_tests
 
+_SILENCE_FAULTS = (
+    "servers-silent",
+    "engine-full",
+    "configuration-changed",
+    "daemon-reloaded",
+    "daemon-stopped",
+)
 # Seeds and their faults: one run with all faults, one with faults that interrupt orders
 # in progress, one with planned operations only, which must lose no answer, and one with
 # requests that crash servers (incident BUDGET), and one with parts of prompts that do,
 # together with faults by which daemons lose or miss crash records, and one with servers
 # that name limits (incident LIMIT) or say that they leave, and one with a store that is
-# restored from a copy some seconds old (incident CONFIG).
+# restored from a copy some seconds old (incident CONFIG), and one in which servers are
+# only silent or full, beside planned operations (incident LOST).
 _RUNS = (
     (101, None),
     (102, ("server-killed", "link-reset", "daemon-stopped")),
@@ -22,6 +30,7 @@
     (105, ("part-crashes-servers", "daemon-killed", "link-reset")),
     (106, ("server-limited", "server-leaves", "daemon-killed")),
     (107, ("store-restored", "configuration-changed", "daemon-killed")),
+    (108, _SILENCE_FAULTS),
 )
 _FAULTS_LENGTH_S = 5.0
 
--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -47,6 +47,8 @@
 _NO_CRASH_S = 60.0
 # The limit that a server names between two signals SIGUSR1.
 NAMED_RATE_LIMIT = 2.0
+# An engine that gets this signal is full, or has room again after a second one.
+FULL_SIGNAL = signal.SIGRTMIN
 # A shared part of a prompt that begins with it ends servers in the same way, whatever
 # else the request holds.
 CRASH_PART_MARK = "dead"
@@ -239,6 +241,10 @@
     def leave() -> None:
         faults.is_leaving = True
 
+    def toggle_room() -> None:
+        faults.is_full = not faults.is_full
+
+    signal.signal(FULL_SIGNAL, lambda number, frame: toggle_room())
     _handle_signals(toggle_limit, leave, keeper.withdraw)
     await finder.engine.start()
     await keeper.run()
