Show what silence of servers, routers and this router costs

Callers saw no answer at all to repeatable plain requests whose servers were all silent until the request's time was up, 503 while no server accepted a connection for 0.5 s, and nothing from a router that had passed their stream on to one that is stuck.

--- /dev/null
+++ b/hibiscustiller/ingress/tests/test_silent_processes.py
@@ -0,0 +1,166 @@
+"""What the silence of servers, routers and this router itself costs, by part."""
+
+import sys
+import time
+
+import curio
+
+from hibiscustiller.ingress.tests.cuts import Cut
+from hibiscustiller.ingress.tests.fixtures import World
+from hibiscustiller.ingress.tests.test_routers_cut_off import CutWorld
+from hibiscustiller.ingress.tests.test_silent_engines import (
+    CALLER_PATIENCE_S,
+    SilentWorld,
+    check_streams,
+)
+from hibiscustiller.ingress.tests.test_silent_plain_servers import (
+    TIMEOUT_MS,
+    PlainWorld,
+)
+from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire import open_connection
+
+# Stops of a router's own process, as by a paused machine.
+STALLS_S = (0.3, 1.0)
+
+
+async def block_loop(for_s, after_s=0.01):
+    """Block the event loop, as a process does that is stopped."""
+    await curio.sleep(after_s)
+    time.sleep(for_s)
+
+
+async def test_a_stall_of_this_router_is_no_outage_of_servers():
+    """Guards against sound servers that are unreachable after a stop of this router."""
+    async with World() as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        health = world.gateway._health
+        outages = []
+        health._record_outage = lambda server, outage, error: outages.append(server.id)
+        for server in world.gateway.view.list_all_servers():
+            for stall_s in STALLS_S:
+                for after_s in (0.0, 0.001, 0.01):
+                    async with curio.TaskGroup() as tasks:
+                        await tasks.spawn(block_loop, stall_s, after_s)
+                        since = world.clock.monotonic()
+                        await tasks.spawn(health.check, [server], since)
+        assert not outages, outages
+
+
+async def test_requests_end_in_time_while_all_servers_stay_silent():
+    """Guards against requests that get no answer at all once their time is up."""
+    async with PlainWorld() as world:
+        for plain in world.plain:
+            plain.is_silent = True
+        async with curio.timeout_after(TIMEOUT_MS / 1000 + 1.0):
+            tasks = await world.start_requests(4)
+            answers = [await task.join() for task in tasks]
+        assert {answer.status for answer in answers} == {504}, answers
+
+
+class UnacceptedLinks:
+    """Opens connections, of which some addresses accept none for a while."""
+
+    def __init__(self):
+        self.full_addresses = set()
+
+    async def connect(self, address, timeout):
+        """Open a connection as :func:`open_connection` does."""
+        if address in self.full_addresses:
+            await curio.sleep(timeout.total_seconds())
+            raise TimeoutError("no answer")
+        return await open_connection(address, timeout)
+
+
+def count_pipelines(gateway):
+    """Return the number of pipelines that a gateway uses."""
+    forwarder = gateway.models.forwarders_by_service.get("engines")
+    return 0 if forwarder is None else len(forwarder.selector.pipelines)
+
+
+async def test_an_engine_that_accepts_no_connection_for_a_moment_keeps_its_layers():
+    """Guards against layers and pipelines that are given up for a full accept queue.
+
+    Another router, which reaches the engine, must not be affected.
+    """
+    for silence_s in STALLS_S:
+        async with World() as world:
+            links = UnacceptedLinks()
+            world.hold_all_layers(*world.engines)
+            await world.wait_for_pipelines(2)
+            other = await world.start_other("router-2", links.connect)
+            await world.wait_until(lambda other=other: count_pipelines(other) == 2)
+            order_counts = [engine.order_count for engine in world.engines]
+            server = other.view.get_server(world.engines[0].id)
+            links.full_addresses.add(server.address)
+            checks = await curio.spawn(other._health.check, [server])
+            lowest = 2
+            until = await curio.clock() + silence_s
+            while await curio.clock() < until:
+                lowest = min(lowest, count_pipelines(world.gateway))
+                await curio.sleep(0.02)
+            await checks.join()
+            links.full_addresses.clear()
+            await world.wait_until(lambda other=other: count_pipelines(other) == 2, 1.0)
+            assert lowest == 2
+            assert order_counts == [engine.order_count for engine in world.engines]
+
+
+async def test_requests_are_served_while_no_server_accepts_for_a_moment():
+    """Guards against callers that are refused because all accept queues are full.
+
+    The route leaves time to connect once more.
+    """
+    for path in ("/chat/1", "/stock/1"):
+        async with World() as world:
+            world.hold_all_layers(*world.engines)
+            links = UnacceptedLinks()
+            await world.start_other("router-2")
+            other = await world.start_other("router-3", links.connect)
+            await world.wait_until(lambda other=other: count_pipelines(other) == 2)
+            servers = other.view.list_all_servers()
+            links.full_addresses = {server.address for server in servers}
+            async with curio.TaskGroup() as tasks:
+                for _ in range(4):
+                    await tasks.spawn(world.request, path, other)
+                await curio.sleep(0.5)
+                links.full_addresses = set()
+            statuses = {answer.status for answer in tasks.results}
+            assert statuses == {200}, (path, statuses)
+
+
+async def test_layers_stay_where_they_are_while_all_engines_are_silent():
+    """Guards against layers that are ordered anew because no engine answers."""
+    async with SilentWorld(3) as world:
+        await curio.sleep(1.0)
+        order_counts = [engine.order_count for engine in world.engines]
+        tasks = await world.start_streams(3)
+        await world.silence(world.engines)
+        await check_streams(tasks)
+        await curio.sleep(1.0)
+        assert order_counts == [engine.order_count for engine in world.engines]
+        assert count_pipelines(world.gateway) == 3
+
+
+async def test_streams_leave_a_router_that_is_stuck_in_time():
+    """Guards against callers that leave while another router could answer.
+
+    The request was passed on to a router that is silent for good.
+    """
+    async with CutWorld(retry_slack=200.0) as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+
+        async def answer_nothing(request, responder):
+            await curio.sleep(60)
+
+        world.others[0]._inner_server.handle = answer_nothing
+        for _ in range(4):
+            async with curio.timeout_after(CALLER_PATIENCE_S):
+                answer = await world.request("/chat/1", world.cut_gateway)
+            assert (answer.status, answer.is_complete) == (200, True)
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
