Survey what silence costs elsewhere in the daemon

Adds three tests that pass: silent servers are not recorded as crashed, a store that is silent for 1 s ends no term and drops nothing, and a router whose datagrams are lost for 1 s delays no caller of another router.

--- a/hibiscustiller/ingress/tests/test_silent_processes.py
+++ b/hibiscustiller/ingress/tests/test_silent_processes.py
@@ -162,5 +162,89 @@
             assert (answer.status, answer.is_complete) == (200, True)
 
 
+async def test_silent_servers_are_not_recorded_as_crashed():
+    """Guards against requests that are quarantined because their server was silent."""
+    async with SilentWorld(2) as world:
+        for _ in range(3):
+            for plain in world.plain:
+                plain.is_silent = True
+            tasks = await world.start_streams(2)
+            book = await curio.spawn(lambda: world.request("/book/1"))
+            await world.silence(world.engines, 1.0)
+            for plain in world.plain:
+                plain.is_silent = False
+            await check_streams(tasks)
+            await book.join()
+        state = world.gateway.describe()
+        assert not state["crashed_requests"] and not state["crashed_parts"], state
+        servers = world.gateway.view.list_all_servers()
+        assert not any(map(world.gateway._health.has_ended, servers))
+
+
+async def test_a_store_that_is_silent_for_a_second_costs_nothing():
+    """Guards against servers, routers or a control term lost with a silent store."""
+    async with World() as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        other = await world.start_other("router-2")
+        gateways = [world.gateway, other]
+        await world.wait_until(lambda: any(g._control_lease.term for g in gateways))
+        terms = [g._control_lease.term for g in gateways]
+        order_counts = [engine.order_count for engine in world.engines]
+        world.store.faults.is_silent = True
+        until = await curio.clock() + 1.0
+        while await curio.clock() < until:
+            for path in ("/chat/1", "/stock/1", "/book/1"):
+                assert (await world.request(path, other)).status == 200, path
+        world.store.faults.is_silent = False
+        await curio.sleep(1.5)
+        assert terms == [g._control_lease.term for g in gateways]
+        assert order_counts == [engine.order_count for engine in world.engines]
+        for gateway in gateways:
+            assert len(gateway.view.peers_by_id) == 2
+            assert len(gateway.view.list_all_servers()) == 4
+            assert count_pipelines(gateway) == 2
+
+
+async def test_a_router_that_is_silent_for_a_second_delays_no_callers_of_others():
+    """Guards against callers that wait for a coordinator that does not answer."""
+    async with World() as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        gateways = [world.gateway]
+        for name in ("router-2", "router-3"):
+            gateways.append(await world.start_other(name))
+        for gateway in gateways:
+            await world.wait_until(lambda g=gateway: count_pipelines(g) == 2)
+        sends = {gateway: gateway._datagrams.send for gateway in gateways}
+        for silent in gateways:
+            silent_address = silent._datagrams.address
+
+            def make_send(gateway, silent=silent, silent_address=silent_address):
+                async def send(address, data):
+                    if gateway is not silent and address != silent_address:
+                        await sends[gateway](address, data)
+
+                return send
+
+            for gateway in gateways:
+                gateway._datagrams.send = make_send(gateway)
+            until = await curio.clock() + 1.0
+            while await curio.clock() < until:
+                for path in ("/chat/1", "/stock/1"):
+                    for gateway in gateways:
+                        if gateway is silent:
+                            continue
+                        began_at = await curio.clock()
+                        answer = await world.request(path, gateway)
+                        assert answer.status == 200, path
+                        # The target latency of streams, and their 20 events.
+                        assert await curio.clock() - began_at < 0.5 + 0.2, path
+            for gateway in gateways:
+                gateway._datagrams.send = sends[gateway]
+                assert len(gateway.view.peers_by_id) == 3
+                assert count_pipelines(gateway) == 2
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
