Ask a second router beside one that is silent

A caller whose router reaches no server got nothing for as long as the router that its request was passed on to was stuck, and left after 2 s. The request waited for that one router until its time was up.

After the target latency of the route a second router is asked, if the request may be repeated and the retry budget allows it. The first exchange stays open, and the first head that is no refusal counts, so that a router that was only silent for a moment is not given up. A refusal beside an open exchange is not passed on, since the other router may have sent the request to a server. Requests that may not be repeated are passed on once, as before. A stream that is stuck after its head still waits for its router.

--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -9,9 +9,12 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable, Collection
 from datetime import timedelta
 
+import curio
+
 from hibiscustiller.discovery import FleetView, Peer
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.ingress._budget import RetryBudgets
@@ -43,6 +46,7 @@
     RawRequest,
     Responder,
     find_described_length,
+    wait_for_event,
 )
 
 # Names the router that passes a request on; such a request is not passed on again.
@@ -230,21 +234,12 @@
         :raises TransportError: if the router does not answer, or not to the end.
         :raises TimeoutError: if the request's time is up.
         """
-        assert peer.inner is not None
-        context = self._context
-        exchange = await self._forwarder.client.open_exchange(
-            peer.inner,
-            self._forwarder.make_request(context, self._last_event),
-            head_timeout=context.timeout_left,
-            is_fresh=not context.route.is_repeatable,
-        )
-        try:
-            await exchange.read_head(context.timeout_left)
-            if any(name == _DECLINED for name, _ in exchange.fields):
-                return False
-            if self._may_have_run and exchange.status in NOT_RUN_STATUSES:
-                # The other router knows nothing of the earlier attempts.
+        async with _OpenExchanges(self._forwarder.client, self._context) as opened:
+            await opened.add(peer, self._make_request())
+            peer, exchange = await self._wait_for_head(opened)
+            if exchange is None:
                 return False
+            assert peer.inner is not None
             with self._forwarder.client.memory.hold(peer.inner) as hold:
                 if exchange.status == _OK and is_event_stream(exchange):
                     await self._relay_events(exchange, EventSplitter(hold))
@@ -253,10 +248,55 @@
                     raise TransportError(message, Verdict.MAY_HAVE_RUN)
                 else:
                     await self._relay_whole_answer(exchange, hold)
-        finally:
-            await exchange.close()
         return True
 
+    def _make_request(self) -> RawRequest:
+        return self._forwarder.make_request(self._context, self._last_event)
+
+    async def _wait_for_head(
+        self, opened: _OpenExchanges
+    ) -> tuple[Peer, Exchange | None]:
+        """Wait for the head of an answer, and ask a second router beside a silent one.
+
+        :returns: the router and its exchange; without an exchange if it declined.
+        :raises TransportError: if the last open router does not answer.
+        :raises TimeoutError: if the request's time is up.
+        """
+        if self._context.route.is_repeatable:
+            if not await opened.wait(self._context.route.target_latency):
+                await self._ask_beside(opened)
+        while True:
+            peer, outcome = await opened.take(self._context.timeout_left)
+            if isinstance(outcome, Exchange) and not self._is_declined(outcome):
+                return peer, outcome
+            if opened.count == 0:
+                if isinstance(outcome, Exchange):
+                    return peer, None
+                raise outcome
+            # The other router may still answer.
+            self._log(
+                peer, "declined" if isinstance(outcome, Exchange) else str(outcome)
+            )
+            self._forwarder.backed_off.add(peer.router_id, _DECLINED_BACKOFF)
+
+    async def _ask_beside(self, opened: _OpenExchanges) -> None:
+        """Pass the request on to a second router, if one may be asked."""
+        peer = self._forwarder.choose(self._tried)
+        if peer is None or len(self._tried) >= _MAX_ROUTERS:
+            return
+        # The silent router may have sent it to a server.
+        self._may_have_run = True
+        if await self._may_repeat():
+            self._tried.add(peer.router_id)
+            self._log(peer, "asked beside a silent router")
+            await opened.add(peer, self._make_request())
+
+    def _is_declined(self, exchange: Exchange) -> bool:
+        if any(name == _DECLINED for name, _ in exchange.fields):
+            return True
+        # The other router knows nothing of the earlier attempts.
+        return self._may_have_run and exchange.status in NOT_RUN_STATUSES
+
     async def _relay_whole_answer(self, exchange: Exchange, hold: BodyHold) -> None:
         timeout = self._context.timeout_left
         body = await exchange.read_body(hold, timeout, MAX_BODY_BYTES)
@@ -297,3 +337,68 @@
         if not self._responder.is_started:
             fields = make_router_answer_fields(exchange.fields)
             await send_to_caller(self._responder.start_fields(exchange.status, fields))
+
+
+class _OpenExchanges:
+    """The routers that a request was passed on to and whose answers have not ended.
+
+    :param client: HTTP client for the other routers.
+    """
+
+    def __init__(self, client: HttpClient, context: RequestContext) -> None:
+        self._client = client
+        self._context = context
+        self._tasks: list[curio.Task] = []
+        self._exchanges: list[Exchange] = []
+        self._outcomes: deque[tuple[Peer, Exchange | Exception]] = deque()
+        self._is_changed = curio.Event()
+        # Routers whose outcome was not taken yet.
+        self.count = 0
+
+    async def __aenter__(self) -> _OpenExchanges:
+        return self
+
+    async def __aexit__(self, *args: object) -> None:
+        for task in self._tasks:
+            await task.cancel()
+        for exchange in self._exchanges:
+            await exchange.close()
+
+    async def add(self, peer: Peer, request: RawRequest) -> None:
+        """Pass the request on to a further router."""
+        self.count += 1
+        self._tasks.append(await curio.spawn(self._read_head, peer, request))
+
+    async def wait(self, timeout: timedelta) -> bool:
+        """Wait for an outcome; tell whether there is one."""
+        return bool(self._outcomes) or await wait_for_event(timeout, self._is_changed)
+
+    async def take(self, timeout: timedelta) -> tuple[Peer, Exchange | Exception]:
+        """Return the next router with the exchange whose head has arrived, or an error.
+
+        :raises TimeoutError: if there is none in time.
+        """
+        if not await self.wait(timeout):
+            raise TimeoutError("no other router answered in time")
+        self.count -= 1
+        outcome = self._outcomes.popleft()
+        if not self._outcomes:
+            self._is_changed.clear()
+        return outcome
+
+    async def _read_head(self, peer: Peer, request: RawRequest) -> None:
+        assert peer.inner is not None
+        outcome: Exchange | Exception
+        try:
+            outcome = exchange = await self._client.open_exchange(
+                peer.inner,
+                request,
+                head_timeout=self._context.timeout_left,
+                is_fresh=not self._context.route.is_repeatable,
+            )
+            self._exchanges.append(exchange)
+            await exchange.read_head(self._context.timeout_left)
+        except (TransportError, TimeoutError) as error:
+            outcome = error
+        self._outcomes.append((peer, outcome))
+        await self._is_changed.set()
--- a/hibiscustiller/ingress/tests/test_silent_processes.py
+++ b/hibiscustiller/ingress/tests/test_silent_processes.py
@@ -12,6 +12,7 @@
     CALLER_PATIENCE_S,
     SilentWorld,
     check_streams,
+    find_event_ids,
 )
 from hibiscustiller.ingress.tests.test_silent_plain_servers import (
     TIMEOUT_MS,
@@ -246,5 +247,40 @@
                 assert count_pipelines(gateway) == 2
 
 
+async def test_requests_passed_on_wait_for_routers_that_are_silent_for_a_moment():
+    """Guards against requests that fail, or run twice, beside silent routers."""
+    async with CutWorld(retry_slack=200.0) as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        for engine in world.engines:
+            engine.requests.clear()
+
+        def make_handle(handle):
+            async def answer_late(request, responder):
+                await curio.sleep(1.0)
+                await handle(request, responder)
+
+            return answer_late
+
+        for gateway in world.sound_gateways:
+            server = gateway._inner_server
+            server.handle = make_handle(server.handle)
+        async with curio.TaskGroup() as tasks:
+            for path in ("/chat/1", "/once/1") * 4:
+                await tasks.spawn(world.request, path, world.cut_gateway)
+        for answer in tasks.results:
+            assert (answer.status, answer.is_complete) == (200, True), answer
+            assert find_event_ids(answer.body) == list(range(20)), answer
+        ids = [
+            request.headers_by_name["request-id"]
+            for engine in world.engines
+            for request in engine.requests
+            if request.path == "/once/1"
+        ]
+        assert len(ids) == len(set(ids)) == 4, ids
+        for gateway in world.gateways:
+            await world.wait_until(lambda g=gateway: not g.describe()["in_flight"])
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
