Show streams that are stuck midway at another router

A caller whose stream was passed on gets no more events when that router is stuck after the first ones, and leaves, although another router could go on after the last event.

--- a/hibiscustiller/ingress/tests/test_silent_processes.py
+++ b/hibiscustiller/ingress/tests/test_silent_processes.py
@@ -282,5 +282,40 @@
             await world.wait_until(lambda g=gateway: not g.describe()["in_flight"])
 
 
+async def test_streams_leave_a_router_that_is_stuck_midway_in_time():
+    """Guards against callers that leave although the rest of a stream is to be had.
+
+    The request was passed on to a router that is silent for good after some events.
+    """
+    async with CutWorld(retry_slack=200.0) as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+
+        def make_handle(handle):
+            async def answer_in_part(request, responder):
+                send_part = responder.send_part
+                count = 0
+
+                async def send_some(data):
+                    nonlocal count
+                    count += 1
+                    if count > 5:
+                        await curio.sleep(60)
+                    await send_part(data)
+
+                responder.send_part = send_some
+                await handle(request, responder)
+
+            return answer_in_part
+
+        server = world.others[0]._inner_server
+        server.handle = make_handle(server.handle)
+        for _ in range(6):
+            async with curio.timeout_after(CALLER_PATIENCE_S):
+                answer = await world.request("/chat/1", world.cut_gateway)
+            assert (answer.status, answer.is_complete) == (200, True)
+            assert find_event_ids(answer.body) == list(range(20)), answer
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
