Connect again if the time ran out while this router was stopped

A sound server counted as unreachable, with its pipelines, after both connections to it ran out of time while this router's own process was stopped or its loop blocked. The time that had passed said nothing of the server.

A connection that took at least twice its limit before it ran out is opened again, up to four times, in the checks of servers and in the comparison with other servers.

--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -20,7 +20,11 @@
 
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._refusals import ServerRefusals
-from hibiscustiller.ingress._server_reach import Reach, ServerReach
+from hibiscustiller.ingress._server_reach import (
+    Reach,
+    ServerReach,
+    connect_unstalled,
+)
 from hibiscustiller.ingress._server_statements import ServerStatements
 from hibiscustiller.utils import Clock, RouterId, ServerId, log_event
 from hibiscustiller.wire import Connect, open_connection
@@ -333,7 +337,7 @@
         Another process at its address, which has no layers yet, has another start time.
         """
         try:
-            await _try_connect(server, self._open_connection)
+            await _try_connect(server, self._open_connection, self._clock)
         except OSError as error:
             log_event("recheck_failed", level="debug", server=server.id, reason=error)
             return
@@ -375,7 +379,7 @@
     async def _connect(self, server: BackendServer) -> None:
         started_at = self._clock.monotonic()
         try:
-            await _try_connect(server, self._open_connection)
+            await _try_connect(server, self._open_connection, self._clock)
         except OSError as error:
             reach = await self.reach.compare(server, started_at)
             if reach is Reach.NONE:
@@ -420,14 +424,16 @@
         self._on_change(outage.reporter is None)
 
 
-async def _try_connect(server: BackendServer, connect: Connect) -> None:
+async def _try_connect(server: BackendServer, connect: Connect, clock: Clock) -> None:
     """Open a connection to a server and close it.
 
     :raises OSError: if no attempt succeeds.
     """
     for attempt in range(1, _CONNECT_ATTEMPTS + 1):
         try:
-            sock = await connect(server.address, _CONNECT_TIMEOUT)
+            sock = await connect_unstalled(
+                connect, server.address, _CONNECT_TIMEOUT, clock
+            )
         except TimeoutError:
             if attempt == _CONNECT_ATTEMPTS:
                 raise
--- a/hibiscustiller/ingress/_server_reach.py
+++ b/hibiscustiller/ingress/_server_reach.py
@@ -11,10 +11,12 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from enum import Enum
+from typing import Any
 
 import curio
 
 from hibiscustiller.fleet import BackendServer
+from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, ServerId, ServiceName, log_event
 from hibiscustiller.wire import Connect
 
@@ -30,6 +32,11 @@
 _PERIOD_JITTER = 0.2
 # If fewer other servers of a service cannot be reached either, they may have crashed.
 _MIN_COMPARED = 4
+# A connection that took this many times its limit ran out while this process was
+# stopped or its loop blocked, which says nothing of the server.
+_STALL_FACTOR = 2
+# After so many of them a router is too slow to tell, and believes the last one.
+_MAX_STALLED_CONNECTS = 4
 # Requests that no other router answers cause probes at most this often.
 _MIN_PROBE_INTERVAL = timedelta(milliseconds=100)
 
@@ -46,6 +53,25 @@
     NONE = "none"
 
 
+async def connect_unstalled(
+    connect: Connect, address: Address, timeout: timedelta, clock: Clock
+) -> Any:
+    """Open a connection; again if its time ran out while this process was stopped.
+
+    :raises OSError: if it cannot be opened; a ``TimeoutError`` if the time is up.
+    """
+    for _ in range(_MAX_STALLED_CONNECTS - 1):
+        started_at = clock.monotonic()
+        try:
+            return await connect(address, timeout)
+        except TimeoutError:
+            took = clock.monotonic() - started_at
+            if took < timeout * _STALL_FACTOR:
+                raise
+            log_event("connect_stalled", level="debug", address=address, took=took)
+    return await connect(address, timeout)
+
+
 class ServerReach:
     """Connects to servers to tell the loss of one from the loss of all links.
 
@@ -187,7 +213,9 @@
 
     async def _try_connect(self, server: BackendServer) -> bool:
         try:
-            sock = await self._connect(server.address, _CONNECT_TIMEOUT)
+            sock = await connect_unstalled(
+                self._connect, server.address, _CONNECT_TIMEOUT, self._clock
+            )
         except OSError as error:
             log_event("probe_failed", level="debug", server=server.id, reason=error)
             return False
