--- a/hibiscustiller/standins/_programs.py
+++ b/hibiscustiller/standins/_programs.py
@@ -11,9 +11,10 @@
 import signal
 import time
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import curio
@@ -47,6 +48,8 @@
 _NO_CRASH_S = 60.0
 # The limit that a server names between two signals SIGUSR1.
 NAMED_RATE_LIMIT = 2.0
+# An engine that gets this signal is full, or has room again after a second one.
+FULL_SIGNAL = signal.SIGRTMIN
 # A shared part of a prompt that begins with it ends servers in the same way, whatever
 # else the request holds.
 CRASH_PART_MARK = "dead"
@@ -245,7 +248,12 @@
     def leave() -> None:
         faults.is_leaving = True
 
-    await _handle_server_signals(toggle_limit, leave, keeper.withdraw)
+    def toggle_room() -> None:
+        faults.is_full = not faults.is_full
+
+    await _handle_server_signals(
+        toggle_limit, leave, keeper.withdraw, {FULL_SIGNAL: toggle_room}
+    )
     await finder.engine.start()
     await keeper.run()
 
@@ -288,13 +296,21 @@
     toggle_limit: Callable[[], None],
     leave: Callable[[], None],
     withdraw: Callable[[], None],
+    other_actions: Mapping[signal.Signals, Callable[[], None]] = MappingProxyType({}),
 ) -> None:
     """Change what a server says of itself on signals SIGUSR1 and SIGUSR2.
 
     On SIGHUP it removes its entry without a word, and serves on.
+
+    :param other_actions: actions of the program's own on other signals.
     """
     await _handle_signals(
-        {signal.SIGUSR1: toggle_limit, signal.SIGUSR2: leave, signal.SIGHUP: withdraw}
+        {
+            signal.SIGUSR1: toggle_limit,
+            signal.SIGUSR2: leave,
+            signal.SIGHUP: withdraw,
+            **other_actions,
+        }
     )
 
 
