Show servers that are kept because of another router's loss of the store

Callers saw requests reach a backend server 2,040 ms after the store had acknowledged that it left (bound 2,000 ms), while two other routers were cut off from the store for 0.8 s.

The new tests cut two followers off together for 0.8 s again and again, at 7 and at 60 routers with 5% of datagrams lost, and remove servers beside it.

--- a/hibiscustiller/discovery/tests/test_outages.py
+++ b/hibiscustiller/discovery/tests/test_outages.py
@@ -136,5 +136,59 @@
     assert outages.find_last().ended_at == restored_at
 
 
+def test_an_outage_is_dropped_when_the_router_that_reported_it_withdraws_it():
+    """Guards against DRAIN: the disproof of a report reached only its reporter.
+
+    Repeated reports by others, which have not learnt that yet, change nothing.
+    """
+    clock, outages = make_outages()
+    clock.advance(10 * SECOND)
+    ended_at = clock.monotonic()
+    outage = StoreOutage(ended_at - 0.388 * SECOND, ended_at)
+    outages.record_reported(outage, "r2")
+    assert outages.find_last() == outage
+    clock.advance(0.5 * SECOND)
+    outages.record_report_of_none("r2", StoreAnswer(ended_at, clock.monotonic()))
+    assert outages.find_last() is None
+    similar = StoreOutage(outage.began_at - 0.1 * SECOND, ended_at + 0.1 * SECOND)
+    outages.record_reported(similar, "r3")
+    assert outages.find_last() is None
+
+
+def test_an_outage_is_not_withdrawn_by_routers_that_do_not_know_it():
+    """Guards against a true outage that a restarted reporter seems to withdraw."""
+    clock, outages = make_outages()
+    clock.advance(10 * SECOND)
+    ended_at = clock.monotonic()
+    outage = StoreOutage(ended_at - 3 * SECOND, ended_at)
+    outages.record_reported(outage, "r2")
+    clock.advance(SECOND)
+    now = clock.monotonic()
+    # It restarted after the outage.
+    outages.record_report_of_none("r2", StoreAnswer(now, now))
+    # It started right after the outage.
+    outages.record_report_of_none("r3", StoreAnswer(ended_at + 0.1 * SECOND, now))
+    # The message was sent before the outage.
+    outages.record_report_of_none("r2", StoreAnswer(SECOND, outage.began_at))
+    assert outages.find_last() == outage
+
+
+def test_a_reported_outage_is_disproved_by_own_answers():
+    """Guards against DRAIN: a router believed others against its own calls."""
+    clock, outages = make_outages()
+    began_at = clock.monotonic() + 0.5 * SECOND
+    clock.advance(SECOND)
+    outages.record_answer()
+    outages.record_reported(StoreOutage(began_at, clock.monotonic()), "r2")
+    assert outages.find_last() is None
+    # The next answer may come after the report.
+    began_at = clock.monotonic() + 0.1 * SECOND
+    clock.advance(0.3 * SECOND)
+    outages.record_reported(StoreOutage(began_at, clock.monotonic()), "r2")
+    clock.advance(SECOND)
+    outages.record_answer()
+    assert outages.find_last() is None
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/discovery/tests/test_servers_that_leave.py
+++ b/hibiscustiller/discovery/tests/test_servers_that_leave.py
@@ -2,10 +2,15 @@
 
 import sys
 import time
+from datetime import timedelta
 
 import curio
 
+from hibiscustiller.discovery._outages import StoreAnswer, StoreOutage
+from hibiscustiller.discovery._view import FleetView
 from hibiscustiller.discovery.tests.fixtures import Fleet, make_entry
+from hibiscustiller.platform import decode_server_entry
+from hibiscustiller.utils import ManualClock
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire._messages_generated import StoreChanges
 
@@ -212,5 +217,146 @@
         assert max(ages) < DRAIN_S - PIPELINE_DELAY_S, sorted(ages)[-5:]
 
 
+def make_view():
+    """Return a clock and the view of a router that has known a server for long."""
+    clock = ManualClock()
+    clock.advance(timedelta(seconds=100))
+    view = FleetView(clock, timedelta(seconds=DRAIN_S))
+    view.apply_server(decode_server_entry("servers/s0", make_entry()))
+    clock.advance(timedelta(seconds=10))
+    view.record_current()
+    return clock, view
+
+
+def report_outage(clock, view, duration_s):
+    """Report an outage that ends now, by another router."""
+    now = clock.monotonic()
+    outage = StoreOutage(now - timedelta(seconds=duration_s), now)
+    view.outages.record_reported(outage, "r2")
+
+
+def measure_time_kept(clock, view):
+    """Return for how long a server is listed after its removal is learnt.
+
+    Missing servers are dropped at the polls of the slowest routers.
+    """
+    removed_at = clock.monotonic()
+    view.remove_server("s0")
+    while view.list_servers(SERVICE):
+        clock.advance(timedelta(seconds=0.77))
+        view.record_current()
+        view.drop_missing()
+    return (clock.monotonic() - removed_at).total_seconds()
+
+
+def test_a_removal_right_after_an_outage_is_kept_for_less_than_the_drain_time():
+    """Guards against DRAIN: removals after the return were kept for 2.3 s from it.
+
+    The state was that of the store when the outage was reported, so that the entry was
+    removed later.
+    """
+    for delay_s in (0.01, 0.161, 0.45):
+        clock, view = make_view()
+        report_outage(clock, view, 0.388)
+        view.record_current()
+        clock.advance(timedelta(seconds=delay_s))
+        kept_s = measure_time_kept(clock, view)
+        # The removal may have come right after the state was last known.
+        assert delay_s + kept_s < DRAIN_S - PIPELINE_DELAY_S, delay_s
+
+
+def test_a_removal_after_the_return_of_the_store_is_not_kept():
+    """Guards against DRAIN: an outage that was over counted for later removals."""
+    clock, view = make_view()
+    report_outage(clock, view, 3.0)
+    clock.advance(timedelta(seconds=0.6))
+    view.record_current()
+    clock.advance(timedelta(seconds=0.1))
+    assert measure_time_kept(clock, view) == 0
+
+
+def test_later_outages_at_one_router_do_not_extend_the_time_of_a_missing_server():
+    """Guards against DRAIN: each cut of one router gave missing servers 2.3 s more."""
+    clock, view = make_view()
+    report_outage(clock, view, 0.388)
+    view.record_current()
+    clock.advance(timedelta(seconds=0.1))
+    view.remove_server("s0")
+    for _ in range(4):
+        clock.advance(timedelta(seconds=0.3))
+        report_outage(clock, view, 0.157)
+        view.drop_missing()
+    clock.advance(timedelta(seconds=0.3))
+    view.drop_missing()
+    assert not view.list_servers(SERVICE)
+
+
+def test_entries_that_expired_in_an_outage_are_kept_until_servers_wrote_them_again():
+    """Guards against servers that are dropped although they register again."""
+    clock, view = make_view()
+    clock.advance(timedelta(seconds=3))
+    report_outage(clock, view, 2.5)
+    clock.advance(timedelta(seconds=0.3))
+    view.remove_server("s0")
+    clock.advance(timedelta(seconds=REWRITE_TIME_S - 0.3))
+    view.record_current()
+    view.drop_missing()
+    assert view.list_servers(SERVICE)
+
+
+def test_a_withdrawn_outage_keeps_no_server():
+    """Guards against DRAIN: a removal that came with a false report was kept."""
+    clock, view = make_view()
+    clock.advance(timedelta(seconds=0.4))
+    report_outage(clock, view, 0.388)
+    ended_at = clock.monotonic()
+    view.remove_server("s0")
+    assert view.list_servers(SERVICE)
+    clock.advance(timedelta(seconds=0.5))
+    view.outages.record_report_of_none("r2", StoreAnswer(ended_at, clock.monotonic()))
+    view.drop_missing()
+    assert not view.list_servers(SERVICE)
+
+
+async def check_removals_beside_cuts(size, loss):
+    """Check that routers that the store answers drop servers beside short cuts.
+
+    Two followers are cut off together, again and again, for as long as one call lasts.
+    """
+    async with Fleet(size, loss) as fleet:
+        server_ids = put_servers(fleet, 10)
+        await fleet.wait_for_all(5.0)
+        await curio.sleep(2.4)
+        numbers, others = split_followers(fleet)
+        refused = {fleet.members[number].router_id for number in numbers}
+
+        async def cut_off():
+            while True:
+                fleet.store.refused_routers = refused
+                await curio.sleep(0.8)
+                fleet.store.refused_routers = set()
+                await curio.sleep(0.9)
+
+        task = await curio.spawn(cut_off, daemon=True)
+        try:
+            times = await measure_removals(fleet, others, server_ids, 0.43)
+        finally:
+            await task.cancel()
+        assert max(times) < DRAIN_S, sorted(times)[-20:]
+
+
+async def test_servers_that_left_are_dropped_beside_short_cuts_of_two_followers():
+    """Guards against DRAIN: records of short cuts that reached routers by one source.
+
+    Such a router heard of no answers to others, which disprove the record.
+    """
+    await check_removals_beside_cuts(7, 0.05)
+
+
+async def test_servers_that_left_are_dropped_beside_short_cuts_in_a_large_fleet():
+    """Guards against DRAIN: as above, where routers poll more rarely."""
+    await check_removals_beside_cuts(60, 0.05)
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
