Withdraw a reported outage of the store with its reporter

Callers saw requests reach servers more than 2 s after they had left, while other routers were cut off from the store.

A router that is no follower hears only from its source. If the source reported its own loss of the store as an outage and learnt later that the store had answered others, it stopped reporting, but the routers that it had told kept the record: its own answers begin after the loss and disprove nothing. A router's own calls were not compared with what others reported either.

A router that reported an outage, was there when it ended and reports none any more now withdraws it, also for the reports of others. Answers to a router's own calls disprove an outage like those to others. store_outage_disproved names the router from which that was learnt.

--- a/hibiscustiller/discovery/_outages.py
+++ b/hibiscustiller/discovery/_outages.py
@@ -24,6 +24,9 @@
 # A router hears of about three answers a second. More than those during the longest
 # loss of the store by one router.
 _MAX_ANSWERS = 128
+# Own answers are kept as times without a failed call. A router rarely loses the store
+# more often while an outage matters.
+_MAX_OWN_TIMES = 8
 # Several routers report the same outage, and a router may lose the store by itself
 # several times meanwhile.
 _MAX_OUTAGES = 8
@@ -70,6 +73,12 @@
         # When the first of the failed calls since the last answer was made.
         self._failing_since: timedelta | None = None
         self._answers_to_others: deque[StoreAnswer] = deque(maxlen=_MAX_ANSWERS)
+        # The last answer of each time in which no call of this router failed.
+        self._own_answers: deque[StoreAnswer] = deque(maxlen=_MAX_OWN_TIMES)
+        # Times in which the routers that reported an outage say that there was none.
+        self._withdrawn: deque[StoreAnswer] = deque(maxlen=_MAX_OUTAGES)
+        self._reporters_by_outage: dict[StoreOutage, set[str]] = {}
+        self._disproved: set[StoreOutage] = set()
         self._outages: deque[StoreOutage] = deque(maxlen=_MAX_OUTAGES)
 
     def record_answer(self) -> None:
@@ -80,8 +89,14 @@
         is_gap = answered_at is None or now - answered_at > _MAX_ANSWER_GAP
         if is_gap or failing_since is not None:
             self._reached_since = now
+        answer = StoreAnswer(self._reached_since or now, now)
+        last = self._own_answers[-1] if self._own_answers else None
+        if last is not None and last.reached_since == answer.reached_since:
+            self._own_answers.pop()
+        self._own_answers.append(answer)
         if failing_since is not None:
             self._record(StoreOutage(failing_since, now), "own calls")
+        self._log_disproved("own calls")
 
     def record_failure(self, called_at: timedelta) -> None:
         """Record a call of this router that got no usable answer.
@@ -101,14 +116,41 @@
         self._outages.append(StoreOutage(now, now, is_restore=True))
         log_event("store_outage_recorded", reason="restored from a copy")
 
-    def record_answer_to_other(self, answer: StoreAnswer) -> None:
+    def record_answer_to_other(self, answer: StoreAnswer, router_id: str = "") -> None:
         """Record the last answer of the store to another router."""
         self._answers_to_others.append(answer)
+        self._log_disproved(router_id)
 
     def record_reported(self, outage: StoreOutage, reporter: str) -> None:
         """Record an outage that another router knows."""
         self._record(outage, reporter)
 
+    def record_report_of_none(
+        self, reporter: str, answer: StoreAnswer, since: timedelta | None = None
+    ) -> None:
+        """Record that another router knows of no outage.
+
+        A router that reported one then has learnt that the store answered others
+        meanwhile. One that restarted since has only forgotten it.
+
+        :param answer: the last answer of the store to that router.
+        :param since: the end of the last outage that it still reports.
+        """
+        for outage in list(self._outages):
+            is_reported = reporter in self._reporters_by_outage.get(outage, ())
+            was_there = answer.reached_since <= outage.ended_at + _REPORT_DELAY
+            is_newer = answer.at >= outage.ended_at
+            is_later = since is None or outage.began_at > since
+            if is_reported and was_there and is_newer and is_later:
+                # Other reports of it begin and end at slightly different times.
+                self._withdrawn.append(
+                    StoreAnswer(
+                        outage.began_at - _REPORT_DELAY,
+                        outage.ended_at + _REPORT_DELAY,
+                    )
+                )
+        self._log_disproved(reporter)
+
     def find_last(self) -> StoreOutage | None:
         """Return the last outage; None if there was none."""
         known = [outage for outage in self._outages if not self._is_disproved(outage)]
@@ -123,14 +165,20 @@
     def _record(self, outage: StoreOutage, reporter: str) -> None:
         # The same outage, seen by different routers, ends at slightly different times.
         # The first one holds, or each report would extend it.
-        is_known = any(
-            outage.began_at < known.ended_at and known.began_at < outage.ended_at
+        same = [
+            known
             for known in self._outages
-            if not self._is_disproved(known)
-        )
-        if is_known or self._is_disproved(outage):
+            if outage.began_at < known.ended_at
+            and known.began_at < outage.ended_at
+            and not self._is_disproved(known)
+        ]
+        for known in same:
+            self._reporters_by_outage.setdefault(known, set()).add(reporter)
+        if same or self._is_disproved(outage):
             return
         self._outages.append(outage)
+        self._reporters_by_outage[outage] = {reporter}
+        self._forget_old()
         log_event(
             "store_outage_recorded",
             reason=reporter,
@@ -138,10 +186,41 @@
             age=self._clock.monotonic() - outage.ended_at,
         )
 
+    def _forget_old(self) -> None:
+        outages = set(self._outages)
+        self._disproved &= outages
+        for outage in self._reporters_by_outage.keys() - outages:
+            del self._reporters_by_outage[outage]
+
+    def _log_disproved(self, reason: str) -> None:
+        """Log each outage that is disproved now and was not before.
+
+        :param reason: the router whose answers or report disprove it.
+        """
+        for outage in self._outages:
+            if outage not in self._disproved and self._is_disproved(outage):
+                self._disproved.add(outage)
+                log_event(
+                    "store_outage_disproved",
+                    reason=reason,
+                    duration=outage.ended_at - outage.began_at,
+                    age=self._clock.monotonic() - outage.ended_at,
+                )
+
     def _is_disproved(self, outage: StoreOutage) -> bool:
-        """Tell whether another router reached the store throughout an outage."""
-        return not outage.is_restore and any(
-            answer.reached_since <= outage.began_at
-            and answer.at > outage.began_at + _REPORT_DELAY
-            for answer in self._answers_to_others
+        """Tell whether a router reached the store throughout an outage."""
+        return not outage.is_restore and (
+            any(_disproves(answer, outage) for answer in self._answers_to_others)
+            or any(_disproves(answer, outage) for answer in self._own_answers)
+            or any(
+                time.reached_since <= outage.began_at and outage.ended_at <= time.at
+                for time in self._withdrawn
+            )
         )
+
+
+def _disproves(answer: StoreAnswer, outage: StoreOutage) -> bool:
+    return (
+        answer.reached_since <= outage.began_at
+        and answer.at > outage.began_at + _REPORT_DELAY
+    )
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -468,14 +468,20 @@
         start of theirs for its end, so that they are not believed.
         """
         outages = self._view.outages
-        if message.answered_ms:
-            reached_since = self._decode_age(message.reached_since_ms)
-            answered_at = self._decode_age(message.answered_ms)
-            outages.record_answer_to_other(StoreAnswer(reached_since, answered_at))
+        reported = None
         if message.outage_began_ms:
             began_at = self._decode_age(message.outage_began_ms)
             ended_at = self._decode_age(message.store_returned_ms)
-            outages.record_reported(StoreOutage(began_at, ended_at), router_id)
+            reported = StoreOutage(began_at, ended_at)
+        if message.answered_ms:
+            reached_since = self._decode_age(message.reached_since_ms)
+            answered_at = self._decode_age(message.answered_ms)
+            answer = StoreAnswer(reached_since, answered_at)
+            outages.record_answer_to_other(answer, router_id)
+            since = None if reported is None else reported.ended_at
+            outages.record_report_of_none(router_id, answer, since)
+        if reported is not None:
+            outages.record_reported(reported, router_id)
 
     def _encode_age_of(self, moment: timedelta | None) -> int:
         return encode_age(None if moment is None else self._clock.monotonic() - moment)
