Let only followers disprove an outage by their own calls

The test is replaced by two: a follower disproves an outage by its own answers, before or after the report, and another router does not.

Own answers now count for the time during which the router watched the store.

--- a/hibiscustiller/discovery/_outages.py
+++ b/hibiscustiller/discovery/_outages.py
@@ -73,7 +73,9 @@
         # When the first of the failed calls since the last answer was made.
         self._failing_since: timedelta | None = None
         self._answers_to_others: deque[StoreAnswer] = deque(maxlen=_MAX_ANSWERS)
-        # The last answer of each time in which no call of this router failed.
+        # The last answer of each time in which this router watched the store and no
+        # call of it failed.
+        self._watched_since: timedelta | None = None
         self._own_answers: deque[StoreAnswer] = deque(maxlen=_MAX_OWN_TIMES)
         # Times in which the routers that reported an outage say that there was none.
         self._withdrawn: deque[StoreAnswer] = deque(maxlen=_MAX_OUTAGES)
@@ -81,19 +83,19 @@
         self._disproved: set[StoreOutage] = set()
         self._outages: deque[StoreOutage] = deque(maxlen=_MAX_OUTAGES)
 
-    def record_answer(self) -> None:
-        """Record that the store has answered a call of this router."""
+    def record_answer(self, *, is_follower: bool = False) -> None:
+        """Record that the store has answered a call of this router.
+
+        :param is_follower: whether this router watches the store. Another one may
+            have made no call during an outage, so that its answers disprove none.
+        """
         now = self._clock.monotonic()
         failing_since, self._failing_since = self._failing_since, None
         answered_at, self._answered_at = self._answered_at, now
         is_gap = answered_at is None or now - answered_at > _MAX_ANSWER_GAP
         if is_gap or failing_since is not None:
             self._reached_since = now
-        answer = StoreAnswer(self._reached_since or now, now)
-        last = self._own_answers[-1] if self._own_answers else None
-        if last is not None and last.reached_since == answer.reached_since:
-            self._own_answers.pop()
-        self._own_answers.append(answer)
+        self._record_own_answer(now, is_follower)
         if failing_since is not None:
             self._record(StoreOutage(failing_since, now), "own calls")
         self._log_disproved("own calls")
@@ -186,6 +188,16 @@
             age=self._clock.monotonic() - outage.ended_at,
         )
 
+    def _record_own_answer(self, now: timedelta, is_follower: bool) -> None:
+        if not is_follower:
+            self._watched_since = None
+            return
+        if self._watched_since is None or self._reached_since == now:
+            self._watched_since = now
+            self._own_answers.append(StoreAnswer(now, now))
+        else:
+            self._own_answers[-1] = StoreAnswer(self._watched_since, now)
+
     def _forget_old(self) -> None:
         outages = set(self._outages)
         self._disproved &= outages
--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -144,7 +144,7 @@
                 self._reach.record_failure()
                 log_event("store_lost", level="warning", reason=error)
             return
-        self._outages.record_answer()
+        self._outages.record_answer(is_follower=self._is_follower())
         was_reachable = self._reach.is_reachable
         self._reach.record_success(began_at)
         if not was_reachable:
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -536,7 +536,7 @@
         self._failures = 0
         # Called before the changes are applied, because entries may have expired in an
         # outage.
-        self._view.outages.record_answer()
+        self._view.outages.record_answer(is_follower=self.follows_store)
         if self.is_watch_lost:
             log_event("watch_regained", revision=self.revision)
             self.is_watch_lost = False
--- a/hibiscustiller/discovery/tests/test_outages.py
+++ b/hibiscustiller/discovery/tests/test_outages.py
@@ -173,22 +173,38 @@
     assert outages.find_last() == outage
 
 
-def test_a_reported_outage_is_disproved_by_own_answers():
-    """Guards against DRAIN: a router believed others against its own calls."""
+def report_between_own_answers(is_follower):
+    """Return the outages of a router that was answered before and after a report."""
     clock, outages = make_outages()
-    began_at = clock.monotonic() + 0.5 * SECOND
-    clock.advance(SECOND)
-    outages.record_answer()
+    outages.record_answer(is_follower=is_follower)
+    clock.advance(0.6 * SECOND)
+    began_at = clock.monotonic() - 0.5 * SECOND
     outages.record_reported(StoreOutage(began_at, clock.monotonic()), "r2")
+    clock.advance(0.4 * SECOND)
+    outages.record_answer(is_follower=is_follower)
+    return clock, outages
+
+
+def test_a_reported_outage_is_disproved_by_own_answers():
+    """Guards against DRAIN: a follower believed others against its own calls."""
+    clock, outages = report_between_own_answers(is_follower=True)
     assert outages.find_last() is None
-    # The next answer may come after the report.
+    # The answer may also come before the report.
     began_at = clock.monotonic() + 0.1 * SECOND
-    clock.advance(0.3 * SECOND)
+    clock.advance(0.5 * SECOND)
+    outages.record_answer(is_follower=True)
     outages.record_reported(StoreOutage(began_at, clock.monotonic()), "r2")
-    clock.advance(SECOND)
-    outages.record_answer()
     assert outages.find_last() is None
 
 
+def test_a_router_that_made_no_call_in_an_outage_does_not_disprove_it():
+    """Guards against servers that are dropped although they register again.
+
+    A router that does not watch the store calls it every few seconds only.
+    """
+    _, outages = report_between_own_answers(is_follower=False)
+    assert outages.find_last() is not None
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
