Bound the time of missing servers by the drain time

Callers saw a request reach a server 2,040 ms after its entry was removed (bound 2,000 ms). The entry was removed 0.1 s after the end of a reported outage, and the server was kept until 2.3 s after that end.

If a router's state was that of the store after the end of the last outage, an entry whose removal it learns then was removed later, and the server may have left right after that state. It is kept until the drain time after that state, less what learning, dropping and sending take (_REMOVAL_DELAY), and later outages do not extend this; more than 0.5 s after the outage it is not kept at all. Entries that were removed before the state was known are kept as before. server_missing names the age of the state.

--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -33,6 +33,16 @@
 # After an outage the routers learn within this time what was written before it. An
 # entry that changes later was written after the outage.
 _RETURN_READ_TIME = timedelta(seconds=0.5)
+# What passes between the removal of an entry and the end of requests to its server,
+# apart from the time for which the server is kept. Changes wait for the follower's next
+# watch and a message.
+_LEARNING_TIME = timedelta(milliseconds=300)
+# Missing servers are dropped at the polls of a source, the longest of which follow each
+# other by 0.7 s and a tenth more.
+_DROPPING_TIME = timedelta(milliseconds=770)
+# Pipelines are found again and a request is sent.
+_SENDING_TIME = timedelta(milliseconds=300)
+_REMOVAL_DELAY = _LEARNING_TIME + _DROPPING_TIME + _SENDING_TIME
 # A server that announced its shutdown, or whose entry was removed, continues to serve
 # for the platform's drain time. The delays of the store and of the watch use up a part
 # of it.
@@ -79,6 +89,19 @@
     REMOVED = "removed"
 
 
+@dataclass(frozen=True)
+class _MissingServer:
+    """A server whose entry was removed and that may register again.
+
+    :param since: when that was learnt.
+    :param until: until when it is kept at most; None if its entry may have expired in
+        an outage, whose end decides.
+    """
+
+    since: timedelta
+    until: timedelta | None
+
+
 class FleetView:
     """This router's present knowledge of the fleet.
 
@@ -104,8 +127,8 @@
         self._servers_by_id: dict[ServerId, BackendServer] = {}
         # The latest process at each address.
         self._latest_by_address: dict[Address, BackendServer] = {}
-        # When the entry of a server was removed that may register again.
-        self._missing_since_by_id: dict[ServerId, timedelta] = {}
+        # Servers whose entry was removed and that may register again.
+        self._missing_by_id: dict[ServerId, _MissingServer] = {}
         # When the entry of each server last changed.
         self._changed_at_by_id: dict[ServerId, timedelta] = {}
         self._first_read_at: timedelta | None = None
@@ -209,9 +232,16 @@
         time_left = self._get_reregistration_time(server_id)
         if time_left <= timedelta(0):
             self._drop_server(server_id)
-        elif server_id not in self._missing_since_by_id:
-            self._missing_since_by_id[server_id] = self._clock.monotonic()
-            log_event("server_missing", server=server_id, kept_for=time_left)
+        elif server_id not in self._missing_by_id:
+            now = self._clock.monotonic()
+            until = self._get_removal_limit()
+            self._missing_by_id[server_id] = _MissingServer(now, until)
+            log_event(
+                "server_missing",
+                server=server_id,
+                kept_for=time_left,
+                state_age=None if self._current_at is None else now - self._current_at,
+            )
 
     @property
     def is_settled(self) -> bool:
@@ -253,7 +283,7 @@
     def drop_missing(self) -> None:
         """Remove missing servers that did not register again in time."""
         now = self._clock.monotonic()
-        for server_id in list(self._missing_since_by_id):
+        for server_id in list(self._missing_by_id):
             if self._get_reregistration_time(server_id) <= timedelta(0):
                 self._drop_server(server_id)
         for server, until in list(self._outdated_servers.values()):
@@ -356,7 +386,7 @@
         current = self._servers_by_id.get(server.id)
         if current is None or current.born != server.born:
             return ServerPresence.REMOVED
-        if server.id in self._missing_since_by_id:
+        if server.id in self._missing_by_id:
             return ServerPresence.MISSING
         return ServerPresence.LISTED
 
@@ -413,7 +443,29 @@
         changed_at = self._changed_at_by_id[server_id]
         if outage is None or changed_at > outage.ended_at + _RETURN_READ_TIME:
             return timedelta(0)
-        return outage.ended_at + _REREGISTRATION_TIME - self._clock.monotonic()
+        until = outage.ended_at + _REREGISTRATION_TIME
+        missing = self._missing_by_id.get(server_id)
+        limit = self._get_removal_limit() if missing is None else missing.until
+        if limit is not None:
+            until = min(until, limit)
+        return until - self._clock.monotonic()
+
+    def _get_removal_limit(self) -> timedelta | None:
+        """Return until when a server is kept whose removal is learnt now.
+
+        If the state was that of the store after the last outage, the entry was removed
+        later, and the server may have left right then.
+
+        :returns: None if the entry may have been removed in the outage.
+        """
+        outage, current_at = self.outages.find_last(), self._current_at
+        if outage is None or outage.is_restore or current_at is None:
+            return None
+        if current_at < outage.ended_at:
+            return None
+        if current_at > outage.ended_at + _RETURN_READ_TIME:
+            return current_at
+        return current_at + self._drain - _REMOVAL_DELAY
 
     def _is_outdated(self, server: BackendServer, known: BackendServer | None) -> bool:
         """Tell whether an entry of a restored store is older than what is known."""
@@ -453,8 +505,8 @@
 
     def _forget_missing(self, server_id: ServerId) -> timedelta | None:
         """Return for how long a server was missing; None if it was not."""
-        since = self._missing_since_by_id.pop(server_id, None)
-        return None if since is None else self._clock.monotonic() - since
+        missing = self._missing_by_id.pop(server_id, None)
+        return None if missing is None else self._clock.monotonic() - missing.since
 
     def _record_leaving(self, server: BackendServer) -> None:
         until = self._clock.monotonic() + self._drain * _LEAVING_DRAIN_FRACTION
