--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -56,9 +56,6 @@
 # A follower is added for each group of this size, whose routers each poll it at most a
 # few times a second.
 _ROUTERS_PER_FOLLOWER = 64
-# A router that keeps missing servers asks so many followers in each period which
-# answers they got from the store. With three, two may have lost it.
-_MAX_ASKED_FOLLOWERS = 3
 # Longer messages to many routers would saturate the link of a small host, be lost and
 # be requested again. The routers read longer changes from the store instead.
 _MAX_MESSAGE_BYTES = 8000
@@ -256,31 +253,11 @@
             await self._start_fallback()
 
     async def _poll_source(self) -> None:
-        if self._view.has_missing_servers:
-            await self._ask_followers()
         peer = self._find_peer(self._source)
         if peer is None:
             self._source = None
             return
         self._unanswered_requests += 1
-        await self._send_request(peer)
-
-    async def _ask_followers(self) -> None:
-        """Ask followers other than the source whether the store answered them.
-
-        Their answers may disprove the outage because of which servers are kept.
-        """
-        others = [
-            peer
-            for router_id in self._get_followers()
-            if router_id not in (self._router_id, self._source)
-            and (peer := self._find_peer(router_id)) is not None
-        ]
-        count = min(len(others), _MAX_ASKED_FOLLOWERS)
-        for peer in self._random_state.sample(others, count):
-            await self._send_request(peer)
-
-    async def _send_request(self, peer: Peer) -> None:
         revision = self._watcher.revision
         request = FollowRequest(revision.number, revision.era)
         await self._datagrams.send(peer.address, self._datagrams.encode(request))
@@ -476,16 +453,11 @@
             # The sender has not learnt yet that the store was restored.
             return
         self._last_confirmed_at = self._clock.monotonic()
-        had_missing = self._view.has_missing_servers
         self._record_outages(router_id, message)
-        # The message may have disproved the outage because of which they are kept.
-        self._view.drop_missing()
         if after == self._watcher.revision < to:
             await self._apply_message(message, after, to)
         if self._watcher.revision >= to:
             self._view.record_current()
-        if self._view.has_missing_servers and not had_missing:
-            await self._ask_followers()
         await self._learn_what_the_store_lacks(router_id, message, to)
         await self._stop_following_if_possible(to)
 
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -243,11 +243,6 @@
                 state_age=None if self._current_at is None else now - self._current_at,
             )
 
-    @property
-    def has_missing_servers(self) -> bool:
-        """Whether servers are kept whose entries were removed."""
-        return bool(self._missing_by_id)
-
     @property
     def is_settled(self) -> bool:
         """Whether servers had time to register again since the first read.
