--- a/hibiscustiller/discovery/tests/test_outages.py
+++ b/hibiscustiller/discovery/tests/test_outages.py
@@ -136,5 +136,75 @@
     assert outages.find_last().ended_at == restored_at
 
 
+def test_an_outage_is_dropped_when_the_router_that_reported_it_withdraws_it():
+    """Guards against DRAIN: the disproof of a report reached only its reporter.
+
+    Repeated reports by others, which have not learnt that yet, change nothing.
+    """
+    clock, outages = make_outages()
+    clock.advance(10 * SECOND)
+    ended_at = clock.monotonic()
+    outage = StoreOutage(ended_at - 0.388 * SECOND, ended_at)
+    outages.record_reported(outage, "r2")
+    assert outages.find_last() == outage
+    clock.advance(0.5 * SECOND)
+    outages.record_report_of_none("r2", StoreAnswer(ended_at, clock.monotonic()))
+    assert outages.find_last() is None
+    similar = StoreOutage(outage.began_at - 0.1 * SECOND, ended_at + 0.1 * SECOND)
+    outages.record_reported(similar, "r3")
+    assert outages.find_last() is None
+
+
+def test_an_outage_is_not_withdrawn_by_routers_that_do_not_know_it():
+    """Guards against a true outage that a restarted reporter seems to withdraw."""
+    clock, outages = make_outages()
+    clock.advance(10 * SECOND)
+    ended_at = clock.monotonic()
+    outage = StoreOutage(ended_at - 3 * SECOND, ended_at)
+    outages.record_reported(outage, "r2")
+    clock.advance(SECOND)
+    now = clock.monotonic()
+    # It restarted after the outage.
+    outages.record_report_of_none("r2", StoreAnswer(now, now))
+    # It started right after the outage.
+    outages.record_report_of_none("r3", StoreAnswer(ended_at + 0.1 * SECOND, now))
+    # The message was sent before the outage.
+    outages.record_report_of_none("r2", StoreAnswer(SECOND, outage.began_at))
+    assert outages.find_last() == outage
+
+
+def report_between_own_answers(is_follower):
+    """Return the outages of a router that was answered before and after a report."""
+    clock, outages = make_outages()
+    outages.record_answer(is_follower=is_follower)
+    clock.advance(0.6 * SECOND)
+    began_at = clock.monotonic() - 0.5 * SECOND
+    outages.record_reported(StoreOutage(began_at, clock.monotonic()), "r2")
+    clock.advance(0.4 * SECOND)
+    outages.record_answer(is_follower=is_follower)
+    return clock, outages
+
+
+def test_a_reported_outage_is_disproved_by_own_answers():
+    """Guards against DRAIN: a follower believed others against its own calls."""
+    clock, outages = report_between_own_answers(is_follower=True)
+    assert outages.find_last() is None
+    # The answer may also come before the report.
+    began_at = clock.monotonic() + 0.1 * SECOND
+    clock.advance(0.5 * SECOND)
+    outages.record_answer(is_follower=True)
+    outages.record_reported(StoreOutage(began_at, clock.monotonic()), "r2")
+    assert outages.find_last() is None
+
+
+def test_a_router_that_made_no_call_in_an_outage_does_not_disprove_it():
+    """Guards against servers that are dropped although they register again.
+
+    A router that does not watch the store calls it every few seconds only.
+    """
+    _, outages = report_between_own_answers(is_follower=False)
+    assert outages.find_last() is not None
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
