Keep the retry of an attempt that sent nothing

Callers got 503 (the retry budget is exhausted) at a router whose servers accepted no connection for 0.5 s: an attempt whose connection failed is no arrival at a server, but the next one spent a retry. The next attempt now takes its place.

--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -553,7 +553,9 @@
         finally:
             attempt.is_ended = True
             if not attempt.is_sent:
+                # The next attempt takes its place, and its retry.
                 self._attempt_count -= 1
+                self._has_retry |= self._attempt_count > 0
             forwarder.open_attempts.discard(attempt)
             forwarder.load.add_unlayered(server.id, -1)
             latency = context.clock.monotonic() - attempt.started_at
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -325,6 +325,7 @@
             self._may_have_run = True
         finally:
             await attempt.close(outcome)
+        self._keep_unused_retry(attempt)
         self._log_attempt(attempt, outcome)
         return outcome
 
@@ -693,6 +694,7 @@
         if outcome is None:
             return attempt
         self._search.record_failed_second(attempt.entry.id)
+        self._keep_unused_retry(attempt)
         self._log_attempt(attempt, outcome)
         return None
 
@@ -723,6 +725,11 @@
         self._has_retry = False
         return grant, ""
 
+    def _keep_unused_retry(self, attempt: StreamAttempt) -> None:
+        """Let the next attempt take the place of one that sent nothing."""
+        if attempt.sent_at is None:
+            self._has_retry = True
+
     async def _acquire_retry(self) -> bool:
         """Ask the budget for a retry, unless one is left; tell whether there is one."""
         if not self._has_retry:
