--- a/hibiscustiller/ingress/_open_attempts.py
+++ b/hibiscustiller/ingress/_open_attempts.py
@@ -19,9 +19,7 @@
 class WaitingAttempt(Protocol):
     """An attempt as far as the silence of its servers is concerned.
 
-    Attributes: ``waiting_since`` is when the attempt began or last got an event, and
-    ``answered_at`` when it last got one, None if it got none. ``is_second`` tells
-    whether it was made beside another attempt.
+    Attributes: ``is_second`` tells whether it was made beside another attempt.
     """
 
     is_second: bool
@@ -33,12 +31,12 @@
 
     @property
     def waiting_since(self) -> timedelta:
-        """See the attributes."""
+        """When the attempt began or last got an event."""
         ...
 
     @property
     def answered_at(self) -> timedelta | None:
-        """See the attributes."""
+        """When the attempt last got an event or its answer; None if it got none."""
         ...
 
 
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -42,8 +42,8 @@
 
     FINISHED is a complete stream, ANSWERED a complete answer that is no stream, FAILED
     such an answer that is an error of the server, NOT_RUN an attempt that certainly did
-    not run, and BROKEN one that may have run. SUPERSEDED is one that may have run and
-    was closed because another attempt answered first.
+    not run, and BROKEN one that may have run. SUPERSEDED is one that was closed because
+    another attempt, or another router, answered first; it may have run.
     """
 
     FINISHED = "finished"
@@ -105,7 +105,7 @@
 
     Attributes: ``sent_at`` is when the request was sent, None before. ``event_count``
     is the number of events that were passed on, and ``progress_at`` when the latest of
-    them arrived, or when the attempt began. ``events`` have been read but not been
+    them was, or when the attempt began. ``events`` have been read but not been
     passed on. ``is_judged`` tells whether the head of the answer was found acceptable.
     """
 
