--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -33,7 +33,8 @@
 from hibiscustiller.ingress._monitor import EngineMonitor
 from hibiscustiller.ingress._open_attempts import OpenAttempts
 from hibiscustiller.ingress._part_history import PartHistory
-from hibiscustiller.ingress._plain import PlainForwarder, PlainServerSelector
+from hibiscustiller.ingress._plain import PlainForwarder
+from hibiscustiller.ingress._plain_selection import PlainServerSelector
 from hibiscustiller.ingress._rate_limits import RateLimits
 from hibiscustiller.ingress._router_forwarding import (
     FORWARDED_BY_HEADER,
--- a/hibiscustiller/ingress/tests/test_parts.py
+++ b/hibiscustiller/ingress/tests/test_parts.py
@@ -17,7 +17,7 @@
     has_free_connection,
 )
 from hibiscustiller.ingress._events import EventSplitter
-from hibiscustiller.ingress._plain import PlainServerSelector
+from hibiscustiller.ingress._plain_selection import PlainServerSelector
 from hibiscustiller.ingress._routes import RouteTable, choose_service
 from hibiscustiller.ingress.tests.fixtures import HOST, KEY, make_document
 from hibiscustiller.layers import EngineLoad, EngineUse
