Tell allocators the class of held places and the outcome of released ones

An allocator that takes over learnt only stages and tokens of the places that its predecessor had granted, and no allocator learnt how long answers were or which engines rejected a request.

PlaceRequest, PlaceRelease, HeldPlace and PlaceSummary have new fields at their end, and PlaceRecall is a new message. An older router reads none of them, and what it sends counts as unknown. No decision uses them yet.

--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -134,6 +134,8 @@
             target_latency=context.route.target_latency,
             target_gap=context.route.target_gap,
             remaining_time=context.time_left,
+            is_resumable=context.route.is_resumable,
+            answer_tokens=answer,
         )
 
 
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -1,6 +1,12 @@
 """Layer placement, pipelines and admission for models split across engines."""
 
-from hibiscustiller.layers._admission import Admission, Demand, Grant
+from hibiscustiller.layers._admission import (
+    UNKNOWN_OUTCOME,
+    Admission,
+    Demand,
+    Grant,
+    PlaceOutcome,
+)
 from hibiscustiller.layers._choice import PipelineSelector
 from hibiscustiller.layers._load import EngineLoad, EngineUse
 from hibiscustiller.layers._pipelines import (
@@ -18,7 +24,9 @@
 
 __all__ = [
     "Admission",
+    "UNKNOWN_OUTCOME",
     "Demand",
+    "PlaceOutcome",
     "EngineGroup",
     "EngineLoad",
     "EngineUse",
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -48,6 +48,10 @@
     :param target_gap: longest time between events that earns full value; None if there
         is no target.
     :param remaining_time: time until the caller's deadline.
+    :param is_return: whether the caller was refused before and comes again.
+    :param is_resumable: whether the stream may be ended and resumed in the same answer.
+    :param answer_tokens: expected tokens of the answer, which ``tokens`` counts in part;
+        0 if unknown.
     """
 
     priority: int
@@ -56,12 +60,31 @@
     target_latency: timedelta
     target_gap: timedelta | None
     remaining_time: timedelta
+    is_return: bool = False
+    is_resumable: bool = False
+    answer_tokens: float = 0.0
+
+
+@dataclass(frozen=True)
+class PlaceOutcome:
+    """What became of a request at its place.
+
+    :param answer_tokens: tokens of the complete answer; 0 if it is not complete.
+    :param rejected_by: servers that rejected the request for want of room.
+    """
+
+    answer_tokens: float = 0.0
+    rejected_by: tuple[ServerId, ...] = ()
+
+
+UNKNOWN_OUTCOME = PlaceOutcome()
 
 
 @dataclass
 class Grant:
     """A place in a pipeline, held until :meth:`Admission.release`.
 
+    :param demand: of the request that holds the place; None if unknown.
     :param admission: the admission that granted the place; None if another router did.
     :param place_id: identifier of the place at that other router.
     """
@@ -70,6 +93,7 @@
     tokens: float
     admission: Admission | None = None
     place_id: int = 0
+    demand: Demand | None = None
 
 
 @dataclass(eq=False)
@@ -171,15 +195,22 @@
 
     def reserve(self, pipeline: Pipeline, demand: Demand) -> Grant:
         """Reserve a place in a pipeline regardless of its free capacity."""
-        return self.record_place(pipeline, demand.tokens)
+        return self.record_place(pipeline, demand.tokens, demand)
 
-    def record_place(self, pipeline: Pipeline, tokens: float) -> Grant:
+    def record_place(
+        self, pipeline: Pipeline, tokens: float, demand: Demand | None = None
+    ) -> Grant:
         """Record a place that is already in use."""
         self._load.add(pipeline, tokens)
-        return Grant(pipeline, tokens, self)
+        return Grant(pipeline, tokens, self, demand=demand)
 
-    async def release(self, grant: Grant) -> None:
-        """Release a place and grant what became free to waiting requests."""
+    async def release(
+        self, grant: Grant, outcome: PlaceOutcome = UNKNOWN_OUTCOME
+    ) -> None:
+        """Release a place and grant what became free to waiting requests.
+
+        :param outcome: what became of the request that held it.
+        """
         self._load.remove(grant.pipeline, grant.tokens)
         self._update_rate(grant.tokens)
         await self.grant_waiting()
--- a/hibiscustiller/layers/_place_allocator.py
+++ b/hibiscustiller/layers/_place_allocator.py
@@ -18,11 +18,18 @@
 from result import Ok
 
 from hibiscustiller.fleet import BackendServer
-from hibiscustiller.layers._admission import Admission, Grant
+from hibiscustiller.layers._admission import (
+    UNKNOWN_OUTCOME,
+    Admission,
+    Grant,
+    PlaceOutcome,
+)
 from hibiscustiller.layers._place_messages import (
     PlaceStatus,
     pack_stages,
     unpack_demand,
+    unpack_held_demand,
+    unpack_outcome,
     unpack_stages,
 )
 from hibiscustiller.settings import Address
@@ -170,19 +177,29 @@
             gap = timedelta(milliseconds=gap_ms)
             place.admission.record_gap(place.grant.pipeline, gap)
 
-    def _record(self, key: PlaceKey, grant: Grant, admission: Admission) -> None:
+    def _record(
+        self,
+        key: PlaceKey,
+        grant: Grant,
+        admission: Admission,
+        granted_at: timedelta | None = None,
+    ) -> None:
         now = self._clock.monotonic()
-        self._places_by_key[key] = _GrantedPlace(grant, admission, now, now)
+        self._places_by_key[key] = _GrantedPlace(
+            grant, admission, now if granted_at is None else granted_at, now
+        )
 
     async def _handle_release(
         self, router_id: RouterId, address: Address, release: PlaceRelease
     ) -> None:
-        await self._reclaim((router_id, release.place_id))
+        await self._reclaim((router_id, release.place_id), unpack_outcome(release))
 
-    async def _reclaim(self, key: PlaceKey) -> None:
+    async def _reclaim(
+        self, key: PlaceKey, outcome: PlaceOutcome = UNKNOWN_OUTCOME
+    ) -> None:
         place = self._places_by_key.pop(key, None)
         if place is not None:
-            await place.admission.release(place.grant)
+            await place.admission.release(place.grant, outcome)
 
     async def _handle_holdings(
         self, router_id: RouterId, address: Address, holdings: PlaceHoldings
@@ -202,8 +219,10 @@
             admission = self._get_admission(service, domain)
             pipeline = unpack_stages(reported.stages, self._get_server)
             if admission is not None and pipeline is not None:
-                grant = admission.record_place(pipeline, reported.tokens)
-                self._record(key, grant, admission)
+                demand = unpack_held_demand(reported)
+                grant = admission.record_place(pipeline, reported.tokens, demand)
+                held_for = timedelta(milliseconds=reported.held_ms)
+                self._record(key, grant, admission, granted_at=now - held_for)
         for key, place in list(self._places_by_key.items()):
             may_be_reclaimed = now - place.granted_at > _MIN_RECLAIM_AGE
             if key[0] == router_id and key not in reported_keys and may_be_reclaimed:
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -10,13 +10,20 @@
 from result import Err, Ok, Result
 
 from hibiscustiller.discovery import FleetView
-from hibiscustiller.layers._admission import MAX_WAIT_SHARE, Admission, Grant
+from hibiscustiller.layers._admission import (
+    MAX_WAIT_SHARE,
+    UNKNOWN_OUTCOME,
+    Admission,
+    Grant,
+    PlaceOutcome,
+)
 from hibiscustiller.layers._choice import MAX_ROUTERS_WITH_FRESH_REPORTS
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._place_messages import (
     PlaceQuery,
     PlaceStatus,
     pack_query,
+    pack_release,
     pack_stages,
     unpack_stages,
 )
@@ -38,7 +45,6 @@
     HeldPlace,
     PlaceAnswer,
     PlaceHoldings,
-    PlaceRelease,
     PlaceSummary,
 )
 
@@ -60,12 +66,14 @@
     """A place that was granted by another router.
 
     :param allocator: the router that tracks the place.
+    :param granted_at: when the grant arrived, on the monotonic clock.
     """
 
     service: ServiceName
     domain: DomainId
     allocator: RouterId
     grant: Grant
+    granted_at: timedelta
 
 
 class PlaceClient:
@@ -162,11 +170,16 @@
         self._metrics.count("places.unanswered")
         return None
 
-    async def release(self, grant: Grant) -> None:
-        """Release a place."""
+    async def release(
+        self, grant: Grant, outcome: PlaceOutcome = UNKNOWN_OUTCOME
+    ) -> None:
+        """Release a place.
+
+        :param outcome: what became of the request that held it.
+        """
         place = self._places_by_id.pop(grant.place_id, None)
         if place is not None:
-            await self._send(place.allocator, PlaceRelease(grant.place_id))
+            await self._send(place.allocator, pack_release(grant.place_id, outcome))
 
     async def _admit(self, query: PlaceQuery) -> Result[Grant, Refusal] | None:
         """Admit a request of this router to a domain whose places it allocates."""
@@ -197,7 +210,7 @@
                 return None, None
             except BaseException:
                 # The caller has disconnected; release a place granted in the meantime.
-                await self._send(allocator, PlaceRelease(request.id))
+                await self._send(allocator, pack_release(request.id, UNKNOWN_OUTCOME))
                 raise
         return await self._process_answer(answer, allocator, query)
 
@@ -221,10 +234,13 @@
         if pipeline is None or not _are_layers_held(pipeline):
             # This router's view of the engines differs temporarily from the
             # allocator's.
-            await self._send(allocator, PlaceRelease(answer.place_id))
+            release = pack_release(answer.place_id, UNKNOWN_OUTCOME)
+            await self._send(allocator, release)
             return PlaceStatus.NO_ROOM, None
-        grant = Grant(pipeline, query.demand.tokens, place_id=answer.place_id)
-        place = _Place(query.service, query.domain, allocator, grant)
+        demand = query.demand
+        grant = Grant(pipeline, demand.tokens, place_id=answer.place_id, demand=demand)
+        granted_at = self._clock.monotonic()
+        place = _Place(query.service, query.domain, allocator, grant, granted_at)
         self._places_by_id[answer.place_id] = place
         return status, Ok(grant)
 
@@ -235,8 +251,8 @@
         is_placed = answer.status == PlaceStatus.PLACED
         if not is_awaited and is_placed and answer.place_id not in self._places_by_id:
             # The answer arrived after the timeout, so the place is not used.
-            release = self._datagrams.encode(PlaceRelease(answer.place_id))
-            await self._datagrams.send(address, release)
+            release = pack_release(answer.place_id, UNKNOWN_OUTCOME)
+            await self._datagrams.send(address, self._datagrams.encode(release))
 
     async def _handle_summary(
         self, router_id: RouterId, address: Address, summary: PlaceSummary
@@ -261,7 +277,8 @@
             if admission is None or not self.is_allocator(domain):
                 continue
             free_capacity = admission.count_free_tokens()
-            data = self._datagrams.encode(PlaceSummary(service, domain, free_capacity))
+            summary = PlaceSummary(service, domain, free_capacity, waits=())
+            data = self._datagrams.encode(summary)
             for peer in list(self._view.peers_by_id.values()):
                 await self._datagrams.send(peer.address, data)
 
@@ -272,19 +289,25 @@
     async def _send_holdings(self) -> None:
         """Send each allocator the list of its places that this router holds."""
         places_by_allocator: dict[RouterId, list[HeldPlace]] = {}
+        now = self._clock.monotonic()
         for place_id, place in self._places_by_id.items():
             allocators = self.list_allocators(place.domain)
             if allocators and place.allocator not in allocators[:1]:
                 # Another router has become the allocator.
                 place.allocator = allocators[0]
-            pipeline = place.grant.pipeline
+            demand = place.grant.demand
+            assert demand is not None
             held = HeldPlace(
                 place_id,
                 place.service,
                 place.domain,
                 place.grant.tokens,
-                pack_stages(pipeline),
+                pack_stages(place.grant.pipeline),
                 self._get_gap_ms(place),
+                demand.priority,
+                demand.organisation,
+                demand.is_resumable,
+                held_ms=(now - place.granted_at) // timedelta(milliseconds=1),
             )
             places_by_allocator.setdefault(place.allocator, []).append(held)
         for allocator, places in places_by_allocator.items():
--- a/hibiscustiller/layers/_place_messages.py
+++ b/hibiscustiller/layers/_place_messages.py
@@ -8,7 +8,7 @@
 from enum import IntEnum
 
 from hibiscustiller.fleet import BackendServer, LayerRange
-from hibiscustiller.layers._admission import Demand
+from hibiscustiller.layers._admission import Demand, PlaceOutcome
 from hibiscustiller.layers._pipelines import Pipeline, Stage
 from hibiscustiller.utils import (
     DomainId,
@@ -16,7 +16,12 @@
     ServerId,
     ServiceName,
 )
-from hibiscustiller.wire._messages_generated import PlaceRequest, PlaceStage
+from hibiscustiller.wire._messages_generated import (
+    HeldPlace,
+    PlaceRelease,
+    PlaceRequest,
+    PlaceStage,
+)
 
 _MS = timedelta(milliseconds=1)
 
@@ -65,6 +70,9 @@
         may_wait=query.may_wait,
         is_begun=excluded is not None,
         excluded=excluded or (),
+        is_return=demand.is_return,
+        is_resumable=demand.is_resumable,
+        answer_tokens=demand.answer_tokens,
     )
 
 
@@ -78,6 +86,34 @@
         target_latency=request.target_latency_ms * _MS,
         target_gap=gap * _MS if gap else None,
         remaining_time=request.time_left_ms * _MS,
+        is_return=request.is_return,
+        is_resumable=request.is_resumable,
+        answer_tokens=request.answer_tokens,
+    )
+
+
+def pack_release(place_id: int, outcome: PlaceOutcome) -> PlaceRelease:
+    """Build the message that gives a place back."""
+    return PlaceRelease(place_id, outcome.answer_tokens, outcome.rejected_by)
+
+
+def unpack_outcome(release: PlaceRelease) -> PlaceOutcome:
+    """Return what became of the request whose place is given back."""
+    return PlaceOutcome(
+        release.answer_tokens, tuple(map(ServerId, release.rejected_by))
+    )
+
+
+def unpack_held_demand(held: HeldPlace) -> Demand:
+    """Return what is known of the demand of a request that holds a place."""
+    return Demand(
+        priority=held.priority,
+        organisation=OrganisationId(held.organisation),
+        tokens=held.tokens,
+        target_latency=timedelta(0),
+        target_gap=None,
+        remaining_time=timedelta(0),
+        is_resumable=held.is_resumable,
     )
 
 
--- a/hibiscustiller/layers/_shared_admission.py
+++ b/hibiscustiller/layers/_shared_admission.py
@@ -7,7 +7,13 @@
 
 from result import Ok, Result
 
-from hibiscustiller.layers._admission import Admission, Demand, Grant
+from hibiscustiller.layers._admission import (
+    UNKNOWN_OUTCOME,
+    Admission,
+    Demand,
+    Grant,
+    PlaceOutcome,
+)
 from hibiscustiller.layers._choice import PipelineSelector
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._place_client import PlaceClient
@@ -88,12 +94,17 @@
         """Reserve a place in a pipeline regardless of its free capacity."""
         return self._local.reserve(pipeline, demand)
 
-    async def release(self, grant: Grant) -> None:
-        """Release a place."""
+    async def release(
+        self, grant: Grant, outcome: PlaceOutcome = UNKNOWN_OUTCOME
+    ) -> None:
+        """Release a place.
+
+        :param outcome: what became of the request that held it.
+        """
         if grant.admission is not None:
-            await grant.admission.release(grant)
+            await grant.admission.release(grant, outcome)
         else:
-            await self._client.release(grant)
+            await self._client.release(grant, outcome)
 
     def _list_domains(self, demand: Demand) -> list[tuple[DomainId, bool]]:
         """Return the domains to ask, each with whether the request may wait there."""
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -865,6 +865,9 @@
     may_wait: bool
     is_begun: bool
     excluded: tuple[str, ...]
+    is_return: bool
+    is_resumable: bool
+    answer_tokens: float
 
 
 def _write_PlaceRequest(builder: Any, message: PlaceRequest) -> None:
@@ -880,6 +883,9 @@
     builder.mayWait = message.may_wait
     builder.isBegun = message.is_begun
     builder.excluded = list(message.excluded)
+    builder.isReturn = message.is_return
+    builder.isResumable = message.is_resumable
+    builder.answerTokens = message.answer_tokens
 
 
 def _read_PlaceRequest(reader: Any) -> PlaceRequest:
@@ -896,6 +902,9 @@
         may_wait=reader.mayWait,
         is_begun=reader.isBegun,
         excluded=tuple(reader.excluded),
+        is_return=reader.isReturn,
+        is_resumable=reader.isResumable,
+        answer_tokens=reader.answerTokens,
     )
 
 
@@ -955,15 +964,38 @@
     """A ``PlaceRelease`` message."""
 
     place_id: int
+    answer_tokens: float
+    rejected_by: tuple[str, ...]
 
 
 def _write_PlaceRelease(builder: Any, message: PlaceRelease) -> None:
     builder.placeId = message.place_id
+    builder.answerTokens = message.answer_tokens
+    builder.rejectedBy = list(message.rejected_by)
 
 
 def _read_PlaceRelease(reader: Any) -> PlaceRelease:
     return PlaceRelease(
         place_id=reader.placeId,
+        answer_tokens=reader.answerTokens,
+        rejected_by=tuple(reader.rejectedBy),
+    )
+
+
+@dataclass(frozen=True)
+class PlaceRecall:
+    """A ``PlaceRecall`` message."""
+
+    place_id: int
+
+
+def _write_PlaceRecall(builder: Any, message: PlaceRecall) -> None:
+    builder.placeId = message.place_id
+
+
+def _read_PlaceRecall(reader: Any) -> PlaceRecall:
+    return PlaceRecall(
+        place_id=reader.placeId,
     )
 
 
@@ -977,6 +1009,10 @@
     tokens: float
     stages: tuple[PlaceStage, ...]
     gap_ms: int
+    priority: int
+    organisation: str
+    is_resumable: bool
+    held_ms: int
 
 
 def _write_HeldPlace(builder: Any, message: HeldPlace) -> None:
@@ -988,6 +1024,10 @@
     for index, item in enumerate(message.stages):
         _write_PlaceStage(items[index], item)
     builder.gapMs = message.gap_ms
+    builder.priority = message.priority
+    builder.organisation = message.organisation
+    builder.isResumable = message.is_resumable
+    builder.heldMs = message.held_ms
 
 
 def _read_HeldPlace(reader: Any) -> HeldPlace:
@@ -998,6 +1038,10 @@
         tokens=reader.tokens,
         stages=tuple(_read_PlaceStage(item) for item in reader.stages),
         gap_ms=reader.gapMs,
+        priority=reader.priority,
+        organisation=reader.organisation,
+        is_resumable=reader.isResumable,
+        held_ms=reader.heldMs,
     )
 
 
@@ -1020,6 +1064,26 @@
     )
 
 
+@dataclass(frozen=True)
+class ClassWait:
+    """A ``ClassWait`` message."""
+
+    priority: int
+    wait_ms: int
+
+
+def _write_ClassWait(builder: Any, message: ClassWait) -> None:
+    builder.priority = message.priority
+    builder.waitMs = message.wait_ms
+
+
+def _read_ClassWait(reader: Any) -> ClassWait:
+    return ClassWait(
+        priority=reader.priority,
+        wait_ms=reader.waitMs,
+    )
+
+
 @dataclass(frozen=True)
 class PlaceSummary:
     """A ``PlaceSummary`` message."""
@@ -1027,12 +1091,16 @@
     service: str
     domain: str
     free_tokens: float
+    waits: tuple[ClassWait, ...]
 
 
 def _write_PlaceSummary(builder: Any, message: PlaceSummary) -> None:
     builder.service = message.service
     builder.domain = message.domain
     builder.freeTokens = message.free_tokens
+    items = builder.init("waits", len(message.waits))
+    for index, item in enumerate(message.waits):
+        _write_ClassWait(items[index], item)
 
 
 def _read_PlaceSummary(reader: Any) -> PlaceSummary:
@@ -1040,6 +1108,7 @@
         service=reader.service,
         domain=reader.domain,
         free_tokens=reader.freeTokens,
+        waits=tuple(_read_ClassWait(item) for item in reader.waits),
     )
 
 
@@ -1207,6 +1276,7 @@
     | RateRequest
     | RateAnswer
     | NamedLimits
+    | PlaceRecall
 )
 
 _WRITERS: dict[type, tuple[str, Any]] = {
@@ -1239,6 +1309,7 @@
     RateRequest: ("rateRequest", _write_RateRequest),
     RateAnswer: ("rateAnswer", _write_RateAnswer),
     NamedLimits: ("namedLimits", _write_NamedLimits),
+    PlaceRecall: ("placeRecall", _write_PlaceRecall),
 }
 _READERS: dict[str, Any] = {
     "hello": _read_Hello,
@@ -1270,6 +1341,7 @@
     "rateRequest": _read_RateRequest,
     "rateAnswer": _read_RateAnswer,
     "namedLimits": _read_NamedLimits,
+    "placeRecall": _read_PlaceRecall,
 }
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -34,6 +34,7 @@
     rateRequest @27 :RateRequest;
     rateAnswer @28 :RateAnswer;
     namedLimits @29 :NamedLimits;
+    placeRecall @30 :PlaceRecall;
   }
 }
 
@@ -321,6 +322,13 @@
   isBegun @10 :Bool;
   # Servers that must not be used.
   excluded @11 :List(Text);
+  # Whether the caller was refused before and comes again.
+  isReturn @12 :Bool;
+  # Whether the stream may be ended and resumed in the same answer.
+  isResumable @13 :Bool;
+  # Expected tokens of the answer, which ``tokens`` counts in part; 0 from a router that
+  # does not tell.
+  answerTokens @14 :Float64;
 }
 
 struct PlaceStage {
@@ -339,6 +347,16 @@
 
 struct PlaceRelease {
   placeId @0 :UInt64;
+  # Tokens of the complete answer; 0 if it is not complete, or from a router that does not
+  # tell.
+  answerTokens @1 :Float64;
+  # Servers that rejected the request for want of room.
+  rejectedBy @2 :List(Text);
+}
+
+# Asks the holder of a place to end its stream there and to resume it later.
+struct PlaceRecall {
+  placeId @0 :UInt64;
 }
 
 struct HeldPlace {
@@ -349,6 +367,11 @@
   stages @4 :List(PlaceStage);
   # Recent pause between events, as the sender sees it; 0 if it has seen none.
   gapMs @5 :UInt32;
+  priority @6 :UInt8;
+  organisation @7 :Text;
+  isResumable @8 :Bool;
+  # Time since the place was granted.
+  heldMs @9 :UInt32;
 }
 
 # All places of the sender in some domains' pipelines; places that are not listed have
@@ -362,6 +385,14 @@
   service @0 :Text;
   domain @1 :Text;
   freeTokens @2 :Float64;
+  # One entry for each class with requests; none from a router that does not tell.
+  waits @3 :List(ClassWait);
+}
+
+# Wait that a new request of a class has to expect.
+struct ClassWait {
+  priority @0 :UInt8;
+  waitMs @1 :UInt32;
 }
 
 # Asks the coordinator of the fleet's retry budget for one retry.
