Give the engines left over in a domain covers of that domain

Callers were refused while a quarter of the engines served nothing. The engines that the covers of a domain leave over got covers across all domains, but the search for pipelines looks within each domain first: it built one pipeline from the parts of two such covers, and the rest of both was of no use.

Covers of the engines left over are now planned within each domain first, and only what is left after that spans domains.

--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -49,8 +49,8 @@
         is no target.
     :param remaining_time: time until the caller's deadline.
     :param is_return: whether the caller was refused before and comes again.
-    :param is_resumable: whether the stream may be ended and resumed in the same answer.
-    :param answer_tokens: expected tokens of the answer, which ``tokens`` counts in part;
+    :param is_resumable: whether the stream may be ended and resumed in one answer.
+    :param answer_tokens: expected tokens of the answer; ``tokens`` counts them in part;
         0 if unknown.
     """
 
--- a/hibiscustiller/layers/_placement.py
+++ b/hibiscustiller/layers/_placement.py
@@ -106,7 +106,7 @@
         for found in improvements:
             changes |= found
     if not changes and may_improve:
-        changes = _plan_shared_cover(spec, servers, held_by_id)
+        changes = _plan_unused_engines(spec, servers, held_by_id)
     if not changes and may_replan:
         changes = _find_replan(spec, servers, plans, held_by_id)
     return changes
@@ -196,21 +196,52 @@
     return _list_changes(covers, held) if may_rebuild else {}
 
 
-def _plan_shared_cover(
+def _plan_unused_engines(
     spec: EngineSpec,
     servers: Sequence[BackendServer],
     held_by_id: Mapping[ServerId, LayerRange],
 ) -> dict[ServerId, LayerRange]:
-    """Plan a cover of engines that no pipeline uses, across failure domains.
+    """Plan covers of engines that no pipeline uses, within failure domains if possible.
 
-    These engines remain spares of their own domains, where filling a gap takes
-    precedence.
+    The covers of a domain are chosen for the highest rate, so that slow engines may be
+    left over. They remain spares of their domain, where filling a gap takes precedence.
     """
-    used: set[ServerId] = set()
+    unused: list[BackendServer] = []
     for members in _group_by_domain(servers).values():
-        for pipeline in find_pipelines(spec, _list_holding(members, held_by_id)):
-            used |= set(pipeline.server_ids)
-    unused = [server for server in servers if server.id not in used]
+        left = _list_unused(spec, members, held_by_id)
+        covers = plan_covers(spec, left, held_by_id)
+        is_worth_loads = any(
+            cover.tokens >= _MIN_SHARED_COVER_REQUESTS * spec.mean_held_tokens
+            for cover in covers
+        )
+        if is_worth_loads:
+            changes = _plan_domain(spec, left, covers, held_by_id)
+            if changes:
+                return changes
+        unused += left
+    return _plan_shared_cover(spec, unused, held_by_id)
+
+
+def _list_unused(
+    spec: EngineSpec,
+    servers: Sequence[BackendServer],
+    held_by_id: Mapping[ServerId, LayerRange],
+) -> list[BackendServer]:
+    """Return the engines of a domain that none of its pipelines uses."""
+    pipelines = find_pipelines(spec, _list_holding(servers, held_by_id))
+    used = {server_id for pipeline in pipelines for server_id in pipeline.server_ids}
+    return [server for server in servers if server.id not in used]
+
+
+def _plan_shared_cover(
+    spec: EngineSpec,
+    unused: Sequence[BackendServer],
+    held_by_id: Mapping[ServerId, LayerRange],
+) -> dict[ServerId, LayerRange]:
+    """Plan a cover of engines that no pipeline uses, across failure domains.
+
+    :param unused: engines that no pipeline of their domain uses.
+    """
     if find_pipelines(spec, _list_holding(unused, held_by_id)):
         return {}
     covers = plan_covers(spec, unused, held_by_id)
--- a/hibiscustiller/layers/tests/test_placement.py
+++ b/hibiscustiller/layers/tests/test_placement.py
@@ -72,6 +72,28 @@
     assert changes == 2
 
 
+def test_engines_left_over_in_a_domain_hold_covers_of_their_own():
+    """Guards against two of three covers of left-over engines that no pipeline uses.
+
+    The search for pipelines takes engines of a domain first. From the parts of two
+    covers across domains it built one pipeline, and the rest of both was of no use.
+    """
+    servers = improve(
+        place(
+            [
+                *make_domain("north", 3, 14, 16),
+                *make_domain("east", 2, 24, 9),
+                *make_domain("south", 4, 10, 11),
+            ]
+        )
+    )
+    pipelines = find_pipelines(SPEC, servers)
+    domains = [{stage.server.domain for stage in p.stages} for p in pipelines]
+    assert all(len(names) == 1 for names in domains[:8]), domains
+    assert sum(len(pipeline.stages) for pipeline in pipelines) >= 80
+    assert len(pipelines) >= 9
+
+
 def test_gap_in_a_domain_takes_precedence_over_shared_cover():
     """Guards against a new plan for a domain whose spares hold layers of another."""
     servers = improve(place(make_fleet()))
