--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -309,10 +309,7 @@
     def _find_pipelines(self, service: ServiceSpec) -> None:
         assert service.engine is not None
         usable = self._list_usable(service, self._view.list_servers(service.name))
-        leaving = self._list_usable(service, self._view.list_leaving(service.name))
-        leaving += self._list_usable(
-            service, self._view.list_servers(service.name), self._is_last_resort
-        )
+        leaving = []
         # In most cases nothing has changed, and the cost of the search grows with the
         # size of the fleet.
         inputs = (service, usable, leaving)
