Choose places beyond the limit by free memory

Without capacity, a stream that lost its pipeline went to the fastest pipeline, as did all others of the same loss, and its engines rejected them.

find_replacement now takes the pipeline with the most free memory and slots relative to its size. Routers that share old reports choose in proportion to the free memory. They ask the allocator of the chosen domain also without capacity, so that it counts the place.

--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -181,17 +181,19 @@
         :param excluded: engines that must not be used.
         :returns: None if no pipeline avoids the excluded engines.
         """
-        for requires_capacity in (True, False):
-            pipeline = self._selector.select(
-                demand.tokens,
-                demand.target_gap,
-                excluded,
-                requires_capacity=requires_capacity,
-                domain=self._domain,
-            )
-            if pipeline is not None:
-                return self.reserve(pipeline, demand)
-        return None
+        pipeline = self.select_replacement(demand, excluded)
+        return None if pipeline is None else self.reserve(pipeline, demand)
+
+    def select_replacement(
+        self, demand: Demand, excluded: Collection[ServerId]
+    ) -> Pipeline | None:
+        """Return the pipeline for a request that has lost its place."""
+        tokens, gap, domain = demand.tokens, demand.target_gap, self._domain
+        pipeline = self._selector.select(tokens, gap, excluded, domain=domain)
+        if pipeline is not None:
+            return pipeline
+        rejecting = self._list_refusing()
+        return self._selector.select_overflow(tokens, gap, excluded, rejecting, domain)
 
     def reserve(self, pipeline: Pipeline, demand: Demand) -> Grant:
         """Reserve a place in a pipeline regardless of its free capacity."""
--- a/hibiscustiller/layers/_choice.py
+++ b/hibiscustiller/layers/_choice.py
@@ -16,6 +16,7 @@
 from hibiscustiller.fleet import EngineSpec
 from hibiscustiller.layers._link import share_link
 from hibiscustiller.layers._load import EngineLoad
+from hibiscustiller.layers._overflow import OverflowCandidate, choose_overflow
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.utils import Clock, DomainId, ServerId
 
@@ -128,15 +129,56 @@
             )
             is not None
         ]
-        has_old_reports = (
-            domain is None and self._count_routers() > MAX_ROUTERS_WITH_FRESH_REPORTS
-        )
-        if has_old_reports and len(candidates) > _SAMPLE_SIZE:
+        if self._has_old_reports(domain) and len(candidates) > _SAMPLE_SIZE:
             candidates = self._random_state.sample(candidates, _SAMPLE_SIZE)
         if not candidates:
             return None
         return min(candidates, key=lambda candidate: candidate[0])[1]
 
+    def select_overflow(
+        self,
+        tokens: float,
+        target_gap: timedelta | None,
+        excluded: Collection[ServerId],
+        rejecting: Collection[ServerId],
+        domain: DomainId | None = None,
+    ) -> Pipeline | None:
+        """Return the pipeline that takes a stream best when none has free capacity.
+
+        :param excluded: engines that must not be used.
+        :param rejecting: engines that are avoided if possible.
+        :returns: None if no pipeline avoids the excluded engines.
+        """
+        candidates = [
+            OverflowCandidate(
+                pipeline,
+                self._get_filled_share(pipeline, tokens),
+                is_rejecting=not set(pipeline.server_ids).isdisjoint(rejecting),
+                is_late=target_gap is not None
+                and self._estimate_gap(pipeline) > target_gap.total_seconds(),
+            )
+            for pipeline in self.list_pipelines(domain)
+            if set(pipeline.server_ids).isdisjoint(excluded)
+        ]
+        has_old_reports = self._has_old_reports(domain)
+        return choose_overflow(
+            candidates, self._random_state if has_old_reports else None
+        )
+
+    def _has_old_reports(self, domain: DomainId | None) -> bool:
+        """Return whether routers that share old reports choose among all pipelines."""
+        return domain is None and self._count_routers() > MAX_ROUTERS_WITH_FRESH_REPORTS
+
+    def _get_filled_share(self, pipeline: Pipeline, tokens: float) -> float:
+        """Return the used share of memory, slots and link with one more request."""
+        assert self.spec is not None
+        share = self._load.get_filled_share(self.spec, pipeline, tokens)
+        limit = self._link_limits.get(pipeline.server_ids)
+        if limit is None:
+            return share
+        used_tokens = self._load.count_tokens(pipeline) + tokens
+        return max(share, used_tokens / limit if limit > 0 else math.inf)
+
     def _estimate_cost(
         self,
         pipeline: Pipeline,
--- a/hibiscustiller/layers/_load.py
+++ b/hibiscustiller/layers/_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -99,6 +100,22 @@
             free_tokens.append((capacity * _USABLE_SHARE - used) / stage.layers.width)
         return min(free_tokens)
 
+    def get_filled_share(
+        self, spec: EngineSpec, pipeline: Pipeline, tokens: float
+    ) -> float:
+        """Return the largest share of an engine's memory or slots that is in use.
+
+        :param tokens: number of tokens of one more request that counts as well.
+        """
+        entry_count = self.get(pipeline.entry.id).entry_count + 1
+        shares = [entry_count / spec.slots]
+        for stage in pipeline.stages:
+            kind = spec.kinds_by_name[stage.server.kind]
+            capacity = count_token_layers(spec, kind, stage.server.layers.width)
+            used = self.get(stage.server.id).token_layers + tokens * stage.layers.width
+            shares.append(used / capacity if capacity > 0 else math.inf)
+        return max(shares)
+
     def get_used_share(self, spec: EngineSpec, server: BackendServer) -> float:
         """Return the larger of the used shares of request memory and slots."""
         kind = spec.kinds_by_name[server.kind]
--- a/hibiscustiller/layers/_shared_admission.py
+++ b/hibiscustiller/layers/_shared_admission.py
@@ -75,7 +75,9 @@
         """Find a new place, without a wait, for a request that has lost its place."""
         if not self._client.uses_allocators:
             return self._local.find_replacement(demand, excluded)
-        pipeline = self._selector.select(demand.tokens, demand.target_gap, excluded)
+        # Without capacity anywhere, the allocator of the pipeline with the most room
+        # beyond the limit is asked, which knows the streams that others sent there.
+        pipeline = self._local.select_replacement(demand, excluded)
         if pipeline is not None:
             result = await self._client.ask(
                 PlaceQuery(
