Do not count rejected attempts against the route's attempts

An entry that passed a stream on to a full stage counted as one of the route's max_attempts, although the request had not run; streams were cut in the middle after two such entries. An attempt that was rejected as not run now takes back its count. An entry on which the request ran before still counts, which it did not if it rejected a later attempt.

--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -152,6 +152,7 @@
     :param priority: priority of the requests; 0 is the most urgent.
     :param weights_by_service: relative share of the requests that each service gets.
     :param max_attempts: maximum number of backend servers to which one request is sent.
+        Streams do not count attempts that a server rejected as not run.
     :param is_public: whether requests are served without an API key.
     :param is_resumable: whether another server may continue an interrupted stream after
         its last event.
--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -8,6 +8,7 @@
 import curio
 
 from hibiscustiller.ingress._context import RequestContext
+from hibiscustiller.ingress._entry_limit import EntryLimit
 from hibiscustiller.ingress._stream_attempts import StreamAttempt, StreamServices
 from hibiscustiller.layers import Demand, Grant
 from hibiscustiller.platform import AnswerFacts
@@ -37,7 +38,7 @@
         self._context = context
         self._demand = demand
         self._excluded_ids: set[ServerId] = set()
-        self._entry_ids: set[ServerId] = set()
+        self._entry_limit = EntryLimit(context.route.max_attempts)
         # Entry servers of second attempts that failed.
         self._failed_ids: set[ServerId] = set()
         self.stalled_ids: set[ServerId] = set()
@@ -47,10 +48,11 @@
     def exclude(self, server_id: ServerId) -> None:
         """Exclude a server from further attempts of this request."""
         self._excluded_ids.add(server_id)
+        self._entry_limit.discount({server_id})
 
     def record_sent(self, entry_id: ServerId) -> None:
         """Record that the request was sent to an engine."""
-        self._entry_ids.add(entry_id)
+        self._entry_limit.record_sent(entry_id)
 
     def record_failed_second(self, entry_id: ServerId) -> None:
         """Record that a second attempt failed; its entry gets no other one."""
@@ -60,7 +62,8 @@
         """Exclude the server that refused an attempt as not run.
 
         The entry is taken to have refused if the answer names no server of the
-        pipeline.
+        pipeline. The attempt does not use up the entry servers that the route allows,
+        also if the entry passed it on to the server that refused.
         """
         named_servers = [
             server
@@ -70,8 +73,9 @@
         services, spec = self._services, self._context.service.engine
         assert spec is not None
         self.refusal_count += 1
+        self._entry_limit.record_rejected(attempt.entry.id)
         for server in named_servers or [attempt.entry]:
-            self.exclude(server.id)
+            self._excluded_ids.add(server.id)
             share = services.load.get_used_share(spec, server)
             services.health.refusals.record_refusal(
                 server, share < _SPARE_CAPACITY_USED_SHARE
@@ -81,7 +85,9 @@
     def exclude_unreachable(self, attempt: StreamAttempt) -> None:
         """Exclude engines of a pipeline that are known to be unreachable."""
         # A leaving engine completes the requests that it has, so it is not excluded.
-        self._excluded_ids |= self._list_unreachable(attempt)
+        unreachable_ids = self._list_unreachable(attempt)
+        self._excluded_ids |= unreachable_ids
+        self._entry_limit.discount(unreachable_ids)
 
     def are_all_reachable(self, attempt: StreamAttempt) -> bool:
         """Tell whether no engine of a pipeline is known to be unreachable."""
@@ -91,11 +97,11 @@
         """Acquire a place at a pipeline for the next attempt, after one has ended.
 
         A server that already ran the request may run it again, but the route limits the
-        number of different entry servers. Excluded servers do not count.
+        number of different entry servers on which it may have run.
 
         :returns: None if the limit is reached or no pipeline is left.
         """
-        if self._is_limit_reached:
+        if self._entry_limit.is_reached:
             return None
         refusing_ids = self._services.health.refusals.list_refusing()
         admission = self._services.admission
@@ -123,7 +129,7 @@
             grant = await self._services.admission.find_replacement(
                 self._demand, unusable_ids
             )
-        if grant is not None or self._is_limit_reached:
+        if grant is not None or self._entry_limit.is_reached:
             return grant
         return self._reserve_fallback(unusable_ids)
 
@@ -162,12 +168,6 @@
             )
         return None
 
-    @property
-    def _is_limit_reached(self) -> bool:
-        """Whether the route allows no further entry server."""
-        limit = max(1, self._context.route.max_attempts)
-        return len(self._entry_ids - self._excluded_ids) >= limit
-
     def _list_unusable_for_second(self, first: StreamAttempt) -> set[ServerId]:
         """Return the servers that may not get an attempt beside another one."""
         services = self._services
@@ -178,12 +178,12 @@
             *services.open_attempts.list_silent(_SILENCE_TIME),
             *services.health.refusals.list_refusing(),
         }
-        if self._is_limit_reached:
+        if self._entry_limit.is_reached:
             # Only servers that have run the request may run it once more.
             unusable_ids |= {
                 pipeline.entry.id
                 for pipeline in services.selector.pipelines
-                if pipeline.entry.id not in self._entry_ids
+                if pipeline.entry.id not in self._entry_limit.entry_ids
             }
         return unusable_ids
 
