--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -209,6 +209,24 @@
         await world.wait_for_pipelines(2)
 
 
+async def test_full_stages_behind_several_entries_do_not_use_up_the_attempts():
+    """Guards against a stream that is refused after two entries met full stages.
+
+    The route allows two attempts, and the request has not run at either entry.
+    """
+    ids = ("a0", "a1", "b0", "b1", "c0", "c1")
+    domains = ("north", "north", "east", "east", "south", "south")
+    async with World(ids, domains, "small") as world:
+        await world.wait_for_pipelines(3)
+        lasts = [e for e in world.engines if e.layers == (4, 8)]
+        for engine in lasts[:2]:
+            engine.faults.is_full = True
+        answer = await world.request("/chat/1")
+        assert answer.body == WHOLE_STREAM, answer.status
+        entries = [e for e in world.engines if e.layers == (0, 4) and e.requests]
+        assert len(entries) == 3
+
+
 async def test_stream_of_another_request_does_not_reach_the_caller():
     """Guards against an answer that is delivered to the wrong caller."""
     async with World(("e0",), ("north",)) as world:
