Back off at the allocator from engines that reject requests

The announced free capacity leaves their pipelines out until a place there is given back. Neither applies if all pipelines are affected. Places for begun streams avoid engines that rejected lately, too.

--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -29,6 +29,7 @@
     PipelineSelector,
     PlaceAllocator,
     PlaceClient,
+    RejectionRecord,
     SharedAdmission,
     find_fastest_pipeline,
     find_pipelines,
@@ -292,6 +293,7 @@
             self._random_state,
             self._health.refusals.list_refusing,
             domain,
+            None if domain is None else RejectionRecord(self._clock),
         )
 
     def _find_alternative(
--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -74,7 +74,9 @@
         assert spec is not None
         self.refusal_count += 1
         self._entry_limit.record_rejected(attempt.entry.id)
-        for server in named_servers or [attempt.entry]:
+        refusing = named_servers or [attempt.entry]
+        attempt.rejected_by = tuple(server.id for server in refusing)
+        for server in refusing:
             self._excluded_ids.add(server.id)
             share = services.load.get_used_share(spec, server)
             services.health.refusals.record_refusal(
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -29,6 +29,7 @@
     Grant,
     Pipeline,
     PipelineSelector,
+    PlaceOutcome,
     SharedAdmission,
     check_pipeline,
 )
@@ -107,6 +108,7 @@
     is the number of events that were passed on, and ``progress_at`` when the latest of
     them was, or when the attempt began. ``events`` have been read but not been
     passed on. ``is_judged`` tells whether the head of the answer was found acceptable.
+    ``rejected_by`` are the servers that rejected the request.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         self.has_head = False
         self.is_judged = False
         self.is_at_end = False
+        self.rejected_by: tuple[ServerId, ...] = ()
         self.exchange: Exchange | None = None
         self.hold: BodyHold = services.client.memory.hold(self.entry.address)
         self._splitter = EventSplitter(self.hold)
@@ -258,7 +261,8 @@
             if self.exchange is not None:
                 await self.exchange.close()
         finally:
-            await services.admission.release(self.grant)
+            place_outcome = PlaceOutcome(rejected_by=self.rejected_by)
+            await services.admission.release(self.grant, place_outcome)
         self._record_crash_outcome(outcome)
 
     def _keep_unanswered(self) -> None:
--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -13,6 +13,7 @@
     World,
     make_document,
 )
+from hibiscustiller.layers import UNKNOWN_OUTCOME
 from hibiscustiller.standins import make_event
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import HttpClient
@@ -227,6 +228,24 @@
         assert len(entries) == 3
 
 
+async def test_rejections_are_reported_with_the_release_of_the_place():
+    """Guards against an allocator that grants further places at a full engine."""
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        admission = world.gateway.models.forwarders_by_service["engines"].admission
+        outcomes, release = [], admission.release
+
+        async def record_release(grant, outcome=UNKNOWN_OUTCOME):
+            outcomes.append(outcome)
+            await release(grant, outcome)
+
+        admission.release = record_release
+        world.engines[0].faults.is_full = True
+        assert (await world.request("/chat/1")).body == WHOLE_STREAM
+    assert [outcome.rejected_by for outcome in outcomes] == [("e0",), ()]
+
+
 async def test_stream_of_another_request_does_not_reach_the_caller():
     """Guards against an answer that is delivered to the wrong caller."""
     async with World(("e0",), ("north",)) as world:
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -20,6 +20,7 @@
 from hibiscustiller.layers._place_client import PlaceClient
 from hibiscustiller.layers._placement import plan_covers, plan_layers
 from hibiscustiller.layers._placer import EngineGroup, LayerPlacer
+from hibiscustiller.layers._rejections import RejectionRecord
 from hibiscustiller.layers._shared_admission import SharedAdmission
 
 __all__ = [
@@ -36,6 +37,7 @@
     "PipelineSelector",
     "PlaceClient",
     "PlaceAllocator",
+    "RejectionRecord",
     "SharedAdmission",
     "Stage",
     "check_pipeline",
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -15,6 +15,7 @@
 from hibiscustiller.layers._load import EngineLoad
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._queue import FairQueue
+from hibiscustiller.layers._rejections import RejectionRecord
 from hibiscustiller.utils import (
     Clock,
     DomainId,
@@ -113,6 +114,8 @@
     :param list_refusing: returns the engines that refused a request recently.
     :param domain: only pipelines whose first engine is in this domain are used; None
         for all.
+    :param rejections: engines that rejected requests of any router; None for an
+        admission that allocates no places.
     """
 
     def __init__(
@@ -123,8 +126,10 @@
         random_state: random.Random,
         list_refusing: Callable[[], Set[ServerId]] = frozenset,
         domain: DomainId | None = None,
+        rejections: RejectionRecord | None = None,
     ) -> None:
         self._domain = domain
+        self._rejections = rejections
         self._list_refusing = list_refusing
         self._selector = selector
         self._load = load
@@ -189,10 +194,12 @@
     ) -> Pipeline | None:
         """Return the pipeline for a request that has lost its place."""
         tokens, gap, domain = demand.tokens, demand.target_gap, self._domain
-        pipeline = self._selector.select(tokens, gap, excluded, domain=domain)
+        rejecting = self._list_rejecting(excluded)
+        pipeline = self._selector.select(
+            tokens, gap, {*excluded, *rejecting}, domain=domain
+        )
         if pipeline is not None:
             return pipeline
-        rejecting = self._list_refusing()
         return self._selector.select_overflow(tokens, gap, excluded, rejecting, domain)
 
     def reserve(self, pipeline: Pipeline, demand: Demand) -> Grant:
@@ -214,6 +221,10 @@
         :param outcome: what became of the request that held it.
         """
         self._load.remove(grant.pipeline, grant.tokens)
+        if self._rejections is not None:
+            self._rejections.record_release(
+                grant.pipeline.server_ids, outcome.rejected_by
+            )
         self._update_rate(grant.tokens)
         await self.grant_waiting()
 
@@ -240,25 +251,38 @@
         """Return the free capacity in tokens; 0 while requests wait for a place."""
         if self._selector.spec is None or len(self._queue):
             return 0.0
+        pipelines = self._selector.list_pipelines(self._domain)
+        full = set() if self._rejections is None else self._rejections.list_full()
+        with_room = [p for p in pipelines if full.isdisjoint(p.server_ids)]
         return sum(
             max(0.0, self._selector.get_free_tokens(pipeline))
-            for pipeline in self._selector.list_pipelines(self._domain)
+            for pipeline in with_room or pipelines
         )
 
     def _try_grant(self, demand: Demand) -> Grant | None:
-        refusing = self._list_refusing()
-        if all(
-            not refusing.isdisjoint(pipeline.server_ids)
-            for pipeline in self._selector.list_pipelines(self._domain)
-        ):
-            # Waiting would not help: when the request is sent, it is retried around the
-            # engines that refuse it.
-            refusing = frozenset()
         pipeline = self._selector.select(
-            demand.tokens, demand.target_gap, refusing, domain=self._domain
+            demand.tokens,
+            demand.target_gap,
+            self._list_rejecting(),
+            domain=self._domain,
         )
         return None if pipeline is None else self.reserve(pipeline, demand)
 
+    def _list_rejecting(self, excluded: Collection[ServerId] = ()) -> Set[ServerId]:
+        """Return the engines that rejected a request lately.
+
+        :param excluded: engines that are not used in any case.
+        :returns: no engine if every pipeline has such an engine: waiting would not
+            help, and a request that is rejected is retried around the engine.
+        """
+        rejecting = self._list_refusing()
+        if self._rejections is not None:
+            rejecting = rejecting | self._rejections.list_excluded()
+        for pipeline in self._selector.list_pipelines(self._domain):
+            if {*excluded, *rejecting}.isdisjoint(pipeline.server_ids):
+                return rejecting
+        return frozenset()
+
     def _estimate_wait(self, demand: Demand) -> timedelta:
         self._update_rate(0.0)
         tokens_ahead, class_share = self._queue.estimate_share(
