Let streams that lost their place wait before new requests

A begun stream that found no free place took one beyond the usual limit at once.

Such a stream now waits at the allocator (isBegun with mayWait), in the order of arrival and before all new requests, for half of the time after which its caller leaves less the time without an event. A place that waiting streams exclude still goes to new requests. The field timeLeftMs carries the longest wait; older allocators ignore it and answer at once. A waiting router repeats its request every 250 ms, so that it learns of an allocator that has ended and of a lost grant.

--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -539,6 +539,7 @@
             "places": {
                 "given": self.models.place_allocator.held_count,
                 "held": self.models.place_client.held_count,
+                "displaced": self.models.count_displaced(),
                 "gives_out": [
                     f"{service}/{domain}"
                     for service, domain in self.models.list_service_domains()
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -165,6 +165,10 @@
         ]
         return {routers[0] for routers in allocators if routers}
 
+    def count_displaced(self) -> int:
+        """Return how many begun streams wait here for a place in another pipeline."""
+        return sum(a.displaced_count for a in self._admissions.values())
+
     def request_refresh(self) -> None:
         """Request a new search for pipelines after a change."""
         self._is_stale.set()
--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -19,6 +19,8 @@
 # Events come every 250 ms or faster, and first events take up to about half a second.
 # An engine that sends none for longer to any stream is silent.
 _SILENCE_TIME = timedelta(milliseconds=650)
+# The answer of an allocator takes less than this, so that a longer time is a wait.
+_MIN_LOGGED_WAIT = timedelta(milliseconds=20)
 
 
 class PipelineSearch:
@@ -37,6 +39,8 @@
         self._context = context
         self._demand = demand
         self._excluded_ids: set[ServerId] = set()
+        # Excluded servers that rejected the request while they were in use.
+        self._full_ids: set[ServerId] = set()
         self._entry_ids: set[ServerId] = set()
         # Entry servers of second attempts that failed.
         self._failed_ids: set[ServerId] = set()
@@ -73,9 +77,10 @@
         for server in named_servers or [attempt.entry]:
             self.exclude(server.id)
             share = services.load.get_used_share(spec, server)
-            services.health.refusals.record_refusal(
-                server, share < _SPARE_CAPACITY_USED_SHARE
-            )
+            is_full = share >= _SPARE_CAPACITY_USED_SHARE
+            services.health.refusals.record_refusal(server, not is_full)
+            if is_full:
+                self._full_ids.add(server.id)
             self._context.log("attempt_refused", server=server.id, used_share=share)
 
     def exclude_unreachable(self, attempt: StreamAttempt) -> None:
@@ -87,42 +92,51 @@
         """Tell whether no engine of a pipeline is known to be unreachable."""
         return not self._list_unreachable(attempt)
 
-    async def find_next(self) -> Grant | None:
+    async def find_next(self, max_wait: timedelta) -> Grant | None:
         """Acquire a place at a pipeline for the next attempt, after one has ended.
 
         A server that already ran the request may run it again, but the route limits the
         number of different entry servers. Excluded servers do not count.
 
+        :param max_wait: longest wait for a free place; a full engine would reject the
+            request, at the cost of another retry.
         :returns: None if the limit is reached or no pipeline is left.
         """
         if self._is_limit_reached:
             return None
-        refusing_ids = self._services.health.refusals.list_refusing()
-        admission = self._services.admission
-        silent_ids = self._services.open_attempts.list_silent(_SILENCE_TIME)
+        services = self._services
+        refusing_ids = services.health.refusals.list_refusing()
+        silent_ids = services.open_attempts.list_silent(_SILENCE_TIME)
         avoided_ids = self.stalled_ids | silent_ids | refusing_ids
-        for ids in (avoided_ids, refusing_ids, set()):
-            grant = await admission.find_replacement(
-                self._demand, self._excluded_ids | ids
-            )
+        excluded_ids = self._excluded_ids
+        choices = [excluded_ids | avoided_ids, excluded_ids | refusing_ids]
+        choices.append(excluded_ids)
+        if services.admission.uses_allocators and max_wait > timedelta(0):
+            # An engine that was full takes the request once a place there is free.
+            choices.append(excluded_ids - self._full_ids)
+        ends_at = self._context.clock.monotonic() + max_wait
+        for ids in choices:
+            remaining = ends_at - self._context.clock.monotonic()
+            grant = await self._wait_for_place(ids, max(remaining, timedelta(0)))
             if grant is not None:
                 return grant
         return self._reserve_fallback(self._excluded_ids)
 
-    async def find_second(self, first: StreamAttempt) -> Grant | None:
+    async def find_second(
+        self, first: StreamAttempt, max_wait: timedelta
+    ) -> Grant | None:
         """Acquire a place for an attempt beside another one, which is silent.
 
         Only pipelines that probably answer are of use: the silent engine may go on at
         any time.
 
+        :param max_wait: longest wait for a free place.
         :returns: None if there is no such pipeline, or the route allows no other.
         """
         unusable_ids = self._list_unusable_for_second(first)
         grant = None
         if self._has_pipeline(unusable_ids):
-            grant = await self._services.admission.find_replacement(
-                self._demand, unusable_ids
-            )
+            grant = await self._wait_for_place(unusable_ids, max_wait)
         if grant is not None or self._is_limit_reached:
             return grant
         return self._reserve_fallback(unusable_ids)
@@ -197,6 +211,28 @@
             for pipeline in self._services.selector.pipelines
         )
 
+    async def _wait_for_place(
+        self, excluded_ids: Collection[ServerId], max_wait: timedelta
+    ) -> Grant | None:
+        """Acquire a place without some servers, after a wait if all are in use."""
+        services, clock = self._services, self._context.clock
+        started_at = clock.monotonic()
+        grant = await services.admission.find_replacement(
+            self._demand, excluded_ids, max_wait
+        )
+        waited = clock.monotonic() - started_at
+        if grant is not None and max_wait > timedelta(0):
+            services.metrics.timing("wait_for_replacement", waited)
+        if waited >= _MIN_LOGGED_WAIT:
+            self._context.log(
+                "replacement_waited",
+                waited=waited,
+                max_wait=max_wait,
+                entry=None if grant is None else grant.pipeline.entry.id,
+                excluded=len(excluded_ids),
+            )
+        return grant
+
     def _reserve_fallback(self, excluded_ids: Collection[ServerId]) -> Grant | None:
         """Reserve a place at a pipeline that is not among the current ones.
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -13,7 +13,6 @@
 from result import Err
 
 from hibiscustiller.exceptions import TransportError
-from hibiscustiller.fleet import IngressRoute
 from hibiscustiller.ingress._context import (
     MAX_BODY_BYTES,
     NOT_RUN_STATUSES,
@@ -24,6 +23,10 @@
     send_to_caller,
 )
 from hibiscustiller.ingress._events import Event, select_new_events
+from hibiscustiller.ingress._patience import (
+    compute_replacement_wait,
+    compute_stall_timeout,
+)
 from hibiscustiller.ingress._pipeline_search import PipelineSearch
 from hibiscustiller.ingress._stream_attempts import (
     Outcome,
@@ -48,14 +51,6 @@
 # The stages of a stream are checked by connecting to them after a pause of this length,
 # and again after each further one. The pauses of a full pipeline are shorter.
 _STAGE_CHECK_PERIOD = timedelta(milliseconds=240)
-# A caller that receives no event disconnects after the longest of these: a fixed time,
-# a multiple of the target latency, a multiple of the target gap.
-_MIN_CALLER_TIMEOUT = timedelta(seconds=2)
-_CALLER_TIMEOUT_LATENCIES = 4
-_CALLER_TIMEOUT_GAPS = 8
-# Share of the caller's timeout after which a second attempt is made beside a silent
-# one. The rest is left for another pipeline to process the prompt.
-_STALL_TIMEOUT_SHARE = 0.65
 # A search for a second pipeline that found none is repeated after this time.
 _SECOND_SEARCH_PERIOD = timedelta(milliseconds=150)
 _RETRY_AFTER = timedelta(milliseconds=700)
@@ -167,7 +162,9 @@
         self._is_trial = False
         self._attempt_count = 0
         self._event_count = 0
-        self._stall_timeout = _compute_stall_timeout(context.route)
+        # When the caller received the latest event, or the request arrived.
+        self._served_at = context.received_at
+        self._stall_timeout = compute_stall_timeout(context.route)
         self._second: curio.Task | None = None
         self._second_search_at = timedelta(0)
         # Whether the budget has allowed a retry that was not sent yet.
@@ -212,7 +209,7 @@
                 return refusal
             if self._may_forward_to_router:
                 return await self._forward_to_router()
-            next_grant = await self._search.find_next()
+            next_grant = await self._search.find_next(self._compute_max_wait())
             if next_grant is None:
                 return self._make_refusal("no other pipeline is available")
             self._services.metrics.count(f"streams.repeated.{outcome.value}")
@@ -504,6 +501,7 @@
         attempt.record_progress(len(events))
         data = b"".join(event.data for event in events)
         await send_to_caller(self._responder.send_part(data))
+        self._served_at = self._context.clock.monotonic()
 
     async def _start_response(self, attempt: StreamAttempt) -> None:
         """Send the head unless it was sent.
@@ -650,6 +648,7 @@
             self._is_handed_over = True
             self._last_event = last_event
             self._event_count += event_count
+            self._served_at = self._context.clock.monotonic()
             self._may_have_run = True
 
         return await self._services.routers.forward(
@@ -710,7 +709,7 @@
         refusal = await self._wait_until_retryable()
         if refusal is not None:
             return None, refusal.message
-        found = await self._search.find_second(first)
+        found = await self._search.find_second(first, self._compute_max_wait())
         if found is None:
             return None, "no other pipeline is known to answer"
         may_send = False
@@ -727,6 +726,12 @@
         self._has_retry = False
         return grant, ""
 
+    def _compute_max_wait(self) -> timedelta:
+        """Return how long the stream may wait for a place at another pipeline."""
+        context = self._context
+        silent_for = context.clock.monotonic() - self._served_at
+        return compute_replacement_wait(context.route, silent_for, context.time_left)
+
     def _keep_unused_retry(self, attempt: StreamAttempt) -> None:
         """Let the next attempt take the place of one that sent nothing."""
         if attempt.sent_at is None:
@@ -838,13 +843,3 @@
     exchange = attempt.exchange
     assert exchange is not None
     return exchange.status == _STATUS_OK and is_event_stream(exchange)
-
-
-def _compute_stall_timeout(route: IngressRoute) -> timedelta:
-    """Return how long a stream may be silent before a second attempt is made."""
-    caller_timeout = max(
-        _MIN_CALLER_TIMEOUT, route.target_latency * _CALLER_TIMEOUT_LATENCIES
-    )
-    if route.target_gap is not None:
-        caller_timeout = max(caller_timeout, route.target_gap * _CALLER_TIMEOUT_GAPS)
-    return caller_timeout * _STALL_TIMEOUT_SHARE
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from hibiscustiller.layers._choice import PipelineSelector
+from hibiscustiller.layers._displaced import DisplacedQueue
 from hibiscustiller.layers._load import EngineLoad
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._queue import FairQueue
@@ -131,17 +132,25 @@
         self._clock = clock
         self._random_state = random_state
         self._queue: FairQueue[_Waiter] = FairQueue()
+        self._displaced: DisplacedQueue[_Waiter] = DisplacedQueue()
         self._released_tokens_per_s = 0.0
         self._rate_updated_at = clock.monotonic()
 
     @property
     def waiting_count(self) -> int:
         """Number of requests that wait for a place."""
-        return len(self._queue)
+        return len(self._queue) + len(self._displaced)
+
+    @property
+    def displaced_count(self) -> int:
+        """Number of begun streams that wait for a place."""
+        return len(self._displaced)
 
     def try_admit(self, demand: Demand) -> Grant | None:
         """Grant a free place; None if none is free or other requests wait."""
-        return None if len(self._queue) else self._try_grant(demand)
+        if len(self._queue):
+            return None
+        return self._try_grant(demand, self._list_reserved())
 
     async def admit(self, demand: Demand) -> Result[Grant, Refusal]:
         """Wait for a place, or refuse at once if the expected wait is too long."""
@@ -193,6 +202,41 @@
                 return self.reserve(pipeline, demand)
         return None
 
+    def try_replace(
+        self, demand: Demand, excluded: Collection[ServerId]
+    ) -> Grant | None:
+        """Grant a free place to a begun stream; None if it would have to wait.
+
+        :param excluded: engines that must not be used.
+        """
+        return self._try_grant(demand, {*excluded, *self._list_reserved()})
+
+    async def wait_for_replacement(
+        self, demand: Demand, excluded: Collection[ServerId], max_wait: timedelta
+    ) -> Grant | None:
+        """Find a new place for a begun stream, which waits before all new requests.
+
+        When the wait is over, the stream may exceed the usual limit of a pipeline.
+
+        :param excluded: engines that must not be used.
+        :returns: None if no pipeline avoids the excluded engines.
+        """
+        waiter = _Waiter(demand)
+        if self._may_use_any(excluded):
+            self._displaced.push(waiter, demand.tokens, excluded)
+            try:
+                await self.grant_waiting()
+                await wait_for_event(max_wait, waiter.is_granted)
+            except BaseException:
+                self._displaced.remove(waiter)
+                if waiter.grant is not None:
+                    await self.release(waiter.grant)
+                raise
+        if waiter.grant is not None:
+            return waiter.grant
+        self._displaced.remove(waiter)
+        return self.find_replacement(demand, excluded)
+
     def reserve(self, pipeline: Pipeline, demand: Demand) -> Grant:
         """Reserve a place in a pipeline regardless of its free capacity."""
         return self.record_place(pipeline, demand.tokens, demand)
@@ -217,9 +261,13 @@
 
     async def grant_waiting(self) -> None:
         """Grant free places to waiting requests; call whenever one may be free."""
+        for waiter in self._displaced.grant(
+            self._selector.list_pipelines(self._domain), self._try_grant_displaced
+        ):
+            await waiter.is_granted.set()
         while (head := self._queue.peek()) is not None:
             _, waiter = head
-            grant = self._try_grant(waiter.demand)
+            grant = self._try_grant(waiter.demand, self._list_reserved())
             if grant is None:
                 return
             self._queue.pop()
@@ -236,14 +284,34 @@
 
     def count_free_tokens(self) -> float:
         """Return the free capacity in tokens; 0 while requests wait for a place."""
-        if self._selector.spec is None or len(self._queue):
+        if self._selector.spec is None or self.waiting_count:
             return 0.0
         return sum(
             max(0.0, self._selector.get_free_tokens(pipeline))
             for pipeline in self._selector.list_pipelines(self._domain)
         )
 
-    def _try_grant(self, demand: Demand) -> Grant | None:
+    def _list_reserved(self) -> Set[ServerId]:
+        """Return the engines that new requests leave to streams that wait."""
+        if not len(self._displaced):
+            return frozenset()
+        return self._displaced.list_reserved(
+            self._selector.list_pipelines(self._domain)
+        )
+
+    def _may_use_any(self, excluded: Collection[ServerId]) -> bool:
+        return any(
+            set(excluded).isdisjoint(pipeline.server_ids)
+            for pipeline in self._selector.list_pipelines(self._domain)
+        )
+
+    def _try_grant_displaced(self, waiter: _Waiter, excluded: Set[ServerId]) -> bool:
+        waiter.grant = self._try_grant(waiter.demand, excluded)
+        return waiter.grant is not None
+
+    def _try_grant(
+        self, demand: Demand, excluded: Set[ServerId] = frozenset()
+    ) -> Grant | None:
         refusing = self._list_refusing()
         if all(
             not refusing.isdisjoint(pipeline.server_ids)
@@ -253,7 +321,7 @@
             # engines that refuse it.
             refusing = frozenset()
         pipeline = self._selector.select(
-            demand.tokens, demand.target_gap, refusing, domain=self._domain
+            demand.tokens, demand.target_gap, refusing | excluded, domain=self._domain
         )
         return None if pipeline is None else self.reserve(pipeline, demand)
 
@@ -262,6 +330,7 @@
         tokens_ahead, class_share = self._queue.estimate_share(
             demand.priority, demand.organisation, demand.tokens
         )
+        tokens_ahead += self._displaced.waiting_tokens
         if not tokens_ahead:
             return timedelta(0)
         rate = self._released_tokens_per_s * class_share
--- a/hibiscustiller/layers/_place_allocator.py
+++ b/hibiscustiller/layers/_place_allocator.py
@@ -84,7 +84,8 @@
         self._get_server = get_server
         self._clock = clock
         self._places_by_key: dict[PlaceKey, _GrantedPlace] = {}
-        self._waiting_keys: set[PlaceKey] = set()
+        # The task of a wait is None until it has started.
+        self._waits_by_key: dict[PlaceKey, curio.Task | None] = {}
         self.is_stopping = False
         datagrams.register(PlaceRequest, self._handle_request)
         datagrams.register(PlaceRelease, self._handle_release)
@@ -112,7 +113,7 @@
         if place is not None:
             await self._answer(address, key, PlaceStatus.PLACED, place.grant)
             return
-        if key in self._waiting_keys:
+        if key in self._waits_by_key:
             await self._answer(address, key, PlaceStatus.WAITING)
             return
         service = ServiceName(request.service)
@@ -121,18 +122,24 @@
             await self._answer(address, key, PlaceStatus.ASK_ANOTHER)
             return
         demand = unpack_demand(request)
-        if request.is_begun:
-            excluded = {ServerId(server_id) for server_id in request.excluded}
-            grant = admission.find_replacement(demand, excluded)
-        else:
+        excluded = {ServerId(server_id) for server_id in request.excluded}
+        if not request.is_begun:
             grant = admission.try_admit(demand)
+        elif request.may_wait:
+            grant = admission.try_replace(demand, excluded)
+        else:
+            grant = admission.find_replacement(demand, excluded)
         if grant is not None:
             self._record(key, grant, admission)
             await self._answer(address, key, PlaceStatus.PLACED, grant)
-        elif request.may_wait and not request.is_begun:
-            self._waiting_keys.add(key)
+        elif request.may_wait:
+            wait = self._wait_for_replacement if request.is_begun else self._wait
+            self._waits_by_key[key] = None
             await self._answer(address, key, PlaceStatus.WAITING)
-            await curio.spawn(self._wait, address, key, admission, request, daemon=True)
+            arguments = (address, key, admission, request)
+            task = await curio.spawn(wait, *arguments, daemon=True)
+            if key in self._waits_by_key:
+                self._waits_by_key[key] = task
         else:
             await self._answer(address, key, PlaceStatus.NO_ROOM)
 
@@ -146,7 +153,7 @@
         try:
             result = await admission.admit(unpack_demand(request))
         finally:
-            self._waiting_keys.discard(key)
+            self._waits_by_key.pop(key, None)
         if isinstance(result, Ok):
             self._record(key, result.ok_value, admission)
             await self._answer(address, key, PlaceStatus.PLACED, result.ok_value)
@@ -154,6 +161,27 @@
         retry_after = result.err_value.retry_after or timedelta(0)
         await self._answer(address, key, PlaceStatus.REFUSED, retry_after=retry_after)
 
+    async def _wait_for_replacement(
+        self,
+        address: Address,
+        key: PlaceKey,
+        admission: Admission,
+        request: PlaceRequest,
+    ) -> None:
+        excluded = {ServerId(server_id) for server_id in request.excluded}
+        max_wait = timedelta(milliseconds=request.time_left_ms)
+        try:
+            grant = await admission.wait_for_replacement(
+                unpack_demand(request), excluded, max_wait
+            )
+        finally:
+            self._waits_by_key.pop(key, None)
+        if grant is None:
+            await self._answer(address, key, PlaceStatus.NO_ROOM)
+            return
+        self._record(key, grant, admission)
+        await self._answer(address, key, PlaceStatus.PLACED, grant)
+
     async def _answer(
         self,
         address: Address,
@@ -192,7 +220,12 @@
     async def _handle_release(
         self, router_id: RouterId, address: Address, release: PlaceRelease
     ) -> None:
-        await self._reclaim((router_id, release.place_id), unpack_outcome(release))
+        key = (router_id, release.place_id)
+        wait = self._waits_by_key.get(key)
+        if wait is not None:
+            # The caller has left. A stream that waits on would keep places from others.
+            await wait.cancel()
+        await self._reclaim(key, unpack_outcome(release))
 
     async def _reclaim(
         self, key: PlaceKey, outcome: PlaceOutcome = UNKNOWN_OUTCOME
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from result import Err, Ok, Result
@@ -40,7 +40,7 @@
     Verdict,
     log_event,
 )
-from hibiscustiller.wire import DatagramSocket, PendingRequests
+from hibiscustiller.wire import DatagramSocket, PendingRequest, PendingRequests
 from hibiscustiller.wire._messages_generated import (
     HeldPlace,
     PlaceAnswer,
@@ -54,6 +54,9 @@
 _MAX_ROUTERS_ASKED = 2
 # Added to the longest wait, which the allocator enforces, for its answer to arrive.
 _ANSWER_MARGIN = timedelta(milliseconds=100)
+# A waiting stream that has begun repeats its request after this time, so that it learns
+# soon that its allocator has ended, and a lost grant is sent again.
+_REPEAT_PERIOD = timedelta(milliseconds=250)
 # Time for which a router that did not answer is not asked again.
 _BACKOFF = timedelta(seconds=1)
 _HOLDINGS_PERIOD = timedelta(seconds=1)
@@ -159,7 +162,11 @@
         :returns: None if no router answers, or if there is no free place for a request
             that may not wait.
         """
+        started_at = self._clock.monotonic()
         for router_id in self.list_allocators(query.domain)[:_MAX_ROUTERS_ASKED]:
+            if query.excluded is not None:
+                query = self._shorten_wait(query, started_at)
+                started_at = self._clock.monotonic()
             if router_id == self.router_id:
                 return await self._admit(query)
             status, result = await self._ask_router(router_id, query)
@@ -186,7 +193,11 @@
         admission = self._get_admission(query.service, query.domain)
         if admission is None:
             return None
-        if query.excluded is not None:
+        if query.excluded is not None and query.may_wait:
+            grant = await admission.wait_for_replacement(
+                query.demand, query.excluded, query.max_wait
+            )
+        elif query.excluded is not None:
             grant = admission.find_replacement(query.demand, query.excluded)
         elif query.may_wait:
             return await admission.admit(query.demand)
@@ -203,8 +214,7 @@
                 await self._send(allocator, pack_query(query, request.id))
                 answer = await request.wait(self._answer_timeout)
                 if answer.status == PlaceStatus.WAITING:
-                    max_wait = query.demand.target_latency * MAX_WAIT_SHARE
-                    answer = await request.wait(max_wait + _ANSWER_MARGIN)
+                    answer = await self._wait_for_place(request, allocator, query)
             except TimeoutError:
                 self._mark_unresponsive(allocator)
                 return None, None
@@ -214,6 +224,42 @@
                 raise
         return await self._process_answer(answer, allocator, query)
 
+    async def _wait_for_place(
+        self, request: PendingRequest, allocator: RouterId, query: PlaceQuery
+    ) -> PlaceAnswer:
+        """Wait for the final answer to a request that waits at an allocator.
+
+        :raises TimeoutError: if the allocator does not answer any more.
+        """
+        if query.excluded is None:
+            max_wait = query.demand.target_latency * MAX_WAIT_SHARE
+            return await request.wait(max_wait + _ANSWER_MARGIN)
+        ends_at = self._clock.monotonic() + query.max_wait
+        is_answered = True
+        while True:
+            remaining = ends_at - self._clock.monotonic()
+            timeout = min(_REPEAT_PERIOD, remaining + _ANSWER_MARGIN)
+            try:
+                answer = await request.wait(timeout)
+            except TimeoutError:
+                remaining = ends_at - self._clock.monotonic()
+                if not is_answered or remaining <= timedelta(0):
+                    raise
+                is_answered = False
+                repeated = replace(query, max_wait=remaining)
+                await self._send(allocator, pack_query(repeated, request.id))
+                continue
+            if answer.status != PlaceStatus.WAITING:
+                return answer
+            is_answered = True
+
+    def _shorten_wait(self, query: PlaceQuery, since: timedelta) -> PlaceQuery:
+        """Return the query of a begun stream that has waited for a time already."""
+        max_wait = query.max_wait - (self._clock.monotonic() - since)
+        max_wait = max(max_wait, timedelta(0))
+        may_wait = query.may_wait and max_wait > timedelta(0)
+        return replace(query, may_wait=may_wait, max_wait=max_wait)
+
     async def _process_answer(
         self, answer: PlaceAnswer, allocator: RouterId, query: PlaceQuery
     ) -> tuple[PlaceStatus | None, Result[Grant, Refusal] | None]:
--- a/hibiscustiller/layers/_place_messages.py
+++ b/hibiscustiller/layers/_place_messages.py
@@ -44,6 +44,8 @@
     :param may_wait: whether the request may wait for a place.
     :param excluded: servers that a stream which has already begun must not use; None
         for a new request.
+    :param max_wait: longest wait of a stream that has already begun and may wait. The
+        wait of a new request follows from its target latency.
     """
 
     demand: Demand
@@ -51,12 +53,17 @@
     domain: DomainId
     may_wait: bool
     excluded: tuple[ServerId, ...] | None = None
+    max_wait: timedelta = timedelta(0)
 
 
 def pack_query(query: PlaceQuery, place_id: int) -> PlaceRequest:
     """Build the message that requests a place."""
     demand, excluded = query.demand, query.excluded
     gap = demand.target_gap
+    # A begun stream is not refused for its deadline, so that the field for the time
+    # left carries how long it may wait. Older allocators do not read it then.
+    has_max_wait = excluded is not None and query.may_wait
+    time_left = query.max_wait if has_max_wait else demand.remaining_time
     return PlaceRequest(
         place_id=place_id,
         service=query.service,
@@ -66,7 +73,7 @@
         tokens=demand.tokens,
         target_latency_ms=demand.target_latency // _MS,
         longest_gap_ms=0 if gap is None else max(1, gap // _MS),
-        time_left_ms=max(0, demand.remaining_time // _MS),
+        time_left_ms=max(0, time_left // _MS),
         may_wait=query.may_wait,
         is_begun=excluded is not None,
         excluded=excluded or (),
--- a/hibiscustiller/layers/_shared_admission.py
+++ b/hibiscustiller/layers/_shared_admission.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Collection
+from datetime import timedelta
 
 from result import Ok, Result
 
@@ -53,6 +54,11 @@
         self._selector = selector
         self._client = client
 
+    @property
+    def uses_allocators(self) -> bool:
+        """Whether other routers may allocate the places, so that streams may wait."""
+        return self._client.uses_allocators
+
     @property
     def waiting_count(self) -> int:
         """Number of requests that wait at this router for a place."""
@@ -70,20 +76,36 @@
         return await self._local.admit(demand)
 
     async def find_replacement(
-        self, demand: Demand, excluded: Collection[ServerId]
+        self,
+        demand: Demand,
+        excluded: Collection[ServerId],
+        max_wait: timedelta = timedelta(0),
     ) -> Grant | None:
-        """Find a new place, without a wait, for a request that has lost its place."""
+        """Find a new place for a request that has lost its place.
+
+        :param excluded: engines that must not be used.
+        :param max_wait: longest wait at an allocator for a free place. Afterwards, the
+            place may exceed the usual limit of a pipeline.
+        """
         if not self._client.uses_allocators:
             return self._local.find_replacement(demand, excluded)
+        may_wait = max_wait > timedelta(0)
         pipeline = self._selector.select(demand.tokens, demand.target_gap, excluded)
+        if pipeline is None and may_wait:
+            # All are full by this router's reports; the allocator knows which place
+            # becomes free.
+            pipeline = self._selector.select(
+                demand.tokens, demand.target_gap, excluded, requires_capacity=False
+            )
         if pipeline is not None:
             result = await self._client.ask(
                 PlaceQuery(
                     demand,
                     self._service,
                     pipeline.entry.domain,
-                    may_wait=False,
+                    may_wait=may_wait,
                     excluded=tuple(excluded),
+                    max_wait=max_wait,
                 )
             )
             if isinstance(result, Ok):
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -1,7 +1,11 @@
 """HTTP/1.1 on both sides, and the framed messages between routers."""
 
 from hibiscustiller.wire._compression import compress, decompress_bounded
-from hibiscustiller.wire._datagrams import DatagramSocket, PendingRequests
+from hibiscustiller.wire._datagrams import (
+    DatagramSocket,
+    PendingRequest,
+    PendingRequests,
+)
 from hibiscustiller.wire._deadlines import wait_at_most, wait_for_event
 from hibiscustiller.wire._http_client import (
     AnswerStream,
@@ -41,6 +45,7 @@
     "HttpLimits",
     "HttpRequest",
     "HttpServer",
+    "PendingRequest",
     "PendingRequests",
     "RawRequest",
     "Responder",
