Choose the domain in which a request waits by announced waits

A request waited in its own domain only, and one other domain was asked once; requests were refused in one domain while another had room (578, 373 and 188 of about a third of the requests each).

A request that one allocator refuses at once is sent to another queue whose announced wait is short enough. PlaceClient keeps the waits with their age; no allocator sends any yet.

test_domain_choice, test_places_of_a_large_fleet, test_losses_in_series: 22 passed.

--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from result import Err, Ok, Result
@@ -18,6 +18,7 @@
     PlaceOutcome,
 )
 from hibiscustiller.layers._choice import MAX_ROUTERS_WITH_FRESH_REPORTS
+from hibiscustiller.layers._domain_choice import DomainSummary
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._place_messages import (
     PlaceQuery,
@@ -111,12 +112,18 @@
         self._pending = PendingRequests(random_state)
         self._places_by_id: dict[int, _Place] = {}
         self._backed_off: BackedOff[RouterId] = BackedOff(clock)
+        # The latest summaries, and when they were received.
         self._summaries: dict[
-            tuple[ServiceName, DomainId], tuple[timedelta, float]
+            tuple[ServiceName, DomainId], tuple[timedelta, DomainSummary]
         ] = {}
         datagrams.register(PlaceAnswer, self._handle_answer)
         datagrams.register(PlaceSummary, self._handle_summary)
 
+    @property
+    def clock(self) -> Clock:
+        """Source of time."""
+        return self._clock
+
     @property
     def uses_allocators(self) -> bool:
         """Whether the fleet is too large for each router to choose by reports."""
@@ -257,18 +264,25 @@
     async def _handle_summary(
         self, router_id: RouterId, address: Address, summary: PlaceSummary
     ) -> None:
+        self._record_summary(summary, summary.free_tokens)
+
+    def _record_summary(self, summary: PlaceSummary, free_tokens: float | None) -> None:
+        waits_by_priority = {
+            wait.priority: timedelta(milliseconds=wait.wait_ms)
+            for wait in summary.waits
+        }
         key = (ServiceName(summary.service), DomainId(summary.domain))
-        self._summaries[key] = (self._clock.monotonic(), summary.free_tokens)
-
-    def get_free_tokens(self, service: ServiceName, domain: DomainId) -> float | None:
-        """Return a domain's free capacity in tokens; None if it is not known."""
-        received_at, free_capacity = self._summaries.get((service, domain), (None, 0.0))
-        if (
-            received_at is None
-            or self._clock.monotonic() - received_at > _MAX_SUMMARY_AGE
-        ):
-            return None
-        return free_capacity
+        received = DomainSummary(free_tokens, waits_by_priority)
+        self._summaries[key] = (self._clock.monotonic(), received)
+
+    def get_summary(self, service: ServiceName, domain: DomainId) -> DomainSummary:
+        """Return what a domain's allocator has announced lately."""
+        now = self._clock.monotonic()
+        received_at, summary = self._summaries.get((service, domain), (now, None))
+        age = now - received_at
+        if summary is None or age > _MAX_SUMMARY_AGE:
+            return DomainSummary()
+        return replace(summary, age=age)
 
     async def _send_summaries(self) -> None:
         """Send all routers the free capacity of the domains allocated here."""
@@ -278,6 +292,8 @@
                 continue
             free_capacity = admission.count_free_tokens()
             summary = PlaceSummary(service, domain, free_capacity, waits=())
+            # The allocator itself is asked for a free place at any time.
+            self._record_summary(summary, None)
             data = self._datagrams.encode(summary)
             for peer in list(self._view.peers_by_id.values()):
                 await self._datagrams.send(peer.address, data)
--- a/hibiscustiller/layers/_shared_admission.py
+++ b/hibiscustiller/layers/_shared_admission.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Collection
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from hibiscustiller.layers._admission import (
     UNKNOWN_OUTCOME,
@@ -15,14 +15,15 @@
     PlaceOutcome,
 )
 from hibiscustiller.layers._choice import PipelineSelector
+from hibiscustiller.layers._domain_choice import choose_domains
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._place_client import PlaceClient
 from hibiscustiller.layers._place_messages import PlaceQuery
 from hibiscustiller.utils import DomainId, Refusal, ServerId, ServiceName
 
-# Another domain is asked only if it has free capacity for several such requests: its
-# own requests take precedence, and its summary may be a second old.
-_MIN_FREE_REQUESTS = 4
+# A request that is refused within this share of its target latency has not waited, and
+# may wait in another domain.
+_MAX_REFUSAL_TIME_SHARE = 0.15
 
 
 class SharedAdmission:
@@ -62,11 +63,22 @@
         """Wait for a place, or refuse at once if the expected wait is too long."""
         if not self._client.uses_allocators or not self._selector.pipelines:
             return await self._local.admit(demand)
+        clock = self._client.clock
+        asked_at = clock.monotonic()
+        refused_by_domain: dict[DomainId, Err[Refusal]] = {}
         for domain, may_wait in self._list_domains(demand):
             query = PlaceQuery(demand, self._service, domain, may_wait)
             result = await self._client.ask(query)
-            if result is not None:
+            if isinstance(result, Ok):
                 return result
+            if result is not None:
+                refused_by_domain[domain] = result
+                max_time = demand.target_latency * _MAX_REFUSAL_TIME_SHARE
+                if clock.monotonic() - asked_at > max_time:
+                    break
+        for refused in refused_by_domain.values():
+            # The allocator of this domain names the time to come again.
+            return refused_by_domain.get(self._domain, refused)
         return await self._local.admit(demand)
 
     async def find_replacement(
@@ -110,35 +122,10 @@
 
     def _list_domains(self, demand: Demand) -> list[tuple[DomainId, bool]]:
         """Return the domains to ask, each with whether the request may wait there."""
-        domains = sorted({p.entry.domain for p in self._selector.pipelines})
-        free_tokens_by_domain = {
-            domain: self._client.get_free_tokens(self._service, domain)
-            for domain in domains
+        summaries_by_domain = {
+            domain: self._client.get_summary(self._service, domain)
+            for domain in sorted({p.entry.domain for p in self._selector.pipelines})
         }
-        preferred = self._domain
-        if preferred not in free_tokens_by_domain:
-            preferred = max(
-                domains, key=lambda domain: free_tokens_by_domain[domain] or 0.0
-            )
-        attempts = []
-        free_tokens = free_tokens_by_domain[preferred]
-        if free_tokens is None or free_tokens > 0:
-            attempts.append((preferred, False))
-        free_tokens_by_other_domain = {
-            domain: free_tokens
-            for domain, free_tokens in free_tokens_by_domain.items()
-            if domain != preferred
-            and free_tokens is not None
-            and free_tokens > _MIN_FREE_REQUESTS * demand.tokens
-        }
-        if free_tokens_by_other_domain:
-            # Choose at random, so that the routers of a full domain do not all send
-            # their requests to the same other domain.
-            chosen = self._random_state.choices(
-                list(free_tokens_by_other_domain),
-                list(free_tokens_by_other_domain.values()),
-            )
-            attempts.append((chosen[0], False))
-        if attempts == [(preferred, False)]:
-            return [(preferred, True)]
-        return [*attempts, (preferred, True)]
+        return choose_domains(
+            self._domain, summaries_by_domain, demand, self._random_state
+        )
