Reserve places by class and let refused callers return by appointment

The least urgent class took the places in its burst, and refused callers returned after a random time. Without a policy nothing changes.

Demand, PlaceOutcome and Grant moved to _demand.py, so that the policy does not import the admission.

--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -7,6 +7,7 @@
     Grant,
     PlaceOutcome,
 )
+from hibiscustiller.layers._admission_policy import AdmissionPolicy
 from hibiscustiller.layers._choice import PipelineSelector
 from hibiscustiller.layers._load import EngineLoad, EngineUse
 from hibiscustiller.layers._pipelines import (
@@ -24,6 +25,7 @@
 
 __all__ = [
     "Admission",
+    "AdmissionPolicy",
     "UNKNOWN_OUTCOME",
     "Demand",
     "PlaceOutcome",
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -2,98 +2,53 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Callable, Collection, Set
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import Any
 
 import curio
 from result import Err, Ok, Result
 
+from hibiscustiller.layers._admission_policy import AdmissionPolicy
 from hibiscustiller.layers._choice import PipelineSelector
+from hibiscustiller.layers._demand import (
+    UNKNOWN_OUTCOME,
+    Demand,
+    Grant,
+    PlaceOutcome,
+)
+from hibiscustiller.layers._free_capacity import (
+    count_unused_tokens,
+    count_usable_tokens,
+    has_room,
+)
 from hibiscustiller.layers._load import EngineLoad
 from hibiscustiller.layers._pipelines import Pipeline
-from hibiscustiller.layers._queue import FairQueue
+from hibiscustiller.layers._place_refusals import (
+    choose_retry_delay,
+    report_refusal,
+)
+from hibiscustiller.layers._queue import FairQueue, QueueRules
+from hibiscustiller.layers._release_rate import ReleaseRate
 from hibiscustiller.utils import (
     Clock,
     DomainId,
+    Metrics,
     OrganisationId,
     Refusal,
     RefusalReason,
     ServerId,
+    ServiceName,
     Verdict,
 )
 from hibiscustiller.wire import wait_for_event
 
 # Maximum wait as a share of the target latency; the rest is left for the prompt.
 MAX_WAIT_SHARE = 0.6
-# Range of the random retry delay: callers refused together must not retry together.
-_MIN_RETRY_DELAY = timedelta(seconds=1.5)
-_MAX_RETRY_DELAY = timedelta(seconds=4.5)
-# The retry delay takes at most this share, about a third, of the caller's remaining
-# time.
-_MAX_RETRY_SHARE = 0.3
-# Half-life of the moving average of the rate at which places are released.
-_RATE_HALF_LIFE = timedelta(seconds=1)
-
-
-@dataclass(frozen=True)
-class Demand:
-    """The resources and response times that a request needs.
-
-    :param priority: priority class; 0 is the most urgent.
-    :param tokens: average number of tokens held while the request runs.
-    :param target_latency: longest time to the first event that earns full value.
-    :param target_gap: longest time between events that earns full value; None if there
-        is no target.
-    :param remaining_time: time until the caller's deadline.
-    :param is_return: whether the caller was refused before and comes again.
-    :param is_resumable: whether the stream may be ended and resumed in one answer.
-    :param answer_tokens: expected tokens of the answer; ``tokens`` counts them in part;
-        0 if unknown.
-    """
-
-    priority: int
-    organisation: OrganisationId
-    tokens: float
-    target_latency: timedelta
-    target_gap: timedelta | None
-    remaining_time: timedelta
-    is_return: bool = False
-    is_resumable: bool = False
-    answer_tokens: float = 0.0
-
-
-@dataclass(frozen=True)
-class PlaceOutcome:
-    """What became of a request at its place.
-
-    :param answer_tokens: tokens of the complete answer; 0 if it is not complete.
-    :param rejected_by: servers that rejected the request for want of room.
-    """
-
-    answer_tokens: float = 0.0
-    rejected_by: tuple[ServerId, ...] = ()
-
-
-UNKNOWN_OUTCOME = PlaceOutcome()
-
-
-@dataclass
-class Grant:
-    """A place in a pipeline, held until :meth:`Admission.release`.
-
-    :param demand: of the request that holds the place; None if unknown.
-    :param admission: the admission that granted the place; None if another router did.
-    :param place_id: identifier of the place at that other router.
-    """
-
-    pipeline: Pipeline
-    tokens: float
-    admission: Admission | None = None
-    place_id: int = 0
-    demand: Demand | None = None
+# Longer expected waits are logged as this one.
+_MAX_SHOWN_WAIT = timedelta(minutes=1)
 
 
 @dataclass(eq=False)
@@ -113,6 +68,10 @@
     :param list_refusing: returns the engines that refused a request recently.
     :param domain: only pipelines whose first engine is in this domain are used; None
         for all.
+    :param policy: orders classes and organisations and makes appointments; None grants
+        places by weighted fair queueing alone.
+    :param metrics: counts the refusals under a policy.
+    :param service: name of the service, for log lines.
     """
 
     def __init__(
@@ -123,16 +82,24 @@
         random_state: random.Random,
         list_refusing: Callable[[], Set[ServerId]] = frozenset,
         domain: DomainId | None = None,
+        policy: AdmissionPolicy | None = None,
+        metrics: Metrics | None = None,
+        service: ServiceName | None = None,
     ) -> None:
         self._domain = domain
+        self._policy = policy
+        self._metrics = metrics or Metrics()
+        self._service = service
         self._list_refusing = list_refusing
         self._selector = selector
         self._load = load
         self._clock = clock
         self._random_state = random_state
-        self._queue: FairQueue[_Waiter] = FairQueue()
-        self._released_tokens_per_s = 0.0
-        self._rate_updated_at = clock.monotonic()
+        rules = None
+        if policy is not None:
+            rules = QueueRules(self._may_take, self._find_over_share, policy.get_weight)
+        self._queue: FairQueue[_Waiter] = FairQueue(rules)
+        self._release_rate = ReleaseRate(clock.monotonic())
 
     @property
     def waiting_count(self) -> int:
@@ -140,22 +107,34 @@
         return len(self._queue)
 
     def try_admit(self, demand: Demand) -> Grant | None:
-        """Grant a free place; None if none is free or other requests wait."""
-        return None if len(self._queue) else self._try_grant(demand)
+        """Grant a free place; None if none is free or other requests go first."""
+        grant = self._try_admit(demand)
+        if grant is not None and self._policy is not None:
+            # A request that gets no place comes again, to wait, and counts then.
+            self._policy.record_arrival(self._clock.monotonic(), demand)
+        return grant
 
     async def admit(self, demand: Demand) -> Result[Grant, Refusal]:
         """Wait for a place, or refuse at once if the expected wait is too long."""
         if not self._selector.list_pipelines(self._domain):
             return Err(self.refuse(demand, RefusalReason.NO_ROUTE, "no pipeline"))
-        grant = self.try_admit(demand)
+        policy = self._policy
+        if policy is not None:
+            policy.record_arrival(self._clock.monotonic(), demand)
+        grant = self._try_admit(demand)
         if grant is not None:
             return Ok(grant)
         max_wait = demand.target_latency * MAX_WAIT_SHARE
-        if self._estimate_wait(demand) > max_wait:
-            return Err(self.refuse(demand, RefusalReason.OVERLOADED, "queue is long"))
+        wait = self._estimate_wait(demand)
+        if wait > max_wait:
+            return Err(self._refuse_for_room(demand, "queue is long", wait))
+        if policy is not None and policy.misses_deadline(demand, wait):
+            message = "the answer would not end within the deadline"
+            return Err(self.refuse(demand, RefusalReason.DEADLINE, message, wait))
         waiter = _Waiter(demand)
         key = (demand.priority, demand.organisation)
-        self._queue.push(*key, demand.tokens, waiter)
+        is_return = demand.is_return and policy is not None
+        self._queue.push(*key, demand.tokens, waiter, is_return=is_return)
         try:
             # A place may still be granted at the moment when the wait times out, so
             # the outcome is read from the waiter.
@@ -167,7 +146,11 @@
             raise
         if waiter.grant is None:
             self._queue.remove(*key, waiter)
-            return Err(self.refuse(demand, RefusalReason.OVERLOADED, "no place"))
+            refusal = self._refuse_for_room(demand, "no place", max_wait)
+            if policy is not None:
+                # Less urgent requests that waited behind this one may go now.
+                await self.grant_waiting()
+            return Err(refusal)
         return Ok(waiter.grant)
 
     def find_replacement(
@@ -202,7 +185,10 @@
     ) -> Grant:
         """Record a place that is already in use."""
         self._load.add(pipeline, tokens)
-        return Grant(pipeline, tokens, self, demand=demand)
+        grant = Grant(pipeline, tokens, self, demand=demand)
+        if self._policy is not None:
+            self._policy.record_place(grant)
+        return grant
 
     async def release(
         self, grant: Grant, outcome: PlaceOutcome = UNKNOWN_OUTCOME
@@ -212,17 +198,20 @@
         :param outcome: what became of the request that held it.
         """
         self._load.remove(grant.pipeline, grant.tokens)
-        self._update_rate(grant.tokens)
+        now = self._clock.monotonic()
+        if self._policy is not None:
+            self._policy.record_release(now, grant)
+        self._release_rate.record(now, grant.tokens)
         await self.grant_waiting()
 
     async def grant_waiting(self) -> None:
         """Grant free places to waiting requests; call whenever one may be free."""
         while (head := self._queue.peek()) is not None:
-            _, waiter = head
+            waiter = head.item
             grant = self._try_grant(waiter.demand)
             if grant is None:
                 return
-            self._queue.pop()
+            self._queue.take(head)
             waiter.grant = grant
             await waiter.is_granted.set()
 
@@ -236,13 +225,86 @@
 
     def count_free_tokens(self) -> float:
         """Return the free capacity in tokens; 0 while requests wait for a place."""
-        if self._selector.spec is None or len(self._queue):
+        if len(self._queue):
             return 0.0
-        return sum(
-            max(0.0, self._selector.get_free_tokens(pipeline))
-            for pipeline in self._selector.list_pipelines(self._domain)
+        return count_unused_tokens(self._selector, self._domain)
+
+    def expect_waits(self) -> dict[int, timedelta]:
+        """Return how long a new request of each class waits for a place.
+
+        It is empty without a policy. A class is included once it has requests.
+        """
+        policy = self._policy
+        if policy is None:
+            return {}
+        waits = {}
+        for priority in policy.priorities:
+            tokens = policy.get_mean_tokens(priority)
+            is_free = (
+                self._is_turn_of(priority)
+                and self._may_take(priority, tokens)
+                and has_room(self._selector, self._domain, tokens)
+            )
+            waits[priority] = timedelta(0)
+            if not is_free:
+                own_ahead = self._queue.count_tokens(priority)
+                class_share = self._queue.estimate_class_share(priority)
+                waits[priority] = self._estimate_policy_wait(
+                    priority, tokens, own_ahead, class_share
+                )
+        return waits
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state as JSON values; it is small without a policy."""
+        state: dict[str, Any] = {"waiting": len(self._queue)}
+        if self._policy is not None:
+            now = self._clock.monotonic()
+            state |= self._policy.describe(now, self._count_usable_tokens())
+            state["waits_ms"] = {
+                str(priority): min(wait, _MAX_SHOWN_WAIT) // timedelta(milliseconds=1)
+                for priority, wait in self.expect_waits().items()
+            }
+        return state
+
+    def _count_usable_tokens(self) -> float:
+        return count_usable_tokens(self._selector, self._domain)
+
+    def _is_turn_of(self, priority: int) -> bool:
+        """Return whether a new request of a class need not wait behind others."""
+        most_urgent = self._queue.find_most_urgent()
+        if most_urgent is None:
+            return True
+        # Less urgent requests may wait because room is left for more urgent ones.
+        return self._policy is not None and priority < most_urgent
+
+    def _may_take(self, priority: int, tokens: float) -> bool:
+        """Return whether a class may take a free place by the policy."""
+        assert self._policy is not None
+        most_urgent = self._queue.find_most_urgent()
+        return self._policy.may_take(
+            self._clock.monotonic(),
+            priority,
+            tokens,
+            self._count_usable_tokens,
+            is_urgent_waiting=most_urgent is not None and most_urgent < priority,
         )
 
+    def _find_over_share(
+        self, priority: int, asking: Collection[OrganisationId]
+    ) -> Set[OrganisationId]:
+        assert self._policy is not None
+        free_tokens = self._count_usable_tokens()
+        return self._policy.find_over_share(priority, asking, free_tokens)
+
+    def _try_admit(self, demand: Demand) -> Grant | None:
+        if not self._is_turn_of(demand.priority):
+            return None
+        if self._policy is not None and not self._may_take(
+            demand.priority, demand.tokens
+        ):
+            return None
+        return self._try_grant(demand)
+
     def _try_grant(self, demand: Demand) -> Grant | None:
         refusing = self._list_refusing()
         if all(
@@ -255,32 +317,95 @@
         pipeline = self._selector.select(
             demand.tokens, demand.target_gap, refusing, domain=self._domain
         )
-        return None if pipeline is None else self.reserve(pipeline, demand)
+        if pipeline is None:
+            return None
+        grant = self.reserve(pipeline, demand)
+        grant.granted_at = self._clock.monotonic()
+        return grant
 
     def _estimate_wait(self, demand: Demand) -> timedelta:
-        self._update_rate(0.0)
         tokens_ahead, class_share = self._queue.estimate_share(
             demand.priority, demand.organisation, demand.tokens
         )
-        if not tokens_ahead:
-            return timedelta(0)
-        rate = self._released_tokens_per_s * class_share
-        if rate <= 0:
-            return timedelta.max
-        return timedelta(seconds=min(1e6, (tokens_ahead + demand.tokens) / rate))
-
-    def _update_rate(self, tokens: float) -> None:
+        if self._policy is not None:
+            if demand.is_return:
+                tokens_ahead = self._queue.count_tokens(demand.priority, is_return=True)
+            return self._estimate_policy_wait(
+                demand.priority, demand.tokens, tokens_ahead, class_share
+            )
+        rate = self._release_rate.get(self._clock.monotonic()) * class_share
+        return _estimate_time(tokens_ahead, demand.tokens, rate)
+
+    def _estimate_policy_wait(
+        self, priority: int, tokens: float, own_ahead: float, class_share: float
+    ) -> timedelta:
+        """Return how long a request waits behind others.
+
+        :param own_ahead: tokens of its own class that are served before it.
+        :param class_share: share of its class of what is released, below its floor.
+        """
+        policy = self._policy
+        assert policy is not None
         now = self._clock.monotonic()
-        age = (now - self._rate_updated_at).total_seconds()
-        self._rate_updated_at = now
-        half_life = _RATE_HALF_LIFE.total_seconds()
-        self._released_tokens_per_s *= 0.5 ** (age / half_life)
-        # With this factor, a steady release rate yields an average equal to that rate.
-        self._released_tokens_per_s += tokens * math.log(2) / half_life
-
-    def refuse(self, demand: Demand, reason: RefusalReason, message: str) -> Refusal:
-        """Build a refusal with a randomised delay before the caller may retry."""
-        spread = (_MAX_RETRY_DELAY - _MIN_RETRY_DELAY) * self._random_state.random()
-        max_delay = max(demand.remaining_time * _MAX_RETRY_SHARE, timedelta(0))
-        retry_after = min(_MIN_RETRY_DELAY + spread, max_delay)
-        return Refusal(reason, Verdict.NOT_RUN, message, retry_after)
+        rate = self._release_rate.get(now)
+        free_tokens = self._count_usable_tokens()
+        if policy.is_below_floor(priority, tokens, free_tokens):
+            return _estimate_time(own_ahead, tokens, rate * class_share)
+        rate = policy.estimate_rate(now, priority, rate)
+        urgent_ahead = self._queue.count_tokens_ahead(priority)
+        return _estimate_time(own_ahead + urgent_ahead, tokens, rate)
+
+    def _refuse_for_room(
+        self, demand: Demand, message: str, wait: timedelta
+    ) -> Refusal:
+        if self._policy is not None:
+            self._policy.record_refusal(self._clock.monotonic(), demand)
+        return self.refuse(demand, RefusalReason.OVERLOADED, message, wait)
+
+    def refuse(
+        self,
+        demand: Demand,
+        reason: RefusalReason,
+        message: str,
+        expected_wait: timedelta = timedelta.max,
+    ) -> Refusal:
+        """Build a refusal with a randomised delay before the caller may retry.
+
+        With a policy, the delay is an appointment.
+
+        :param expected_wait: how long the request would wait or has waited, for the
+            log line; the largest value if it is unknown.
+        """
+        policy = self._policy
+        if policy is None:
+            retry_after = choose_retry_delay(demand, self._random_state)
+            return Refusal(reason, Verdict.NOT_RUN, message, retry_after)
+        now = self._clock.monotonic()
+        released_per_s = self._release_rate.get(now)
+        retry_after, is_room_expected = policy.make_appointment(
+            now, demand, released_per_s
+        )
+        refusal = Refusal(reason, Verdict.NOT_RUN, message, retry_after)
+        report_refusal(
+            demand,
+            refusal,
+            self._metrics,
+            is_room_expected=is_room_expected,
+            service=self._service,
+            domain=self._domain,
+            expected_wait=min(expected_wait, _MAX_SHOWN_WAIT),
+            waiting=len(self._queue),
+            free_tokens=self._count_usable_tokens(),
+            held_tokens=policy.get_held_tokens(demand.priority),
+            released_per_s=released_per_s,
+        )
+        return refusal
+
+
+def _estimate_time(tokens_ahead: float, tokens: float, rate: float) -> timedelta:
+    """Return when a request is served at a rate in tokens per second."""
+    if not tokens_ahead:
+        return timedelta(0)
+    if rate <= 0:
+        return timedelta.max
+    return timedelta(seconds=min(1e6, (tokens_ahead + tokens) / rate))
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -25,6 +25,7 @@
     pack_query,
     pack_release,
     pack_stages,
+    pack_waits,
     unpack_stages,
 )
 from hibiscustiller.settings import Address
@@ -277,7 +278,8 @@
             if admission is None or not self.is_allocator(domain):
                 continue
             free_capacity = admission.count_free_tokens()
-            summary = PlaceSummary(service, domain, free_capacity, waits=())
+            waits = pack_waits(admission.expect_waits())
+            summary = PlaceSummary(service, domain, free_capacity, waits)
             data = self._datagrams.encode(summary)
             for peer in list(self._view.peers_by_id.values()):
                 await self._datagrams.send(peer.address, data)
--- a/hibiscustiller/layers/_place_messages.py
+++ b/hibiscustiller/layers/_place_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import IntEnum
@@ -17,6 +17,7 @@
     ServiceName,
 )
 from hibiscustiller.wire._messages_generated import (
+    ClassWait,
     HeldPlace,
     PlaceRelease,
     PlaceRequest,
@@ -24,6 +25,8 @@
 )
 
 _MS = timedelta(milliseconds=1)
+# Longer expected waits are sent as this one; a request waits for less than a second.
+_MAX_SENT_WAIT = timedelta(minutes=1)
 
 
 class PlaceStatus(IntEnum):
@@ -117,6 +120,14 @@
     )
 
 
+def pack_waits(waits_by_priority: Mapping[int, timedelta]) -> tuple[ClassWait, ...]:
+    """Return the expected waits of each class as message fields."""
+    return tuple(
+        ClassWait(priority, min(wait, _MAX_SENT_WAIT) // _MS)
+        for priority, wait in waits_by_priority.items()
+    )
+
+
 def pack_stages(pipeline: Pipeline) -> tuple[PlaceStage, ...]:
     """Return the stages of a pipeline as message fields."""
     return tuple(
