--- a/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
+++ b/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
@@ -18,6 +18,7 @@
 from hibiscustiller.discovery.tests.fixtures import MemoryDatagrams
 from hibiscustiller.layers import (
     Admission,
+    AdmissionPolicy,
     Demand,
     EngineLoad,
     PipelineSelector,
@@ -61,7 +62,14 @@
         )
         self.selector.set_pipelines(SPEC, find_pipelines(SPEC, ENGINES))
         self.admissions = {
-            name: Admission(self.selector, self.load, clock, random_state, domain=name)
+            name: Admission(
+                self.selector,
+                self.load,
+                clock,
+                random_state,
+                domain=name,
+                policy=None if name is None else AdmissionPolicy(random_state),
+            )
             for name in (None, *DOMAINS)
         }
         address = Address("127.0.0.1", 1000 + number)
