Let routers recognise callers that come again after a refusal

A router keeps the deadlines of the latest 32 requests of each route; a request whose deadline is none of the usual ones, and shorter than the most usual one by more than a second, is a return. Where no deadline is usual, none is. Allocators get a policy from ModelServices, and the gateway shows their state under admission.

--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -545,6 +545,7 @@
                     if self.models.place_client.is_allocator(domain)
                 ],
             },
+            "admission": self.models.describe_admissions(),
             "crashed_requests": self._crashes.describe(),
             "unanswered_runs": len(self._unanswered),
             "rate_limits": self._rate_limits.describe(),
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
+from typing import Any
 
 import curio
 
@@ -23,6 +24,7 @@
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
     Admission,
+    AdmissionPolicy,
     EngineGroup,
     EngineLoad,
     Pipeline,
@@ -141,7 +143,9 @@
             return None
         key = (service, domain)
         if key not in self._admissions:
-            self._admissions[key] = self._make_admission(forwarder.selector, domain)
+            self._admissions[key] = self._make_admission(
+                service, forwarder.selector, domain
+            )
         return self._admissions[key]
 
     def list_service_domains(self) -> list[tuple[ServiceName, DomainId]]:
@@ -251,7 +255,7 @@
             self._view.count_routers,
             self._random_state,
         )
-        local = self._make_admission(selector, None)
+        local = self._make_admission(service.name, selector, None)
         self._local_admissions.append(local)
         admission = SharedAdmission(
             service.name,
@@ -282,9 +286,22 @@
             )
         )
 
+    def describe_admissions(self) -> dict[str, Any]:
+        """Return the state of the domains that this router allocates."""
+        return {
+            f"{service}/{domain}": admission.describe()
+            for (service, domain), admission in self._admissions.items()
+            if self.place_client.is_allocator(domain)
+        }
+
     def _make_admission(
-        self, selector: PipelineSelector, domain: DomainId | None
+        self,
+        service: ServiceName,
+        selector: PipelineSelector,
+        domain: DomainId | None,
     ) -> Admission:
+        # Only an allocator knows all requests of its domain, which a policy needs.
+        policy = None if domain is None else AdmissionPolicy(self._random_state)
         return Admission(
             selector,
             self._load,
@@ -292,6 +309,9 @@
             self._random_state,
             self._health.refusals.list_refusing,
             domain,
+            policy,
+            self._metrics,
+            service,
         )
 
     def _find_alternative(
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -30,6 +30,7 @@
     StreamAttempt,
     StreamServices,
 )
+from hibiscustiller.ingress._usual_deadlines import UsualDeadlines
 from hibiscustiller.layers import Demand, Grant
 from hibiscustiller.platform import make_caller_fields, read_answer_facts
 from hibiscustiller.utils import (
@@ -80,6 +81,7 @@
         self.admission = services.admission
         self.selector = services.selector
         self.metrics = services.metrics
+        self._usual_deadlines = UsualDeadlines()
 
     async def forward(self, context: RequestContext, responder: Responder) -> None:
         """Forward a request and stream its answer to the caller.
@@ -134,6 +136,9 @@
             target_latency=context.route.target_latency,
             target_gap=context.route.target_gap,
             remaining_time=context.time_left,
+            is_return=self._usual_deadlines.record(
+                context.route.name, facts.wait_limit
+            ),
             is_resumable=context.route.is_resumable,
             answer_tokens=answer,
         )
