--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -26,6 +26,7 @@
     pack_query,
     pack_release,
     pack_stages,
+    pack_waits,
     unpack_stages,
 )
 from hibiscustiller.settings import Address
@@ -337,7 +338,8 @@
             if admission is None or not self.is_allocator(domain):
                 continue
             free_capacity = admission.count_free_tokens()
-            summary = PlaceSummary(service, domain, free_capacity, waits=())
+            waits = pack_waits(admission.expect_waits())
+            summary = PlaceSummary(service, domain, free_capacity, waits)
             # The allocator itself is asked for a free place at any time.
             self._record_summary(summary, None)
             data = self._datagrams.encode(summary)
