--- a/hibiscustiller/layers/_reserve.py
+++ b/hibiscustiller/layers/_reserve.py
@@ -20,7 +20,7 @@
 # that this share is released within 0.2 s, less than the longest wait of a request.
 # After that, strict priority gives the urgent classes what is released. In simulated
 # bursts (test_admission_by_class), a share of 0.1 or 0.15 served the urgent class no
-# better than 0.03, and the less urgent ones worse.
+# better than 0.03, and the least urgent one slightly worse.
 MAX_RESERVE_SHARE = 0.05
 # Refused requests of a more urgent class count for this time.
 _REFUSAL_LIFE = timedelta(milliseconds=500)
--- a/hibiscustiller/layers/tests/test_admission_by_class.py
+++ b/hibiscustiller/layers/tests/test_admission_by_class.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import json
 import random
 import sys
 from collections import Counter
@@ -342,7 +343,7 @@
         bench.admission.record_place(pipeline, 900, make_demand(0))
     plain = Bench(has_policy=False)
     assert len(bench.fill(2)) >= len(plain.fill(2)) - 6
-    state = bench.admission.describe()
+    state = json.loads(json.dumps(bench.admission.describe()))
     assert state["classes"]["0"]["held"] == 5 * 900
     assert state["classes"]["2"]["reserve"] == 0
 
