Spread requests evenly in a large fleet, and show uneven load

PlainServerSelector.choose took the cheapest server by old reports at any size of the fleet; PipelineSelector.select took the best of two. Above 12 routers, both now use the even choice. EngineLoad tells the mean age of its reports.

The gauge load_peak.SERVICE shows the busiest server's use against the mean.

--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -29,6 +29,7 @@
 from hibiscustiller.ingress._exposition import ExposedMetrics
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._inspection import InspectionServer
+from hibiscustiller.ingress._load_peaks import record_load_peaks
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._monitor import EngineMonitor
 from hibiscustiller.ingress._open_attempts import OpenAttempts
@@ -192,7 +193,13 @@
         self._build_store_clients()
         self._build_servers()
         address = Address(settings.ip, inspection_port)
-        self.inspection = InspectionServer(address, metrics, self.describe, clock)
+        self.inspection = InspectionServer(
+            address,
+            metrics,
+            self.describe,
+            clock,
+            lambda: record_load_peaks(self.view, self._load, self._metrics),
+        )
 
     def _build_forwarders(self) -> None:
         settings, clock = self._settings, self._clock
@@ -253,7 +260,13 @@
         )
         plain_forwarder = PlainForwarder(
             client,
-            PlainServerSelector(settings.domain, self._load, clock, self._random_state),
+            PlainServerSelector(
+                settings.domain,
+                self._load,
+                clock,
+                self._random_state,
+                self.view.count_routers,
+            ),
             self._load,
             self._health,
             self._crashes,
--- a/hibiscustiller/ingress/_inspection.py
+++ b/hibiscustiller/ingress/_inspection.py
@@ -23,6 +23,7 @@
     :param metrics: metrics to serve.
     :param describe: returns the state of the daemon as JSON values.
     :param clock: source of time.
+    :param record_levels: sets gauges; called once per second.
     """
 
     def __init__(
@@ -31,7 +32,9 @@
         metrics: ExposedMetrics,
         describe: Callable[[], dict[str, Any]],
         clock: Clock,
+        record_levels: Callable[[], None] = lambda: None,
     ) -> None:
+        self._record_levels = record_levels
         self._metrics = metrics
         self._describe = describe
         self._clock = clock
@@ -57,7 +60,7 @@
         await self._server.close()
 
     async def run(self) -> None:
-        """Record the delay of the event loop and the peak memory until cancelled."""
+        """Record levels, the delay of the event loop and the peak memory regularly."""
         while True:
             sleep_started_at = self._clock.monotonic()
             await self._clock.sleep(_SAMPLING_PERIOD)
@@ -65,6 +68,7 @@
             self._metrics.timing("loop_delay", max(timedelta(0), delay))
             usage = resource.getrusage(resource.RUSAGE_SELF)
             self._metrics.gauge("memory.peak_kb", usage.ru_maxrss)
+            self._record_levels()
 
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         if request.path == "/metrics":
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -7,7 +7,12 @@
     Grant,
     PlaceOutcome,
 )
-from hibiscustiller.layers._choice import PipelineSelector
+from hibiscustiller.layers._choice import PipelineSelector, has_old_reports
+from hibiscustiller.layers._even_choice import (
+    ServerLoad,
+    choose_evenly,
+    measure_peak,
+)
 from hibiscustiller.layers._load import EngineLoad, EngineUse
 from hibiscustiller.layers._pipelines import (
     Pipeline,
@@ -36,11 +41,15 @@
     "PipelineSelector",
     "PlaceClient",
     "PlaceAllocator",
+    "ServerLoad",
     "SharedAdmission",
     "Stage",
     "check_pipeline",
+    "choose_evenly",
     "find_fastest_pipeline",
     "find_pipelines",
+    "has_old_reports",
+    "measure_peak",
     "plan_covers",
     "plan_layers",
 ]
--- a/hibiscustiller/layers/_choice.py
+++ b/hibiscustiller/layers/_choice.py
@@ -2,8 +2,8 @@
 
 In a large fleet, the reports of other routers are a second old or more. If every router
 chose the best pipeline by them, all would overload it together. Therefore a router that
-chooses among all pipelines takes the better of two candidates sampled at random. A
-router that allocates the places of a domain tracks all of them and needs no sampling.
+chooses among all pipelines does so by :mod:`_even_choice`. A router that allocates the
+places of a domain tracks all of them and takes the best.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from datetime import timedelta
 
 from hibiscustiller.fleet import EngineSpec
+from hibiscustiller.layers._even_choice import ServerLoad, choose_evenly
 from hibiscustiller.layers._link import share_link
 from hibiscustiller.layers._load import EngineLoad
 from hibiscustiller.layers._pipelines import Pipeline
@@ -30,11 +31,15 @@
 _OBSERVATION_WEIGHT = 0.15
 # With at most this many routers, reports are at most 0.3 s old.
 MAX_ROUTERS_WITH_FRESH_REPORTS = 12
-_SAMPLE_SIZE = 2
 # A pipeline is full once the time between events exceeds this share of the target.
 _MAX_GAP_SHARE = 0.8
 
 
+def has_old_reports(router_count: int) -> bool:
+    """Tell whether routers of a fleet choose by reports that are no longer fresh."""
+    return router_count > MAX_ROUTERS_WITH_FRESH_REPORTS
+
+
 class PipelineSelector:
     """Selects among the pipelines of one service by their expected speed.
 
@@ -42,7 +47,7 @@
     :param load: requests in flight.
     :param clock: source of time for the age of observations.
     :param count_routers: returns how many routers choose concurrently.
-    :param random_state: samples candidates in a large fleet.
+    :param random_state: chooses among the candidates in a large fleet.
     """
 
     def __init__(
@@ -128,15 +133,34 @@
             )
             is not None
         ]
-        has_old_reports = (
-            domain is None and self._count_routers() > MAX_ROUTERS_WITH_FRESH_REPORTS
-        )
-        if has_old_reports and len(candidates) > _SAMPLE_SIZE:
-            candidates = self._random_state.sample(candidates, _SAMPLE_SIZE)
         if not candidates:
             return None
+        if domain is None and has_old_reports(self._count_routers()):
+            index = choose_evenly(
+                [self._describe_load(pipeline, cost) for cost, pipeline in candidates],
+                self._load.get_mean_report_age(),
+                self._count_routers(),
+                self._random_state,
+            )
+            return candidates[index][1]
         return min(candidates, key=lambda candidate: candidate[0])[1]
 
+    def _describe_load(self, pipeline: Pipeline, gap_s: float) -> ServerLoad:
+        """Return the load of a pipeline in requests of the mean size."""
+        spec = self.spec
+        assert spec is not None
+        used_tokens = self._load.count_tokens(pipeline)
+        own_tokens = self._load.count_own_tokens(pipeline)
+        capacity = max(0.0, used_tokens + self.get_free_tokens(pipeline))
+        return ServerLoad(
+            gap_s,
+            capacity / spec.mean_held_tokens,
+            own_tokens / spec.mean_held_tokens,
+            max(0.0, used_tokens - own_tokens) / spec.mean_held_tokens,
+            timedelta(seconds=gap_s * spec.mean_answer_tokens / spec.stride),
+            is_remote=pipeline.entry.domain != self._domain,
+        )
+
     def _estimate_cost(
         self,
         pipeline: Pipeline,
--- a/hibiscustiller/layers/_load.py
+++ b/hibiscustiller/layers/_load.py
@@ -43,6 +43,8 @@
         self._own_use_by_id: dict[ServerId, EngineUse] = {}
         self._reports: dict[RouterId, tuple[timedelta, Mapping[ServerId, EngineUse]]]
         self._reports = {}
+        # Sum of the arrival times of the reports, for their mean age.
+        self._received_sum = timedelta(0)
         self._reported_by_others: dict[ServerId, EngineUse] = {}
 
     def add(self, pipeline: Pipeline, tokens: float) -> None:
@@ -72,13 +74,29 @@
         # The sum is updated incrementally: summing all reports at each use would take
         # most of the processing time in a large fleet.
         self._remove_report(router_id)
-        self._reports[router_id] = (self._clock.monotonic(), uses_by_id)
+        now = self._clock.monotonic()
+        self._reports[router_id] = (now, uses_by_id)
+        self._received_sum += now
         self._update_reported(uses_by_id, 1)
 
     def count_reporting_routers(self) -> int:
         """Return how many other routers have a report that has not expired."""
         return len(self._reports)
 
+    def get_mean_report_age(self) -> timedelta:
+        """Return the mean age of the other routers' reports; zero without any."""
+        if not self._reports:
+            return timedelta(0)
+        return self._clock.monotonic() - self._received_sum / len(self._reports)
+
+    def get_own(self, server_id: ServerId) -> EngineUse:
+        """Return the use of an engine by this router."""
+        return self._own_use_by_id.get(server_id, NO_USE)
+
+    def get_reported(self, server_id: ServerId) -> EngineUse:
+        """Return the use of an engine by the other routers."""
+        return self._reported_by_others.get(server_id, NO_USE)
+
     def get(self, server_id: ServerId) -> EngineUse:
         """Return the total use of an engine by all routers."""
         own = self._own_use_by_id.get(server_id, NO_USE)
@@ -115,6 +133,13 @@
             for stage in pipeline.stages
         )
 
+    def count_own_tokens(self, pipeline: Pipeline) -> float:
+        """Return the number of this router's tokens where it holds most of them."""
+        return max(
+            self.get_own(stage.server.id).token_layers / stage.layers.width
+            for stage in pipeline.stages
+        )
+
     def expire_reports(self, life: timedelta) -> None:
         """Remove reports older than ``life``; their routers have probably ended."""
         now = self._clock.monotonic()
@@ -140,7 +165,11 @@
                 self._own_use_by_id.pop(stage.server.id, None)
 
     def _remove_report(self, router_id: RouterId) -> None:
-        _, uses_by_id = self._reports.pop(router_id, (None, {}))
+        report = self._reports.pop(router_id, None)
+        if report is None:
+            return
+        received_at, uses_by_id = report
+        self._received_sum -= received_at
         self._update_reported(uses_by_id, -1)
 
     def _update_reported(
--- a/hibiscustiller/layers/tests/test_admission.py
+++ b/hibiscustiller/layers/tests/test_admission.py
@@ -7,7 +7,7 @@
 import random
 import sys
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 import curio
@@ -272,6 +272,45 @@
     assert max(choice_counts.values()) < 2 * 180 / 6
 
 
+def test_pipelines_get_requests_by_their_free_capacity():
+    """Guards against a full pipeline beside a free one where reports are old."""
+    clock = ManualClock()
+    load = EngineLoad(clock)
+    # The weights leave room for requests.
+    spec = replace(SPEC, layer_mb=100.0)
+    engines = [
+        make_engine(f"e{n}", "large", "north", LayerRange(0, 80)) for n in range(3)
+    ]
+    selector = PipelineSelector("north", load, clock, lambda: 60, random.Random(1))
+    selector.set_pipelines(spec, find_pipelines(spec, engines))
+    # e0 is full and e1 has a fifth of the load of e0.
+    tokens = selector.get_free_tokens(selector.pipelines[0])
+    load.set_report(
+        "old",
+        {"e0": EngineUse(tokens * 80, 0), "e1": EngineUse(tokens * 16, 0)},
+    )
+    choices = Counter(
+        selector.select(1, None, requires_capacity=False).entry.id for _ in range(300)
+    )
+    assert choices["e0"] < choices["e1"] < choices["e2"]
+    # A report of this age still tells what is full, but not what is free.
+    assert choices["e0"] < 300 / 10 < 300 / 5 < choices["e1"]
+
+
+def test_mean_age_of_reports_is_that_of_the_reports_in_use():
+    """Guards against an age that counts replaced or expired reports."""
+    clock = ManualClock()
+    load = EngineLoad(clock)
+    assert load.get_mean_report_age() == timedelta(0)
+    for router_id in ("a", "b", "a"):
+        load.set_report(router_id, {})
+        clock.advance(SECOND)
+    # The reports of b and a are two seconds and one second old.
+    assert load.get_mean_report_age() == 1.5 * SECOND
+    load.expire_reports(1.5 * SECOND)
+    assert load.get_mean_report_age() == SECOND
+
+
 def test_silent_router_is_forgotten():
     """Guards against places held indefinitely by a router that has crashed."""
     clock = ManualClock()
