Recall places of the least urgent streams for urgent requests that are late

Streams of the least urgent class that arrived first hold their places for seconds, while requests of the most urgent class are refused after a fraction of one.

The allocator now recalls such a place (PlaceRecall) for the request that is served next, once it has waited for half of its longest wait: one place for each request, two per second and domain, none within 1 s of a loss of engines or while begun streams wait. The choice is the pure module _yielding. The holder decides in _yields, asks the retry budget first, ends the attempt as 'yielded', and resumes after the last event as a begun stream that may wait. A stream yields once: its demand is not resumable afterwards, at any allocator.

--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from dataclasses import replace
 from datetime import timedelta
 
 import curio
@@ -26,10 +27,11 @@
 class PipelineSearch:
     """The engines that one stream may be sent to next.
 
-    Attributes: ``stalled_ids`` are servers of pipelines that were left because another
-    attempt answered first. ``refusal_count`` is the number of refused attempts.
-    ``shortest_wait`` is the shortest expected wait for an engine that takes no request
-    now; None if none was named in the latest search.
+    Attributes: ``demand`` is what the next place is for. ``stalled_ids`` are servers of
+    pipelines that were left because another attempt answered first. ``refusal_count``
+    is the number of refused attempts. ``shortest_wait`` is the shortest expected wait
+    for an engine that takes no request now; None if none was named in the latest
+    search.
     """
 
     def __init__(
@@ -37,7 +39,7 @@
     ) -> None:
         self._services = services
         self._context = context
-        self._demand = demand
+        self.demand = demand
         self._excluded_ids: set[ServerId] = set()
         # Excluded servers that rejected the request while they were in use.
         self._full_ids: set[ServerId] = set()
@@ -56,6 +58,14 @@
         """Record that the request was sent to an engine."""
         self._entry_ids.add(entry_id)
 
+    def record_yield(self, entry_id: ServerId) -> None:
+        """Record that an attempt yielded its place, which happens once to a stream.
+
+        Its entry does not count as one of those that the route allows.
+        """
+        self._entry_ids.discard(entry_id)
+        self.demand = replace(self.demand, is_resumable=False)
+
     def record_failed_second(self, entry_id: ServerId) -> None:
         """Record that a second attempt failed; its entry gets no other one."""
         self._failed_ids.add(entry_id)
@@ -141,6 +151,10 @@
             return grant
         return self._reserve_fallback(unusable_ids)
 
+    def may_find_next(self) -> bool:
+        """Tell whether a pipeline is known for an attempt after the current one."""
+        return not self._is_limit_reached and self._has_pipeline(self._excluded_ids)
+
     def may_find_second(self, first: StreamAttempt) -> bool:
         """Tell whether a pipeline is known for an attempt beside another one."""
         return self._has_pipeline(self._list_unusable_for_second(first))
@@ -172,7 +186,7 @@
             if first is not None:
                 excluded_ids = self._list_unusable_for_second(first)
             grant = await admission.find_replacement(
-                self._demand, excluded_ids | rejecting_ids
+                self.demand, excluded_ids | rejecting_ids
             )
         return None
 
@@ -218,7 +232,7 @@
         services, clock = self._services, self._context.clock
         started_at = clock.monotonic()
         grant = await services.admission.find_replacement(
-            self._demand, excluded_ids, max_wait
+            self.demand, excluded_ids, max_wait
         )
         waited = clock.monotonic() - started_at
         if grant is not None and max_wait > timedelta(0):
@@ -243,7 +257,7 @@
         fallback = services.find_fallback_pipeline(excluded_ids)
         if fallback is None:
             return None
-        return services.admission.reserve(fallback, self._demand)
+        return services.admission.reserve(fallback, self.demand)
 
     async def _ask_engines(
         self, grant: Grant, rejecting_ids: set[ServerId]
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -43,7 +43,8 @@
     FINISHED is a complete stream, ANSWERED a complete answer that is no stream, FAILED
     such an answer that is an error of the server, NOT_RUN an attempt that certainly did
     not run, and BROKEN one that may have run. SUPERSEDED is one that was closed because
-    another attempt, or another router, answered first; it may have run.
+    another attempt, or another router, answered first; it may have run. YIELDED is one
+    that was closed because its place was recalled; it ran up to then.
     """
 
     FINISHED = "finished"
@@ -52,6 +53,7 @@
     BROKEN = "broken"
     ANSWERED = "answered"
     SUPERSEDED = "superseded"
+    YIELDED = "yielded"
 
 
 @dataclass(frozen=True)
@@ -107,6 +109,7 @@
     is the number of events that were passed on, and ``progress_at`` when the latest of
     them was, or when the attempt began. ``events`` have been read but not been
     passed on. ``is_judged`` tells whether the head of the answer was found acceptable.
+    ``is_recalled`` tells whether an allocator asks for the place.
     """
 
     def __init__(
@@ -134,11 +137,13 @@
         self.has_head = False
         self.is_judged = False
         self.is_at_end = False
+        self.is_recalled = False
         self.exchange: Exchange | None = None
         self.hold: BodyHold = services.client.memory.hold(self.entry.address)
         self._splitter = EventSplitter(self.hold)
         self._ended_before_ids = set(self._list_ended_servers())
         services.open_attempts.add(self)
+        grant.on_recall = self._handle_recall
 
     @property
     def pipeline(self) -> Pipeline:
@@ -170,6 +175,9 @@
         """Time without a new event."""
         return self._context.clock.monotonic() - self.progress_at
 
+    def _handle_recall(self) -> None:
+        self.is_recalled = True
+
     async def open(self, on_sent: Callable[[], None]) -> None:
         """Send the request.
 
@@ -251,8 +259,9 @@
         """Close the connection, give back the place and record what became of it."""
         services = self._services
         services.open_attempts.discard(self)
+        self.grant.on_recall = None
         self.hold.release()
-        if outcome in (Outcome.BROKEN, Outcome.SUPERSEDED):
+        if outcome in (Outcome.BROKEN, Outcome.SUPERSEDED, Outcome.YIELDED):
             self._keep_unanswered()
         try:
             if self.exchange is not None:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -33,6 +33,7 @@
     StreamAttempt,
     StreamServices,
 )
+from hibiscustiller.ingress._yields import decide_on_recall
 from hibiscustiller.layers import Demand, Grant
 from hibiscustiller.platform import make_caller_fields, read_answer_facts
 from hibiscustiller.utils import (
@@ -64,6 +65,10 @@
     """Another attempt of the stream, or another router, has answered first."""
 
 
+class _YieldedError(Exception):
+    """An attempt ends because its place was recalled."""
+
+
 class StreamForwarder:
     """Forwarder of streams to the engines of one service.
 
@@ -317,6 +322,9 @@
             outcome = Outcome.SUPERSEDED
             self._may_have_run = True
             self._search.stalled_ids.update(attempt.pipeline.server_ids)
+        except _YieldedError:
+            outcome = Outcome.YIELDED
+            self._search.record_yield(attempt.entry.id)
         except TransportError as error:
             outcome = await self._handle_failure(attempt, error)
         except TimeoutError:
@@ -538,6 +546,7 @@
 
         :raises TransportError: if a stage is lost.
         :raises TimeoutError: if the request's timeout expires.
+        :raises _YieldedError: if the attempt yields its place.
         """
         context = self._context
         next_check = context.clock.monotonic() + _STAGE_CHECK_PERIOD
@@ -546,6 +555,8 @@
             if remaining <= timedelta(0):
                 raise TimeoutError("the request timed out")
             self._check_parts(attempt)
+            if attempt.is_recalled and await self._may_yield(attempt):
+                raise _YieldedError
             if context.clock.monotonic() >= next_check:
                 next_check += _STAGE_CHECK_PERIOD
                 await self._services.health.check(attempt.pipeline.servers)
@@ -563,6 +574,23 @@
             except TimeoutError:
                 continue
 
+    async def _may_yield(self, attempt: StreamAttempt) -> bool:
+        """Tell whether an attempt whose place is recalled ends, to go on elsewhere.
+
+        All events that were read have been sent, so that the next attempt goes on after
+        the last one.
+        """
+        is_alone = self._second is None and not attempt.is_second
+        progress = (self._event_count, self._last_event)
+        return await decide_on_recall(
+            self._services,
+            self._context,
+            attempt,
+            self._search,
+            progress,
+            self._acquire_retry if is_alone else None,
+        )
+
     def _is_stage_lost(self, attempt: StreamAttempt) -> bool:
         """Tell whether the process of a stage has ended, so that no event follows."""
         health, servers = self._services.health, attempt.pipeline.servers
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -21,6 +21,7 @@
 from hibiscustiller.layers._placement import plan_covers, plan_layers
 from hibiscustiller.layers._placer import EngineGroup, LayerPlacer
 from hibiscustiller.layers._shared_admission import SharedAdmission
+from hibiscustiller.layers._yielding import MIN_LEFT_SHARE, MIN_RUN_TIME
 
 __all__ = [
     "Admission",
@@ -32,6 +33,8 @@
     "EngineUse",
     "Grant",
     "LayerPlacer",
+    "MIN_LEFT_SHARE",
+    "MIN_RUN_TIME",
     "Pipeline",
     "PipelineSelector",
     "PlaceClient",
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -88,6 +88,7 @@
     :param demand: of the request that holds the place; None if unknown.
     :param admission: the admission that granted the place; None if another router did.
     :param place_id: identifier of the place at that other router.
+    :param on_recall: called when that other router recalls the place.
     """
 
     pipeline: Pipeline
@@ -95,6 +96,7 @@
     admission: Admission | None = None
     place_id: int = 0
     demand: Demand | None = None
+    on_recall: Callable[[], None] | None = None
 
 
 @dataclass(eq=False)
@@ -102,6 +104,8 @@
     demand: Demand
     is_granted: curio.Event = field(default_factory=curio.Event)
     grant: Grant | None = None
+    waiting_since: timedelta = timedelta(0)
+    has_recall: bool = False
 
 
 class Admission:
@@ -136,6 +140,11 @@
         self._released_tokens_per_s = 0.0
         self._rate_updated_at = clock.monotonic()
 
+    @property
+    def domain(self) -> DomainId | None:
+        """Domain of the first engines of the pipelines; None for all."""
+        return self._domain
+
     @property
     def waiting_count(self) -> int:
         """Number of requests that wait for a place."""
@@ -162,7 +171,7 @@
         max_wait = demand.target_latency * MAX_WAIT_SHARE
         if self._estimate_wait(demand) > max_wait:
             return Err(self.refuse(demand, RefusalReason.OVERLOADED, "queue is long"))
-        waiter = _Waiter(demand)
+        waiter = _Waiter(demand, waiting_since=self._clock.monotonic())
         key = (demand.priority, demand.organisation)
         self._queue.push(*key, demand.tokens, waiter)
         try:
@@ -274,6 +283,47 @@
             waiter.grant = grant
             await waiter.is_granted.set()
 
+    def find_next_waiting(self) -> tuple[Demand, timedelta] | None:
+        """Return the request that gets the next free place, and its wait until now.
+
+        :returns: None if no new request is next, or a place was recalled for it.
+        """
+        head = self._queue.peek()
+        if head is None or len(self._displaced) or head[1].has_recall:
+            return None
+        waiter = head[1]
+        return waiter.demand, self._clock.monotonic() - waiter.waiting_since
+
+    def record_recall(self) -> None:
+        """Record that a place was recalled for the request that is served next."""
+        head = self._queue.peek()
+        if head is not None:
+            head[1].has_recall = True
+
+    def list_server_ids(self) -> set[ServerId]:
+        """Return the engines of all pipelines."""
+        return {
+            server_id
+            for pipeline in self._selector.list_pipelines(self._domain)
+            for server_id in pipeline.server_ids
+        }
+
+    def count_tokens_without(self, grant: Grant) -> float:
+        """Return the free capacity of a place's pipeline if it were released.
+
+        Either memory or slots may be what a pipeline lacks.
+        """
+        self._load.remove(grant.pipeline, grant.tokens)
+        try:
+            return self._selector.get_free_tokens(grant.pipeline)
+        finally:
+            self._load.add(grant.pipeline, grant.tokens)
+
+    def get_observed_token_time(self, pipeline: Pipeline) -> timedelta | None:
+        """Return the recent time per token; None without recent observations."""
+        gap, spec = self._selector.get_observed_gap(pipeline), self._selector.spec
+        return None if gap is None or spec is None else gap / spec.stride
+
     def record_gap(self, pipeline: Pipeline, gap: timedelta) -> None:
         """Record a time between events that another router observed."""
         self._selector.record_gap(pipeline, gap)
--- a/hibiscustiller/layers/_place_allocator.py
+++ b/hibiscustiller/layers/_place_allocator.py
@@ -32,12 +32,25 @@
     unpack_outcome,
     unpack_stages,
 )
+from hibiscustiller.layers._yielding import (
+    RecallPace,
+    RunningStream,
+    choose_yielding,
+)
 from hibiscustiller.settings import Address
-from hibiscustiller.utils import Clock, DomainId, RouterId, ServerId, ServiceName
+from hibiscustiller.utils import (
+    Clock,
+    DomainId,
+    RouterId,
+    ServerId,
+    ServiceName,
+    log_event,
+)
 from hibiscustiller.wire import DatagramSocket
 from hibiscustiller.wire._messages_generated import (
     PlaceAnswer,
     PlaceHoldings,
+    PlaceRecall,
     PlaceRelease,
     PlaceRequest,
 )
@@ -45,6 +58,8 @@
 # Routers confirm the places they hold every second; two of these messages may be lost.
 _CONFIRMATION_TIMEOUT = timedelta(seconds=3.2)
 _EXPIRY_PERIOD = timedelta(milliseconds=500)
+# A request waits for 150 ms before a place is recalled for it, and for 150 ms more.
+_RECALL_PERIOD = timedelta(milliseconds=40)
 # A place granted more recently than this may be missing from a list of held places that
 # was sent before the grant.
 _MIN_RECLAIM_AGE = timedelta(milliseconds=400)
@@ -54,12 +69,18 @@
 
 @dataclass
 class _GrantedPlace:
-    """A place that was granted to a router."""
+    """A place that was granted to a router.
+
+    :param address: address of that router.
+    :param was_recalled: whether that router was asked to give it back.
+    """
 
     grant: Grant
     admission: Admission
+    address: Address
     granted_at: timedelta
     confirmed_at: timedelta
+    was_recalled: bool = False
 
 
 class PlaceAllocator:
@@ -86,6 +107,9 @@
         self._places_by_key: dict[PlaceKey, _GrantedPlace] = {}
         # The task of a wait is None until it has started.
         self._waits_by_key: dict[PlaceKey, curio.Task | None] = {}
+        self._recall_paces: dict[DomainId | None, RecallPace] = {}
+        # Classes that requests at an admission have had.
+        self._priorities: dict[Admission, set[int]] = {}
         self.is_stopping = False
         datagrams.register(PlaceRequest, self._handle_request)
         datagrams.register(PlaceRelease, self._handle_release)
@@ -97,14 +121,73 @@
         return len(self._places_by_key)
 
     async def run(self) -> None:
-        """Reclaim places whose confirmations have stopped, until cancelled."""
+        """Reclaim unconfirmed places, and recall some, until cancelled."""
+        expires_at = self._clock.monotonic() + _EXPIRY_PERIOD
         while True:
-            await self._clock.sleep(_EXPIRY_PERIOD)
+            await self._clock.sleep(_RECALL_PERIOD)
+            for admission in list(self._priorities):
+                await self._recall_place(admission)
             now = self._clock.monotonic()
+            if now < expires_at:
+                continue
+            expires_at = now + _EXPIRY_PERIOD
             for key, place in list(self._places_by_key.items()):
                 if now - place.confirmed_at > _CONFIRMATION_TIMEOUT:
                     await self._reclaim(key)
 
+    async def _recall_place(self, admission: Admission) -> None:
+        """Recall a place for the urgent request that is served next, if any is late.
+
+        A place is recalled once, and once for a request: a holder that does not follow
+        may be an older router, or its stream may not yield.
+        """
+        now = self._clock.monotonic()
+        pace = self._recall_paces.setdefault(admission.domain, RecallPace())
+        pace.record_servers(admission, admission.list_server_ids(), now)
+        waiting = admission.find_next_waiting()
+        if waiting is None or not pace.may_recall(now):
+            return
+        streams = (
+            self._describe_stream(key, place, now)
+            for key, place in self._places_by_key.items()
+            if place.admission is admission and not place.was_recalled
+        )
+        demand, waited = waiting
+        chosen = choose_yielding(demand, waited, streams, self._priorities[admission])
+        if chosen is None:
+            return
+        place = self._places_by_key[chosen.key]
+        place.was_recalled = True
+        admission.record_recall()
+        pace.record_recall(now)
+        router_id, place_id = chosen.key
+        log_event(
+            "place_recalled",
+            router=router_id,
+            place=place_id,
+            priority=chosen.demand.priority,
+            held_for=chosen.held_for,
+            repeated_tokens=round(chosen.repeated_tokens),
+            urgent_priority=demand.priority,
+            urgent_tokens=round(demand.tokens),
+            waited=waited,
+        )
+        recall = self._datagrams.encode(PlaceRecall(place_id))
+        await self._datagrams.send(place.address, recall)
+
+    def _describe_stream(
+        self, key: PlaceKey, place: _GrantedPlace, now: timedelta
+    ) -> RunningStream[PlaceKey]:
+        pipeline = place.grant.pipeline
+        assert place.grant.demand is not None
+        return RunningStream(
+            key,
+            place.grant.demand,
+            now - place.granted_at,
+            place.admission.count_tokens_without(place.grant),
+            place.admission.get_observed_token_time(pipeline),
+        )
+
     async def _handle_request(
         self, router_id: RouterId, address: Address, request: PlaceRequest
     ) -> None:
@@ -122,6 +205,7 @@
             await self._answer(address, key, PlaceStatus.ASK_ANOTHER)
             return
         demand = unpack_demand(request)
+        self._priorities.setdefault(admission, set()).add(demand.priority)
         excluded = {ServerId(server_id) for server_id in request.excluded}
         if not request.is_begun:
             grant = admission.try_admit(demand)
@@ -130,7 +214,7 @@
         else:
             grant = admission.find_replacement(demand, excluded)
         if grant is not None:
-            self._record(key, grant, admission)
+            self._record(address, key, grant, admission)
             await self._answer(address, key, PlaceStatus.PLACED, grant)
         elif request.may_wait:
             wait = self._wait_for_replacement if request.is_begun else self._wait
@@ -155,7 +239,7 @@
         finally:
             self._waits_by_key.pop(key, None)
         if isinstance(result, Ok):
-            self._record(key, result.ok_value, admission)
+            self._record(address, key, result.ok_value, admission)
             await self._answer(address, key, PlaceStatus.PLACED, result.ok_value)
             return
         retry_after = result.err_value.retry_after or timedelta(0)
@@ -179,7 +263,7 @@
         if grant is None:
             await self._answer(address, key, PlaceStatus.NO_ROOM)
             return
-        self._record(key, grant, admission)
+        self._record(address, key, grant, admission)
         await self._answer(address, key, PlaceStatus.PLACED, grant)
 
     async def _answer(
@@ -207,6 +291,7 @@
 
     def _record(
         self,
+        address: Address,
         key: PlaceKey,
         grant: Grant,
         admission: Admission,
@@ -214,7 +299,7 @@
     ) -> None:
         now = self._clock.monotonic()
         self._places_by_key[key] = _GrantedPlace(
-            grant, admission, now if granted_at is None else granted_at, now
+            grant, admission, address, now if granted_at is None else granted_at, now
         )
 
     async def _handle_release(
@@ -255,7 +340,7 @@
                 demand = unpack_held_demand(reported)
                 grant = admission.record_place(pipeline, reported.tokens, demand)
                 held_for = timedelta(milliseconds=reported.held_ms)
-                self._record(key, grant, admission, granted_at=now - held_for)
+                self._record(address, key, grant, admission, now - held_for)
         for key, place in list(self._places_by_key.items()):
             may_be_reclaimed = now - place.granted_at > _MIN_RECLAIM_AGE
             if key[0] == router_id and key not in reported_keys and may_be_reclaimed:
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -45,6 +45,7 @@
     HeldPlace,
     PlaceAnswer,
     PlaceHoldings,
+    PlaceRecall,
     PlaceSummary,
 )
 
@@ -119,6 +120,7 @@
         ] = {}
         datagrams.register(PlaceAnswer, self._handle_answer)
         datagrams.register(PlaceSummary, self._handle_summary)
+        datagrams.register(PlaceRecall, self._handle_recall)
 
     @property
     def uses_allocators(self) -> bool:
@@ -300,6 +302,16 @@
             release = pack_release(answer.place_id, UNKNOWN_OUTCOME)
             await self._datagrams.send(address, self._datagrams.encode(release))
 
+    async def _handle_recall(
+        self, router_id: RouterId, address: Address, recall: PlaceRecall
+    ) -> None:
+        place = self._places_by_id.get(recall.place_id)
+        # A late recall meets no place, or one that another router tracks now.
+        if place is None or place.allocator != router_id:
+            return
+        if place.grant.on_recall is not None:
+            place.grant.on_recall()
+
     async def _handle_summary(
         self, router_id: RouterId, address: Address, summary: PlaceSummary
     ) -> None:
