--- a/hibiscustiller/layers/_demand.py
+++ b/hibiscustiller/layers/_demand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -62,6 +63,7 @@
     :param demand: of the request that holds the place; None if unknown.
     :param admission: the admission that granted the place; None if another router did.
     :param place_id: identifier of the place at that other router.
+    :param on_recall: called when that other router recalls the place.
     :param granted_at: when a new request got the place, on the monotonic clock; None if
         this is unknown, or if a stream that had begun got it.
     """
@@ -72,3 +74,4 @@
     place_id: int = 0
     demand: Demand | None = None
     granted_at: timedelta | None = None
+    on_recall: Callable[[], None] | None = None
