Estimate waits in a module of their own, and log them at the allocator

A request that got a place after a wait left no log line at the allocator; place_waited now names the reason and the figures. A summary said that nothing was free while less urgent requests left room for more urgent ones, which sent those to other domains; it now counts that room.

--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from hibiscustiller.layers._admission_policy import AdmissionPolicy
+from hibiscustiller.layers._appointments import choose_retry_delay
 from hibiscustiller.layers._choice import PipelineSelector
 from hibiscustiller.layers._demand import (
     UNKNOWN_OUTCOME,
@@ -26,12 +27,10 @@
 )
 from hibiscustiller.layers._load import EngineLoad
 from hibiscustiller.layers._pipelines import Pipeline
-from hibiscustiller.layers._place_refusals import (
-    choose_retry_delay,
-    report_refusal,
-)
+from hibiscustiller.layers._place_reports import report_refusal, report_wait
 from hibiscustiller.layers._queue import FairQueue, QueueRules
 from hibiscustiller.layers._release_rate import ReleaseRate
+from hibiscustiller.layers._wait_estimate import WaitEstimator
 from hibiscustiller.utils import (
     Clock,
     DomainId,
@@ -100,6 +99,9 @@
             rules = QueueRules(self._may_take, self._find_over_share, policy.get_weight)
         self._queue: FairQueue[_Waiter] = FairQueue(rules)
         self._release_rate = ReleaseRate(clock.monotonic())
+        self._wait_estimator = WaitEstimator(
+            self._queue, self._release_rate, policy, self._count_usable_tokens
+        )
 
     @property
     def waiting_count(self) -> int:
@@ -125,12 +127,14 @@
         if grant is not None:
             return Ok(grant)
         max_wait = demand.target_latency * MAX_WAIT_SHARE
-        wait = self._estimate_wait(demand)
+        started_at = self._clock.monotonic()
+        wait = self._wait_estimator.estimate(started_at, demand)
         if wait > max_wait:
             return Err(self._refuse_for_room(demand, "queue is long", wait))
         if policy is not None and policy.misses_deadline(demand, wait):
             message = "the answer would not end within the deadline"
             return Err(self.refuse(demand, RefusalReason.DEADLINE, message, wait))
+        reason = self._explain_wait(demand)
         waiter = _Waiter(demand)
         key = (demand.priority, demand.organisation)
         is_return = demand.is_return and policy is not None
@@ -151,6 +155,18 @@
                 # Less urgent requests that waited behind this one may go now.
                 await self.grant_waiting()
             return Err(refusal)
+        if policy is not None:
+            waited = self._clock.monotonic() - started_at
+            report_wait(
+                demand,
+                waited,
+                self._metrics,
+                service=self._service,
+                domain=self._domain,
+                reason=reason,
+                expected_wait=wait,
+                waiting=len(self._queue),
+            )
         return Ok(waiter.grant)
 
     def find_replacement(
@@ -224,10 +240,14 @@
         return self._selector.get_observed_gap(pipeline)
 
     def count_free_tokens(self) -> float:
-        """Return the free capacity in tokens; 0 while requests wait for a place."""
-        if len(self._queue):
-            return 0.0
-        return count_unused_tokens(self._selector, self._domain)
+        """Return the free capacity in tokens; 0 while requests wait for a place.
+
+        While those that wait may not take the room that is left, it is counted in
+        whole requests: others may.
+        """
+        if not len(self._queue):
+            return count_unused_tokens(self._selector, self._domain)
+        return 0.0 if self._queue.peek() is not None else self._count_usable_tokens()
 
     def expect_waits(self) -> dict[int, timedelta]:
         """Return how long a new request of each class waits for a place.
@@ -247,10 +267,8 @@
             )
             waits[priority] = timedelta(0)
             if not is_free:
-                own_ahead = self._queue.count_tokens(priority)
-                class_share = self._queue.estimate_class_share(priority)
-                waits[priority] = self._estimate_policy_wait(
-                    priority, tokens, own_ahead, class_share
+                waits[priority] = self._wait_estimator.estimate_for_class(
+                    self._clock.monotonic(), priority, tokens
                 )
         return waits
 
@@ -305,6 +323,16 @@
             return None
         return self._try_grant(demand)
 
+    def _explain_wait(self, demand: Demand) -> str:
+        """Return why a request gets no place at once."""
+        if not self._is_turn_of(demand.priority):
+            return "others wait"
+        if self._policy is not None and not self._may_take(
+            demand.priority, demand.tokens
+        ):
+            return "room is reserved"
+        return "no room"
+
     def _try_grant(self, demand: Demand) -> Grant | None:
         refusing = self._list_refusing()
         if all(
@@ -323,38 +351,6 @@
         grant.granted_at = self._clock.monotonic()
         return grant
 
-    def _estimate_wait(self, demand: Demand) -> timedelta:
-        tokens_ahead, class_share = self._queue.estimate_share(
-            demand.priority, demand.organisation, demand.tokens
-        )
-        if self._policy is not None:
-            if demand.is_return:
-                tokens_ahead = self._queue.count_tokens(demand.priority, is_return=True)
-            return self._estimate_policy_wait(
-                demand.priority, demand.tokens, tokens_ahead, class_share
-            )
-        rate = self._release_rate.get(self._clock.monotonic()) * class_share
-        return _estimate_time(tokens_ahead, demand.tokens, rate)
-
-    def _estimate_policy_wait(
-        self, priority: int, tokens: float, own_ahead: float, class_share: float
-    ) -> timedelta:
-        """Return how long a request waits behind others.
-
-        :param own_ahead: tokens of its own class that are served before it.
-        :param class_share: share of its class of what is released, below its floor.
-        """
-        policy = self._policy
-        assert policy is not None
-        now = self._clock.monotonic()
-        rate = self._release_rate.get(now)
-        free_tokens = self._count_usable_tokens()
-        if policy.is_below_floor(priority, tokens, free_tokens):
-            return _estimate_time(own_ahead, tokens, rate * class_share)
-        rate = policy.estimate_rate(now, priority, rate)
-        urgent_ahead = self._queue.count_tokens_ahead(priority)
-        return _estimate_time(own_ahead + urgent_ahead, tokens, rate)
-
     def _refuse_for_room(
         self, demand: Demand, message: str, wait: timedelta
     ) -> Refusal:
@@ -400,12 +396,3 @@
             released_per_s=released_per_s,
         )
         return refusal
-
-
-def _estimate_time(tokens_ahead: float, tokens: float, rate: float) -> timedelta:
-    """Return when a request is served at a rate in tokens per second."""
-    if not tokens_ahead:
-        return timedelta(0)
-    if rate <= 0:
-        return timedelta.max
-    return timedelta(seconds=min(1e6, (tokens_ahead + tokens) / rate))
--- a/hibiscustiller/layers/_appointments.py
+++ b/hibiscustiller/layers/_appointments.py
@@ -11,12 +11,25 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from hibiscustiller.layers._demand import Demand
+
 INTERVAL = timedelta(milliseconds=250)
 # The delay takes at most this share, about a third, of the caller's remaining time.
 MAX_DELAY_SHARE = 0.3
 # A returning request is recognised by a remaining time that is shorter by more than a
 # second.
 _MIN_DELAY = timedelta(seconds=1.25)
+# Range of the random retry delay without a policy: callers refused together must not
+# retry together.
+_MIN_RETRY_DELAY = timedelta(seconds=1.5)
+_MAX_RETRY_DELAY = timedelta(seconds=4.5)
+
+
+def choose_retry_delay(demand: Demand, random_state: random.Random) -> timedelta:
+    """Return a random delay that leaves the caller most of its time."""
+    spread = (_MAX_RETRY_DELAY - _MIN_RETRY_DELAY) * random_state.random()
+    max_delay = max(demand.remaining_time * MAX_DELAY_SHARE, timedelta(0))
+    return min(_MIN_RETRY_DELAY + spread, max_delay)
 
 
 class AppointmentBook:
--- a/hibiscustiller/layers/_place_refusals.py
+++ b/hibiscustiller/layers/_place_reports.py
@@ -1,25 +1,12 @@
-"""Refusals of requests that get no place: retry delays, log lines and metrics."""
+"""Log lines and metrics of requests that wait for a place or get none."""
 
 from __future__ import annotations
 
-import random
 from datetime import timedelta
 
-from hibiscustiller.layers._appointments import MAX_DELAY_SHARE
 from hibiscustiller.layers._demand import Demand
 from hibiscustiller.utils import Metrics, Refusal, log_event
 
-# Range of the random retry delay: callers refused together must not retry together.
-_MIN_RETRY_DELAY = timedelta(seconds=1.5)
-_MAX_RETRY_DELAY = timedelta(seconds=4.5)
-
-
-def choose_retry_delay(demand: Demand, random_state: random.Random) -> timedelta:
-    """Return a random delay that leaves the caller most of its time."""
-    spread = (_MAX_RETRY_DELAY - _MIN_RETRY_DELAY) * random_state.random()
-    max_delay = max(demand.remaining_time * MAX_DELAY_SHARE, timedelta(0))
-    return min(_MIN_RETRY_DELAY + spread, max_delay)
-
 
 def report_refusal(
     demand: Demand,
@@ -51,3 +38,22 @@
         is_room_expected=is_room_expected,
         **figures,
     )
+
+
+def report_wait(
+    demand: Demand, waited: timedelta, metrics: Metrics, **figures: object
+) -> None:
+    """Log and count a request that got a place after a wait at an allocator.
+
+    :param figures: why it waited, and what was expected.
+    """
+    metrics.count(f"places.waited.{demand.priority}")
+    log_event(
+        "place_waited",
+        waited=waited,
+        priority=demand.priority,
+        organisation=demand.organisation,
+        tokens=demand.tokens,
+        is_return=demand.is_return,
+        **figures,
+    )
--- a/hibiscustiller/layers/tests/test_admission_by_class.py
+++ b/hibiscustiller/layers/tests/test_admission_by_class.py
@@ -268,10 +268,15 @@
     assert refused.err_value.message == "no place"
     await bench.admission.release(grants.pop())
     assert bench.admission.try_admit(make_demand(2)) is None
+    low = await wait_for_place(bench, make_demand(2, target_latency=60 * SECOND))
+    # Other routers must learn of the room, which urgent requests may use.
+    assert bench.admission.count_free_tokens() > 0
     assert bench.admission.try_admit(make_demand(0)) is not None
-    await bench.admission.release(grants.pop())
+    assert bench.admission.count_free_tokens() == 0
     bench.clock.advance(600 * MS)
-    assert bench.admission.try_admit(make_demand(2)) is not None
+    await bench.admission.release(grants.pop())
+    await curio.sleep(0)
+    assert low.terminated
 
 
 async def test_a_waiting_urgent_request_gets_the_next_place():
