--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -112,6 +112,10 @@
         context.log(
             "request_refused",
             reason=refusal.reason.label,
+            priority=context.priority,
+            organisation=None
+            if context.organisation is None
+            else context.organisation.id,
             verdict=refusal.verdict,
             detail=refusal.message,
             retry_after=refusal.retry_after,
