Describe the owner of a place by a protocol

Grant named the class Admission for its owner, which made the modules _demand and _admission depend on each other in type hints.

--- a/hibiscustiller/layers/_demand.py
+++ b/hibiscustiller/layers/_demand.py
@@ -4,14 +4,11 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.utils import OrganisationId, ServerId
 
-if TYPE_CHECKING:
-    from hibiscustiller.layers._admission import Admission
-
 
 @dataclass(frozen=True)
 class Demand:
@@ -55,9 +52,19 @@
 UNKNOWN_OUTCOME = PlaceOutcome()
 
 
+class PlaceOwner(Protocol):
+    """Tracks the places that it has granted."""
+
+    async def release(
+        self, grant: Grant, outcome: PlaceOutcome = UNKNOWN_OUTCOME
+    ) -> None:
+        """Release a place."""
+        ...
+
+
 @dataclass
 class Grant:
-    """A place in a pipeline, held until :meth:`Admission.release`.
+    """A place in a pipeline, held until it is released by its admission.
 
     :param demand: of the request that holds the place; None if unknown.
     :param admission: the admission that granted the place; None if another router did.
@@ -68,7 +75,7 @@
 
     pipeline: Pipeline
     tokens: float
-    admission: Admission | None = None
+    admission: PlaceOwner | None = None
     place_id: int = 0
     demand: Demand | None = None
     granted_at: timedelta | None = None
