--- a/hibiscustiller/layers/_admission_policy.py
+++ b/hibiscustiller/layers/_admission_policy.py
@@ -21,9 +21,9 @@
 from hibiscustiller.layers._reserve import FLOOR_SHARE, Reserve
 from hibiscustiller.utils import OrganisationId
 
-# A class that waits below its floor gets a quarter of the share of the most urgent one,
-# so that it reaches the floor within about the time for which a place is held, and the
-# most urgent class never gets less than half of what is released.
+# Below its floor, a class that waits gets a quarter of the weight of the most urgent.
+# It reaches the floor within about the time for which a place is held, and with three
+# classes, the most urgent one gets at least two thirds of what is released.
 _LOWER_CLASS_WEIGHT = 0.25
 # Returning requests of a class are promised at least this share of what is released to
 # it. During a long overload, all of it is used by first requests otherwise.
