--- a/benchmarks/bench_even_load.py
+++ b/benchmarks/bench_even_load.py
@@ -4,7 +4,6 @@
 reports and kind of load. The model has no network and takes no real time.
 """
 
-import random
 import sys
 from dataclasses import fields, replace
 from pathlib import Path
@@ -35,8 +34,6 @@
     """Print the mean results of each method in each case."""
     for case_name, case in CASES.items():
         for method_name, method in METHODS.items():
-            # Some methods rank servers by the order in which they are created.
-            random.seed(0)
             results = [Model(replace(case, seed=seed)).run(method) for seed in SEEDS]
             for field in fields(Result):
                 mean = fmean(getattr(result, field.name) for result in results)
