--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -158,7 +158,9 @@
 
     def may_find_next(self) -> bool:
         """Tell whether a pipeline is known for an attempt after the current one."""
-        return not self._entry_limit.is_reached and self._has_pipeline(self._excluded_ids)
+        if self._entry_limit.is_reached:
+            return False
+        return self._has_pipeline(self._excluded_ids)
 
     def may_find_second(self, first: StreamAttempt) -> bool:
         """Tell whether a pipeline is known for an attempt beside another one."""
