--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
+from functools import cached_property
 
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
@@ -225,6 +226,39 @@
     has_organisations: bool
     limits: ClientLimits
 
+    def get_priority(
+        self, route: IngressRoute, organisation: Organisation | None
+    ) -> int:
+        """Return the priority class of a request; 0 is the most urgent.
+
+        An organisation's priority goes before the route's, which orders the requests
+        of organisations with the same one. Without an organisation's priority, the
+        route's counts alone.
+        """
+        key = _make_priority_key(route, organisation)
+        return self._classes_by_priorities.get(key, key[0])
+
+    @cached_property
+    def _classes_by_priorities(self) -> Mapping[tuple[int, int], int]:
+        """Consecutive class numbers of the combinations that may occur."""
+        leading = {org.priority for org in self.organisations_by_key_digest.values()}
+        if not self.has_organisations or any(route.is_public for route in self.routes):
+            leading.add(None)
+        keys = {
+            (route.priority if first is None else first, route.priority)
+            for first in leading
+            for route in self.routes
+        }
+        return {key: number for number, key in enumerate(sorted(keys))}
+
+
+def _make_priority_key(
+    route: IngressRoute, organisation: Organisation | None
+) -> tuple[int, int]:
+    if organisation is None or organisation.priority is None:
+        return route.priority, route.priority
+    return organisation.priority, route.priority
+
 
 @dataclass(frozen=True)
 class BackendServer:
--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -61,6 +61,7 @@
     :param is_forwarded: whether another router passed the request on.
     :param may_forward_to_router: whether the request may be passed on to another
         router.
+    :param priority: priority class; 0 is the most urgent.
     """
 
     request: HttpRequest
@@ -74,13 +75,7 @@
     get_stop_at: Callable[[], timedelta | None] = lambda: None
     is_forwarded: bool = False
     may_forward_to_router: bool = True
-
-    @property
-    def priority(self) -> int:
-        """Priority of the organisation if it has one, otherwise of the route."""
-        if self.organisation is not None and self.organisation.priority is not None:
-            return self.organisation.priority
-        return self.route.priority
+    priority: int = 0
 
     @property
     def time_left(self) -> timedelta:
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -172,6 +172,9 @@
                 lambda: self._stop_at,
                 is_forwarded,
                 may_forward_to_router=not is_forwarded,
+                priority=table.document.get_priority(
+                    route, organisation_result.ok_value
+                ),
             )
         )
 
--- a/hibiscustiller/layers/_admission_policy.py
+++ b/hibiscustiller/layers/_admission_policy.py
@@ -50,9 +50,12 @@
         return sorted({*self._forecast.priorities, *self._held.priorities})
 
     @staticmethod
-    def get_weight(priority: int) -> float:
-        """Return the share of a class relative to other classes that wait."""
-        return _LOWER_CLASS_WEIGHT if priority else 1.0
+    def get_weight(is_most_urgent: bool) -> float:
+        """Return the share of a class relative to other classes that wait.
+
+        :param is_most_urgent: whether no more urgent class waits.
+        """
+        return 1.0 if is_most_urgent else _LOWER_CLASS_WEIGHT
 
     def record_arrival(self, now: timedelta, demand: Demand) -> None:
         """Record a request, whether it is granted a place or not."""
--- a/hibiscustiller/layers/_queue.py
+++ b/hibiscustiller/layers/_queue.py
@@ -44,12 +44,13 @@
     :param may_take: returns whether a class may take a place with so many tokens now.
     :param find_over_share: returns those of the waiting organisations of a class that
         hold more than their share.
-    :param get_weight: returns the share of a class while several classes wait.
+    :param get_weight: returns the share of a class while several classes wait, by
+        whether it is the most urgent of them.
     """
 
     may_take: Callable[[int, float], bool]
     find_over_share: Callable[[int, Collection[OrganisationId]], Set[OrganisationId]]
-    get_weight: Callable[[int], float]
+    get_weight: Callable[[bool], float]
 
 
 @dataclass
@@ -218,7 +219,9 @@
 
     def _get_weight(self, priority: int) -> float:
         if self._rules is not None:
-            return self._rules.get_weight(priority)
+            return self._rules.get_weight(
+                priority <= min(self._list_waiting(), default=0)
+            )
         return _CLASS_WEIGHT_RATIO**priority
 
     def _list_waiting(self) -> list[int]:
