--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -15,7 +15,7 @@
 from hibiscustiller.fleet import BackendServer
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._connections import compute_max_idle_connections
-from hibiscustiller.ingress._context import RequestContext
+from hibiscustiller.ingress._context import RequestContext, is_event_stream
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._events import Event, EventSplitter
 from hibiscustiller.ingress._health import ServerHealth
@@ -36,6 +36,8 @@
 from hibiscustiller.utils import Metrics, ServerId, Verdict
 from hibiscustiller.wire import BodyHold, Exchange, HttpClient
 
+_STATUS_OK = 200
+
 
 class Outcome(Enum):
     """Result of an attempt.
@@ -178,6 +180,12 @@
     def _handle_recall(self) -> None:
         self.is_recalled = True
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer, whose head was read, is a stream of events."""
+        assert self.exchange is not None
+        return self.exchange.status == _STATUS_OK and is_event_stream(self.exchange)
+
     async def open(self, on_sent: Callable[[], None]) -> None:
         """Send the request.
 
@@ -226,6 +234,20 @@
         except ValueError as error:
             raise TransportError(str(error), Verdict.MAY_HAVE_RUN) from error
 
+    def check_parts(self) -> None:
+        """Check that no part has been quarantined while the request waits at an engine.
+
+        The engine drops a request whose connection closes, and would crash as soon as
+        it began to answer.
+
+        :raises TransportError: if one has been, and the answer has not begun.
+        """
+        if self.event_count or self.is_trial:
+            return
+        if self._services.parts.is_quarantined(self._context.facts.prompt_parts):
+            message = "a part of the prompt was quarantined before the answer began"
+            raise TransportError(message, Verdict.MAY_HAVE_RUN)
+
     def check_whole_events(self) -> None:
         """Check that the answer has not ended in the middle of an event.
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -18,7 +18,6 @@
     NOT_RUN_STATUSES,
     CallerDisconnectedError,
     RequestContext,
-    is_event_stream,
     send_refusal,
     send_to_caller,
 )
@@ -45,7 +44,6 @@
 )
 from hibiscustiller.wire import Responder, find_described_length
 
-_STATUS_OK = 200
 # How often a paused stream looks up whether one of its stages is known to be lost, and
 # whether another attempt has answered.
 _LOST_STAGE_POLL_PERIOD = timedelta(milliseconds=40)
@@ -381,7 +379,7 @@
             await self._wait(attempt)
         if not attempt.is_judged and self._is_refused(attempt):
             return Outcome.NOT_RUN
-        if _is_stream(attempt):
+        if attempt.is_stream:
             return await self._relay_events(attempt)
         return await self._relay_whole_answer(attempt)
 
@@ -523,21 +521,6 @@
             fields = make_caller_fields(exchange.fields)
             await send_to_caller(self._responder.start_fields(exchange.status, fields))
 
-    def _check_parts(self, attempt: StreamAttempt) -> None:
-        """Check that no part has been quarantined while the request waits at an engine.
-
-        The engine drops a request whose connection closes, and would crash as soon as
-        it began to answer.
-
-        :raises TransportError: if one has been, and the answer has not begun.
-        """
-        if attempt.event_count or attempt.is_trial:
-            return
-        history, parts = self._services.parts, self._context.facts.prompt_parts
-        if history.is_quarantined(parts):
-            message = "a part of the prompt was quarantined before the answer began"
-            raise TransportError(message, Verdict.MAY_HAVE_RUN)
-
     async def _wait(self, attempt: StreamAttempt) -> None:
         """Read from an engine, and check its pipeline while no event arrives.
 
@@ -554,7 +537,7 @@
             remaining = context.time_left
             if remaining <= timedelta(0):
                 raise TimeoutError("the request timed out")
-            self._check_parts(attempt)
+            attempt.check_parts()
             if attempt.is_recalled and await self._may_yield(attempt):
                 raise _YieldedError
             if context.clock.monotonic() >= next_check:
@@ -784,7 +767,7 @@
             await self._wait(attempt)
         if self._is_refused(attempt):
             return Outcome.NOT_RUN
-        if not _is_stream(attempt):
+        if not attempt.is_stream:
             if self._may_relay_whole_answer(attempt):
                 return None
             self._may_have_run = True
@@ -864,10 +847,3 @@
     if not task.terminated or task.exception is not None:
         return None
     return task.result
-
-
-def _is_stream(attempt: StreamAttempt) -> bool:
-    """Tell whether an answer whose head was read is a stream of events."""
-    exchange = attempt.exchange
-    assert exchange is not None
-    return exchange.status == _STATUS_OK and is_event_stream(exchange)
