Check the stages of a paused stream only without other evidence

Each stream opened a connection to every stage of its pipeline after a pause of 240 ms, mostly while a new request's prompt was read: up to 12 connections.

StageChecks connects only to the stages whose latest event to any stream of the router is older than the period, counted for each stage. A loss after an event is still checked within 280 ms, and found within 0.5 s with two attempts to connect of 110 ms. The time of such an event is kept as evidence that the process ran, which the crash history reads. A longer period for pipelines with longer gaps does not fit in the 0.5 s and is left out.

--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -185,13 +185,22 @@
         return outage is not None and outage.born == server.born and outage.is_ended
 
     def get_reached_at(self, server: BackendServer) -> timedelta | None:
-        """Return when this router last opened a connection to check a process.
+        """Return when this router last found a process to run.
 
         :returns: time on the monotonic clock; None if it did not.
         """
         born, reached_at = self._reached_by_id.get(server.id, (None, None))
         return reached_at if born == server.born else None
 
+    def record_answered(self, server: BackendServer, answered_at: timedelta) -> None:
+        """Record that a process runs, as an event from its pipeline shows."""
+        if not self.has_ended(server):
+            reached_at = self.get_reached_at(server) or answered_at
+            self._reached_by_id[server.id] = (
+                server.born,
+                max(answered_at, reached_at),
+            )
+
     def is_any_reachable(self, servers: Iterable[BackendServer]) -> bool:
         """Tell whether this router may reach any of some servers."""
         return not self.is_cut_off and any(map(self.is_reachable, servers))
--- a/hibiscustiller/ingress/_open_attempts.py
+++ b/hibiscustiller/ingress/_open_attempts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import Protocol
 
@@ -51,6 +52,8 @@
         self._attempts: set[WaitingAttempt] = set()
         # When servers last answered attempts that are closed.
         self._answered_at_by_id: dict[ServerId, timedelta] = {}
+        self._found_answers_by_id: dict[ServerId, timedelta] = {}
+        self._answers_found_at = clock.monotonic() - _REFRESH_PERIOD
         # Silent servers by the length of the silence, and when they were found.
         self._longest_silence = timedelta(0)
         self._found_by_silence: dict[timedelta, tuple[timedelta, frozenset]] = {}
@@ -82,19 +85,32 @@
             self._found_by_silence[silence] = now, silent_ids
         return silent_ids
 
+    def get_answer_times(self) -> Mapping[ServerId, timedelta]:
+        """Return when servers last answered any attempt, as known a moment ago."""
+        now = self._clock.monotonic()
+        if now - self._answers_found_at >= _REFRESH_PERIOD:
+            self._answers_found_at = now
+            self._found_answers_by_id = self._find_answers()
+        return self._found_answers_by_id
+
+    def _find_answers(self) -> dict[ServerId, timedelta]:
+        answered_at_by_id = dict(self._answered_at_by_id)
+        for attempt in self._attempts:
+            _record_answer(answered_at_by_id, attempt)
+        return answered_at_by_id
+
     def _find_silent(self, now: timedelta, silence: timedelta) -> frozenset[ServerId]:
         self._answered_at_by_id = {
             server_id: answered_at
             for server_id, answered_at in self._answered_at_by_id.items()
             if now - answered_at < self._longest_silence
         }
-        answered_at_by_id = dict(self._answered_at_by_id)
+        answered_at_by_id = self._find_answers()
         awaited_ids: set[ServerId] = set()
         for attempt in self._attempts:
             has_waited = now - attempt.waiting_since >= silence
             if has_waited or (attempt.is_second and attempt.answered_at is None):
                 awaited_ids.update(attempt.server_ids)
-            _record_answer(answered_at_by_id, attempt)
         answering_ids = {
             server_id
             for server_id, answered_at in answered_at_by_id.items()
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -25,6 +25,7 @@
 )
 from hibiscustiller.ingress._events import Event, select_new_events
 from hibiscustiller.ingress._pipeline_search import PipelineSearch
+from hibiscustiller.ingress._stage_checks import StageChecks
 from hibiscustiller.ingress._stream_attempts import (
     Outcome,
     StreamAttempt,
@@ -45,9 +46,6 @@
 # How often a paused stream looks up whether one of its stages is known to be lost, and
 # whether another attempt has answered.
 _LOST_STAGE_POLL_PERIOD = timedelta(milliseconds=40)
-# The stages of a stream are checked by connecting to them after a pause of this length,
-# and again after each further one. The pauses of a full pipeline are shorter.
-_STAGE_CHECK_PERIOD = timedelta(milliseconds=240)
 # A caller that receives no event disconnects after the longest of these: a fixed time,
 # a multiple of the target latency, a multiple of the target gap.
 _MIN_CALLER_TIMEOUT = timedelta(seconds=2)
@@ -542,15 +540,13 @@
         :raises TimeoutError: if the request's timeout expires.
         """
         context = self._context
-        next_check = context.clock.monotonic() + _STAGE_CHECK_PERIOD
+        checks = StageChecks(self._services, context.clock, attempt.pipeline.servers)
         while True:
             remaining = context.time_left
             if remaining <= timedelta(0):
                 raise TimeoutError("the request timed out")
             self._check_parts(attempt)
-            if context.clock.monotonic() >= next_check:
-                next_check += _STAGE_CHECK_PERIOD
-                await self._services.health.check(attempt.pipeline.servers)
+            await checks.run_due()
             # While events arrive, the pipeline works, even if connecting to one of its
             # stages has failed.
             if attempt.silent_for >= _LOST_STAGE_POLL_PERIOD:
