Size places by the actual lengths of a class's answers

A place counted the prompt and half of the answer that the request announces; where answers are longer, engines reject or interrupt streams that the allocator believes to fit.

Routers report the tokens of complete answers (events times the stride) with the release of a place. For each class, the allocator keeps the mean and the spread of their ratio to the hint; a place then holds half of the corrected answer, and one standard deviation of the mean of the pipeline's requests.

--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -23,6 +23,7 @@
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import (
     Admission,
+    AnswerLengths,
     EngineGroup,
     EngineLoad,
     Pipeline,
@@ -294,6 +295,7 @@
             self._health.refusals.list_refusing,
             domain,
             None if domain is None else RejectionRecord(self._clock),
+            None if domain is None else AnswerLengths(),
         )
 
     def _find_alternative(
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -108,7 +108,8 @@
     is the number of events that were passed on, and ``progress_at`` when the latest of
     them was, or when the attempt began. ``events`` have been read but not been
     passed on. ``is_judged`` tells whether the head of the answer was found acceptable.
-    ``rejected_by`` are the servers that rejected the request.
+    ``rejected_by`` are the servers that rejected the request, and ``answer_tokens`` the
+    tokens of a complete answer, 0 before.
     """
 
     def __init__(
@@ -137,6 +138,7 @@
         self.is_judged = False
         self.is_at_end = False
         self.rejected_by: tuple[ServerId, ...] = ()
+        self.answer_tokens = 0
         self.exchange: Exchange | None = None
         self.hold: BodyHold = services.client.memory.hold(self.entry.address)
         self._splitter = EventSplitter(self.hold)
@@ -235,6 +237,17 @@
         self.event_count += event_count
         self.progress_at = self._context.clock.monotonic()
 
+    def record_whole_answer(self, event_count: int) -> None:
+        """Record that the answer is complete.
+
+        :param event_count: events that all attempts of the stream passed on.
+        """
+        spec = self._context.service.engine
+        assert spec is not None
+        # The caller of a resumed stream got its first events elsewhere.
+        if self._context.facts.last_event is None:
+            self.answer_tokens = event_count * spec.stride
+
     def record_statements(self, facts: AnswerFacts) -> None:
         """Record what an answer says of its server, or of the server at fault.
 
@@ -261,7 +274,7 @@
             if self.exchange is not None:
                 await self.exchange.close()
         finally:
-            place_outcome = PlaceOutcome(rejected_by=self.rejected_by)
+            place_outcome = PlaceOutcome(self.answer_tokens, self.rejected_by)
             await services.admission.release(self.grant, place_outcome)
         self._record_crash_outcome(outcome)
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -451,6 +451,7 @@
         await self._end_second()
         await self._start_response(attempt)
         await send_to_caller(self._responder.finish())
+        attempt.record_whole_answer(self._event_count)
         return Outcome.FINISHED
 
     async def _check_end(self, attempt: StreamAttempt) -> None:
--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -228,8 +228,11 @@
         assert len(entries) == 3
 
 
-async def test_rejections_are_reported_with_the_release_of_the_place():
-    """Guards against an allocator that grants further places at a full engine."""
+async def test_rejections_and_lengths_are_reported_with_the_release_of_the_place():
+    """Guards against an allocator that grants further places at a full engine.
+
+    It also guards against places whose size is never compared with the answers.
+    """
     async with World(("e0", "e1"), ("north", "east")) as world:
         world.hold_all_layers(*world.engines)
         await world.wait_for_pipelines(2)
@@ -244,6 +247,7 @@
         world.engines[0].faults.is_full = True
         assert (await world.request("/chat/1")).body == WHOLE_STREAM
     assert [outcome.rejected_by for outcome in outcomes] == [("e0",), ()]
+    assert [outcome.answer_tokens for outcome in outcomes] == [0, 20]
 
 
 async def test_stream_of_another_request_does_not_reach_the_caller():
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -7,6 +7,7 @@
     Grant,
     PlaceOutcome,
 )
+from hibiscustiller.layers._answer_lengths import AnswerLengths
 from hibiscustiller.layers._choice import PipelineSelector
 from hibiscustiller.layers._load import EngineLoad, EngineUse
 from hibiscustiller.layers._pipelines import (
@@ -25,6 +26,7 @@
 
 __all__ = [
     "Admission",
+    "AnswerLengths",
     "UNKNOWN_OUTCOME",
     "Demand",
     "PlaceOutcome",
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -11,6 +11,7 @@
 import curio
 from result import Err, Ok, Result
 
+from hibiscustiller.layers._answer_lengths import AnswerLengths
 from hibiscustiller.layers._choice import PipelineSelector
 from hibiscustiller.layers._load import EngineLoad
 from hibiscustiller.layers._pipelines import Pipeline
@@ -116,6 +117,7 @@
         for all.
     :param rejections: engines that rejected requests of any router; None for an
         admission that allocates no places.
+    :param answer_lengths: actual lengths of answers; None to believe each request.
     """
 
     def __init__(
@@ -127,7 +129,9 @@
         list_refusing: Callable[[], Set[ServerId]] = frozenset,
         domain: DomainId | None = None,
         rejections: RejectionRecord | None = None,
+        answer_lengths: AnswerLengths | None = None,
     ) -> None:
+        self._answer_lengths = answer_lengths
         self._domain = domain
         self._rejections = rejections
         self._list_refusing = list_refusing
@@ -193,7 +197,8 @@
         self, demand: Demand, excluded: Collection[ServerId]
     ) -> Pipeline | None:
         """Return the pipeline for a request that has lost its place."""
-        tokens, gap, domain = demand.tokens, demand.target_gap, self._domain
+        tokens, gap = self._estimate_tokens(demand), demand.target_gap
+        domain = self._domain
         rejecting = self._list_rejecting(excluded)
         pipeline = self._selector.select(
             tokens, gap, {*excluded, *rejecting}, domain=domain
@@ -204,7 +209,7 @@
 
     def reserve(self, pipeline: Pipeline, demand: Demand) -> Grant:
         """Reserve a place in a pipeline regardless of its free capacity."""
-        return self.record_place(pipeline, demand.tokens, demand)
+        return self.record_place(pipeline, self._estimate_tokens(demand), demand)
 
     def record_place(
         self, pipeline: Pipeline, tokens: float, demand: Demand | None = None
@@ -225,6 +230,10 @@
             self._rejections.record_release(
                 grant.pipeline.server_ids, outcome.rejected_by
             )
+        if self._answer_lengths is not None and grant.demand is not None:
+            hinted = grant.demand.answer_tokens
+            actual = outcome.answer_tokens
+            self._answer_lengths.record(grant.demand.priority, hinted, actual)
         self._update_rate(grant.tokens)
         await self.grant_waiting()
 
@@ -261,7 +270,7 @@
 
     def _try_grant(self, demand: Demand) -> Grant | None:
         pipeline = self._selector.select(
-            demand.tokens,
+            self._estimate_tokens(demand),
             demand.target_gap,
             self._list_rejecting(),
             domain=self._domain,
@@ -283,6 +292,16 @@
                 return rejecting
         return frozenset()
 
+    def _estimate_tokens(self, demand: Demand) -> float:
+        """Return the tokens that a place of a request holds on average."""
+        pipelines = self._selector.list_pipelines(self._domain)
+        if self._answer_lengths is None or not pipelines:
+            return demand.tokens
+        held_count = sum(self._load.get(p.entry.id).entry_count for p in pipelines)
+        return demand.tokens + self._answer_lengths.estimate_excess(
+            demand.priority, demand.answer_tokens, held_count / len(pipelines) + 1
+        )
+
     def _estimate_wait(self, demand: Demand) -> timedelta:
         self._update_rate(0.0)
         tokens_ahead, class_share = self._queue.estimate_share(
