--- a/hibiscustiller/layers/_rejections.py
+++ b/hibiscustiller/layers/_rejections.py
@@ -14,7 +14,7 @@
 
 from hibiscustiller.utils import Clock, ServerId, log_event
 
-# An engine that serves 88 requests of some 4 s ends ten in this time.
+# A full pipeline ends some ten requests in this time.
 _FIRST_EXCLUSION = timedelta(milliseconds=500)
 # Callers of streams leave after 2 s or more without an event; an engine that is left
 # out for longer than twice that is missed more than it is spared.
