Show backed-off engines and answer lengths in the state

/state names, for each domain whose places a daemon grants, the engines that get no places and the ratios of answer lengths. The description of places moves from the gateway to ModelServices. A route without a target latency waits in its own domain; it met a division by zero in choose_domains.

--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -536,15 +536,7 @@
                 ]
                 for name, forwarder in self.models.forwarders_by_service.items()
             },
-            "places": {
-                "given": self.models.place_allocator.held_count,
-                "held": self.models.place_client.held_count,
-                "gives_out": [
-                    f"{service}/{domain}"
-                    for service, domain in self.models.list_service_domains()
-                    if self.models.place_client.is_allocator(domain)
-                ],
-            },
+            "places": self.models.describe_places(),
             "crashed_requests": self._crashes.describe(),
             "unanswered_runs": len(self._unanswered),
             "rate_limits": self._rate_limits.describe(),
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -167,6 +167,32 @@
         ]
         return {routers[0] for routers in allocators if routers}
 
+    def describe_places(self) -> dict[str, object]:
+        """Return the state of the places that this router grants or holds."""
+        admissions = {
+            f"{service}/{domain}": admission
+            for (service, domain), admission in self._admissions.items()
+        }
+        return {
+            "given": self.place_allocator.held_count,
+            "held": self.place_client.held_count,
+            "gives_out": [
+                f"{service}/{domain}"
+                for service, domain in self.list_service_domains()
+                if self.place_client.is_allocator(domain)
+            ],
+            "backed_off": {
+                name: sorted(admission.rejections.list_excluded())
+                for name, admission in admissions.items()
+                if admission.rejections is not None
+            },
+            "answer_ratios": {
+                name: admission.answer_lengths.describe()
+                for name, admission in admissions.items()
+                if admission.answer_lengths is not None
+            },
+        }
+
     def request_refresh(self) -> None:
         """Request a new search for pipelines after a change."""
         self._is_stale.set()
--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -13,7 +13,7 @@
     World,
     make_document,
 )
-from hibiscustiller.layers import UNKNOWN_OUTCOME
+from hibiscustiller.layers import UNKNOWN_OUTCOME, Demand, PlaceOutcome
 from hibiscustiller.standins import make_event
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import HttpClient
@@ -250,6 +250,27 @@
     assert [outcome.answer_tokens for outcome in outcomes] == [0, 20]
 
 
+async def test_engines_that_an_allocator_left_out_are_shown_in_the_state():
+    """Guards against places that are missing for a reason that operators cannot see."""
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        models = world.gateway.models
+        admission = models.get_admission("engines", "north")
+        pipeline = next(
+            p for p in admission._selector.pipelines if p.entry.domain == "north"
+        )
+        demand = Demand(0, "greens", 110.0, SECOND, None, SECOND, answer_tokens=20.0)
+        for _ in range(20):
+            grant = admission.reserve(pipeline, demand)
+            await admission.release(grant, PlaceOutcome(answer_tokens=30))
+        grant = admission.reserve(pipeline, demand)
+        await admission.release(grant, PlaceOutcome(rejected_by=("e0",)))
+        places = models.describe_places()
+    assert places["backed_off"] == {"engines/north": ["e0"]}
+    assert places["answer_ratios"] == {"engines/north": {0: 1.5}}
+
+
 async def test_stream_of_another_request_does_not_reach_the_caller():
     """Guards against an answer that is delivered to the wrong caller."""
     async with World(("e0",), ("north",)) as world:
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -131,9 +131,9 @@
         rejections: RejectionRecord | None = None,
         answer_lengths: AnswerLengths | None = None,
     ) -> None:
-        self._answer_lengths = answer_lengths
+        self.answer_lengths = answer_lengths
         self._domain = domain
-        self._rejections = rejections
+        self.rejections = rejections
         self._list_refusing = list_refusing
         self._selector = selector
         self._load = load
@@ -226,14 +226,14 @@
         :param outcome: what became of the request that held it.
         """
         self._load.remove(grant.pipeline, grant.tokens)
-        if self._rejections is not None:
-            self._rejections.record_release(
+        if self.rejections is not None:
+            self.rejections.record_release(
                 grant.pipeline.server_ids, outcome.rejected_by
             )
-        if self._answer_lengths is not None and grant.demand is not None:
+        if self.answer_lengths is not None and grant.demand is not None:
             hinted = grant.demand.answer_tokens
             actual = outcome.answer_tokens
-            self._answer_lengths.record(grant.demand.priority, hinted, actual)
+            self.answer_lengths.record(grant.demand.priority, hinted, actual)
         self._update_rate(grant.tokens)
         await self.grant_waiting()
 
@@ -261,7 +261,7 @@
         if self._selector.spec is None or len(self._queue):
             return 0.0
         pipelines = self._selector.list_pipelines(self._domain)
-        full = set() if self._rejections is None else self._rejections.list_full()
+        full = set() if self.rejections is None else self.rejections.list_full()
         with_room = [p for p in pipelines if full.isdisjoint(p.server_ids)]
         return sum(
             max(0.0, self._selector.get_free_tokens(pipeline))
@@ -285,8 +285,8 @@
             help, and a request that is rejected is retried around the engine.
         """
         rejecting = self._list_refusing()
-        if self._rejections is not None:
-            rejecting = rejecting | self._rejections.list_excluded()
+        if self.rejections is not None:
+            rejecting = rejecting | self.rejections.list_excluded()
         for pipeline in self._selector.list_pipelines(self._domain):
             if {*excluded, *rejecting}.isdisjoint(pipeline.server_ids):
                 return rejecting
@@ -295,10 +295,10 @@
     def _estimate_tokens(self, demand: Demand) -> float:
         """Return the tokens that a place of a request holds on average."""
         pipelines = self._selector.list_pipelines(self._domain)
-        if self._answer_lengths is None or not pipelines:
+        if self.answer_lengths is None or not pipelines:
             return demand.tokens
         held_count = sum(self._load.get(p.entry.id).entry_count for p in pipelines)
-        return demand.tokens + self._answer_lengths.estimate_excess(
+        return demand.tokens + self.answer_lengths.estimate_excess(
             demand.priority, demand.answer_tokens, held_count / len(pipelines) + 1
         )
 
--- a/hibiscustiller/layers/_answer_lengths.py
+++ b/hibiscustiller/layers/_answer_lengths.py
@@ -47,6 +47,14 @@
     def __init__(self) -> None:
         self._lengths_by_priority: dict[int, _ClassLengths] = {}
 
+    def describe(self) -> dict[int, float]:
+        """Return the ratio of actual to hinted tokens of the classes that have one."""
+        return {
+            priority: round(lengths.mean, 3)
+            for priority, lengths in sorted(self._lengths_by_priority.items())
+            if lengths.count >= _MIN_SAMPLES
+        }
+
     def record(self, priority: int, hinted: float, actual: float) -> None:
         """Record the length of an answer, in tokens.
 
--- a/hibiscustiller/layers/_domain_choice.py
+++ b/hibiscustiller/layers/_domain_choice.py
@@ -129,9 +129,9 @@
     random_state: random.Random,
 ) -> list[tuple[DomainId, bool]]:
     """Return the domains in which the request may wait, in order."""
-    if own_wait is None:
-        return [(own, True)]
     max_wait = demand.target_latency * MAX_WAIT_SHARE
+    if own_wait is None or max_wait <= timedelta(0):
+        return [(own, True)]
     waits_by_domain = {
         domain: wait + _get_crossing_cost(demand)
         for domain, summary in others.items()
--- a/hibiscustiller/layers/tests/test_domain_choice.py
+++ b/hibiscustiller/layers/tests/test_domain_choice.py
@@ -5,6 +5,7 @@
 import random
 import sys
 from collections import Counter, deque
+from dataclasses import replace
 from datetime import timedelta
 
 from result import Err, Ok
@@ -262,6 +263,14 @@
     assert choose((None, None), []) == {(("north", True),): 1}
 
 
+def test_a_route_without_a_target_latency_waits_in_its_own_domain():
+    """Guards against an error for requests that may not wait at all."""
+    demand = replace(DEMAND, target_latency=timedelta(0))
+    summaries = dict.fromkeys(DOMAINS, DomainSummary(0, {0: timedelta(0)}))
+    attempts = choose_domains("north", summaries, demand, random.Random(1))
+    assert attempts == [("north", True)]
+
+
 def test_a_router_without_pipelines_in_its_domain_uses_another_one():
     """Guards against refusals at routers whose domain has no engines."""
     choices = choose((0, 0.2), [(50, 0.0)], domain="west")
