--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -25,6 +25,7 @@
 from hibiscustiller.layers import (
     Admission,
     AdmissionPolicy,
+    AnswerLengths,
     EngineGroup,
     EngineLoad,
     Pipeline,
@@ -170,9 +171,32 @@
         ]
         return {routers[0] for routers in allocators if routers}
 
-    def count_displaced(self) -> int:
-        """Return how many begun streams wait here for a place in another pipeline."""
-        return sum(a.displaced_count for a in self._admissions.values())
+    def describe_places(self) -> dict[str, object]:
+        """Return the state of the places that this router grants or holds."""
+        admissions = {
+            f"{service}/{domain}": admission
+            for (service, domain), admission in self._admissions.items()
+        }
+        return {
+            "given": self.place_allocator.held_count,
+            "held": self.place_client.held_count,
+            "displaced": sum(a.displaced_count for a in admissions.values()),
+            "gives_out": [
+                f"{service}/{domain}"
+                for service, domain in self.list_service_domains()
+                if self.place_client.is_allocator(domain)
+            ],
+            "backed_off": {
+                name: sorted(admission.rejections.list_excluded())
+                for name, admission in admissions.items()
+                if admission.rejections is not None
+            },
+            "answer_ratios": {
+                name: admission.answer_lengths.describe()
+                for name, admission in admissions.items()
+                if admission.answer_lengths is not None
+            },
+        }
 
     def request_refresh(self) -> None:
         """Request a new search for pipelines after a change."""
@@ -318,6 +342,7 @@
             policy,
             self._metrics,
             service,
+            None if domain is None else AnswerLengths(),
         )
 
     def _find_alternative(
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -27,6 +27,7 @@
     compute_stall_timeout,
 )
 from hibiscustiller.ingress._pipeline_search import PipelineSearch
+from hibiscustiller.ingress._stage_checks import StageChecks
 from hibiscustiller.ingress._stream_attempts import (
     Outcome,
     StreamAttempt,
@@ -48,9 +49,6 @@
 # How often a paused stream looks up whether one of its stages is known to be lost, and
 # whether another attempt has answered.
 _LOST_STAGE_POLL_PERIOD = timedelta(milliseconds=40)
-# The stages of a stream are checked by connecting to them after a pause of this length,
-# and again after each further one. The pauses of a full pipeline are shorter.
-_STAGE_CHECK_PERIOD = timedelta(milliseconds=240)
 # A search for a second pipeline that found none is repeated after this time.
 _SECOND_SEARCH_PERIOD = timedelta(milliseconds=150)
 _RETRY_AFTER = timedelta(milliseconds=700)
@@ -465,6 +463,7 @@
         await self._end_second()
         await self._start_response(attempt)
         await send_to_caller(self._responder.finish())
+        attempt.record_whole_answer(self._event_count)
         return Outcome.FINISHED
 
     async def _check_end(self, attempt: StreamAttempt) -> None:
@@ -541,7 +540,7 @@
         :raises _YieldedError: if the attempt yields its place.
         """
         context = self._context
-        next_check = context.clock.monotonic() + _STAGE_CHECK_PERIOD
+        checks = StageChecks(self._services, context.clock, attempt.pipeline.servers)
         while True:
             remaining = context.time_left
             if remaining <= timedelta(0):
@@ -549,9 +548,7 @@
             attempt.check_parts()
             if attempt.is_recalled and await self._may_yield(attempt):
                 raise _YieldedError
-            if context.clock.monotonic() >= next_check:
-                next_check += _STAGE_CHECK_PERIOD
-                await self._services.health.check(attempt.pipeline.servers)
+            await checks.run_due()
             # While events arrive, the pipeline works, even if connecting to one of its
             # stages has failed.
             if attempt.silent_for >= _LOST_STAGE_POLL_PERIOD:
--- a/hibiscustiller/layers/__init__.py
+++ b/hibiscustiller/layers/__init__.py
@@ -8,6 +8,7 @@
     PlaceOutcome,
 )
 from hibiscustiller.layers._admission_policy import AdmissionPolicy
+from hibiscustiller.layers._answer_lengths import AnswerLengths
 from hibiscustiller.layers._choice import PipelineSelector, has_old_reports
 from hibiscustiller.layers._even_choice import (
     ServerLoad,
@@ -33,6 +34,7 @@
 __all__ = [
     "Admission",
     "AdmissionPolicy",
+    "AnswerLengths",
     "UNKNOWN_OUTCOME",
     "Demand",
     "PlaceOutcome",
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from hibiscustiller.layers._admission_policy import AdmissionPolicy
+from hibiscustiller.layers._answer_lengths import AnswerLengths
 from hibiscustiller.layers._appointments import choose_retry_delay
 from hibiscustiller.layers._choice import PipelineSelector
 from hibiscustiller.layers._demand import (
@@ -77,6 +78,7 @@
         places by weighted fair queueing alone.
     :param metrics: counts the refusals under a policy.
     :param service: name of the service, for log lines.
+    :param answer_lengths: actual lengths of answers; None to believe each request.
     """
 
     def __init__(
@@ -91,9 +93,11 @@
         policy: AdmissionPolicy | None = None,
         metrics: Metrics | None = None,
         service: ServiceName | None = None,
+        answer_lengths: AnswerLengths | None = None,
     ) -> None:
+        self.answer_lengths = answer_lengths
         self._domain = domain
-        self._rejections = rejections
+        self.rejections = rejections
         self._policy = policy
         self._metrics = metrics or Metrics()
         self._service = service
@@ -208,7 +212,8 @@
         self, demand: Demand, excluded: Collection[ServerId]
     ) -> Pipeline | None:
         """Return the pipeline for a request that has lost its place."""
-        tokens, gap, domain = demand.tokens, demand.target_gap, self._domain
+        tokens, gap = self._estimate_tokens(demand), demand.target_gap
+        domain = self._domain
         rejecting = self._list_rejecting(excluded)
         pipeline = self._selector.select(
             tokens, gap, {*excluded, *rejecting}, domain=domain
@@ -254,7 +259,7 @@
 
     def reserve(self, pipeline: Pipeline, demand: Demand) -> Grant:
         """Reserve a place in a pipeline regardless of its free capacity."""
-        return self.record_place(pipeline, demand.tokens, demand)
+        return self.record_place(pipeline, self._estimate_tokens(demand), demand)
 
     def record_place(
         self, pipeline: Pipeline, tokens: float, demand: Demand | None = None
@@ -274,14 +279,18 @@
         :param outcome: what became of the request that held it.
         """
         self._load.remove(grant.pipeline, grant.tokens)
-        if self._rejections is not None:
-            self._rejections.record_release(
+        if self.rejections is not None:
+            self.rejections.record_release(
                 grant.pipeline.server_ids, outcome.rejected_by
             )
         now = self._clock.monotonic()
         if self._policy is not None:
             self._policy.record_release(now, grant)
         self._release_rate.record(now, grant.tokens)
+        if self.answer_lengths is not None and grant.demand is not None:
+            hinted = grant.demand.answer_tokens
+            actual = outcome.answer_tokens
+            self.answer_lengths.record(grant.demand.priority, hinted, actual)
         await self.grant_waiting()
 
     async def grant_waiting(self) -> None:
@@ -357,7 +366,7 @@
         if len(self._displaced):
             return 0.0
         if not len(self._queue):
-            full = set() if self._rejections is None else self._rejections.list_full()
+            full = set() if self.rejections is None else self.rejections.list_full()
             return count_unused_tokens(self._selector, self._domain, full)
         return 0.0 if self._queue.peek() is not None else self._count_usable_tokens()
 
@@ -467,7 +476,7 @@
         self, demand: Demand, excluded: Set[ServerId] = frozenset()
     ) -> Grant | None:
         pipeline = self._selector.select(
-            demand.tokens,
+            self._estimate_tokens(demand),
             demand.target_gap,
             excluded | self._list_rejecting(excluded),
             domain=self._domain,
@@ -486,8 +495,8 @@
             help, and a request that is rejected is retried around the engine.
         """
         rejecting = self._list_refusing()
-        if self._rejections is not None:
-            rejecting = rejecting | self._rejections.list_excluded()
+        if self.rejections is not None:
+            rejecting = rejecting | self.rejections.list_excluded()
         for pipeline in self._selector.list_pipelines(self._domain):
             if {*excluded, *rejecting}.isdisjoint(pipeline.server_ids):
                 return rejecting
@@ -500,6 +509,16 @@
             self._policy.record_refusal(self._clock.monotonic(), demand)
         return self.refuse(demand, RefusalReason.OVERLOADED, message, wait)
 
+    def _estimate_tokens(self, demand: Demand) -> float:
+        """Return the tokens that a place of a request holds on average."""
+        pipelines = self._selector.list_pipelines(self._domain)
+        if self.answer_lengths is None or not pipelines:
+            return demand.tokens
+        held_count = sum(self._load.get(p.entry.id).entry_count for p in pipelines)
+        return demand.tokens + self.answer_lengths.estimate_excess(
+            demand.priority, demand.answer_tokens, held_count / len(pipelines) + 1
+        )
+
     def refuse(
         self,
         demand: Demand,
