Weigh the work that a yield repeats against that of the urgent request

No stream yielded but one: the tokens that it reads again, of which a prompt is the most, had to be less than half of the urgent request's, whose prompt is as long. A prompt token takes about a tenth of the time of a generated one, and the comparison now counts work. The least urgent class is found by the distance of classes alone, since a document may have more than three.

--- a/hibiscustiller/layers/_yielding.py
+++ b/hibiscustiller/layers/_yielding.py
@@ -19,8 +19,6 @@
 
 Key = TypeVar("Key")
 
-# Least urgent class for whose requests a place is recalled.
-_MAX_URGENT_PRIORITY = 1
 # A request that has waited for this share of its longest wait is taken to miss its
 # target. Most places become free earlier; the rest is left for the recall.
 _WAITED_SHARE = 0.5
@@ -28,7 +26,10 @@
 MIN_RUN_TIME = timedelta(seconds=1)
 # A stream that is about to end releases its place anyway.
 MIN_LEFT_SHARE = 1 / 3
-# The tokens read again must be less than this share of those of the urgent request.
+# Time to read a token of a prompt against the time to generate one. Prompts are read
+# in parallel.
+_READ_COST = 0.1
+# The work that is repeated must be less than this share of the urgent request's.
 _MAX_COST_SHARE = 0.5
 # Share of the expected answer that the tokens of a demand count.
 _HELD_ANSWER_SHARE = 0.5
@@ -68,8 +69,7 @@
     @property
     def repeated_tokens(self) -> float:
         """Expected tokens that are read again if the stream yields."""
-        held_answer = self.demand.answer_tokens * _HELD_ANSWER_SHARE
-        return max(0.0, self.demand.tokens - held_answer) + self.emitted_tokens
+        return _count_prompt_tokens(self.demand) + self.emitted_tokens
 
 
 def choose_yielding(
@@ -85,8 +85,6 @@
     :param priorities: classes of the service, as far as they are known.
     :returns: None if no stream yields.
     """
-    if request.priority > _MAX_URGENT_PRIORITY:
-        return None
     if waited < request.target_latency * MAX_WAIT_SHARE * _WAITED_SHARE:
         return None
     classes = {*priorities, request.priority}
@@ -94,13 +92,13 @@
     min_distance = 2 if len(classes) >= 3 else 1
     if least_urgent - request.priority < min_distance:
         return None
-    gain = request.tokens + request.answer_tokens * (1 - _HELD_ANSWER_SHARE)
+    gain = _count_prompt_tokens(request) * _READ_COST + request.answer_tokens
     candidates = [
         stream
         for stream in streams
         if stream.demand.priority == least_urgent
         and _may_yield(stream)
-        and stream.repeated_tokens < gain * _MAX_COST_SHARE
+        and stream.repeated_tokens * _READ_COST < gain * _MAX_COST_SHARE
     ]
     for stream in sorted(candidates, key=lambda stream: stream.repeated_tokens):
         if stream.count_free_tokens() >= request.tokens:
@@ -108,6 +106,10 @@
     return None
 
 
+def _count_prompt_tokens(demand: Demand) -> float:
+    return max(0.0, demand.tokens - demand.answer_tokens * _HELD_ANSWER_SHARE)
+
+
 def _may_yield(stream: RunningStream) -> bool:
     """Tell whether a stream has run for long enough and has enough left."""
     answer = stream.demand.answer_tokens
