--- a/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
+++ b/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
@@ -23,13 +23,17 @@
     PipelineSelector,
     PlaceAllocator,
     PlaceClient,
+    PlaceOutcome,
+    RejectionRecord,
     SharedAdmission,
     find_pipelines,
 )
+from hibiscustiller.layers._domain_choice import DomainSummary
 from hibiscustiller.layers.tests.fixtures import MS, SPEC, LayerRange, make_engine
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Metrics, SystemClock
 from hibiscustiller.utils._testing import collect_tests
+from hibiscustiller.wire._messages_generated import ClassWait, PlaceSummary
 
 SECOND = timedelta(seconds=1)
 DOMAINS = ("north", "east")
@@ -369,5 +373,38 @@
     assert max(waited for _, _, waited in outcomes) < 300 * MS
 
 
+async def test_announced_waits_reach_the_other_routers_and_expire():
+    """Guards against a choice of domains by waits that are unknown or out of date."""
+    async with Fleet(size=14) as fleet:
+        allocator = fleet.find_allocator("east")
+        other = next(m for m in fleet.members if m is not allocator)
+        assert other.client.get_summary("engines", "east") == DomainSummary()
+        waits = (ClassWait(0, 20), ClassWait(2, 300))
+        summary = PlaceSummary("engines", "east", 7000.0, waits)
+        data = allocator.datagrams.encode(summary)
+        await allocator.datagrams.send(other.datagrams.address, data)
+        await curio.sleep(0.05)
+        received = other.client.get_summary("engines", "east")
+        assert received.free_tokens == 7000.0
+        assert received.waits_by_priority == {0: 20 * MS, 2: 300 * MS}
+        assert 0 * MS < received.age < SECOND
+        assert replace(received, age=2 * SECOND).get_wait(0) is None
+
+
+async def test_rejections_reach_the_allocator_with_the_release():
+    """Guards against an allocator that sends all routers to a full engine."""
+    async with Fleet(size=14) as fleet:
+        allocator = fleet.find_allocator("north")
+        record = RejectionRecord(SystemClock())
+        allocator.admissions["north"].rejections = record
+        others = [m for m in fleet.members[::2] if m is not allocator]
+        grant = (await others[0].admission.admit(make_demand())).ok_value
+        server_id = grant.pipeline.server_ids[1]
+        outcome = PlaceOutcome(answer_tokens=20, rejected_by=(server_id,))
+        await others[0].admission.release(grant, outcome)
+        await curio.sleep(0.05)
+        assert record.list_excluded() == {server_id}
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
