--- a/hibiscustiller/ingress/tests/soak/processes.py
+++ b/hibiscustiller/ingress/tests/soak/processes.py
@@ -40,6 +40,11 @@
         """Whether the process runs, paused or not."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self):
+        """Id of the process that was started last."""
+        return self._process.pid
+
     def start(self):
         """Start a new process."""
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
