Move requests and answers out of the HTTP server's module

Reading limits, checks and decoding are in _http_requests, the answers in _responder; nothing else changes. test_http_server and test_memory: 18 passed.

--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -11,16 +11,14 @@
     RawRequest,
     find_described_length,
 )
-from hibiscustiller.wire._http_server import (
-    Handler,
-    HttpLimits,
-    HttpRequest,
-    HttpServer,
+from hibiscustiller.wire._http_requests import HttpLimits, HttpRequest
+from hibiscustiller.wire._http_server import Handler, HttpServer
+from hibiscustiller.wire._memory import BodyHold, BodyMemory
+from hibiscustiller.wire._responder import (
     Responder,
     describe_refusal,
     make_refusal_headers,
 )
-from hibiscustiller.wire._memory import BodyHold, BodyMemory
 from hibiscustiller.wire._sockets import (
     Connect,
     is_readable,
--- /dev/null
+++ b/hibiscustiller/wire/_http_requests.py
@@ -0,0 +1,182 @@
+"""Requests of the HTTP server: their bounds, their checks and their decoding.
+
+This module does no I/O.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import h11
+
+from hibiscustiller.utils import Refusal, RefusalReason, Verdict
+
+# CONNECT and unknown methods have no meaning for the services behind the router.
+_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+_MAX_QUERY_FIELDS = 100
+_BAD_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
+_MAX_JSON_DEPTH_MESSAGE = "JSON is nested too deeply"
+
+
+@dataclass(frozen=True)
+class HttpLimits:
+    """Bounds on one server's connections.
+
+    :param max_connections: connections open at once.
+    :param max_header_bytes: bytes of a request's line and headers.
+    :param max_body_bytes: bytes of a request's body.
+    :param read_timeout: time for a whole request to arrive once it has begun.
+    :param idle_timeout: time a connection may stay open between requests.
+    :param write_timeout: time for the client to take each part of an answer.
+    """
+
+    max_connections: int = 2000
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 1 << 20
+    read_timeout: timedelta = timedelta(seconds=10)
+    idle_timeout: timedelta = timedelta(seconds=60)
+    write_timeout: timedelta = timedelta(seconds=10)
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """One request, its body read in full.
+
+    :param path: path without the query, percent-decoded.
+    :param headers_by_name: headers by lower-case name; of a repeated one the last.
+    :param query: the query as it was sent, still percent-encoded.
+    :param target: path and query exactly as they were sent.
+    :param fields: headers in the order in which they were sent, with repeated ones;
+        names in lower case.
+    """
+
+    method: str
+    path: str
+    query_by_name: Mapping[str, str]
+    headers_by_name: Mapping[str, str]
+    body: bytes
+    query: str = ""
+    target: bytes = b""
+    fields: tuple[tuple[bytes, bytes], ...] = ()
+
+    def read_json(self) -> Any:
+        """Decode the body.
+
+        :raises ValueError: if it is no JSON, or nested too deeply to be read.
+        """
+        try:
+            return json.loads(self.body)
+        except RecursionError:
+            raise ValueError(_MAX_JSON_DEPTH_MESSAGE) from None
+
+
+class RequestRefusedError(Exception):
+    """A request is refused before it reaches a handler."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def make_too_large_error(limit: int) -> RequestRefusedError:
+    message = f"the body is larger than {limit} bytes"
+    return RequestRefusedError(
+        Refusal(RefusalReason.TOO_LARGE, Verdict.NOT_RUN, message)
+    )
+
+
+def _make_bad_request_error(message: str) -> RequestRefusedError:
+    return RequestRefusedError(
+        Refusal(RefusalReason.BAD_REQUEST, Verdict.NOT_RUN, message)
+    )
+
+
+def check_head(head: h11.Request, limits: HttpLimits) -> None:
+    # h11 applies its limit only to a head that arrives in several pieces.
+    size = len(head.target)
+    size += sum(len(name) + len(value) for name, value in head.headers)
+    if size > limits.max_header_bytes:
+        raise RequestRefusedError(
+            Refusal(
+                RefusalReason.HEADERS_TOO_LARGE,
+                Verdict.NOT_RUN,
+                f"line and headers are larger than {limits.max_header_bytes} bytes",
+            )
+        )
+    method = head.method.decode("ascii", "replace")
+    if method not in _METHODS:
+        raise _make_bad_request_error(
+            f"unknown method {method[:20]!r};"
+            f" accepted are {', '.join(sorted(_METHODS))}"
+        )
+    names = {name for name, _ in head.headers}
+    if b"content-length" in names and b"transfer-encoding" in names:
+        # Two servers may disagree on where such a body ends, which hides a request.
+        raise _make_bad_request_error(
+            "the request has both Content-Length and Transfer-Encoding"
+        )
+    for name, value in head.headers:
+        # h11 has refused numbers of more than 20 digits.
+        if name == b"content-length" and int(value) > limits.max_body_bytes:
+            raise make_too_large_error(limits.max_body_bytes)
+
+
+def make_request(head: h11.Request, body: bytes) -> HttpRequest:
+    path, query = _split_target(head.target)
+    return HttpRequest(
+        method=head.method.decode("ascii"),
+        path=path,
+        query_by_name=_parse_query(query),
+        headers_by_name={
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in head.headers
+        },
+        body=body,
+        query=query,
+        target=bytes(head.target),
+        fields=tuple((bytes(name), bytes(value)) for name, value in head.headers),
+    )
+
+
+def _split_target(target: bytes) -> tuple[str, str]:
+    """Return the decoded path and the query as sent.
+
+    :raises RequestRefusedError: if the target is no path in valid percent encoding.
+    """
+    try:
+        parts = urlsplit(target.decode("ascii"))
+        path = unquote(parts.path, errors="strict")
+    except ValueError:
+        raise _make_bad_request_error("the path is not valid UTF-8") from None
+    if _BAD_ESCAPE.search(parts.path) or _BAD_ESCAPE.search(parts.query):
+        raise _make_bad_request_error("the target has a bad percent encoding")
+    if not path.isprintable():
+        raise _make_bad_request_error("the path has control characters")
+    return path, parts.query
+
+
+def _parse_query(query: str) -> dict[str, str]:
+    if not query:
+        return {}
+    try:
+        values_by_name = parse_qs(
+            query, keep_blank_values=True, max_num_fields=_MAX_QUERY_FIELDS
+        )
+    except ValueError:
+        raise _make_bad_request_error(
+            f"the query has more than {_MAX_QUERY_FIELDS} fields"
+        ) from None
+    return {name: values[-1] for name, values in values_by_name.items()}
+
+
+def describe_protocol_error(error: h11.RemoteProtocolError) -> Refusal:
+    is_large = error.error_status_hint == 431
+    reason = RefusalReason.HEADERS_TOO_LARGE if is_large else RefusalReason.BAD_REQUEST
+    message = f"malformed HTTP request: {error}"
+    return Refusal(reason, Verdict.NOT_RUN, message)
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import json
-import re
 import select
-from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any
-from urllib.parse import parse_qs, unquote, urlsplit
 
 import curio
 import curio.socket
@@ -24,7 +21,17 @@
     log_event,
 )
 from hibiscustiller.wire._deadlines import wait_at_most
+from hibiscustiller.wire._http_requests import (
+    HttpLimits,
+    HttpRequest,
+    RequestRefusedError,
+    check_head,
+    describe_protocol_error,
+    make_request,
+    make_too_large_error,
+)
 from hibiscustiller.wire._memory import BodyHold, BodyMemory
+from hibiscustiller.wire._responder import Responder
 from hibiscustiller.wire._sockets import is_readable, set_tcp_options
 
 _RECEIVE_BYTES = 65536
@@ -40,216 +47,11 @@
 _DISCONNECT_POLL_SECONDS = 0.25
 # Parsing this many parts takes a few milliseconds, after which other tasks get a turn.
 _PARTS_PER_TURN = 100
-# CONNECT and unknown methods have no meaning for the services behind the router.
-_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
-# Answers with these statuses have no body, whatever the service behind them sent.
-_NO_CONTENT = 204
-_BODILESS_STATUSES = (_NO_CONTENT, 304)
-_MAX_QUERY_FIELDS = 100
-_BAD_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
-_MAX_JSON_DEPTH_MESSAGE = "JSON is nested too deeply"
-
-
-@dataclass(frozen=True)
-class HttpLimits:
-    """Bounds on one server's connections.
-
-    :param max_connections: connections open at once.
-    :param max_header_bytes: bytes of a request's line and headers.
-    :param max_body_bytes: bytes of a request's body.
-    :param read_timeout: time for a whole request to arrive once it has begun.
-    :param idle_timeout: time a connection may stay open between requests.
-    :param write_timeout: time for the client to take each part of an answer.
-    """
-
-    max_connections: int = 2000
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 1 << 20
-    read_timeout: timedelta = timedelta(seconds=10)
-    idle_timeout: timedelta = timedelta(seconds=60)
-    write_timeout: timedelta = timedelta(seconds=10)
-
-
-@dataclass(frozen=True)
-class HttpRequest:
-    """One request, its body read in full.
-
-    :param path: path without the query, percent-decoded.
-    :param headers_by_name: headers by lower-case name; of a repeated one the last.
-    :param query: the query as it was sent, still percent-encoded.
-    :param target: path and query exactly as they were sent.
-    :param fields: headers in the order in which they were sent, with repeated ones;
-        names in lower case.
-    """
-
-    method: str
-    path: str
-    query_by_name: Mapping[str, str]
-    headers_by_name: Mapping[str, str]
-    body: bytes
-    query: str = ""
-    target: bytes = b""
-    fields: tuple[tuple[bytes, bytes], ...] = ()
-
-    def read_json(self) -> Any:
-        """Decode the body.
-
-        :raises ValueError: if it is no JSON, or nested too deeply to be read.
-        """
-        try:
-            return json.loads(self.body)
-        except RecursionError:
-            raise ValueError(_MAX_JSON_DEPTH_MESSAGE) from None
-
-
-class Responder:
-    """Sends the answer to one request.
-
-    :param connection: h11's state of the connection.
-    :param sock: the client's socket.
-    :param write_timeout: time for the client to take each part.
-    """
-
-    def __init__(
-        self, connection: h11.Connection, sock: Any, write_timeout: timedelta
-    ) -> None:
-        self._connection = connection
-        self._sock = sock
-        self._write_timeout = write_timeout
-        self.is_head = False
-        # Status of the answer; 0 before it starts.
-        self.status = 0
-        self.is_started = False
-        self.is_finished = False
-        # Sent with the head of the answer, whatever its kind.
-        self.extra_headers: dict[str, str] = {}
-        # Asked when the answer begins: whether the connection ends with it.
-        self.should_close: Callable[[], bool] = lambda: False
-
-    async def send(
-        self,
-        status: int,
-        body: bytes = b"",
-        content_type: str = "application/json",
-        headers: Mapping[str, str] | None = None,
-    ) -> None:
-        """Send a complete answer.
 
-        :raises TransportError: if the client does not take it.
-        """
-        fields = {"content-type": content_type, **(headers or {})}
-        length = str(len(body)).encode()
-        await self.send_fields(status, _encode_fields(fields), body, length)
 
-    async def send_json(
-        self, status: int, value: Any, headers: Mapping[str, str] | None = None
-    ) -> None:
-        """Send a value as JSON."""
-        body = json.dumps(value, separators=(",", ":")).encode()
-        await self.send(status, body, headers=headers)
-
-    async def send_refusal(self, refusal: Refusal) -> None:
-        """Send a refusal with its verdict in a header and in the body."""
-        await self.send_json(
-            refusal.reason.status,
-            describe_refusal(refusal),
-            headers=make_refusal_headers(refusal),
-        )
-
-    async def send_fields(
-        self,
-        status: int,
-        fields: Fields,
-        body: bytes = b"",
-        described_length: bytes | None = None,
-    ) -> None:
-        """Send a complete answer whose headers were made elsewhere.
-
-        :param fields: headers without those that describe the body's framing.
-        :param described_length: the server's ``Content-Length``. An answer that has no
-            body tells how long the body of another one would be.
-        :raises TransportError: if the client does not take it.
-        """
-        is_bodiless = self.is_head or status in _BODILESS_STATUSES
-        length = described_length if is_bodiless else str(len(body)).encode()
-        if length is not None and status != _NO_CONTENT:
-            fields = [*fields, (b"content-length", length)]
-        await self._write(
-            self._make_response(status, fields),
-            h11.Data(data=b"" if is_bodiless else body),
-            h11.EndOfMessage(),
-        )
-        self.is_finished = True
-
-    async def start_fields(self, status: int, fields: Fields) -> None:
-        """Start an answer in parts whose headers were made elsewhere."""
-        framing = (b"transfer-encoding", b"chunked")
-        await self._write(self._make_response(status, [*fields, framing]))
-
-    async def start(
-        self, status: int, content_type: str, headers: Mapping[str, str] | None = None
-    ) -> None:
-        """Start an answer that is sent in parts."""
-        fields = {"content-type": content_type, **(headers or {})}
-        await self.start_fields(status, _encode_fields(fields))
-
-    async def send_part(self, data: bytes) -> None:
-        """Send one part of a started answer."""
-        if not self.is_head:
-            await self._write(h11.Data(data=data))
-
-    async def finish(self) -> None:
-        """End a started answer."""
-        await self._write(h11.EndOfMessage())
-        self.is_finished = True
-
-    def _make_response(self, status: int, fields: Fields) -> h11.Response:
-        self.is_started = True
-        self.status = status
-        headers = [*fields, *_encode_fields(self.extra_headers)]
-        if self.should_close():
-            headers.append((b"connection", b"close"))
-        return h11.Response(status_code=status, headers=headers)
-
-    async def _write(self, *events: Any) -> None:
-        data = b"".join(self._connection.send(event) or b"" for event in events)
-        try:
-            await wait_at_most(self._write_timeout, self._sock.sendall(data))
-        except OSError as error:
-            raise TransportError(
-                f"client does not take the answer: {error}", Verdict.MAY_HAVE_RUN
-            ) from error
-
-
-Fields = Sequence[tuple[bytes, bytes]]
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
-def _encode_fields(fields: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
-    return [(name.encode(), value.encode()) for name, value in fields.items()]
-
-
-def describe_refusal(refusal: Refusal) -> dict[str, Any]:
-    """Return the JSON body that states a refusal."""
-    return {
-        "error": {
-            "reason": refusal.reason.label,
-            "verdict": refusal.verdict.value,
-            "message": refusal.message,
-        }
-    }
-
-
-def make_refusal_headers(refusal: Refusal) -> dict[str, str]:
-    """Return the headers that state a refusal."""
-    headers = {"x-verdict": refusal.verdict.value}
-    if refusal.retry_after is not None:
-        # The header counts whole seconds; rounding down would invite early repeats.
-        seconds = -(-refusal.retry_after // timedelta(seconds=1))
-        headers["retry-after"] = str(max(1, seconds))
-    return headers
-
-
 @dataclass
 class HttpServer:
     """A listening server.
@@ -466,8 +268,8 @@
             # The body was dropped.
             refusal = _NO_MEMORY
         except h11.RemoteProtocolError as error:
-            refusal = _describe_protocol_error(error)
-        except _RequestRefusedError as error:
+            refusal = describe_protocol_error(error)
+        except RequestRefusedError as error:
             refusal = error.refusal
         except TimeoutError:
             is_begun = connection.their_state is not h11.IDLE
@@ -544,16 +346,16 @@
                 connection.receive_data(await sock.recv(_RECEIVE_BYTES))
             elif isinstance(event, h11.Request):
                 head = event
-                _check_head(head, self.limits)
+                check_head(head, self.limits)
             elif isinstance(event, h11.Data):
                 hold.append(event.data)
                 if hold.size > self.limits.max_body_bytes:
-                    raise _make_too_large_error(self.limits.max_body_bytes)
+                    raise make_too_large_error(self.limits.max_body_bytes)
                 parts += 1
                 if parts % _PARTS_PER_TURN == 0:
                     await curio.sleep(0)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _make_request(head, hold.finish())
+                return make_request(head, hold.finish())
             else:
                 return None
             event = connection.next_event()
@@ -567,57 +369,6 @@
         self.refusal = refusal
 
 
-class _RequestRefusedError(Exception):
-    """A request is refused before it reaches a handler."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.message)
-        self.refusal = refusal
-
-
-def _make_too_large_error(limit: int) -> _RequestRefusedError:
-    message = f"the body is larger than {limit} bytes"
-    return _RequestRefusedError(
-        Refusal(RefusalReason.TOO_LARGE, Verdict.NOT_RUN, message)
-    )
-
-
-def _make_bad_request_error(message: str) -> _RequestRefusedError:
-    return _RequestRefusedError(
-        Refusal(RefusalReason.BAD_REQUEST, Verdict.NOT_RUN, message)
-    )
-
-
-def _check_head(head: h11.Request, limits: HttpLimits) -> None:
-    # h11 applies its limit only to a head that arrives in several pieces.
-    size = len(head.target)
-    size += sum(len(name) + len(value) for name, value in head.headers)
-    if size > limits.max_header_bytes:
-        raise _RequestRefusedError(
-            Refusal(
-                RefusalReason.HEADERS_TOO_LARGE,
-                Verdict.NOT_RUN,
-                f"line and headers are larger than {limits.max_header_bytes} bytes",
-            )
-        )
-    method = head.method.decode("ascii", "replace")
-    if method not in _METHODS:
-        raise _make_bad_request_error(
-            f"unknown method {method[:20]!r};"
-            f" accepted are {', '.join(sorted(_METHODS))}"
-        )
-    names = {name for name, _ in head.headers}
-    if b"content-length" in names and b"transfer-encoding" in names:
-        # Two servers may disagree on where such a body ends, which hides a request.
-        raise _make_bad_request_error(
-            "the request has both Content-Length and Transfer-Encoding"
-        )
-    for name, value in head.headers:
-        # h11 has refused numbers of more than 20 digits.
-        if name == b"content-length" and int(value) > limits.max_body_bytes:
-            raise _make_too_large_error(limits.max_body_bytes)
-
-
 _NO_MEMORY = Refusal(
     RefusalReason.OVERLOADED,
     Verdict.NOT_RUN,
@@ -636,61 +387,6 @@
 )
 
 
-def _make_request(head: h11.Request, body: bytes) -> HttpRequest:
-    path, query = _split_target(head.target)
-    return HttpRequest(
-        method=head.method.decode("ascii"),
-        path=path,
-        query_by_name=_parse_query(query),
-        headers_by_name={
-            name.decode("ascii"): value.decode("latin-1")
-            for name, value in head.headers
-        },
-        body=body,
-        query=query,
-        target=bytes(head.target),
-        fields=tuple((bytes(name), bytes(value)) for name, value in head.headers),
-    )
-
-
-def _split_target(target: bytes) -> tuple[str, str]:
-    """Return the decoded path and the query as sent.
-
-    :raises _RequestRefusedError: if the target is no path in valid percent encoding.
-    """
-    try:
-        parts = urlsplit(target.decode("ascii"))
-        path = unquote(parts.path, errors="strict")
-    except ValueError:
-        raise _make_bad_request_error("the path is not valid UTF-8") from None
-    if _BAD_ESCAPE.search(parts.path) or _BAD_ESCAPE.search(parts.query):
-        raise _make_bad_request_error("the target has a bad percent encoding")
-    if not path.isprintable():
-        raise _make_bad_request_error("the path has control characters")
-    return path, parts.query
-
-
-def _parse_query(query: str) -> dict[str, str]:
-    if not query:
-        return {}
-    try:
-        values_by_name = parse_qs(
-            query, keep_blank_values=True, max_num_fields=_MAX_QUERY_FIELDS
-        )
-    except ValueError:
-        raise _make_bad_request_error(
-            f"the query has more than {_MAX_QUERY_FIELDS} fields"
-        ) from None
-    return {name: values[-1] for name, values in values_by_name.items()}
-
-
-def _describe_protocol_error(error: h11.RemoteProtocolError) -> Refusal:
-    is_large = error.error_status_hint == 431
-    reason = RefusalReason.HEADERS_TOO_LARGE if is_large else RefusalReason.BAD_REQUEST
-    message = f"malformed HTTP request: {error}"
-    return Refusal(reason, Verdict.NOT_RUN, message)
-
-
 async def _refuse_and_close(responder: Responder, sock: Any, refusal: Refusal) -> None:
     """Send a refusal and let the client read it before the connection closes."""
     try:
