Let unfinished requests and idle connections give way to new ones

A server refused new connections once its places were taken, whoever held them. A crowd of unfinished requests or idle connections shut out everybody else.

- ConnectionTable (wire/_connection_shedding.py, without I/O) keeps the phase of each connection.
When places run short, a new connection ends refused ones first, then idle ones, unfinished requests with the lowest rate of the client host that holds most, and answers that are not taken for 1 s.
Unfinished requests never take more than three quarters.
They end with 429, not run.
A connection that was opened less than 0.5 s ago is spared.
- The task of such a connection is not cancelled.
Its socket is closed for reading, and the reader checks the phase, so a request that has just become complete is either handled or refused, never both.
- A handled request counts twice beyond the descriptors for outgoing connections (HttpLimits.outgoing_fds).
- Heads, trailers and requests that were sent ahead count as memory.
What was read of a refused request is released before the refusal is sent.
- Large bodies are sent without joining them to their heads.
- body_dropped is logged as info, so that its rate is bounded.

--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -12,7 +12,7 @@
     find_described_length,
 )
 from hibiscustiller.wire._http_requests import HttpLimits, HttpRequest
-from hibiscustiller.wire._http_server import Handler, HttpServer
+from hibiscustiller.wire._http_server import Handler, HttpServer, count_descriptors
 from hibiscustiller.wire._memory import BodyHold, BodyMemory
 from hibiscustiller.wire._responder import (
     Responder,
@@ -43,6 +43,7 @@
     "RawRequest",
     "Responder",
     "compress",
+    "count_descriptors",
     "decompress_bounded",
     "describe_refusal",
     "find_described_length",
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -25,6 +25,7 @@
     Connect,
     is_readable,
     open_connection,
+    send_parts,
     set_tcp_options,
 )
 
@@ -212,10 +213,10 @@
         connection = await self._take_connection(address, is_fresh)
         exchange = Exchange(self, address, connection, max_idle)
         try:
-            data = _encode_raw_request(connection, request)
+            parts = _encode_raw_request(connection, request)
             if on_sent is not None:
                 on_sent()
-            await wait_at_most(head_timeout, connection.sock.sendall(data))
+            await wait_at_most(head_timeout, send_parts(connection.sock, parts))
         except BaseException as error:
             await connection.close()
             if isinstance(error, OSError) and not isinstance(error, TransportError):
@@ -382,10 +383,14 @@
         """
         clock = self._client.clock
         deadline = clock.monotonic() + timeout
-        while (part := await self.read_part(deadline - clock.monotonic())) is not None:
+        part = await self.read_part(deadline - clock.monotonic())
+        while part is not None:
             hold.append(part)
             if hold.size > max_bytes:
                 raise TransportError("answer too large", Verdict.MAY_HAVE_RUN)
+            # Only the hold counts what waits for the rest.
+            del part
+            part = await self.read_part(deadline - clock.monotonic())
         return hold.finish()
 
     async def close(self) -> None:
@@ -413,6 +418,7 @@
                     left, self._connection.sock.recv(_RECEIVE_BYTES)
                 )
                 state.receive_data(data)
+                del data
                 self._receive_count += 1
                 if self._receive_count % _RECEIVES_PER_TURN == 0:
                     await curio.sleep(0)
@@ -523,15 +529,16 @@
     :raises TransportError: if it cannot be sent as HTTP; no byte has left.
     """
     fields = {"host": str(address), **headers, "content-length": str(len(body))}
-    return _encode_events(
+    parts = _encode_events(
         connection,
         f"{method} {address}: ",
         {"method": method, "target": target, "headers": list(fields.items())},
         body,
     )
+    return b"".join(parts)
 
 
-def _encode_raw_request(connection: _Connection, request: RawRequest) -> bytes:
+def _encode_raw_request(connection: _Connection, request: RawRequest) -> list[bytes]:
     length = (b"content-length", str(len(request.body)).encode())
     has_body = bool(request.body) or request.method in (b"POST", b"PUT", b"PATCH")
     fields = [*request.fields, *([length] if has_body else [])]
@@ -541,7 +548,7 @@
 
 def _encode_events(
     connection: _Connection, label: str, head: dict[str, Any], body: bytes
-) -> bytes:
+) -> list[bytes]:
     """Encode the head, body and end of a request.
 
     :param label: names the request in messages.
@@ -549,9 +556,8 @@
     """
     state = connection.state
     try:
-        data = state.send(h11.Request(**head)) or b""
-        data += state.send(h11.Data(data=body)) or b""
-        return data + (state.send(h11.EndOfMessage()) or b"")
+        events = (h11.Request(**head), h11.Data(data=body), h11.EndOfMessage())
+        return [state.send(event) or b"" for event in events]
     except (h11.LocalProtocolError, UnicodeError) as error:
         raise TransportError(
             f"{label}request cannot be sent: {error}", Verdict.NOT_RUN
--- a/hibiscustiller/wire/_http_requests.py
+++ b/hibiscustiller/wire/_http_requests.py
@@ -31,6 +31,8 @@
     :param max_connections: connections open at once.
     :param max_header_bytes: bytes of a request's line and headers.
     :param max_body_bytes: bytes of a request's body.
+    :param outgoing_fds: descriptors for the connections that handlers open, besides
+        those of the connections; None for no bound.
     :param read_timeout: time for a whole request to arrive once it has begun.
     :param idle_timeout: time a connection may stay open between requests.
     :param write_timeout: time for the client to take each part of an answer.
@@ -42,9 +44,10 @@
     read_timeout: timedelta = timedelta(seconds=10)
     idle_timeout: timedelta = timedelta(seconds=60)
     write_timeout: timedelta = timedelta(seconds=10)
+    outgoing_fds: int | None = None
 
 
-@dataclass(frozen=True)
+@dataclass
 class HttpRequest:
     """One request, its body read in full.
 
@@ -65,6 +68,13 @@
     target: bytes = b""
     fields: tuple[tuple[bytes, bytes], ...] = ()
 
+    def release_body(self) -> None:
+        """Let go of the body once the request was answered.
+
+        Tasks refer to the request in cycles, which are collected much later.
+        """
+        self.body = b""
+
     def read_json(self) -> Any:
         """Decode the body.
 
@@ -97,11 +107,15 @@
     )
 
 
+def measure_head(head: h11.Request) -> int:
+    """Return the bytes of the target and the headers."""
+    size = len(head.target)
+    return size + sum(len(name) + len(value) for name, value in head.headers)
+
+
 def check_head(head: h11.Request, limits: HttpLimits) -> None:
     # h11 applies its limit only to a head that arrives in several pieces.
-    size = len(head.target)
-    size += sum(len(name) + len(value) for name, value in head.headers)
-    if size > limits.max_header_bytes:
+    if measure_head(head) > limits.max_header_bytes:
         raise RequestRefusedError(
             Refusal(
                 RefusalReason.HEADERS_TOO_LARGE,
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
@@ -15,40 +16,51 @@
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
+    Clock,
     Refusal,
     RefusalReason,
+    SystemClock,
     Verdict,
     log_event,
 )
+from hibiscustiller.wire._connection_shedding import (
+    FIRST_REQUEST_GRACE,
+    ConnectionTable,
+    OpenConnection,
+    Phase,
+)
 from hibiscustiller.wire._deadlines import wait_at_most
 from hibiscustiller.wire._http_requests import (
     HttpLimits,
     HttpRequest,
     RequestRefusedError,
-    check_head,
     describe_protocol_error,
-    make_request,
-    make_too_large_error,
 )
-from hibiscustiller.wire._memory import BodyHold, BodyMemory
+from hibiscustiller.wire._memory import BodyMemory
+from hibiscustiller.wire._request_reading import RECEIVE_BYTES, RequestReader
 from hibiscustiller.wire._responder import Responder
 from hibiscustiller.wire._sockets import is_readable, set_tcp_options
 
-_RECEIVE_BYTES = 65536
 _DRAIN_POLL_S = 0.02
 _ACCEPT_RETRY_S = 0.1
-# A client that has just connected sends its request within this time, or a balancer
-# keeps the connection for later.
-_FIRST_REQUEST_GRACE_S = 0.5
 _LISTEN_BACKLOG = 512
+# Pause until connections that are ending have closed.
+_ENDING_POLL_S = 0.002
+# Share of the places, in addition to them, for connections that are refused, and again
+# for those that are ending. Without it a client that is refused would not learn why.
+_MARGIN_SHARE = 0.01
+_MIN_REFUSED_COUNT = 2
+# A refusal fits into the buffer of a client that has read the answers before it, and
+# a place that is needed waits no longer.
+_ENDING_TIMEOUT = timedelta(milliseconds=20)
 # Answers sent to a client that has already broken the protocol get a short wait.
 _CLOSING_TIMEOUT = timedelta(seconds=1)
 # An engine's stream for a caller that is gone holds capacity at most this much longer.
 _DISCONNECT_POLL_SECONDS = 0.25
-# Parsing this many parts takes a few milliseconds, after which other tasks get a turn.
-_PARTS_PER_TURN = 100
 
 
+# Tells the name of an event to a counter.
+CountEvent = Callable[[str], None]
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
@@ -58,6 +70,8 @@
 
     :param address: where it listens; a port of 0 is replaced by the bound port.
     :param memory: bounds the memory of the bodies of all requests.
+    :param count_event: counts requests that are refused before they are handled, and
+        connections that are refused or give way to others.
     """
 
     address: Address
@@ -65,6 +79,11 @@
     limits: HttpLimits
     name: str
     memory: BodyMemory = field(default_factory=BodyMemory)
+    clock: Clock = field(default_factory=SystemClock)
+    count_event: CountEvent = lambda name: None
+    _connections: ConnectionTable = field(default_factory=ConnectionTable)
+    _socks_by_connection: dict[OpenConnection, Any] = field(default_factory=dict)
+    _refused_count: int = 0
     _socket: Any = None
     _accept_task: Any = None
     _tasks: set[Any] = field(default_factory=set)
@@ -89,6 +108,11 @@
         self._accept_task = await curio.spawn(self._accept, daemon=True)
         self._watch_task = await curio.spawn(self._watch_clients, daemon=True)
 
+    def describe(self) -> dict[str, int]:
+        """Return the number of connections by what they do, and of places."""
+        counts = {phase.value: self._connections.count(phase) for phase in Phase}
+        return {"places": self.limits.max_connections, **counts}
+
     @property
     def busy_count(self) -> int:
         """Requests being handled."""
@@ -122,7 +146,7 @@
         await self.stop_accepting()
         waited_s = 0.0
         while self._tasks:
-            is_grace = waited_s < _FIRST_REQUEST_GRACE_S
+            is_grace = waited_s < FIRST_REQUEST_GRACE.total_seconds()
             for task, sock in list(self._idle_socks_by_task.items()):
                 is_new = is_grace and task in self._new_tasks
                 # The connection may have become busy while another one was closed.
@@ -160,20 +184,72 @@
         while True:
             if not await self._accept_one():
                 await curio.sleep(_ACCEPT_RETRY_S)
+            while self._connections.count(Phase.ENDING) > self._margin:
+                await curio.sleep(_ENDING_POLL_S)
+
+    @property
+    def _margin(self) -> int:
+        return find_margin(self.limits.max_connections)
 
     async def _accept_one(self) -> bool:
         """Take the next connection; False if that failed."""
         try:
-            client, _ = await self._socket.accept()
+            client, (host, *_) = await self._socket.accept()
         except OSError as error:
-            # Out of file descriptors, for one; accepting goes on afterwards.
             log_event("accept_failed", level="error", server=self.name, error=error)
+            if error.errno in (errno.EMFILE, errno.ENFILE):
+                now = self.clock.monotonic()
+                ended = self._connections.end_some(self.limits.max_connections, now)
+                await self._end_connections(ended)
             return False
-        task = await curio.spawn(self._serve, client, daemon=True)
+        if len(self._connections) >= self.limits.max_connections:
+            # What the connections before it have sent tells which of them may end.
+            await curio.sleep(0)
+        max_count, now = self.limits.max_connections, self.clock.monotonic()
+        self._connections.outgoing_fds = self.limits.outgoing_fds
+        await self._end_connections(self._connections.end_for_new(max_count, now))
+        if self._connections.count_taken() < max_count:
+            connection = self._connections.add(host, now)
+            self._socks_by_connection[connection] = client
+            task = await curio.spawn(self._serve, client, connection, daemon=True)
+            self._new_tasks.add(task)
+        else:
+            self.count_event("connections.refused")
+            log_event("connection_refused", server=self.name, client=host)
+            if self._refused_count >= max(_MIN_REFUSED_COUNT, self._margin):
+                await client.close()
+                return True
+            self._refused_count += 1
+            task = await curio.spawn(self._refuse_connection, client, daemon=True)
         self._tasks.add(task)
-        self._new_tasks.add(task)
         return True
 
+    async def _end_connections(self, connections: list[OpenConnection]) -> None:
+        """Let connections give way to others.
+
+        Their tasks are not cancelled: a request may have become complete, and begun,
+        by then. A task that reads finds the end of what the client sends.
+        """
+        for connection in connections:
+            phase = connection.ended_in or connection.phase
+            self.count_event(f"connections.ended.{phase.value}")
+            log_event(
+                "connection_ended",
+                server=self.name,
+                client=connection.client,
+                phase=phase.value,
+                received=connection.received_bytes,
+                age=self.clock.monotonic() - connection.since,
+                open=len(self._connections),
+            )
+            is_blocked = connection.blocked_since is not None
+            how = curio.socket.SHUT_RDWR if is_blocked else curio.socket.SHUT_RD
+            try:
+                await self._socks_by_connection[connection].shutdown(how)
+            except OSError:
+                # The client has closed it.
+                continue
+
     async def _watch_clients(self) -> None:
         """Cancel the handlers of clients that have disconnected.
 
@@ -188,11 +264,11 @@
                     log_event("client_disconnected", level="debug", server=self.name)
                     await task.cancel(blocking=False)
 
-    async def _serve(self, sock: Any) -> None:
+    async def _serve(self, sock: Any, place: OpenConnection) -> None:
         task = await curio.current_task()
         try:
             async with sock:
-                await self._serve_or_refuse(sock)
+                await self._serve_connection(sock, place)
         except OSError as error:
             log_event("connection_closed", level="debug", server=self.name, error=error)
         except Exception as error:
@@ -205,42 +281,46 @@
         finally:
             self._tasks.discard(task)
             self._new_tasks.discard(task)
-
-    async def _serve_or_refuse(self, sock: Any) -> None:
-        excess = len(self._tasks) - self.limits.max_connections
-        if excess <= 0:
-            await self._serve_connection(sock)
-        elif excess <= self.limits.max_connections:
-            await self._refuse_connection(sock)
-        # Beyond twice the limit even the refusals would cost too much memory.
+            self._connections.remove(place)
+            del self._socks_by_connection[place]
 
     async def _refuse_connection(self, sock: Any) -> None:
-        connection = h11.Connection(h11.SERVER)
-        responder = Responder(connection, sock, _CLOSING_TIMEOUT)
-        refusal = Refusal(
-            RefusalReason.OVERLOADED,
-            Verdict.NOT_RUN,
-            "too many connections are open",
-            timedelta(seconds=1),
-        )
-        await _refuse_and_close(responder, sock, refusal)
+        task = await curio.current_task()
+        try:
+            async with sock:
+                connection = h11.Connection(h11.SERVER)
+                responder = Responder(connection, sock, _CLOSING_TIMEOUT)
+                await _refuse_and_close(responder, sock, _NO_PLACE)
+        finally:
+            self._tasks.discard(task)
+            self._refused_count -= 1
 
-    async def _serve_connection(self, sock: Any) -> None:
+    def _begin_phase(self, place: OpenConnection, phase: Phase) -> None:
+        self._connections.begin(place, phase, self.clock.monotonic())
+
+    async def _serve_connection(self, sock: Any, place: OpenConnection) -> None:
         set_tcp_options(sock)
         # The connections of a host count together.
-        client = Address(sock.getpeername()[0], 0)
+        client = Address(place.client, 0)
+
+        def mark_blocked(is_blocked: bool) -> None:
+            place.blocked_since = self.clock.monotonic() if is_blocked else None
+
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
         )
         while True:
             responder = Responder(connection, sock, self.limits.write_timeout)
+            responder.mark_blocked = mark_blocked
             with self.memory.hold(client) as hold:
-                request = await self._read_or_refuse(connection, sock, responder, hold)
+                reader = RequestReader(connection, sock, self.limits, hold, place)
+                request = await self._read_or_refuse(reader, responder)
                 if request is None:
                     return
                 responder.is_head = request.method == "HEAD"
                 responder.should_close = lambda: self._is_ending
                 await self._handle_request(request, responder, sock.fileno())
+            self._begin_phase(place, Phase.IDLE)
             if not responder.is_finished or connection.our_state is h11.MUST_CLOSE:
                 return
             try:
@@ -252,18 +332,12 @@
                 await curio.sleep(0)
 
     async def _read_or_refuse(
-        self,
-        connection: h11.Connection,
-        sock: Any,
-        responder: Responder,
-        hold: BodyHold,
+        self, reader: RequestReader, responder: Responder
     ) -> HttpRequest | None:
-        """Read one request; None if the connection is to be closed.
-
-        :param hold: memory of its body.
-        """
+        """Read one request; None if the connection is to be closed."""
+        connection, place = reader.connection, reader.place
         try:
-            return await self._read_request(connection, sock, hold)
+            return await self._read_request(reader)
         except TransportError:
             # The body was dropped.
             refusal = _NO_MEMORY
@@ -276,9 +350,55 @@
             if not is_begun and not connection.trailing_data[0]:
                 return None
             refusal = _SLOW_REQUEST
-        await _refuse_and_close(responder, sock, refusal)
+        if place.is_ending:
+            # The end of what the client sends may look like an error of its own.
+            refusal = _NO_PLACE
+        self.count_event(f"requests.not_read.{refusal.reason.label}")
+        # Neither the body nor the place is of use to anyone from here on.
+        reader.release()
+        self._begin_phase(place, Phase.REFUSED)
+        responder.write_timeout = _CLOSING_TIMEOUT
+        if place.is_ending:
+            responder.write_timeout = _ENDING_TIMEOUT
+        await _refuse_and_close(responder, reader.sock, refusal)
         return None
 
+    async def _read_request(self, reader: RequestReader) -> HttpRequest | None:
+        """Read one request; None if the client closed between requests."""
+        if reader.needs_data():
+            reader.receive(await self._receive_first(reader.sock))
+        begin = self._begin_unfinished
+        request = await wait_at_most(self.limits.read_timeout, reader.read(begin))
+        if request is not None:
+            await self._begin_handled(reader.place)
+        return request
+
+    async def _begin_handled(self, place: OpenConnection) -> None:
+        if place.is_ending:
+            raise RequestRefusedError(_NO_PLACE)
+        max_count, now = self.limits.max_connections, self.clock.monotonic()
+        ended = self._connections.end_for_handled(place, max_count, now)
+        if ended is None:
+            raise RequestRefusedError(_NO_PLACE)
+        await self._end_connections(ended)
+
+    async def _begin_unfinished(self, place: OpenConnection) -> None:
+        """Note that a request has not arrived whole; others may give way to it."""
+        self._begin_phase(place, Phase.UNFINISHED)
+        max_count, now = self.limits.max_connections, self.clock.monotonic()
+        await self._end_connections(self._connections.end_unfinished(max_count, now))
+
+    async def _receive_first(self, sock: Any) -> bytes:
+        """Wait between requests for the first bytes of the next one."""
+        task = await curio.current_task()
+        self._idle_socks_by_task[task] = sock
+        try:
+            return await wait_at_most(
+                self.limits.idle_timeout, sock.recv(RECEIVE_BYTES)
+            )
+        finally:
+            del self._idle_socks_by_task[task]
+
     async def _handle_request(
         self, request: HttpRequest, responder: Responder, fd: int
     ) -> None:
@@ -307,59 +427,6 @@
             self._busy_tasks_by_fd.pop(fd, None)
             self._busy_count -= 1
 
-    async def _read_request(
-        self, connection: h11.Connection, sock: Any, hold: BodyHold
-    ) -> HttpRequest | None:
-        """Read one request; None if the client closed between requests."""
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await self._receive_first(sock))
-            event = connection.next_event()
-        return await wait_at_most(
-            self.limits.read_timeout, self._read_rest(connection, sock, event, hold)
-        )
-
-    async def _receive_first(self, sock: Any) -> bytes:
-        """Wait between requests for the first bytes of the next one."""
-        task = await curio.current_task()
-        self._idle_socks_by_task[task] = sock
-        try:
-            return await wait_at_most(
-                self.limits.idle_timeout, sock.recv(_RECEIVE_BYTES)
-            )
-        finally:
-            del self._idle_socks_by_task[task]
-
-    async def _read_rest(
-        self, connection: h11.Connection, sock: Any, event: Any, hold: BodyHold
-    ) -> HttpRequest | None:
-        head: h11.Request | None = None
-        parts = 0
-        while True:
-            if event is h11.NEED_DATA:
-                if head is not None and connection.they_are_waiting_for_100_continue:
-                    await sock.sendall(
-                        connection.send(
-                            h11.InformationalResponse(status_code=100, headers=[])
-                        )
-                    )
-                connection.receive_data(await sock.recv(_RECEIVE_BYTES))
-            elif isinstance(event, h11.Request):
-                head = event
-                check_head(head, self.limits)
-            elif isinstance(event, h11.Data):
-                hold.append(event.data)
-                if hold.size > self.limits.max_body_bytes:
-                    raise make_too_large_error(self.limits.max_body_bytes)
-                parts += 1
-                if parts % _PARTS_PER_TURN == 0:
-                    await curio.sleep(0)
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return make_request(head, hold.finish())
-            else:
-                return None
-            event = connection.next_event()
-
 
 class _RequestAbandonedError(curio.CancelledError):
     """The handling of a request is ended by :meth:`HttpServer.abandon_requests`."""
@@ -375,6 +442,12 @@
     "the bodies of all requests take too much memory",
     timedelta(seconds=1),
 )
+_NO_PLACE = Refusal(
+    RefusalReason.OVERLOADED,
+    Verdict.NOT_RUN,
+    "too many connections are open",
+    timedelta(seconds=1),
+)
 _SLOW_REQUEST = Refusal(
     RefusalReason.REQUEST_TIMEOUT,
     Verdict.NOT_RUN,
@@ -387,6 +460,17 @@
 )
 
 
+def find_margin(max_connections: int) -> int:
+    """Return how many connections may be ending in addition to the places."""
+    return max(1, int(max_connections * _MARGIN_SHARE))
+
+
+def count_descriptors(max_connections: int) -> int:
+    """Return how many connections a server has open at most, refused ones included."""
+    margin = find_margin(max_connections)
+    return max_connections + margin + max(_MIN_REFUSED_COUNT, margin)
+
+
 async def _refuse_and_close(responder: Responder, sock: Any, refusal: Refusal) -> None:
     """Send a refusal and let the client read it before the connection closes."""
     try:
@@ -403,7 +487,7 @@
 
     Closing with unread bytes would reset the connection and destroy the answer.
     """
-    while await sock.recv(_RECEIVE_BYTES):
+    while await sock.recv(RECEIVE_BYTES):
         pass
 
 
--- a/hibiscustiller/wire/_memory.py
+++ b/hibiscustiller/wire/_memory.py
@@ -14,8 +14,6 @@
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Verdict, log_event
 
-# Smaller bodies do not count, so that they pass while large ones take all memory. The
-# number of connections bounds their sum.
 _UNCOUNTED_BYTES = 16 << 10
 
 
@@ -23,10 +21,16 @@
     """The bytes of all bodies that are read or not yet passed on.
 
     :param max_bytes: bound on their sum; None for no bound.
+    :param uncounted_bytes: as many bytes of each body do not count, so that small ones
+        pass while large ones take all memory. The number of connections bounds their
+        sum.
     """
 
-    def __init__(self, max_bytes: int | None = None) -> None:
-        self._max_bytes = max_bytes
+    def __init__(
+        self, max_bytes: int | None = None, uncounted_bytes: int = _UNCOUNTED_BYTES
+    ) -> None:
+        self.max_bytes = max_bytes
+        self.uncounted_bytes = uncounted_bytes
         self._holds: set[BodyHold] = set()
         self.used_bytes = 0
 
@@ -44,9 +48,9 @@
         """
         self._holds.add(hold)
         while (
-            self._max_bytes is not None
+            self.max_bytes is not None
             and not hold.is_dropped
-            and self.used_bytes + count > self._max_bytes
+            and self.used_bytes + count > self.max_bytes
         ):
             self._choose_victim().drop()
         if not hold.is_dropped:
@@ -113,7 +117,7 @@
 
         :raises TransportError: if there is no memory for them.
         """
-        counted = max(0, size - _UNCOUNTED_BYTES)
+        counted = max(0, size - self._memory.uncounted_bytes)
         change = counted - self._counted_bytes
         if change > 0 and not self.is_dropped:
             self._memory.take(self, change)
@@ -134,7 +138,6 @@
         """Drop the body for lack of memory."""
         log_event(
             "body_dropped",
-            level="warning",
             sender=self.sender,
             bytes=self.size,
             held=self._memory.used_bytes,
--- a/hibiscustiller/wire/_responder.py
+++ b/hibiscustiller/wire/_responder.py
@@ -12,11 +12,11 @@
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.utils import Refusal, Verdict
 from hibiscustiller.wire._deadlines import wait_at_most
+from hibiscustiller.wire._sockets import send_parts
 
 # Answers with these statuses have no body, whatever the service behind them sent.
 _NO_CONTENT = 204
 _BODILESS_STATUSES = (_NO_CONTENT, 304)
-
 Fields = Sequence[tuple[bytes, bytes]]
 
 
@@ -33,7 +33,7 @@
     ) -> None:
         self._connection = connection
         self._sock = sock
-        self._write_timeout = write_timeout
+        self.write_timeout = write_timeout
         self.is_head = False
         # Status of the answer; 0 before it starts.
         self.status = 0
@@ -43,6 +43,8 @@
         self.extra_headers: dict[str, str] = {}
         # Asked when the answer begins: whether the connection ends with it.
         self.should_close: Callable[[], bool] = lambda: False
+        # Told before and after each wait for the client to take what is sent.
+        self.mark_blocked: Callable[[bool], None] = lambda is_blocked: None
 
     async def send(
         self,
@@ -130,13 +132,16 @@
         return h11.Response(status_code=status, headers=headers)
 
     async def _write(self, *events: Any) -> None:
-        data = b"".join(self._connection.send(event) or b"" for event in events)
+        parts = [self._connection.send(event) or b"" for event in events]
+        self.mark_blocked(True)
         try:
-            await wait_at_most(self._write_timeout, self._sock.sendall(data))
+            await wait_at_most(self.write_timeout, send_parts(self._sock, parts))
         except OSError as error:
             raise TransportError(
                 f"client does not take the answer: {error}", Verdict.MAY_HAVE_RUN
             ) from error
+        finally:
+            self.mark_blocked(False)
 
 
 def _encode_fields(fields: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
--- a/hibiscustiller/wire/_sockets.py
+++ b/hibiscustiller/wire/_sockets.py
@@ -17,6 +17,8 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _UNACKNOWLEDGED_LIMIT_MS = 3000
+# Joining large bodies would hold them twice.
+_MAX_JOINED_BYTES = 65536
 
 
 # Opens a TCP connection within a time; raises OSError if that fails.
@@ -47,6 +49,14 @@
     sock.setsockopt(tcp, curio.socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_LIMIT_MS)
 
 
+async def send_parts(sock: Any, parts: list[bytes]) -> None:
+    """Send some bytes, in one packet if they are few."""
+    if sum(map(len, parts)) <= _MAX_JOINED_BYTES:
+        parts = [b"".join(parts)]
+    for part in parts:
+        await sock.sendall(part)
+
+
 def is_readable(sock: Any) -> bool:
     """Tell whether bytes or an end of stream wait on an idle connection."""
     poll = select.poll()
--- a/hibiscustiller/wire/tests/test_http_server.py
+++ b/hibiscustiller/wire/tests/test_http_server.py
@@ -5,6 +5,8 @@
 import socket
 import sys
 import tracemalloc
+from collections import Counter
+from dataclasses import replace
 from datetime import timedelta
 
 import curio
@@ -13,7 +15,7 @@
 
 from hibiscustiller.settings import Address
 from hibiscustiller.utils._testing import collect_tests
-from hibiscustiller.wire import HttpLimits, HttpServer
+from hibiscustiller.wire import BodyMemory, HttpLimits, HttpServer
 
 LIMITS = HttpLimits(
     max_connections=5,
@@ -314,6 +316,57 @@
         assert peak < 30 * size, peak
 
 
+PATIENT_LIMITS = replace(LIMITS, read_timeout=timedelta(seconds=8))
+
+
+async def test_unfinished_requests_give_way_to_new_ones():
+    """Guards against unfinished requests that take all places of a server."""
+    counts = Counter()
+    async with Bench(PATIENT_LIMITS) as bench:
+        bench.server.count_event = lambda name: counts.update([name])
+        unfinished = []
+        for _ in range(12):
+            unfinished.append(await bench.connect())
+            await unfinished[-1].sendall(GOOD[:-4])
+            await curio.sleep(0.01)
+        # Three of five places may be taken by them; the oldest are ended first.
+        refused = (await unfinished[0].recv(1000)).lower()
+        assert refused.startswith(b"http/1.1 429") and b"not-run" in refused
+        await bench.check_unharmed()
+        assert counts["connections.ended.unfinished"] == 9, counts
+        await unfinished[11].sendall(GOOD[-4:])
+        assert (await unfinished[11].recv(1000)).startswith(b"HTTP/1.1 200")
+        for sock in unfinished:
+            await sock.close()
+
+
+async def test_idle_connections_give_way_before_unfinished_requests():
+    """Guards against idle connections that are kept at the cost of requests."""
+    async with Bench(PATIENT_LIMITS) as bench:
+        idle = [await bench.connect() for _ in range(4)]
+        for sock in idle:
+            await sock.sendall(GOOD)
+            await sock.recv(1000)
+        unfinished = await bench.connect()
+        await unfinished.sendall(GOOD[:-4])
+        await bench.check_unharmed()
+        assert await idle[0].recv(1000) == b""
+        await unfinished.sendall(GOOD[-4:])
+        assert (await unfinished.recv(1000)).startswith(b"HTTP/1.1 200")
+        for sock in [*idle, unfinished]:
+            await sock.close()
+
+
+async def test_requests_sent_ahead_count_as_memory():
+    """Guards against memory for requests that wait behind another one."""
+    async with Bench() as bench:
+        bench.server.memory = BodyMemory(1000, uncounted_bytes=1000)
+        answer = await bench.exchange(GOOD * 500)
+        assert answer.startswith(b"HTTP/1.1 429"), answer
+        assert bench.server.memory.used_bytes == 0
+        await bench.check_unharmed()
+
+
 FRAGMENTS = st.sampled_from(
     [
         b"GET ",
