Derive the bounds of the daemon's process from its host's settings

The limit of 3,000 connections did not depend on the host. Descriptors and memory had no common sum.

It is logged at the start and after SIGHUP, which puts changed settings in force. Listeners makes all servers of the daemon. The numbers of connections by phase are part of the state.

--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -266,6 +266,7 @@
     :param max_value_bytes: largest value that the store accepts, in bytes.
     :param capacity: processor capacity of the host, in cores.
     :param memory_bytes: memory that a process may take before it is killed.
+    :param max_fds: descriptors that a process may have open.
     :param is_first_start: whether the whole system starts for the first time.
     :param inner: listening address for the requests of other routers; None if the
         daemon does not serve any.
@@ -288,6 +289,7 @@
     max_value_bytes: int
     capacity: float = 1.0
     memory_bytes: int = 256 << 20
+    max_fds: int = 4100
     is_first_start: bool = False
     inner: Address | None = None
     seeds: tuple[Address, ...] = ()
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -20,7 +19,7 @@
     StoreRelay,
 )
 from hibiscustiller.exceptions import TransportError
-from hibiscustiller.fleet import BackendServer, ClientLimits, HostSettings
+from hibiscustiller.fleet import BackendServer, HostSettings
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._crash_messages import PART_CODEC, REQUEST_CODEC
@@ -29,6 +28,7 @@
 from hibiscustiller.ingress._exposition import ExposedMetrics
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._inspection import InspectionServer
+from hibiscustiller.ingress._listeners import Listeners
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._monitor import EngineMonitor
 from hibiscustiller.ingress._open_attempts import OpenAttempts
@@ -56,11 +56,9 @@
     rank_by_rendezvous,
 )
 from hibiscustiller.wire import (
-    BodyMemory,
     Connect,
     DatagramSocket,
     HttpClient,
-    HttpLimits,
     HttpRequest,
     HttpServer,
     Responder,
@@ -92,23 +90,11 @@
 _LAST_ANSWERS_TIME = timedelta(milliseconds=150)
 # An unreachable store must not delay the shutdown; the entries expire with their lease.
 _DEREGISTRATION_TIMEOUT = timedelta(milliseconds=300)
-# Below the file descriptor limit of the smallest hosts, with room left for connections
-# to backend servers.
-_MAX_FRONT_CONNECTIONS = 3000
-# Share of the process's memory for bodies of answers, and as much again for those of
-# requests. At rest the process takes a fifth of the memory of the smallest hosts;
-# copies and buffers take the rest.
-_BODY_SHARE_OF_MEMORY = 0.2
 _STOPPED = Refusal(
     RefusalReason.BACKEND_TIMEOUT,
     Verdict.MAY_HAVE_RUN,
     "the router stopped before the request was answered",
 )
-# Enough for the requests of several routers that reach no server themselves.
-_MAX_INNER_CONNECTIONS = 600
-# The name of the router that passes a request on, its deadline and its last event.
-_ADDED_HEADER_BYTES = 1024
-_INTERNAL_HTTP_LIMITS = HttpLimits(max_connections=64, max_body_bytes=1024)
 
 
 class Gateway:
@@ -148,9 +134,9 @@
             self._has_other_routers,
             self._handle_reach_change,
         )
-        max_body_bytes = int(settings.memory_bytes * _BODY_SHARE_OF_MEMORY)
-        self._body_memory = memory = BodyMemory(max_body_bytes)
-        self._request_memory = BodyMemory(max_body_bytes)
+        self._listeners = Listeners(settings, clock, metrics)
+        self._body_memory = memory = self._listeners.answer_memory
+        self._request_memory = self._listeners.request_memory
         self._server_client = HttpClient(clock, _CONNECT_TIMEOUT, connect, memory)
         self._health = ServerHealth(
             clock,
@@ -192,7 +178,9 @@
         self._build_store_clients()
         self._build_servers()
         address = Address(settings.ip, inspection_port)
-        self.inspection = InspectionServer(address, metrics, self.describe, clock)
+        self.inspection = InspectionServer(
+            address, metrics, self.describe, clock, self._listeners.make_server
+        )
 
     def _build_forwarders(self) -> None:
         settings, clock = self._settings, self._clock
@@ -277,7 +265,7 @@
             clock,
             self._random_state,
             self._metrics,
-            self._apply_limits,
+            self._listeners.apply_document,
             self._router_forwarder,
             self._health,
         )
@@ -395,27 +383,15 @@
 
     def _build_servers(self) -> None:
         settings = self._settings
-        self.front = HttpServer(
-            settings.front,
-            self._dispatcher.handle,
-            HttpLimits(max_connections=_MAX_FRONT_CONNECTIONS),
-            "front",
-            self._request_memory,
-        )
-        self._readiness_server = HttpServer(
-            settings.readiness,
-            self._handle_readiness,
-            _INTERNAL_HTTP_LIMITS,
-            "readiness",
+        make_server = self._listeners.make_server
+        self.front = make_server("front", settings.front, self._dispatcher.handle)
+        self._readiness_server = make_server(
+            "readiness", settings.readiness, self._handle_readiness
         )
         self._inner_server: HttpServer | None = None
         if settings.inner is not None:
-            self._inner_server = HttpServer(
-                settings.inner,
-                self._handle_inner,
-                _INTERNAL_HTTP_LIMITS,
-                "inner",
-                self._request_memory,
+            self._inner_server = make_server(
+                "inner", settings.inner, self._handle_inner
             )
         # This also applies the client limits of a new document, which must hold for the
         # first request after it.
@@ -423,6 +399,7 @@
 
     async def start(self) -> None:
         """Open all listeners and start the background tasks."""
+        self._listeners.log()
         await self._datagrams.start()
         await self._readiness_server.start()
         if self._inner_server is not None:
@@ -506,6 +483,7 @@
     def reload(self, settings: HostSettings) -> None:
         """Apply changed settings; changed addresses need a restart."""
         self._settings = settings
+        self._listeners.apply_settings(settings)
         log_event("settings_reloaded", router=settings.router_id)
 
     def describe(self) -> dict[str, Any]:
@@ -525,6 +503,7 @@
             "unreachable": self._health.list_unreachable(),
             "is_cut_off": self._health.is_cut_off,
             "cut_off_routers": sorted(self._health.cut_off_routers),
+            "connections": self._listeners.describe(),
             "waiting": {
                 name: forwarder.admission.waiting_count
                 for name, forwarder in self.models.forwarders_by_service.items()
@@ -573,22 +552,6 @@
     ) -> None:
         await responder.send(200 if self.is_ready else 503)
 
-    def _apply_limits(self, limits: ClientLimits) -> None:
-        self.front.limits = HttpLimits(
-            max_connections=_MAX_FRONT_CONNECTIONS,
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            read_timeout=limits.header_timeout,
-            idle_timeout=limits.idle_timeout,
-        )
-        if self._inner_server is not None:
-            # Other routers have checked what they pass on, and add some headers to it.
-            self._inner_server.limits = replace(
-                self.front.limits,
-                max_connections=_MAX_INNER_CONNECTIONS,
-                max_header_bytes=limits.max_header_bytes + _ADDED_HEADER_BYTES,
-            )
-
     def _handle_health_change(self, is_own_result: bool) -> None:
         self.models.request_refresh()
         # A result reported by another router has been sent to all routers already.
--- a/hibiscustiller/ingress/_inspection.py
+++ b/hibiscustiller/ingress/_inspection.py
@@ -10,9 +10,8 @@
 from hibiscustiller.ingress._exposition import ExposedMetrics
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Clock, log_event
-from hibiscustiller.wire import HttpLimits, HttpRequest, HttpServer, Responder
+from hibiscustiller.wire import Handler, HttpRequest, HttpServer, Responder
 
-_HTTP_LIMITS = HttpLimits(max_connections=16, max_body_bytes=1024)
 _SAMPLING_PERIOD = timedelta(seconds=1)
 
 
@@ -23,6 +22,7 @@
     :param metrics: metrics to serve.
     :param describe: returns the state of the daemon as JSON values.
     :param clock: source of time.
+    :param make_server: makes the server of a name, an address and a handler.
     """
 
     def __init__(
@@ -31,11 +31,12 @@
         metrics: ExposedMetrics,
         describe: Callable[[], dict[str, Any]],
         clock: Clock,
+        make_server: Callable[[str, Address, Handler], HttpServer],
     ) -> None:
         self._metrics = metrics
         self._describe = describe
         self._clock = clock
-        self._server = HttpServer(address, self._handle, _HTTP_LIMITS, "inspection")
+        self._server = make_server("inspection", address, self._handle)
 
     @property
     def address(self) -> Address:
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -19,6 +19,10 @@
 _DEFAULT_MIN_LEASE_MS = 1000
 # Without a limit in the file, about that of the smallest hosts is assumed.
 _DEFAULT_MEMORY_MB = 256
+# Without a limit in the file, that of the smallest hosts is assumed.
+_DEFAULT_MAX_FDS = 4100
+# With fewer, the servers of the daemon would have almost no places.
+_MIN_MAX_FDS = 200
 _BYTES_PER_MB = 1_000_000
 
 
@@ -86,6 +90,7 @@
         max_value_bytes=int(store["value_bytes"]),
         capacity=_read_capacity(values.get("limits", {})),
         memory_bytes=_read_memory(values.get("limits", {})),
+        max_fds=_read_max_fds(values.get("limits", {})),
         is_first_start=bool(values.get("bootstrap", False)),
         inner=parse_address(inner) if inner else None,
         seeds=tuple(parse_address(seed) for seed in values.get("seeds") or ()),
@@ -103,6 +108,13 @@
     return int(memory_mb * _BYTES_PER_MB)
 
 
+def _read_max_fds(limits: Mapping[str, Any]) -> int:
+    max_fds = int(limits.get("max_fds", _DEFAULT_MAX_FDS))
+    if max_fds < _MIN_MAX_FDS:
+        raise ValueError(f"max_fds must be at least {_MIN_MAX_FDS}, got {max_fds}")
+    return max_fds
+
+
 def _read_capacity(limits: Mapping[str, Any]) -> float:
     # A share of a core that is so many times as fast as a usual one.
     return float(limits.get("cpu_share", 1.0)) * float(limits.get("cores", 1))
--- a/hibiscustiller/platform/tests/test_decoding.py
+++ b/hibiscustiller/platform/tests/test_decoding.py
@@ -38,6 +38,7 @@
 ready = "10.1.0.40:8220"
 [limits]
 memory_mb = 300
+max_fds = 5000
 [bounds]
 drain_ms = 2000
 grace_s = 8
@@ -82,6 +83,7 @@
     assert found.retry_slack == 198
     assert found.min_lease == timedelta(seconds=1)
     assert found.memory_bytes == 300_000_000
+    assert found.max_fds == 5000
 
 
 def test_bad_settings_name_what_is_wrong():
@@ -91,9 +93,11 @@
         'front = "10.1.0.40:8227"': "front is missing",
         "[bounds]": "bounds is missing",
         "memory_mb = 300": "memory_mb must be above 0, got -1",
+        "max_fds = 5000": "max_fds must be at least 200, got 199",
     }
     for removed, message in cases.items():
         added = "memory_mb = -1" if "memory" in removed else "x = 1 #"
+        added = "max_fds = 199" if "max_fds" in removed else added
         text = SETTINGS.replace(removed, "[other]" if "[" in removed else added)
         try:
             parse_host_settings(text)
