Bound the memory of all bodies at the product's own router

Only the number of connections bounded the sum of the bodies: 500 of 900 KB that stop short took 501 MB. The setting max_bodies_bytes bounds it (256 MiB by default, checked to be at least max_body_bytes), and refused connections are counted.

--- a/hibiscustiller/serving/_router.py
+++ b/hibiscustiller/serving/_router.py
@@ -34,7 +34,7 @@
 from hibiscustiller.settings import Settings
 from hibiscustiller.streams import CrashRegistry, ReplayEstimator, StreamRunner
 from hibiscustiller.utils import Clock, Metrics, Revision, ServerId, log_event
-from hibiscustiller.wire import HttpClient, HttpLimits, HttpServer
+from hibiscustiller.wire import BodyMemory, HttpClient, HttpLimits, HttpServer
 
 
 class Router:
@@ -201,6 +201,9 @@
             callers.handle,
             make_http_limits(self.settings),
             "callers",
+            BodyMemory(self.settings.limits.max_bodies_bytes),
+            self._clock,
+            self.metrics.count,
         )
 
     def install_document(self, text: str, revision: Revision) -> None:
--- a/hibiscustiller/settings/_generated.py
+++ b/hibiscustiller/settings/_generated.py
@@ -77,6 +77,7 @@
     :param max_connections: open connections from callers.
     :param max_header_bytes: bytes of a request's line and headers.
     :param max_body_bytes: bytes of a request's body.
+    :param max_bodies_bytes: bytes of all requests that are read or not yet answered; the largest unfinished one of the client that sends most is refused beyond it.
     :param read_timeout: time for a whole request to arrive once its first byte has.
     :param idle_timeout: time a connection may stay open between requests.
     :param write_timeout: time for a caller to take each part of an answer.
@@ -86,6 +87,7 @@
     max_connections: int
     max_header_bytes: int
     max_body_bytes: int
+    max_bodies_bytes: int
     read_timeout: timedelta
     idle_timeout: timedelta
     write_timeout: timedelta
@@ -287,6 +289,15 @@
                 choices=(),
                 doc="bytes of a request's body",
             ),
+            KeySpec(
+                name="max_bodies_bytes",
+                kind="int",
+                default="268435456",
+                minimum="65536",
+                maximum="17179869184",
+                choices=(),
+                doc="bytes of all requests that are read or not yet answered; the largest unfinished one of the client that sends most is refused beyond it",
+            ),
             KeySpec(
                 name="read_timeout",
                 kind="duration",
--- a/hibiscustiller/settings/_loading.py
+++ b/hibiscustiller/settings/_loading.py
@@ -59,6 +59,13 @@
         problems += found
     if not problems and sections["peers"].seeds and not sections["peers"].shared_key:
         problems.append("section [peers] key shared_key: required when seeds are given")
+    if not problems:
+        limits = sections["limits"]
+        if limits.max_bodies_bytes < limits.max_body_bytes:
+            problems.append(
+                f"section [limits] key max_bodies_bytes: {limits.max_bodies_bytes} is"
+                f" below max_body_bytes, which is {limits.max_body_bytes}"
+            )
     if problems:
         raise SettingsError(tuple(f"{source}: {problem}" for problem in problems))
     return Settings(**sections)
--- a/hibiscustiller/settings/tests/test_loading.py
+++ b/hibiscustiller/settings/tests/test_loading.py
@@ -53,6 +53,11 @@
             "[limits]\nmax_body_bytes = 5\n[platform]",
             "accepted range is 1024",
         ),
+        (
+            "[platform]",
+            "[limits]\nmax_body_bytes = 67108864\nmax_bodies_bytes = 65536\n[platform]",
+            "max_bodies_bytes: 65536 is below max_body_bytes, which is 67108864",
+        ),
         ("[platform]", "[limits]\nread_timeout = 5\n[platform]", "a number and a unit"),
         (
             "[platform]",
