Let the next allocator begin with what is held, and without a rate of releases

When 31 of 59 routers lost power at second 28, 343 requests were refused in that second. The next allocators counted the places of the failed ones twice: in their last reports, for 3 s, and as their holders confirmed them. And they knew no rate of releases, so that every expected wait was endless.

A router that gets no answer from an allocator forgets what that one reported and tells the next one at once which places it holds. Without a second of releases, an expected wait counts as unknown, and requests wait.

test_places_are_reported_at_once_when_the_allocator_fails and the modules of admission: 35 passed.

--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -131,6 +131,7 @@
             clock,
             random_state,
             metrics,
+            on_failure=load.discard_report,
         )
 
     def get_admission(self, service: ServiceName, domain: DomainId) -> Admission | None:
--- a/hibiscustiller/layers/_load.py
+++ b/hibiscustiller/layers/_load.py
@@ -80,6 +80,10 @@
         self._received_sum += now
         self._update_reported(uses_by_id, 1)
 
+    def discard_report(self, router_id: RouterId) -> None:
+        """Forget the use that a router reported, for example since it has failed."""
+        self._remove_report(router_id)
+
     def count_reporting_routers(self) -> int:
         """Return how many other routers have a report that has not expired."""
         return len(self._reports)
--- a/hibiscustiller/layers/_place_client.py
+++ b/hibiscustiller/layers/_place_client.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
+import curio
 from result import Err, Ok, Result
 
 from hibiscustiller.discovery import FleetView
@@ -42,7 +43,12 @@
     Verdict,
     log_event,
 )
-from hibiscustiller.wire import DatagramSocket, PendingRequest, PendingRequests
+from hibiscustiller.wire import (
+    DatagramSocket,
+    PendingRequest,
+    PendingRequests,
+    wait_for_event,
+)
 from hibiscustiller.wire._messages_generated import (
     HeldPlace,
     PlaceAnswer,
@@ -92,6 +98,7 @@
     :param list_service_domains: returns the pairs of service and domain that have
         pipelines.
     :param answer_timeout: longest wait for the first answer of another router.
+    :param on_failure: called with an allocator that gave no answer.
     """
 
     def __init__(
@@ -105,7 +112,10 @@
         random_state: random.Random,
         metrics: Metrics,
         answer_timeout: timedelta = _ANSWER_TIMEOUT,
+        on_failure: Callable[[RouterId], None] = lambda router_id: None,
     ) -> None:
+        self._on_failure = on_failure
+        self._holdings_due = curio.UniversalEvent()
         self._answer_timeout = answer_timeout
         self.router_id = router_id
         self._view = view
@@ -161,7 +171,8 @@
     async def run(self) -> None:
         """Confirm held places and announce free capacity, until cancelled."""
         while True:
-            await self._clock.sleep(_HOLDINGS_PERIOD)
+            await wait_for_event(_HOLDINGS_PERIOD, self._holdings_due)
+            self._holdings_due.clear()
             if self.uses_allocators or self._places_by_id:
                 await self._send_holdings()
                 await self._send_summaries()
@@ -361,6 +372,10 @@
     def _mark_unresponsive(self, allocator: RouterId) -> None:
         log_event("allocator_failed", level="warning", router=allocator)
         self._backed_off.add(allocator, _BACKOFF)
+        # The next allocator learns at once which places are held, and its own count of
+        # them takes the place of the failed one's report.
+        self._on_failure(allocator)
+        self._holdings_due.set()
 
     async def _send_holdings(self) -> None:
         """Send each allocator the list of its places that this router holds."""
--- a/hibiscustiller/layers/_wait_estimate.py
+++ b/hibiscustiller/layers/_wait_estimate.py
@@ -85,6 +85,9 @@
         """
         policy = self._policy
         assert policy is not None
+        if not self._releases.is_known(now):
+            # A new allocator would refuse all requests otherwise.
+            return timedelta(0)
         rate = self._releases.get(now)
         if policy.is_below_floor(priority, tokens, self._count_usable()):
             return _estimate_time(own_ahead, tokens, rate * class_share)
--- a/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
+++ b/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
@@ -332,6 +332,45 @@
     assert after >= 0.9 * (before - 3)
 
 
+async def test_places_are_reported_at_once_when_the_allocator_fails():
+    """Guards against a second of full engines that reject, or of needless refusals.
+
+    When 31 of 59 routers lost power, the next allocators counted the places of the
+    failed ones twice, and knew no rate of releases: 343 requests were refused at once.
+    """
+    places = count_places()
+    async with Fleet(answer_timeout=60 * MS) as fleet:
+        outcomes = []
+        tasks = [
+            await curio.spawn(
+                request_and_hold, fleet.members[n % 60], make_demand(), 5.0, outcomes
+            )
+            for n in range(places // 2)
+        ]
+        await curio.sleep(0.3)
+        victim = fleet.find_allocator("north")
+        await victim.kill()
+        for member in fleet.members:
+            if member.tasks:
+                member.client._mark_unresponsive(victim.router_id)
+        await curio.sleep(0.3)
+        successor = fleet.find_allocator("north")
+        held = sum(
+            place.allocator == successor.router_id
+            for member in fleet.members
+            for place in member.client._places_by_id.values()
+        )
+        assert held > 0
+        assert successor.allocator.held_count >= 0.9 * held
+        demand = make_demand()
+        wait = successor.admissions["north"]._wait_estimator.estimate(
+            successor.client._clock.monotonic(), demand
+        )
+        assert wait == timedelta(0), wait
+        for task in tasks:
+            await task.cancel()
+
+
 async def test_a_slow_pipeline_is_avoided_by_the_whole_fleet():
     """Guards against new streams at slow engines that only other routers observe.
 
