--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -188,14 +188,14 @@
                 if self.place_client.is_allocator(domain)
             ],
             "backed_off": {
-                name: sorted(admission.rejections.list_excluded())
+                name: sorted(admission.places.rejections.list_excluded())
                 for name, admission in admissions.items()
-                if admission.rejections is not None
+                if admission.places.rejections is not None
             },
             "answer_ratios": {
-                name: admission.answer_lengths.describe()
+                name: admission.places.answer_lengths.describe()
                 for name, admission in admissions.items()
-                if admission.answer_lengths is not None
+                if admission.places.answer_lengths is not None
             },
         }
 
--- a/hibiscustiller/layers/_admission.py
+++ b/hibiscustiller/layers/_admission.py
@@ -23,13 +23,13 @@
 )
 from hibiscustiller.layers._displaced import DisplacedQueue
 from hibiscustiller.layers._free_capacity import (
-    count_unused_tokens,
     count_usable_tokens,
     has_room,
 )
 from hibiscustiller.layers._load import EngineLoad
 from hibiscustiller.layers._pipelines import Pipeline
 from hibiscustiller.layers._place_reports import report_refusal, report_wait
+from hibiscustiller.layers._place_selection import PlaceSelector
 from hibiscustiller.layers._queue import FairQueue, QueueRules
 from hibiscustiller.layers._rejections import RejectionRecord
 from hibiscustiller.layers._release_rate import ReleaseRate
@@ -95,13 +95,13 @@
         service: ServiceName | None = None,
         answer_lengths: AnswerLengths | None = None,
     ) -> None:
-        self.answer_lengths = answer_lengths
+        self.places = PlaceSelector(
+            selector, load, list_refusing, domain, rejections, answer_lengths
+        )
         self._domain = domain
-        self.rejections = rejections
         self._policy = policy
         self._metrics = metrics or Metrics()
         self._service = service
-        self._list_refusing = list_refusing
         self._selector = selector
         self._load = load
         self._clock = clock
@@ -141,7 +141,7 @@
 
     async def admit(self, demand: Demand) -> Result[Grant, Refusal]:
         """Wait for a place, or refuse at once if the expected wait is too long."""
-        if not self._selector.list_pipelines(self._domain):
+        if not self.places.list_pipelines():
             return Err(self.refuse(demand, RefusalReason.NO_ROUTE, "no pipeline"))
         policy = self._policy
         if policy is not None:
@@ -205,23 +205,9 @@
         :param excluded: engines that must not be used.
         :returns: None if no pipeline avoids the excluded engines.
         """
-        pipeline = self.select_replacement(demand, excluded)
+        pipeline = self.places.select_replacement(demand, excluded)
         return None if pipeline is None else self.reserve(pipeline, demand)
 
-    def select_replacement(
-        self, demand: Demand, excluded: Collection[ServerId]
-    ) -> Pipeline | None:
-        """Return the pipeline for a request that has lost its place."""
-        tokens, gap = self._estimate_tokens(demand), demand.target_gap
-        domain = self._domain
-        rejecting = self._list_rejecting(excluded)
-        pipeline = self._selector.select(
-            tokens, gap, {*excluded, *rejecting}, domain=domain
-        )
-        if pipeline is not None:
-            return pipeline
-        return self._selector.select_overflow(tokens, gap, excluded, rejecting, domain)
-
     def try_replace(
         self, demand: Demand, excluded: Collection[ServerId]
     ) -> Grant | None:
@@ -242,7 +228,7 @@
         :returns: None if no pipeline avoids the excluded engines.
         """
         waiter = _Waiter(demand)
-        if self._may_use_any(excluded):
+        if self.places.may_use_any(excluded):
             self._displaced.push(waiter, demand.tokens, excluded)
             try:
                 await self.grant_waiting()
@@ -259,7 +245,7 @@
 
     def reserve(self, pipeline: Pipeline, demand: Demand) -> Grant:
         """Reserve a place in a pipeline regardless of its free capacity."""
-        return self.record_place(pipeline, self._estimate_tokens(demand), demand)
+        return self.record_place(pipeline, self.places.estimate_tokens(demand), demand)
 
     def record_place(
         self, pipeline: Pipeline, tokens: float, demand: Demand | None = None
@@ -279,24 +265,17 @@
         :param outcome: what became of the request that held it.
         """
         self._load.remove(grant.pipeline, grant.tokens)
-        if self.rejections is not None:
-            self.rejections.record_release(
-                grant.pipeline.server_ids, outcome.rejected_by
-            )
+        self.places.record_outcome(grant, outcome)
         now = self._clock.monotonic()
         if self._policy is not None:
             self._policy.record_release(now, grant)
         self._release_rate.record(now, grant.tokens)
-        if self.answer_lengths is not None and grant.demand is not None:
-            hinted = grant.demand.answer_tokens
-            actual = outcome.answer_tokens
-            self.answer_lengths.record(grant.demand.priority, hinted, actual)
         await self.grant_waiting()
 
     async def grant_waiting(self) -> None:
         """Grant free places to waiting requests; call whenever one may be free."""
         for waiter in self._displaced.grant(
-            self._selector.list_pipelines(self._domain), self._try_grant_displaced
+            self.places.list_pipelines(), self._try_grant_displaced
         ):
             await waiter.is_granted.set()
         while (head := self._queue.peek()) is not None:
@@ -325,30 +304,6 @@
         if head is not None:
             head.item.has_recall = True
 
-    def list_server_ids(self) -> set[ServerId]:
-        """Return the engines of all pipelines."""
-        return {
-            server_id
-            for pipeline in self._selector.list_pipelines(self._domain)
-            for server_id in pipeline.server_ids
-        }
-
-    def count_tokens_without(self, grant: Grant) -> float:
-        """Return the free capacity of a place's pipeline if it were released.
-
-        Either memory or slots may be what a pipeline lacks.
-        """
-        self._load.remove(grant.pipeline, grant.tokens)
-        try:
-            return self._selector.get_free_tokens(grant.pipeline)
-        finally:
-            self._load.add(grant.pipeline, grant.tokens)
-
-    def get_observed_token_time(self, pipeline: Pipeline) -> timedelta | None:
-        """Return the recent time per token; None without recent observations."""
-        gap, spec = self._selector.get_observed_gap(pipeline), self._selector.spec
-        return None if gap is None or spec is None else gap / spec.stride
-
     def record_gap(self, pipeline: Pipeline, gap: timedelta) -> None:
         """Record a time between events that another router observed."""
         self._selector.record_gap(pipeline, gap)
@@ -366,8 +321,7 @@
         if len(self._displaced):
             return 0.0
         if not len(self._queue):
-            full = set() if self.rejections is None else self.rejections.list_full()
-            return count_unused_tokens(self._selector, self._domain, full)
+            return self.places.count_free_tokens()
         return 0.0 if self._queue.peek() is not None else self._count_usable_tokens()
 
     def expect_waits(self) -> dict[int, timedelta]:
@@ -458,15 +412,7 @@
         """Return the engines that new requests leave to streams that wait."""
         if not len(self._displaced):
             return frozenset()
-        return self._displaced.list_reserved(
-            self._selector.list_pipelines(self._domain)
-        )
-
-    def _may_use_any(self, excluded: Collection[ServerId]) -> bool:
-        return any(
-            set(excluded).isdisjoint(pipeline.server_ids)
-            for pipeline in self._selector.list_pipelines(self._domain)
-        )
+        return self._displaced.list_reserved(self.places.list_pipelines())
 
     def _try_grant_displaced(self, waiter: _Waiter, excluded: Set[ServerId]) -> bool:
         waiter.grant = self._try_grant(waiter.demand, excluded)
@@ -475,33 +421,13 @@
     def _try_grant(
         self, demand: Demand, excluded: Set[ServerId] = frozenset()
     ) -> Grant | None:
-        pipeline = self._selector.select(
-            self._estimate_tokens(demand),
-            demand.target_gap,
-            excluded | self._list_rejecting(excluded),
-            domain=self._domain,
-        )
+        pipeline = self.places.select_free(demand, excluded)
         if pipeline is None:
             return None
         grant = self.reserve(pipeline, demand)
         grant.granted_at = self._clock.monotonic()
         return grant
 
-    def _list_rejecting(self, excluded: Collection[ServerId] = ()) -> Set[ServerId]:
-        """Return the engines that rejected a request lately.
-
-        :param excluded: engines that are not used in any case.
-        :returns: no engine if every pipeline has such an engine: waiting would not
-            help, and a request that is rejected is retried around the engine.
-        """
-        rejecting = self._list_refusing()
-        if self.rejections is not None:
-            rejecting = rejecting | self.rejections.list_excluded()
-        for pipeline in self._selector.list_pipelines(self._domain):
-            if {*excluded, *rejecting}.isdisjoint(pipeline.server_ids):
-                return rejecting
-        return frozenset()
-
     def _refuse_for_room(
         self, demand: Demand, message: str, wait: timedelta
     ) -> Refusal:
@@ -509,16 +435,6 @@
             self._policy.record_refusal(self._clock.monotonic(), demand)
         return self.refuse(demand, RefusalReason.OVERLOADED, message, wait)
 
-    def _estimate_tokens(self, demand: Demand) -> float:
-        """Return the tokens that a place of a request holds on average."""
-        pipelines = self._selector.list_pipelines(self._domain)
-        if self.answer_lengths is None or not pipelines:
-            return demand.tokens
-        held_count = sum(self._load.get(p.entry.id).entry_count for p in pipelines)
-        return demand.tokens + self.answer_lengths.estimate_excess(
-            demand.priority, demand.answer_tokens, held_count / len(pipelines) + 1
-        )
-
     def refuse(
         self,
         demand: Demand,
--- a/hibiscustiller/layers/_place_allocator.py
+++ b/hibiscustiller/layers/_place_allocator.py
@@ -146,7 +146,7 @@
         """
         now = self._clock.monotonic()
         pace = self._recall_paces.setdefault(admission.domain, RecallPace())
-        pace.record_servers(admission, admission.list_server_ids(), now)
+        pace.record_servers(admission, admission.places.list_server_ids(), now)
         waiting = admission.find_next_waiting()
         if waiting is None or not pace.may_recall(now):
             return
@@ -187,8 +187,8 @@
             key,
             place.grant.demand,
             now - place.granted_at,
-            partial(place.admission.count_tokens_without, place.grant),
-            place.admission.get_observed_token_time(pipeline),
+            partial(place.admission.places.count_tokens_without, place.grant),
+            place.admission.places.get_observed_token_time(pipeline),
         )
 
     async def _handle_request(
--- a/hibiscustiller/layers/_shared_admission.py
+++ b/hibiscustiller/layers/_shared_admission.py
@@ -103,7 +103,7 @@
             return self._local.find_replacement(demand, excluded)
         # Without capacity anywhere, the allocator of the pipeline with the most room
         # beyond the limit is asked, which knows the streams that others sent there.
-        pipeline = self._local.select_replacement(demand, excluded)
+        pipeline = self._local.places.select_replacement(demand, excluded)
         may_wait = max_wait > timedelta(0)
         if pipeline is not None:
             result = await self._client.ask(
--- a/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
+++ b/hibiscustiller/layers/tests/test_places_of_a_large_fleet.py
@@ -443,7 +443,7 @@
     async with Fleet(size=14) as fleet:
         allocator = fleet.find_allocator("north")
         record = RejectionRecord(SystemClock())
-        allocator.admissions["north"].rejections = record
+        allocator.admissions["north"].places.rejections = record
         others = [m for m in fleet.members[::2] if m is not allocator]
         grant = (await others[0].admission.admit(make_demand())).ok_value
         server_id = grant.pipeline.server_ids[1]
