Use leaving engines only while no pipeline is left without them

Streams were refused because the retry budget was exhausted: an engine that leaves, with or without saying so, rejects new requests as a stage of a pipeline, yet pipelines went on with it for half the drain time where no other engine held its layers.

Pipelines now use such engines only if there is no pipeline without them.

test_leaving_engine_is_used_only_while_no_other_pipeline_is_left: passed; it failed before (2 pipelines with the leaving engine).

--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -309,14 +309,20 @@
     def _find_pipelines(self, service: ServiceSpec) -> None:
         assert service.engine is not None
         usable = self._list_usable(service, self._view.list_servers(service.name))
-        leaving = []
+        leaving = self._list_usable(service, self._view.list_leaving(service.name))
+        leaving += self._list_usable(
+            service, self._view.list_servers(service.name), self._is_last_resort
+        )
         # In most cases nothing has changed, and the cost of the search grows with the
         # size of the fleet.
         inputs = (service, usable, leaving)
         if inputs == self._search_inputs.get(service.name):
             return
         self._search_inputs[service.name] = inputs
-        found = find_pipelines(service.engine, usable, leaving)
+        # An engine that leaves may reject new requests as a stage of a pipeline.
+        found = find_pipelines(service.engine, usable) or find_pipelines(
+            service.engine, usable, leaving
+        )
         selector = self.forwarders_by_service[service.name].selector
         before = selector.pipelines
         selector.set_pipelines(cap_engine_slots(service), found)
--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -305,6 +305,29 @@
         assert world.plain[0].requests == []
 
 
+async def test_leaving_engine_is_used_only_while_no_other_pipeline_is_left():
+    """Guards against streams that leaving engines reject, at the cost of retries.
+
+    In 5 s of a release 205 streams were rejected by three engines; none ran there.
+    """
+    async with World() as world:
+        leaving, other = world.engines
+        world.hold_all_layers(leaving, other)
+        await world.wait_for_pipelines(2)
+        leaving.state = "draining"
+        leaving.write_entry()
+        view = world.gateway.view
+        await world.wait_until(lambda: len(view.list_servers("engines")) == 1)
+        # Less than half the drain time, but more than a search for pipelines takes.
+        await curio.sleep(0.4)
+        selector = world.gateway.models.forwarders_by_service["engines"].selector
+        assert [p.server_ids for p in selector.pipelines] == [("e1",)]
+        other.state = "draining"
+        other.write_entry()
+        await curio.sleep(0.3)
+        assert selector.pipelines
+
+
 async def test_last_configuration_stays_in_force_during_a_store_outage():
     """Guards against a router that stops serving when the store is down."""
     async with World() as world:
