--- a/hibiscustiller/ingress/tests/test_gateway.py
+++ b/hibiscustiller/ingress/tests/test_gateway.py
@@ -378,9 +378,12 @@
         await world.wait_for_pipelines(2)
         leaving.state = "draining"
         leaving.write_entry()
-        await world.wait_for_pipelines(1)
+        view = world.gateway.view
+        await world.wait_until(lambda: len(view.list_servers("engines")) == 1)
+        # Less than half the drain time, but more than a search for pipelines takes.
+        await curio.sleep(0.4)
         selector = world.gateway.models.forwarders_by_service["engines"].selector
-        assert selector.pipelines[0].server_ids == ("e1",)
+        assert [p.server_ids for p in selector.pipelines] == [("e1",)]
         other.state = "draining"
         other.write_entry()
         await curio.sleep(0.3)
