Wait before a connection is accepted, not after

A server without free places let others run between accepting a connection and serving it. A planned stop could cancel that wait, and the connection was lost. test_http_server, test_connection_shedding and test_shutdown: 26 passed.

--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -193,6 +193,10 @@
 
     async def _accept_one(self) -> bool:
         """Take the next connection; False if that failed."""
+        if len(self._connections) >= self.limits.max_connections:
+            # What the connections before it have sent tells which of them may end.
+            # A stop may cancel this wait, so nothing is accepted before it.
+            await curio.sleep(0)
         try:
             client, (host, *_) = await self._socket.accept()
         except OSError as error:
@@ -202,9 +206,6 @@
                 ended = self._connections.end_some(self.limits.max_connections, now)
                 await self._end_connections(ended)
             return False
-        if len(self._connections) >= self.limits.max_connections:
-            # What the connections before it have sent tells which of them may end.
-            await curio.sleep(0)
         max_count, now = self.limits.max_connections, self.clock.monotonic()
         self._connections.outgoing_fds = self.limits.outgoing_fds
         await self._end_connections(self._connections.end_for_new(max_count, now))
