Choose ports of tested processes below the ephemeral ones

In one of eight whole runs of test_uncontrolled_clients a daemon did not listen within 20 s: its port came from the range of outgoing connections. The log was not kept, so that another program had the port is inferred. The ports come from the range of the soak tests now.

--- a/hibiscustiller/ingress/tests/soak/site.py
+++ b/hibiscustiller/ingress/tests/soak/site.py
@@ -1,5 +1,6 @@
 """Programs of a soak test: daemons, a store, engines and plain servers."""
 
+import itertools
 import json
 import random
 import socket
@@ -179,6 +180,12 @@
                 return
 
 
+def choose_ports(count):
+    """Return different ports that are free for TCP and UDP."""
+    ports = random.SystemRandom().sample(_PORT_RANGE, len(_PORT_RANGE))
+    return list(itertools.islice(filter(_is_free, ports), count))
+
+
 def _is_free(port):
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as sock:
--- a/hibiscustiller/ingress/tests/uncontrolled.py
+++ b/hibiscustiller/ingress/tests/uncontrolled.py
@@ -16,7 +16,11 @@
     make_document,
 )
 from hibiscustiller.ingress.tests.soak.processes import Program
-from hibiscustiller.ingress.tests.soak.site import make_settings, wait_for_port
+from hibiscustiller.ingress.tests.soak.site import (
+    choose_ports,
+    make_settings,
+    wait_for_port,
+)
 from hibiscustiller.standins import MetadataStoreStandin, PlainServerStandin
 from hibiscustiller.utils import SystemClock
 
@@ -64,8 +68,7 @@
         # The bodies of all requests would take the memory of the test.
         self.plain.requests = deque(maxlen=1)
         self.large = LargeAnswerServer()
-        ports = [_find_free_port() for _ in range(4)]
-        self.front, self.ready, self.inner, self.inspection = ports
+        self.front, self.ready, self.inner, self.inspection = choose_ports(4)
         self.socks = []
         self.tasks = []
         # Most descriptors that the process had open at a time.
@@ -216,10 +219,3 @@
         *fields,
     ]
     return b"\r\n".join(lines) + b"\r\n"
-
-
-def _find_free_port():
-    sock = curio.socket.socket()
-    with sock._socket as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
--- a/hibiscustiller/serving/tests/test_uncontrolled_clients.py
+++ b/hibiscustiller/serving/tests/test_uncontrolled_clients.py
@@ -13,7 +13,7 @@
 import curio.socket
 
 from hibiscustiller.ingress.tests.soak.processes import Program
-from hibiscustiller.ingress.tests.soak.site import wait_for_port
+from hibiscustiller.ingress.tests.soak.site import choose_ports, wait_for_port
 from hibiscustiller.standins import start_fleet
 from hibiscustiller.utils import SystemClock
 from hibiscustiller.utils._testing import collect_tests
@@ -69,7 +69,7 @@
 async def check_crowd(send, max_connections, count):
     fleet = await start_fleet(SystemClock())
     with tempfile.TemporaryDirectory() as directory:
-        callers = _find_free_port()
+        (callers,) = choose_ports(1)
         path = Path(directory) / "router.ini"
         path.write_text(
             SETTINGS.format(
@@ -131,13 +131,6 @@
     assert fds <= max_connections + OTHER_FDS, fds
 
 
-def _find_free_port():
-    sock = curio.socket.socket()
-    with sock._socket as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
-
-
 async def test_bodies_that_stop_short_are_bounded_together():
     """Guards against a router that runs out of memory as its callers send much."""
     await check_crowd(send_short_body, 2 * CROWD, CROWD)
