Check a document before it is sent

Operators learnt of a mistake in a configuration only from the daemons: one unreadable field was logged as document_unreadable without its place, and routes that never match, keys of two organisations or contradicting limits were put in force without a word. What a new version changes for running requests had to be worked out by hand.

Checks on decoded documents are in hibiscustiller.fleet; what the decoder drops or refuses (wrong fields, repeated services and keys) is found in hibiscustiller.platform.

The whole suite was not run.

--- a/hibiscustiller/cli/_commands.py
+++ b/hibiscustiller/cli/_commands.py
@@ -9,6 +9,7 @@
 import curio
 
 from hibiscustiller.cli._daemon import run_router
+from hibiscustiller.cli._document_check import check_document
 from hibiscustiller.cli._inspection import INSPECTION_COMMANDS
 from hibiscustiller.cli._operators import OPERATOR_COMMANDS
 from hibiscustiller.cli._standins import standin
@@ -58,7 +59,7 @@
     sys.exit(0 if curio.run(run_demo) else 1)
 
 
-for _command in (*OPERATOR_COMMANDS, *INSPECTION_COMMANDS):
+for _command in (*OPERATOR_COMMANDS, *INSPECTION_COMMANDS, check_document):
     main.add_command(_command)
 
 
--- a/hibiscustiller/fleet/__init__.py
+++ b/hibiscustiller/fleet/__init__.py
@@ -1,5 +1,17 @@
 """Data types of a deployment, independent of the platform's formats."""
 
+from hibiscustiller.fleet._document_changes import (
+    ChangeKind,
+    DocumentChange,
+    check_succession,
+    compare_fleet_documents,
+)
+from hibiscustiller.fleet._document_checks import (
+    Finding,
+    Severity,
+    check_fleet_document,
+    describe_place,
+)
 from hibiscustiller.fleet._types import (
     EMPTY_RANGE,
     AcceleratorKind,
@@ -20,8 +32,11 @@
     "EMPTY_RANGE",
     "AcceleratorKind",
     "BackendServer",
+    "ChangeKind",
     "ClientLimits",
+    "DocumentChange",
     "EngineSpec",
+    "Finding",
     "FleetDocument",
     "HostSettings",
     "IngressRoute",
@@ -30,4 +45,9 @@
     "RequestKind",
     "ServerState",
     "ServiceSpec",
+    "Severity",
+    "check_fleet_document",
+    "check_succession",
+    "compare_fleet_documents",
+    "describe_place",
 ]
--- a/hibiscustiller/platform/__init__.py
+++ b/hibiscustiller/platform/__init__.py
@@ -6,6 +6,7 @@
     read_positive,
     read_text,
 )
+from hibiscustiller.platform._document_problems import inspect_fleet_document
 from hibiscustiller.platform._engine_calls import (
     EngineReport,
     OrderOutcome,
@@ -86,6 +87,7 @@
     "decode_fleet_document",
     "decode_server_entry",
     "find_host_settings",
+    "inspect_fleet_document",
     "load_host_settings",
     "make_caller_fields",
     "make_router_answer_fields",
--- a/hibiscustiller/platform/_fleet_document.py
+++ b/hibiscustiller/platform/_fleet_document.py
@@ -22,7 +22,7 @@
 from hibiscustiller.utils import OrganisationId, ServiceName, hash_secret
 
 DOCUMENT_KEY = "op/config"
-_KINDS = {
+REQUEST_KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
     "streaming": RequestKind.STREAMING,
@@ -64,7 +64,7 @@
         name=values["name"],
         host=values["host"].lower(),
         prefix=values["prefix"],
-        kind=_KINDS[values["kind"]],
+        kind=REQUEST_KINDS[values["kind"]],
         timeout=timedelta(milliseconds=values["timeout_ms"]),
         target_latency=timedelta(milliseconds=values["target_latency_ms"]),
         priority=int(values.get("priority", 0)),
