--- /dev/null
+++ b/hibiscustiller/ingress/_stream_demands.py
@@ -0,0 +1,37 @@
+"""What a stream asks of the engines, from its request and its route."""
+
+from __future__ import annotations
+
+from hibiscustiller.ingress._context import RequestContext
+from hibiscustiller.ingress._usual_deadlines import UsualDeadlines
+from hibiscustiller.layers import Demand
+from hibiscustiller.utils import OrganisationId
+
+# Share of the answer that an engine holds in memory on average while generating it.
+_MEAN_HELD_ANSWER_SHARE = 0.5
+_NO_ORGANISATION = OrganisationId("")
+
+
+def make_demand(context: RequestContext, usual_deadlines: UsualDeadlines) -> Demand:
+    """Return the resources and response times that a stream needs.
+
+    :param usual_deadlines: deadlines with which callers of the routes begin.
+    """
+    facts, spec = context.facts, context.service.engine
+    assert spec is not None
+    answer = float(facts.estimated_answer_tokens or spec.mean_answer_tokens)
+    if facts.max_answer_tokens:
+        answer = min(answer, facts.max_answer_tokens)
+    prompt = facts.prompt_tokens or spec.mean_prompt_tokens
+    organisation = context.organisation
+    return Demand(
+        priority=context.priority,
+        organisation=_NO_ORGANISATION if organisation is None else organisation.id,
+        tokens=prompt + answer * _MEAN_HELD_ANSWER_SHARE,
+        target_latency=context.route.target_latency,
+        target_gap=context.route.target_gap,
+        remaining_time=context.time_left,
+        is_return=usual_deadlines.record(context.route.name, facts.wait_limit),
+        is_resumable=context.route.is_resumable,
+        answer_tokens=answer,
+    )
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -33,12 +33,12 @@
     StreamAttempt,
     StreamServices,
 )
+from hibiscustiller.ingress._stream_demands import make_demand
 from hibiscustiller.ingress._usual_deadlines import UsualDeadlines
 from hibiscustiller.ingress._yields import decide_on_recall
 from hibiscustiller.layers import Demand, Grant
 from hibiscustiller.platform import make_caller_fields, read_answer_facts
 from hibiscustiller.utils import (
-    OrganisationId,
     Refusal,
     RefusalReason,
     ServerId,
@@ -52,9 +52,6 @@
 # A search for a second pipeline that found none is repeated after this time.
 _SECOND_SEARCH_PERIOD = timedelta(milliseconds=150)
 _RETRY_AFTER = timedelta(milliseconds=700)
-# Share of the answer that an engine holds in memory on average while generating it.
-_MEAN_HELD_ANSWER_SHARE = 0.5
-_NO_ORGANISATION = OrganisationId("")
 _FINAL_OUTCOMES = (Outcome.FINISHED, Outcome.ANSWERED, Outcome.FAILED)
 
 
@@ -85,7 +82,7 @@
         :raises TransportError: if the answer cannot be completed after its head was
             sent, or the caller has disconnected.
         """
-        demand = self._make_demand(context)
+        demand = make_demand(context, self._usual_deadlines)
         admitted = await self.admission.admit(demand)
         self.metrics.timing("wait_for_place", context.age)
         if isinstance(admitted, Err):
@@ -109,9 +106,7 @@
             "request_refused",
             reason=refusal.reason.label,
             priority=context.priority,
-            organisation=None
-            if context.organisation is None
-            else context.organisation.id,
+            organisation=context.organisation and context.organisation.id,
             verdict=refusal.verdict,
             detail=refusal.message,
             retry_after=refusal.retry_after,
@@ -121,28 +116,6 @@
         self.metrics.count(f"refused.{refusal.reason.label}")
         await send_refusal(responder, refusal)
 
-    def _make_demand(self, context: RequestContext) -> Demand:
-        facts, spec = context.facts, context.service.engine
-        assert spec is not None
-        answer = float(facts.estimated_answer_tokens or spec.mean_answer_tokens)
-        if facts.max_answer_tokens:
-            answer = min(answer, facts.max_answer_tokens)
-        prompt = facts.prompt_tokens or spec.mean_prompt_tokens
-        organisation = context.organisation
-        return Demand(
-            priority=context.priority,
-            organisation=_NO_ORGANISATION if organisation is None else organisation.id,
-            tokens=prompt + answer * _MEAN_HELD_ANSWER_SHARE,
-            target_latency=context.route.target_latency,
-            target_gap=context.route.target_gap,
-            remaining_time=context.time_left,
-            is_return=self._usual_deadlines.record(
-                context.route.name, facts.wait_limit
-            ),
-            is_resumable=context.route.is_resumable,
-            answer_tokens=answer,
-        )
-
 
 class _Stream:
     """One caller's stream and its attempts.
