Count the entry of a stream that yields against its route's attempts

A recalled stream was cut with an error: what records the yield named a set that another change had replaced. The request has run on that entry, so it counts now, as the platform allows a route's number of servers that run one request.

--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -62,12 +62,11 @@
         """Record that the request was sent to an engine."""
         self._entry_limit.record_sent(entry_id)
 
-    def record_yield(self, entry_id: ServerId) -> None:
+    def record_yield(self) -> None:
         """Record that an attempt yielded its place, which happens once to a stream.
 
-        Its entry does not count as one of those that the route allows.
+        The request has run on its entry, which counts against the route's limit.
         """
-        self._entry_ids.discard(entry_id)
         self.demand = replace(self.demand, is_resumable=False)
 
     def record_failed_second(self, entry_id: ServerId) -> None:
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -302,7 +302,7 @@
             self._search.stalled_ids.update(attempt.pipeline.server_ids)
         except _YieldedError:
             outcome = Outcome.YIELDED
-            self._search.record_yield(attempt.entry.id)
+            self._search.record_yield()
         except TransportError as error:
             outcome = await self._handle_failure(attempt, error)
         except TimeoutError:
