Log and send how old the evidence is that a router's state is current

A router now records when its state was last known to be that of the store: a call answered, or a lease renewed while its watch was waiting. It logs state_unconfirmed and state_confirmed, shows state_age_s in its state, and tells other routers the age and the revision. Answers repeat the time of the request, so that a delayed one does not look recent. The fields are unused by earlier versions, which are believed as before. No decision depends on them yet.

--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -8,7 +8,6 @@
 
 import json
 import random
-import time
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -55,6 +54,8 @@
     :param on_new_era: called when the store was found to be restored from a backup.
     :param count_routers: returns how many routers register.
     :param outages: records whether the store answers.
+    :param on_renewal: called after each successful renewal with the moment at which it
+        began, as time since the host's start.
     """
 
     def __init__(
@@ -69,8 +70,10 @@
         on_new_era: Callable[[], Awaitable[None]],
         count_routers: Callable[[], int],
         outages: StoreOutages,
+        on_renewal: Callable[[timedelta], None],
     ) -> None:
         self._outages = outages
+        self._on_renewal = on_renewal
         self._reach = reach
         self._on_new_era = on_new_era
         self._count_routers = count_routers
@@ -103,7 +106,7 @@
     async def run(self) -> None:
         """Write the entry and renew its lease until cancelled."""
         while True:
-            began_at = _read_boot_time()
+            began_at = self._clock.boot_time()
             await self._try_renew()
             period = self._get_renewal_period()
             await self._reach.wait_for_check(period)
@@ -111,7 +114,7 @@
                 self._is_restore_known = False
                 spread = self._count_routers() * _REREGISTRATION_SPREAD_PER_ROUTER
                 await self._clock.sleep(spread * self._random_state.random())
-            pause = _read_boot_time() - began_at
+            pause = self._clock.boot_time() - began_at
             if pause > period + _SUSPENSION_THRESHOLD:
                 log_event("host_stood_still", level="warning", pause=pause)
                 self._outages.record_suspension()
@@ -135,7 +138,7 @@
             log_event("registration_end_failed", level="warning", reason=error)
 
     async def _try_renew(self) -> None:
-        began_at = self._clock.monotonic()
+        began_at, called_at = self._clock.monotonic(), self._clock.boot_time()
         try:
             await self._renew()
         except StoreUnavailableError as error:
@@ -147,6 +150,7 @@
         self._outages.record_answer(is_follower=self._is_follower())
         was_reachable = self._reach.is_reachable
         self._reach.record_success(began_at)
+        self._on_renewal(called_at)
         if not was_reachable:
             log_event("store_regained")
             await self._on_return()
@@ -179,8 +183,3 @@
         # replaces it, with the revision found here.
         found = outcome.current
         self._revision = 0 if found is None else found.revision
-
-
-def _read_boot_time() -> timedelta:
-    # Unlike the monotonic clock, this clock includes the time of a host's suspension.
-    return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -23,6 +23,7 @@
     apply_delta,
     make_delta,
 )
+from hibiscustiller.discovery._freshness import ReportedEvidence
 from hibiscustiller.discovery._outages import StoreAnswer, StoreOutage
 from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._snapshots import encode_age
@@ -84,6 +85,8 @@
 # A router that watches the store because its sources failed does so for at least this
 # time.
 _MIN_FALLBACK_DURATION = timedelta(seconds=3)
+# A state that was not known to be current for longer is logged.
+_UNCONFIRMED_AGE = timedelta(seconds=2)
 # A router whose last request is older than this number of poll periods has stopped or
 # uses another source.
 _SUBSCRIPTION_PERIODS = 3
@@ -160,6 +163,7 @@
         self._subscribers_by_id: dict[RouterId, _Subscriber] = {}
         self._source: RouterId | None = None
         self._unanswered_requests = 0
+        self._is_unconfirmed = False
         self._state_initialised = curio.Event()
         # When a router that reaches the store last answered, or when this router last
         # found that it cannot reach the store either.
@@ -187,6 +191,7 @@
         self._last_confirmed_at = self._clock.monotonic()
         while True:
             await self._maintain_source()
+            self._log_evidence()
             if self._is_confirmed():
                 # While the store is away, servers cannot register again.
                 self._view.drop_missing()
@@ -194,6 +199,27 @@
             share = 0.9 + 0.2 * self._random_state.random()
             await self._clock.sleep(self._get_poll_period() * share)
 
+    def _log_evidence(self) -> None:
+        """Log when this router's state is no longer known to be current, and again.
+
+        Without it the log does not tell a store in which nothing changes from one that
+        does not answer.
+        """
+        age = self._watcher.evidence.get_age(self._clock.boot_time())
+        is_unconfirmed = age is None or age > _UNCONFIRMED_AGE
+        if is_unconfirmed == self._is_unconfirmed:
+            return
+        self._is_unconfirmed = is_unconfirmed
+        log_event(
+            "state_unconfirmed" if is_unconfirmed else "state_confirmed",
+            level="warning" if is_unconfirmed else "info",
+            age=age,
+            revision=self._watcher.revision,
+            source=self._source,
+            is_direct=self._watcher.follows_store,
+            is_store_reachable=self._reach.is_reachable,
+        )
+
     def _is_confirmed(self) -> bool:
         """Tell whether this router's state is known to be current."""
         age = self._clock.monotonic() - self._last_confirmed_at
@@ -259,7 +285,8 @@
             return
         self._unanswered_requests += 1
         revision = self._watcher.revision
-        request = FollowRequest(revision.number, revision.era)
+        sent_ms = encode_age(self._clock.boot_time())
+        request = FollowRequest(revision.number, revision.era, sent_ms)
         await self._datagrams.send(peer.address, self._datagrams.encode(request))
 
     def _find_peer(self, router_id: RouterId | None) -> Peer | None:
@@ -319,7 +346,7 @@
         if self._watcher.is_watch_current:
             self._subscribers_by_id[router_id] = subscriber
         subscriber.revision = max(revision, self._watcher.revision)
-        for data in self._encode_changes(revision):
+        for data in self._encode_changes(revision, request.sent_ms):
             await self._datagrams.send(address, data)
 
     async def _push_changes(self) -> None:
@@ -341,12 +368,16 @@
             for data in messages_by_revision[after]:
                 await self._datagrams.send(subscriber.address, data)
 
-    def _encode_changes(self, after: Revision) -> list[bytes]:
-        """Encode the changes after a revision as consecutive messages."""
+    def _encode_changes(self, after: Revision, request_sent_ms: int = 0) -> list[bytes]:
+        """Encode the changes after a revision as consecutive messages.
+
+        :param request_sent_ms: when the request for them was sent, by the clock of the
+            other router; 0 without a request.
+        """
         to = self._watcher.revision
         batch = self._log.collect(after, to)
         if batch is None:
-            return [self._encode_message(after, to, None)]
+            return [self._encode_message(after, to, None, request_sent_ms)]
         messages = []
         for changes in _split_changes(
             [self._encode_change(change, after) for change in batch.items]
@@ -357,10 +388,14 @@
                 not changes or _get_revision(changes[-1]) >= batch.items[-1].revision
             )
             until = to if is_last else _get_revision(changes[-1])
-            messages.append(self._encode_message(after, until, changes))
+            messages.append(
+                self._encode_message(after, until, changes, request_sent_ms)
+            )
             after = until
         if any(len(data) > _MAX_MESSAGE_BYTES for data in messages):
-            return [self._encode_message(batch.after_revision, to, None)]
+            return [
+                self._encode_message(batch.after_revision, to, None, request_sent_ms)
+            ]
         return messages
 
     def _encode_message(
@@ -368,6 +403,7 @@
         after: Revision,
         to: Revision,
         changes: Sequence[StoreChange] | None,
+        request_sent_ms: int,
     ) -> bytes:
         """Encode a message; None as `changes` states that they are unavailable."""
         document = self._view.document
@@ -393,6 +429,12 @@
             outage_began_ms=self._encode_age_of(began_at),
             reached_since_ms=self._encode_age_of(reached_since),
             answered_ms=self._encode_age_of(answered_at),
+            request_sent_ms=request_sent_ms,
+            current_ms=encode_age(
+                self._watcher.evidence.get_age(self._clock.boot_time())
+            ),
+            current_revision=self._watcher.revision.number,
+            current_era=self._watcher.revision.era,
         )
         return self._datagrams.encode(message)
 
@@ -458,9 +500,31 @@
             await self._apply_message(message, after, to)
         if self._watcher.revision >= to:
             self._view.record_current()
+        report = self._read_evidence(message, to)
+        if report is not None:
+            self._watcher.evidence.record_report(report, self._watcher.revision)
         await self._learn_what_the_store_lacks(router_id, message, to)
         await self._stop_following_if_possible(to)
 
+    def _read_evidence(
+        self, message: StoreChanges, to: Revision
+    ) -> ReportedEvidence | None:
+        """Return what another router knows of its state; None if it does not tell.
+
+        Daemons of earlier versions tell only when the store last answered them.
+        """
+        now, age_ms = self._clock.boot_time(), message.current_ms
+        if not message.current_revision:
+            age = timedelta(milliseconds=message.answered_ms)
+            return ReportedEvidence(to, now - age) if message.following else None
+        if not age_ms or not message.request_sent_ms:
+            # Pushed changes may have been under way for any time.
+            return None
+        # An answer that was delayed is as old as the request for it.
+        sent_at = min(now, timedelta(milliseconds=message.request_sent_ms))
+        revision = Revision(message.current_era, message.current_revision)
+        return ReportedEvidence(revision, sent_at - timedelta(milliseconds=age_ms))
+
     def _record_outages(self, router_id: RouterId, message: StoreChanges) -> None:
         """Record when another router reached the store, and which outage it knows.
 
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -14,6 +14,7 @@
 
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
 from hibiscustiller.discovery._departures import Departure
+from hibiscustiller.discovery._freshness import StateEvidence
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.exceptions import StoreUnavailableError, WireFormatError
 from hibiscustiller.leadership import HOLDER_KEY
@@ -144,6 +145,7 @@
         self._restart_requested = curio.Event()
         self._listeners: list[Callable[[], Awaitable[None]]] = []
         self._restore_listeners: list[Callable[[], Awaitable[None]]] = []
+        self.evidence = StateEvidence()
         # The store revision that the view reflects.
         self.revision = NO_REVISION
         # Whether this router watches the store itself.
@@ -176,6 +178,14 @@
         is_current = is_current and self._store.era <= self.revision.era
         return self.follows_store and is_current
 
+    def record_renewal(self, called_at: timedelta) -> None:
+        """Record that the store answered the renewal of this router's lease.
+
+        :param called_at: when the call began, as time since the host's start.
+        """
+        if self.is_watch_current:
+            self.evidence.record_renewal(called_at)
+
     def find_version(
         self, key: str, revision: Revision
     ) -> tuple[Revision, bytes] | None:
@@ -351,12 +361,14 @@
         changes = await self._wait_for_changes(after, wait)
         if changes is None:
             return False
+        answered_at = self._clock.boot_time()
         if self.is_watch_current:
             # No change came before these.
             self._view.record_current()
         self._record_success()
         # Some of them may have arrived from other routers during the call.
         await self._apply_batch(ChangeBatch(after, changes.revision, changes.items))
+        self.evidence.record_answer(answered_at)
         self._view.record_current()
         self._view.drop_missing()
         return True
@@ -367,6 +379,7 @@
         """Wait for changes; None if a restart cancelled the call."""
         task = await curio.spawn(self._try_wait_for_changes, revision, wait)
         self._wait_task = task
+        self.evidence.begin_wait(self._clock.boot_time())
         try:
             await task.wait()
         except curio.CancelledError:
@@ -374,6 +387,7 @@
             raise
         finally:
             self._wait_task = None
+            self.evidence.end_wait()
         if isinstance(task.exception, curio.CancelledError):
             return None
         outcome = task.result
@@ -395,6 +409,7 @@
     async def _read_all(self) -> None:
         """Read every key from the store and apply the result."""
         self._is_reading = True
+        called_at = self._clock.boot_time()
         try:
             found = await self._read_keys()
         finally:
@@ -407,6 +422,8 @@
         self._record_success()
         self._must_read_all = self._must_catch_up = False
         await self._apply_full_state(found)
+        if not is_behind:
+            self.evidence.record_answer(called_at)
         self._view.record_current()
 
     async def _apply_full_state(self, found: Changes) -> None:
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -239,6 +239,7 @@
             self.watcher.handle_store_era,
             self.view.count_routers,
             self.view.outages,
+            self.watcher.record_renewal,
         )
         self.watcher.subscribe_to_restores(self.registration.handle_restore)
         self.watcher.subscribe(self._record_revision)
--- a/hibiscustiller/discovery/tests/test_servers_that_leave.py
+++ b/hibiscustiller/discovery/tests/test_servers_that_leave.py
@@ -144,6 +144,10 @@
             outage_began_ms=0,
             reached_since_ms=0,
             answered_ms=0,
+            request_sent_ms=0,
+            current_ms=0,
+            current_revision=0,
+            current_era=0,
         )
         fleet.store.put("servers/first", None)
         until = time.monotonic() + DRAIN_S / 2
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -369,6 +369,7 @@
             self._fleet_watcher.handle_store_era,
             self.view.count_routers,
             self.view.outages,
+            self._fleet_watcher.record_renewal,
         )
         self._fleet_watcher.subscribe_to_restores(self._registration.handle_restore)
         self._control_lease_ttl = max(_CONTROL_LEASE_TTL, settings.min_lease)
@@ -501,6 +502,7 @@
     def describe(self) -> dict[str, Any]:
         """Return the state of this daemon as JSON values."""
         document = self.view.document
+        state_age = self._fleet_watcher.evidence.get_age(self._clock.boot_time())
         return {
             "router": self._settings.router_id,
             "is_ready": self.is_ready,
@@ -511,6 +513,7 @@
             "source": self._store_relay.source,
             "store_revision": self._fleet_watcher.revision.number,
             "store_era": self._fleet_watcher.revision.era,
+            "state_age_s": None if state_age is None else state_age.total_seconds(),
             "routers": sorted(self.view.peers_by_id),
             "unreachable": self._health.list_unreachable(),
             "is_cut_off": self._health.is_cut_off,
--- a/hibiscustiller/ingress/tests/test_health.py
+++ b/hibiscustiller/ingress/tests/test_health.py
@@ -360,7 +360,7 @@
         raise ZeroDivisionError
 
     second.datagrams.register(FollowRequest, fail)
-    data = first.datagrams.encode(FollowRequest(1, 0))
+    data = first.datagrams.encode(FollowRequest(1, 0, 0))
     await first.datagrams.send(second.datagrams.address, data)
     first.load.add_unlayered("e", 2)
     async with curio.timeout_after(3):
--- a/hibiscustiller/orders/tests/_bench.py
+++ b/hibiscustiller/orders/tests/_bench.py
@@ -31,6 +31,9 @@
     def monotonic(self):
         return super().monotonic() + self.offset
 
+    def boot_time(self):
+        return super().boot_time() + self.offset
+
 
 class OrderFixture:
     """Forwarders of several routers with a common store and two booking replicas.
--- a/hibiscustiller/serving/tests/_routers.py
+++ b/hibiscustiller/serving/tests/_routers.py
@@ -42,6 +42,10 @@
         """Return the time since a fixed moment."""
         return self._clock.monotonic()
 
+    def boot_time(self) -> timedelta:
+        """Return the time since the host's start."""
+        return self._clock.boot_time()
+
     async def sleep(self, delay: timedelta) -> None:
         """Suspend the calling task for ``delay`` and the rest of a pause."""
         await self._clock.sleep(delay)
--- a/hibiscustiller/utils/_clock.py
+++ b/hibiscustiller/utils/_clock.py
@@ -18,6 +18,10 @@
         """Return the time since an arbitrary fixed moment; it never decreases."""
         ...
 
+    def boot_time(self) -> timedelta:
+        """Return the time since the host's start, including its suspensions."""
+        ...
+
     async def sleep(self, delay: timedelta) -> None:
         """Suspend the calling task for ``delay``."""
         ...
@@ -32,6 +36,9 @@
     def monotonic(self) -> timedelta:
         return timedelta(seconds=time.monotonic())
 
+    def boot_time(self) -> timedelta:
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
     async def sleep(self, delay: timedelta) -> None:
         await curio.sleep(max(0.0, delay.total_seconds()))
 
@@ -52,6 +59,9 @@
     def monotonic(self) -> timedelta:
         return self._elapsed
 
+    def boot_time(self) -> timedelta:
+        return self._elapsed
+
     async def sleep(self, delay: timedelta) -> None:
         """Advance the clock by ``delay`` and yield once to other tasks."""
         self.advance(delay)
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -686,17 +686,20 @@
 
     revision: int
     era: int
+    sent_ms: int
 
 
 def _write_FollowRequest(builder: Any, message: FollowRequest) -> None:
     builder.revision = message.revision
     builder.era = message.era
+    builder.sentMs = message.sent_ms
 
 
 def _read_FollowRequest(reader: Any) -> FollowRequest:
     return FollowRequest(
         revision=reader.revision,
         era=reader.era,
+        sent_ms=reader.sentMs,
     )
 
 
@@ -755,6 +758,10 @@
     outage_began_ms: int
     reached_since_ms: int
     answered_ms: int
+    request_sent_ms: int
+    current_ms: int
+    current_revision: int
+    current_era: int
 
 
 def _write_StoreChanges(builder: Any, message: StoreChanges) -> None:
@@ -773,6 +780,10 @@
     builder.outageBeganMs = message.outage_began_ms
     builder.reachedSinceMs = message.reached_since_ms
     builder.answeredMs = message.answered_ms
+    builder.requestSentMs = message.request_sent_ms
+    builder.currentMs = message.current_ms
+    builder.currentRevision = message.current_revision
+    builder.currentEra = message.current_era
 
 
 def _read_StoreChanges(reader: Any) -> StoreChanges:
@@ -790,6 +801,10 @@
         outage_began_ms=reader.outageBeganMs,
         reached_since_ms=reader.reachedSinceMs,
         answered_ms=reader.answeredMs,
+        request_sent_ms=reader.requestSentMs,
+        current_ms=reader.currentMs,
+        current_revision=reader.currentRevision,
+        current_era=reader.currentEra,
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -244,6 +244,9 @@
 struct FollowRequest {
   revision @0 :UInt64;
   era @1 :UInt64;
+  # The time of the sender's host since its start, which the answer repeats; 0 from
+  # earlier versions.
+  sentMs @2 :UInt64;
 }
 
 struct StoreChange {
@@ -284,6 +287,13 @@
   # since the store's last answer to it; 0 if there is none.
   reachedSinceMs @11 :UInt64;
   answeredMs @12 :UInt64;
+  # The sentMs of the request that this answers; 0 if the changes are pushed.
+  requestSentMs @13 :UInt64;
+  # The time since the sender's state was last known to be that of the store, and that
+  # state; 0 if it does not know, or is of an earlier version.
+  currentMs @14 :UInt64;
+  currentRevision @15 :UInt64;
+  currentEra @16 :UInt64;
 }
 
 # A server's process that left, and the last update of its entry.
