--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -35,6 +35,8 @@
 PAGE_KEYS = 50
 STALE_PAGE_COST = 0.1
 RENEWAL_COST = 0.1
+# After this time a call other than a watch fails if the store does not answer.
+CALL_TIMEOUT_S = 0.8
 
 
 def make_entry(state="ready"):
@@ -66,6 +68,8 @@
         self.values_by_key = {}
         self.history = []
         self.refused_routers = set()
+        # Their calls are accepted and not answered.
+        self.silent_routers = set()
         self.is_down = False
 
     def put(self, key, value):
@@ -127,7 +131,15 @@
             raise StoreUnavailableError("refused", Verdict.NOT_RUN)
         self.era = self.store.revision.era
 
+    async def _wait_while_silent(self, timeout_s=CALL_TIMEOUT_S):
+        until = await curio.clock() + timeout_s
+        while self.router_id in self.store.silent_routers:
+            if await curio.clock() >= until:
+                raise StoreUnavailableError("no answer", Verdict.NOT_RUN)
+            await curio.sleep(0.01)
+
     async def read_prefix(self, prefix, *, may_be_old=False):
+        await self._wait_while_silent()
         pages = 1 + len(self.store.values_by_key) // PAGE_KEYS
         for _ in range(pages):
             self._record_call(STALE_PAGE_COST if may_be_old else 1.0)
@@ -145,8 +157,10 @@
         until = await curio.clock() + wait.total_seconds()
         while self.store.revision <= after and await curio.clock() < until:
             await curio.sleep(0.01)
+            await self._wait_while_silent(wait.total_seconds())
             if self.store.is_down or self.router_id in self.store.refused_routers:
                 raise StoreUnavailableError("refused", Verdict.NOT_RUN)
+        await self._wait_while_silent(wait.total_seconds())
         self.era = self.store.revision.era
         if self.era > after.era:
             raise HistoryLostError(after)
@@ -154,14 +168,17 @@
         return Changes(items, self.store.revision)
 
     async def grant_lease(self, ttl):
+        await self._wait_while_silent()
         self._record_call()
         return LeaseId(1)
 
     async def keep_alive(self, lease):
+        await self._wait_while_silent()
         self._record_call(RENEWAL_COST)
         return True
 
     async def compare_and_swap(self, key, value, expected_revision, lease):
+        await self._wait_while_silent()
         self._record_call()
         self.store.put(key, value)
         return SwapOutcome(True, self.store.revision.number, era=self.era)
