Judge a source by the age of its evidence, not by its flag

Cause: a router counted as current while a message said that its sender follows the store. The flag means that no watch has failed. While the store is silent, a waiting watch fails after three seconds, or after 21 s if its connection is acknowledged; all other routers relied on it meanwhile. Renewals of the followers' leases failed after 0.8 s, and nobody drew a conclusion from it.

Now a router knows the latest moment at which its state was that of the store, and tells others its age and revision. A router judges by that age. The parts of the time in which a change must be in force (poll, renewal, check of the own reach, learning) are divided in one place, discovery._freshness, from the bound that the settings name. When the evidence grows old it asks all followers and checks its own reach with a lease renewal; only if the store answers it, it watches the store itself. A store that is silent to all costs a renewal each, as before. Followers renew each 0.5 to 1 s, as the bound needs.

--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -22,8 +22,6 @@
 # The other routers count a crashed router for this long; its reports stop at once.
 _LEASE_TTL = timedelta(seconds=8)
 _RENEWAL_PERIOD = timedelta(seconds=2.5)
-# A router that watches the store for others has to detect an outage sooner.
-_FOLLOWER_RENEWAL_PERIOD = timedelta(seconds=1)
 # During an outage followers retry more often, because the other routers depend on them.
 _FOLLOWER_RETRY_PERIOD = timedelta(milliseconds=400)
 # Refused calls are charged as well. An entry that expired during an outage must be
@@ -56,6 +54,8 @@
     :param outages: records whether the store answers.
     :param on_renewal: called after each successful renewal with the moment at which it
         began, as time since the host's start.
+    :param get_follower_period: returns the renewal period of a router that watches the
+        store for others.
     """
 
     def __init__(
@@ -71,7 +71,9 @@
         count_routers: Callable[[], int],
         outages: StoreOutages,
         on_renewal: Callable[[timedelta], None],
+        get_follower_period: Callable[[], timedelta],
     ) -> None:
+        self._get_follower_period = get_follower_period
         self._outages = outages
         self._on_renewal = on_renewal
         self._reach = reach
@@ -123,7 +125,8 @@
     def _get_renewal_period(self) -> timedelta:
         is_follower = self._is_follower()
         if self._reach.is_reachable:
-            return _FOLLOWER_RENEWAL_PERIOD if is_follower else _RENEWAL_PERIOD
+            # The renewals of a follower tell the others that its watch is current.
+            return self._get_follower_period() if is_follower else _RENEWAL_PERIOD
         period = _FOLLOWER_RETRY_PERIOD if is_follower else _RETRY_PERIOD
         return period * self._random_state.uniform(1 - _RETRY_JITTER, 1 + _RETRY_JITTER)
 
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -23,7 +23,12 @@
     apply_delta,
     make_delta,
 )
-from hibiscustiller.discovery._freshness import ReportedEvidence
+from hibiscustiller.discovery._freshness import (
+    POLL_JITTER,
+    FreshnessLimits,
+    ReportedEvidence,
+    compute_limits,
+)
 from hibiscustiller.discovery._outages import StoreAnswer, StoreOutage
 from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._snapshots import encode_age
@@ -70,13 +75,6 @@
 _MAX_POLL_PERIOD = timedelta(milliseconds=700)
 # A single lost datagram must not count as a failure of the source.
 _MAX_UNANSWERED_REQUESTS = 2
-# A router watches the store itself if no source has confirmed for this time, and for
-# more than two polls, that it reaches the store.
-_SOURCE_TIMEOUT = timedelta(seconds=1.2)
-_SOURCE_TIMEOUT_PERIODS = 2.5
-# After this fraction of that time the router checks whether it reaches the store
-# itself.
-_REACH_CHECK_FRACTION = 0.5
 # A source that stopped answering is not used for this time.
 _SILENT_SOURCE_BACKOFF = timedelta(seconds=4)
 # A source that lost the store is avoided only briefly, because it opens its watch
@@ -85,8 +83,8 @@
 # A router that watches the store because its sources failed does so for at least this
 # time.
 _MIN_FALLBACK_DURATION = timedelta(seconds=3)
-# A state that was not known to be current for longer is logged.
-_UNCONFIRMED_AGE = timedelta(seconds=2)
+# The evidence is not looked at more often.
+_MIN_STEP = timedelta(milliseconds=50)
 # A router whose last request is older than this number of poll periods has stopped or
 # uses another source.
 _SUBSCRIPTION_PERIODS = 3
@@ -129,6 +127,7 @@
     :param random_state: random numbers for jitter and for the choice of a source.
     :param reach: records whether this router reaches the store.
     :param fetch_snapshot: fetches a router's snapshot; None if that fails.
+    :param change_limit: time in which a change of the store must be in force.
     """
 
     def __init__(
@@ -143,7 +142,9 @@
         random_state: random.Random,
         reach: StoreReach,
         fetch_snapshot: Callable[[Address], Awaitable[StateSnapshot | None]],
+        change_limit: timedelta,
     ) -> None:
+        self._change_limit = change_limit
         self._reach = reach
         self._fetch_snapshot = fetch_snapshot
         self._is_fetching = False
@@ -165,9 +166,10 @@
         self._unanswered_requests = 0
         self._is_unconfirmed = False
         self._state_initialised = curio.Event()
-        # When a router that reaches the store last answered, or when this router last
-        # found that it cannot reach the store either.
-        self._last_confirmed_at = clock.monotonic()
+        # Until then a router that reaches the store again leaves it to the followers.
+        self._leave_to_followers_until = timedelta(0)
+        # When all followers were last asked because the evidence was old.
+        self._asked_all_at: timedelta | None = None
         self._backed_off: BackedOff[RouterId] = BackedOff(clock)
         self._fallback_until = timedelta(0)
         datagrams.register(FollowRequest, self._handle_request)
@@ -187,17 +189,38 @@
     async def run(self) -> None:
         """Poll a source, or watch the store, until cancelled."""
         await self._state_initialised.wait()
-        # The state that was just read counts as confirmed.
-        self._last_confirmed_at = self._clock.monotonic()
         while True:
             await self._maintain_source()
             self._log_evidence()
             if self._is_confirmed():
                 # While the store is away, servers cannot register again.
                 self._view.drop_missing()
-            # Jitter keeps routers that start together from polling together.
-            share = 0.9 + 0.2 * self._random_state.random()
-            await self._clock.sleep(self._get_poll_period() * share)
+            await self._clock.sleep(self._compute_step())
+
+    def _compute_step(self) -> timedelta:
+        """Return the time until the next poll, or until the evidence is too old."""
+        limits = self.get_limits()
+        # Jitter keeps routers that start together from polling together.
+        share = self._random_state.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+        step, age = limits.poll_period * share, self._get_age()
+        for limit in (limits.check_age, limits.max_age):
+            if age is not None and age < limit:
+                step = min(step, limit - age)
+        return max(_MIN_STEP, step)
+
+    def get_limits(self) -> FreshnessLimits:
+        """Return how old this router's knowledge of the store may be."""
+        routers = len(self._view.peers_by_id)
+        period = _POLL_PERIOD + _POLL_PERIOD_PER_ROUTER * routers
+        return compute_limits(self._change_limit, min(_MAX_POLL_PERIOD, period))
+
+    def _get_age(self) -> timedelta | None:
+        """Return the age of the evidence that this router's state is current."""
+        return self._watcher.evidence.get_age(self._clock.boot_time())
+
+    def _is_older_than(self, limit: timedelta) -> bool:
+        age = self._get_age()
+        return age is None or age > limit
 
     def _log_evidence(self) -> None:
         """Log when this router's state is no longer known to be current, and again.
@@ -205,15 +228,14 @@
         Without it the log does not tell a store in which nothing changes from one that
         does not answer.
         """
-        age = self._watcher.evidence.get_age(self._clock.boot_time())
-        is_unconfirmed = age is None or age > _UNCONFIRMED_AGE
+        is_unconfirmed = not self._is_confirmed()
         if is_unconfirmed == self._is_unconfirmed:
             return
         self._is_unconfirmed = is_unconfirmed
         log_event(
             "state_unconfirmed" if is_unconfirmed else "state_confirmed",
             level="warning" if is_unconfirmed else "info",
-            age=age,
+            age=self._get_age(),
             revision=self._watcher.revision,
             source=self._source,
             is_direct=self._watcher.follows_store,
@@ -222,16 +244,7 @@
 
     def _is_confirmed(self) -> bool:
         """Tell whether this router's state is known to be current."""
-        age = self._clock.monotonic() - self._last_confirmed_at
-        return self._watcher.is_watch_current or age <= self._get_source_timeout()
-
-    def _get_source_timeout(self) -> timedelta:
-        return max(_SOURCE_TIMEOUT, self._get_poll_period() * _SOURCE_TIMEOUT_PERIODS)
-
-    def _get_poll_period(self) -> timedelta:
-        routers = len(self._view.peers_by_id)
-        period = _POLL_PERIOD + _POLL_PERIOD_PER_ROUTER * routers
-        return min(_MAX_POLL_PERIOD, period)
+        return not self._is_older_than(self.get_limits().max_age)
 
     def _get_followers(self) -> list[RouterId]:
         generation = self._view.routers_generation
@@ -266,17 +279,31 @@
         """
         if self._watcher.follows_store:
             return
-        now = self._clock.monotonic()
+        now, limits, age = self._clock.monotonic(), self.get_limits(), self._get_age()
         if not self._reach.is_reachable:
-            # After an outage the sources have the full time to reach the store again.
-            self._last_confirmed_at = now
+            self._leave_to_followers_until = now + limits.return_time
             return
-        limit = self._get_source_timeout()
-        check_at = self._last_confirmed_at + limit * _REACH_CHECK_FRACTION
-        if now >= check_at and not self._reach.was_reached_since(check_at):
+        overdue = limits.max_age if age is None else age - limits.check_age
+        if overdue <= timedelta(0):
+            return
+        await self._ask_all_followers(now - overdue)
+        if not self._reach.was_reached_since(now - overdue):
             await self._reach.request_check()
-        elif now - self._last_confirmed_at > limit:
-            await self._start_fallback()
+        elif self._is_older_than(limits.max_age):
+            if now >= self._leave_to_followers_until:
+                await self._start_fallback()
+
+    async def _ask_all_followers(self, check_at: timedelta) -> None:
+        """Poll each follower once, because one of them may still reach the store.
+
+        :param check_at: when the evidence became old.
+        """
+        if self._asked_all_at is not None and self._asked_all_at >= check_at:
+            return
+        self._asked_all_at = self._clock.monotonic()
+        for router_id in self._get_followers():
+            if router_id not in (self._router_id, self._source):
+                await self._poll(self._find_peer(router_id))
 
     async def _poll_source(self) -> None:
         peer = self._find_peer(self._source)
@@ -284,6 +311,11 @@
             self._source = None
             return
         self._unanswered_requests += 1
+        await self._poll(peer)
+
+    async def _poll(self, peer: Peer | None) -> None:
+        if peer is None:
+            return
         revision = self._watcher.revision
         sent_ms = encode_age(self._clock.boot_time())
         request = FollowRequest(revision.number, revision.era, sent_ms)
@@ -353,7 +385,7 @@
         """Push new changes to the routers that polled recently."""
         await self._state_initialised.set()
         now = self._clock.monotonic()
-        subscription_time = self._get_poll_period() * _SUBSCRIPTION_PERIODS
+        subscription_time = self.get_limits().poll_period * _SUBSCRIPTION_PERIODS
         # Most subscribers have the same revision, so they share encoded messages.
         messages_by_revision: dict[Revision, list[bytes]] = {}
         for router_id, subscriber in list(self._subscribers_by_id.items()):
@@ -418,7 +450,8 @@
         message = StoreChanges(
             after_revision=after.number,
             to_revision=to.number,
-            following=self._watcher.is_watch_current,
+            following=self._watcher.is_watch_current
+            and not self._is_older_than(self.get_limits().check_age),
             incomplete=changes is None,
             store_returned_ms=self._encode_age_of(ended_at),
             changes=tuple(changes or ()),
@@ -481,30 +514,33 @@
     async def _handle_changes(
         self, router_id: RouterId, address: Address, message: StoreChanges
     ) -> None:
-        if not message.following:
+        after = Revision(message.after_era, message.after_revision)
+        to = Revision(message.to_era, message.to_revision)
+        if router_id == self._source:
+            self._unanswered_requests = 0
+        report = self._read_evidence(message, to)
+        is_fresh = report is not None and self._is_recent(report.at)
+        if not (message.following or is_fresh):
             if router_id == self._source and not self._watcher.follows_store:
                 self._back_off_source(
                     "the source does not follow the store", _DISCONNECTED_SOURCE_BACKOFF
                 )
             return
-        after = Revision(message.after_era, message.after_revision)
-        to = Revision(message.to_era, message.to_revision)
-        if router_id == self._source:
-            self._unanswered_requests = 0
         if to.era < max(self._watcher.revision.era, self._watcher.store_era):
             # The sender has not learnt yet that the store was restored.
             return
-        self._last_confirmed_at = self._clock.monotonic()
         self._record_outages(router_id, message)
         if after == self._watcher.revision < to:
             await self._apply_message(message, after, to)
-        if self._watcher.revision >= to:
-            self._view.record_current()
-        report = self._read_evidence(message, to)
         if report is not None:
-            self._watcher.evidence.record_report(report, self._watcher.revision)
+            self._watcher.record_report(report)
         await self._learn_what_the_store_lacks(router_id, message, to)
-        await self._stop_following_if_possible(to)
+        if is_fresh:
+            await self._stop_following_if_possible(to)
+
+    def _is_recent(self, moment: timedelta) -> bool:
+        limit = self.get_limits().check_age
+        return self._clock.boot_time() - moment <= limit
 
     def _read_evidence(
         self, message: StoreChanges, to: Revision
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -182,9 +182,13 @@
         self._notify_listeners()
         return True
 
-    def record_current(self) -> None:
-        """Record that the state is that of the store now."""
-        self._current_at = self._clock.monotonic()
+    def record_current(self, age: timedelta = timedelta(0)) -> None:
+        """Record that the state is that of the store, or was some time ago.
+
+        :param age: the age of the evidence.
+        """
+        at = self._clock.monotonic() - age
+        self._current_at = at if self._current_at is None else max(self._current_at, at)
 
     def apply_server(self, server: BackendServer, *, is_restored: bool = False) -> None:
         """Add or update a server.
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -14,7 +14,7 @@
 
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
 from hibiscustiller.discovery._departures import Departure
-from hibiscustiller.discovery._freshness import StateEvidence
+from hibiscustiller.discovery._freshness import ReportedEvidence, StateEvidence
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.exceptions import StoreUnavailableError, WireFormatError
 from hibiscustiller.leadership import HOLDER_KEY
@@ -186,6 +186,11 @@
         if self.is_watch_current:
             self.evidence.record_renewal(called_at)
 
+    def record_report(self, report: ReportedEvidence) -> None:
+        """Take over another router's evidence that this state is current."""
+        if self.evidence.record_report(report, self.revision):
+            self._view.record_current(self._clock.boot_time() - report.at)
+
     def find_version(
         self, key: str, revision: Revision
     ) -> tuple[Revision, bytes] | None:
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -35,6 +35,8 @@
 PAGE_KEYS = 50
 STALE_PAGE_COST = 0.1
 RENEWAL_COST = 0.1
+# In this time a change must be in force on routers that reach the store.
+CHANGE_LIMIT = timedelta(seconds=2)
 # After this time a call other than a watch fails if the store does not answer.
 CALL_TIMEOUT_S = 0.8
 
@@ -244,6 +246,7 @@
             random_state,
             reach,
             fleet.fetch_snapshot,
+            CHANGE_LIMIT,
         )
         self.registration = Registration(
             Peer(self.router_id, address, domain, inner=address),
@@ -257,6 +260,7 @@
             self.view.count_routers,
             self.view.outages,
             self.watcher.record_renewal,
+            lambda: self.relay.get_limits().renewal_period,
         )
         self.watcher.subscribe_to_restores(self.registration.handle_restore)
         self.watcher.subscribe(self._record_revision)
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -306,6 +306,7 @@
     :param inner: listening address for the requests of other routers; None if the
         daemon does not serve any.
     :param seeds: ``inner`` addresses of some other routers, which may be down.
+    :param change_limit: time in which a new configuration must be in force.
     """
 
     router_id: RouterId
@@ -328,3 +329,4 @@
     is_first_start: bool = False
     inner: Address | None = None
     seeds: tuple[Address, ...] = ()
+    change_limit: timedelta = timedelta(seconds=2)
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -317,6 +317,8 @@
             self._random_state,
             self._store_reach,
             lambda address: self._snapshot_exchange.fetch(address),
+            # The entries of servers that leave come the same way.
+            min(settings.change_limit, settings.drain),
         )
         self._load_sharing = LoadSharing(
             settings.router_id,
@@ -370,6 +372,7 @@
             self.view.count_routers,
             self.view.outages,
             self._fleet_watcher.record_renewal,
+            lambda: self._store_relay.get_limits().renewal_period,
         )
         self._fleet_watcher.subscribe_to_restores(self._registration.handle_restore)
         self._control_lease_ttl = max(_CONTROL_LEASE_TTL, settings.min_lease)
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -23,6 +23,10 @@
 _DEFAULT_MAX_FDS = 4100
 # With fewer, the servers of the daemon would have almost no places.
 _MIN_MAX_FDS = 200
+# Without a bound in the file, the shortest one of the platform is assumed.
+_DEFAULT_CHANGE_LIMIT_MS = 2000
+# Less than the lease renewals and messages that tell of a change take.
+_MIN_CHANGE_LIMIT_MS = 1500
 _BYTES_PER_MB = 1_000_000
 
 
@@ -94,6 +98,7 @@
         is_first_start=bool(values.get("bootstrap", False)),
         inner=parse_address(inner) if inner else None,
         seeds=tuple(parse_address(seed) for seed in values.get("seeds") or ()),
+        change_limit=_read_change_limit(bounds),
     )
 
 
@@ -101,6 +106,14 @@
     return timedelta(milliseconds=values[name])
 
 
+def _read_change_limit(bounds: Mapping[str, Any]) -> timedelta:
+    limit_ms = float(bounds.get("config_apply_ms", _DEFAULT_CHANGE_LIMIT_MS))
+    if limit_ms < _MIN_CHANGE_LIMIT_MS:
+        message = f"config_apply_ms must be at least {_MIN_CHANGE_LIMIT_MS}"
+        raise ValueError(f"{message}, got {limit_ms:g}")
+    return timedelta(milliseconds=limit_ms)
+
+
 def _read_memory(limits: Mapping[str, Any]) -> int:
     memory_mb = float(limits.get("memory_mb", _DEFAULT_MEMORY_MB))
     if memory_mb <= 0:
