Decline a request that was passed on under a newer configuration

Cause: nothing said under which version a request was passed on. The first router now names its version, and one with an older document declines, so that another one is asked.

--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -22,6 +22,8 @@
 from hibiscustiller.ingress._router_forwarding import (
     DECLINED_HEADER,
     RouterForwarder,
+    limit_version,
+    read_document_version,
 )
 from hibiscustiller.ingress._routes import RouteTable, choose_service
 from hibiscustiller.platform import read_request_facts
@@ -101,6 +103,9 @@
         if self._health.is_cut_off or self._stop_at is not None:
             await self._decline(request, responder)
             return
+        if self._is_outdated(request):
+            await self._decline(request, responder, _OUTDATED)
+            return
         await self.handle(request, responder, is_forwarded=True)
 
     async def handle(
@@ -242,10 +247,19 @@
         await self._refuse(context.request, responder, refusal)
         return True
 
-    async def _decline(self, request: HttpRequest, responder: Responder) -> None:
+    def _is_outdated(self, request: HttpRequest) -> bool:
+        """Tell whether the router that passed a request on has a newer document."""
+        document = self._view.document
+        if document is None:
+            return False
+        return limit_version(document.version) < read_document_version(request)
+
+    async def _decline(
+        self, request: HttpRequest, responder: Responder, refusal: Refusal | None = None
+    ) -> None:
         """Refuse a request so that the router that passed it on asks another one."""
         responder.extra_headers[DECLINED_HEADER] = "1"
-        await self._refuse(request, responder, _DECLINED)
+        await self._refuse(request, responder, refusal or _DECLINED)
 
     def _can_end_before_stop(self, context: RequestContext) -> bool:
         """Tell whether a request will probably be answered before the router stops."""
@@ -279,6 +293,12 @@
     "the router reaches no server, or is stopping",
     _STOPPING_RETRY_AFTER,
 )
+_OUTDATED = Refusal(
+    RefusalReason.NO_ROUTE,
+    Verdict.NOT_RUN,
+    "the router lacks the configuration under which the request was passed on",
+    _STOPPING_RETRY_AFTER,
+)
 _STOPPING = Refusal(
     RefusalReason.NO_ROUTE,
     Verdict.NOT_RUN,
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -43,6 +43,7 @@
     BodyHold,
     Exchange,
     HttpClient,
+    HttpRequest,
     RawRequest,
     Responder,
     find_described_length,
@@ -51,6 +52,8 @@
 
 # Names the router that passes a request on; such a request is not passed on again.
 FORWARDED_BY_HEADER = "x-forwarded-by-router"
+# The version of the document in force at the router that passes a request on.
+DOCUMENT_VERSION_HEADER = "x-document-version"
 # Set on refusals after which yet another router may be asked.
 DECLINED_HEADER = "x-router-declined"
 _DECLINED = DECLINED_HEADER.encode()
@@ -61,9 +64,28 @@
 _RETRY_AFTER = timedelta(milliseconds=500)
 _OK = 200
 
+# Versions of any length are accepted in documents.
+_MAX_VERSION = 2**63 - 1
+_MAX_VERSION_DIGITS = len(str(_MAX_VERSION))
+
 OnProgress = Callable[[int | None, int], None]
 
 
+def limit_version(version: int) -> int:
+    """Return a document's version, as far as it is compared between routers."""
+    return min(max(0, version), _MAX_VERSION)
+
+
+def read_document_version(request: HttpRequest) -> int:
+    """Return the version named by the router that passed a request on; 0 without one.
+
+    Routers of earlier versions do not name theirs.
+    """
+    text = request.headers_by_name.get(DOCUMENT_VERSION_HEADER, "")
+    is_version = text.isascii() and text.isdecimal()
+    return int(text) if is_version and len(text) <= _MAX_VERSION_DIGITS else 0
+
+
 class RouterForwarder:
     """Passes requests on to other routers and relays their answers.
 
@@ -150,10 +172,17 @@
         fields = make_router_fields(
             context.request.fields, context.caller_time_left, last_event
         )
-        sender = (FORWARDED_BY_HEADER.encode(), self._router_id.encode())
+        own_fields = [(FORWARDED_BY_HEADER.encode(), self._router_id.encode())]
+        document = self._view.document
+        if document is not None:
+            version = str(limit_version(document.version)).encode()
+            own_fields.append((DOCUMENT_VERSION_HEADER.encode(), version))
         request = context.request
         return RawRequest(
-            request.method.encode(), request.target, (*fields, sender), request.body
+            request.method.encode(),
+            request.target,
+            (*fields, *own_fields),
+            request.body,
         )
 
 
--- a/hibiscustiller/ingress/tests/test_routers_cut_off.py
+++ b/hibiscustiller/ingress/tests/test_routers_cut_off.py
@@ -1,11 +1,13 @@
 """Routers that are cut off from all servers, while callers and routers reach them."""
 
 import sys
+from dataclasses import replace
 
 import curio
 
 from hibiscustiller.ingress.tests.cuts import Cut, ServerLinks
 from hibiscustiller.ingress.tests.fixtures import World
+from hibiscustiller.platform import Revision
 from hibiscustiller.utils._testing import collect_tests
 
 CUTS = (Cut.RESET, Cut.SILENT, Cut.REFUSED_NEW)
@@ -256,6 +258,37 @@
         assert answer.status == 200
 
 
+def add_route(gateway, prefix):
+    """Put a document with one more route in force at a single router."""
+    document = gateway.view.document
+    template = next(r for r in document.routes if r.prefix == "/stock/")
+    gateway.view.apply_document(
+        replace(
+            document,
+            version=document.version + 1,
+            routes=(replace(template, name="late", prefix=prefix), *document.routes),
+        ),
+        Revision(1000, 1),
+    )
+
+
+async def test_a_router_with_an_older_document_leaves_a_request_to_another():
+    """Guards against CONFIG: a request was judged by the router it was passed on to.
+
+    That router may be cut off from the store while the first one is not.
+    """
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        for gateway in (world.cut_gateway, world.others[0]):
+            add_route(gateway, "/late/")
+        statuses = [
+            (await world.request("/late/1", world.cut_gateway)).status
+            for _ in range(12)
+        ]
+        assert set(statuses) == {200}, statuses
+
+
 async def test_requests_are_refused_at_once_if_no_router_reaches_a_server():
     """Guards against requests that routers pass to each other in a circle."""
     async with CutWorld() as world:
