Count the attempts of a request that is passed on to other routers

The router that reached no server had passed the request on, the other one was silent for the target latency, and a second router was asked beside it.

Cause: nobody counted the attempts of a request over routers. The router that passes it on asked only the retry budget, and each router that it asked took all attempts of the route for its own. Now the request carries the attempts that are left to the other router; they count as used until that router declines. Without any left the request waits for the first router's answer. Of two or more attempts one is kept for a router beside a silent one or after a failure, so that routes with attempts left lose nothing.

Evidence: the new test saw 2 servers for a route with 1 attempt before the change, and passes now for plain requests, streams, and both kinds that must not be repeated; test_routers_cut_off, test_silent_processes, test_health and test_gateway: 73 passed, the two known red ones failed as before.

--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -22,6 +22,7 @@
 from hibiscustiller.ingress._router_forwarding import (
     DECLINED_HEADER,
     RouterForwarder,
+    limit_attempts,
     limit_version,
     read_document_version,
 )
@@ -159,6 +160,8 @@
         if isinstance(route_result, Err):
             return route_result
         route = route_result.ok_value
+        if is_forwarded:
+            route = limit_attempts(route, request)
         organisation_result = table.find_organisation(route, facts.api_key)
         if isinstance(organisation_result, Err):
             return organisation_result
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -11,12 +11,14 @@
 import random
 from collections import deque
 from collections.abc import Callable, Collection
+from dataclasses import replace
 from datetime import timedelta
 
 import curio
 
 from hibiscustiller.discovery import FleetView, Peer
 from hibiscustiller.exceptions import TransportError
+from hibiscustiller.fleet import IngressRoute
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._context import (
     MAX_BODY_BYTES,
@@ -54,6 +56,8 @@
 FORWARDED_BY_HEADER = "x-forwarded-by-router"
 # The version of the document in force at the router that passes a request on.
 DOCUMENT_VERSION_HEADER = "x-document-version"
+# To how many servers the other router may send the request.
+ATTEMPTS_HEADER = "x-attempts-left"
 # Set on refusals after which yet another router may be asked.
 DECLINED_HEADER = "x-router-declined"
 _DECLINED = DECLINED_HEADER.encode()
@@ -63,10 +67,11 @@
 _DECLINED_BACKOFF = timedelta(seconds=1)
 _RETRY_AFTER = timedelta(milliseconds=500)
 _OK = 200
+_FIRST_FAILURE_STATUS = 500
 
 # Versions of any length are accepted in documents.
 _MAX_VERSION = 2**63 - 1
-_MAX_VERSION_DIGITS = len(str(_MAX_VERSION))
+_MAX_NUMBER_DIGITS = len(str(_MAX_VERSION))
 
 OnProgress = Callable[[int | None, int], None]
 
@@ -81,9 +86,24 @@
 
     Routers of earlier versions do not name theirs.
     """
-    text = request.headers_by_name.get(DOCUMENT_VERSION_HEADER, "")
-    is_version = text.isascii() and text.isdecimal()
-    return int(text) if is_version and len(text) <= _MAX_VERSION_DIGITS else 0
+    return _read_number(request, DOCUMENT_VERSION_HEADER)
+
+
+def limit_attempts(route: IngressRoute, request: HttpRequest) -> IngressRoute:
+    """Return a route with the attempts that the router that passed it on leaves.
+
+    Routers of earlier versions name none.
+    """
+    attempts = _read_number(request, ATTEMPTS_HEADER)
+    if not 0 < attempts < route.max_attempts:
+        return route
+    return replace(route, max_attempts=attempts)
+
+
+def _read_number(request: HttpRequest, name: str) -> int:
+    text = request.headers_by_name.get(name, "")
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= _MAX_NUMBER_DIGITS else 0
 
 
 class RouterForwarder:
@@ -166,13 +186,19 @@
         return self._random_state.choice(peers) if peers else None
 
     def make_request(
-        self, context: RequestContext, last_event: int | None
+        self, context: RequestContext, last_event: int | None, attempts: int
     ) -> RawRequest:
-        """Build the request to another router."""
+        """Build the request to another router.
+
+        :param attempts: to how many servers that router may send it.
+        """
         fields = make_router_fields(
             context.request.fields, context.caller_time_left, last_event
         )
-        own_fields = [(FORWARDED_BY_HEADER.encode(), self._router_id.encode())]
+        own_fields = [
+            (FORWARDED_BY_HEADER.encode(), self._router_id.encode()),
+            (ATTEMPTS_HEADER.encode(), str(attempts).encode()),
+        ]
         document = self._view.document
         if document is not None:
             version = str(limit_version(document.version)).encode()
@@ -207,6 +233,13 @@
         self._last_event = last_event
         self._may_have_run = may_have_run or responder.is_started
         self._tried: set[RouterId] = set()
+        # The servers that the other routers may still send the request to. Attempts of
+        # this router do not count: it is cut off from those servers.
+        self._attempts_left = max(1, context.route.max_attempts)
+        # The attempts left to each router whose outcome is open.
+        self._granted_by_router: dict[RouterId, int] = {}
+        # Whether the retry budget has already paid for the next router.
+        self._is_repeat_granted = False
 
     async def run(self) -> Refusal | None:
         while len(self._tried) < _MAX_ROUTERS and self._context.time_left > timedelta():
@@ -227,17 +260,37 @@
                 is_answered, reason = False, str(error)
                 if error.verdict is Verdict.MAY_HAVE_RUN:
                     self._may_have_run = True
+                else:
+                    self._return_attempts(peer)
             self._log(peer, "answered" if is_answered else reason)
             if is_answered:
                 return None
             self._forwarder.backed_off.add(peer.router_id, _DECLINED_BACKOFF)
-            if self._may_have_run and not await self._may_repeat():
+            is_granted, self._is_repeat_granted = self._is_repeat_granted, False
+            if self._may_have_run and not is_granted and not await self._may_repeat():
                 break
         return self._make_failure()
 
+    def _grant_attempts(self, peer: Peer) -> int:
+        """Leave attempts to a router; one is kept for another beside a silent one."""
+        granted = self._attempts_left
+        if self._context.route.is_repeatable and granted > 1:
+            granted -= 1
+        self._attempts_left -= granted
+        self._granted_by_router[peer.router_id] = granted
+        return granted
+
+    def _return_attempts(self, peer: Peer) -> None:
+        """Take back the attempts of a router that sent the request to no server."""
+        self._attempts_left += self._granted_by_router.pop(peer.router_id, 0)
+
     async def _may_repeat(self) -> bool:
+        """Tell whether the request may go to a further router.
+
+        A router that may have sent it to servers has used the attempts left to it.
+        """
         context = self._context
-        if not context.route.is_repeatable:
+        if not context.route.is_repeatable or self._attempts_left <= 0:
             return False
         return await self._forwarder.budgets.try_spend(context.service.name)
 
@@ -267,9 +320,9 @@
         :raises TimeoutError: if the request's time is up.
         """
         async with _OpenExchanges(self._forwarder.client, self._context) as opened:
-            await opened.add(peer, self._make_request())
+            await opened.add(peer, self._make_request(peer))
             peer, exchange = await self._wait_for_head(opened)
-            if exchange is None:
+            if exchange is None or await self._may_replace(exchange):
                 return False
             assert peer.inner is not None
             with self._forwarder.client.memory.hold(peer.inner) as hold:
@@ -282,8 +335,24 @@
                     await self._relay_whole_answer(exchange, hold)
         return True
 
-    def _make_request(self) -> RawRequest:
-        return self._forwarder.make_request(self._context, self._last_event)
+    def _make_request(self, peer: Peer) -> RawRequest:
+        attempts = self._grant_attempts(peer)
+        return self._forwarder.make_request(self._context, self._last_event, attempts)
+
+    async def _may_replace(self, exchange: Exchange) -> bool:
+        """Tell whether another router may answer instead of a failure.
+
+        The router that failed could not use the attempt that was kept from it.
+        """
+        is_failure = exchange.status >= _FIRST_FAILURE_STATUS
+        if not is_failure or exchange.status in NOT_RUN_STATUSES:
+            return False
+        if len(self._tried) >= _MAX_ROUTERS or self._responder.is_started:
+            return False
+        if self._forwarder.choose(self._tried) is None or not await self._may_repeat():
+            return False
+        self._may_have_run = self._is_repeat_granted = True
+        return True
 
     async def _wait_for_head(
         self, opened: _OpenExchanges
@@ -301,6 +370,8 @@
             peer, outcome = await opened.take(self._context.timeout_left)
             if isinstance(outcome, Exchange) and not self._is_declined(outcome):
                 return peer, outcome
+            if isinstance(outcome, Exchange):
+                self._return_attempts(peer)
             if opened.count == 0:
                 if isinstance(outcome, Exchange):
                     return peer, None
@@ -316,12 +387,12 @@
         peer = self._forwarder.choose(self._tried)
         if peer is None or len(self._tried) >= _MAX_ROUTERS:
             return
-        # The silent router may have sent it to a server.
-        self._may_have_run = True
         if await self._may_repeat():
+            # The silent router may have sent it to a server.
+            self._may_have_run = True
             self._tried.add(peer.router_id)
             self._log(peer, "asked beside a silent router")
-            await opened.add(peer, self._make_request())
+            await opened.add(peer, self._make_request(peer))
 
     def _is_declined(self, exchange: Exchange) -> bool:
         if any(name == _DECLINED for name, _ in exchange.fields):
--- a/hibiscustiller/ingress/tests/test_routers_cut_off.py
+++ b/hibiscustiller/ingress/tests/test_routers_cut_off.py
@@ -1,6 +1,7 @@
 """Routers that are cut off from all servers, while callers and routers reach them."""
 
 import sys
+from collections import Counter
 from dataclasses import replace
 
 import curio
@@ -289,6 +290,63 @@
         assert set(statuses) == {200}, statuses
 
 
+def set_max_attempts(world, attempts):
+    """Put a document with other attempts of its routes in force at all routers."""
+    for gateway in world.gateways:
+        document = gateway.view.document
+        routes = tuple(replace(r, max_attempts=attempts) for r in document.routes)
+        document = replace(document, version=document.version + 1, routes=routes)
+        gateway.view.apply_document(document, Revision(1000, 1))
+
+
+async def count_arrivals(path, attempts, delay_s, behave="answer"):
+    """Pass slow requests on; return their answers and the most servers of one."""
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        set_max_attempts(world, attempts)
+        servers = [*world.plain, *world.engines]
+        for server in world.plain:
+            server._work_s, server.behave = delay_s, behave
+        for engine in world.engines:
+            engine.faults.begins_after_s = delay_s
+        for server in servers:
+            server.requests.clear()
+        answers = [
+            await world.request(path, world.cut_gateway, request_id=f"n{number}")
+            for number in range(4)
+        ]
+        arrivals = Counter(
+            request.headers_by_name["request-id"]
+            for server in servers
+            for request in server.requests
+            if path.encode() in request.target
+        )
+        return answers, max(arrivals.values())
+
+
+async def test_a_request_that_was_passed_on_runs_no_more_often_than_its_route_allows():
+    """Guards against BUDGET: a second router was asked beside a silent one.
+
+    The silent router may have sent the request to a server, which was not counted.
+    """
+    for path, delay_s in (("/stock/1", 0.4), ("/chat/1", 0.9)):
+        for attempts in (1, 2):
+            answers, most = await count_arrivals(path, attempts, delay_s)
+            assert most <= attempts, (path, attempts, most)
+            assert {answer.status for answer in answers} == {200}, (path, attempts)
+    for path, delay_s in (("/book/1", 0.4), ("/once/1", 0.9)):
+        _, most = await count_arrivals(path, 2, delay_s)
+        assert most == 1, path
+
+
+async def test_a_failure_at_another_router_leaves_the_attempts_of_the_route():
+    """Guards against a repeat that is lost because one attempt was kept back."""
+    answers, most = await count_arrivals("/stock/1", 2, 0.0, behave="fail")
+    assert most == 2
+    assert {answer.status for answer in answers} == {500}
+
+
 async def test_requests_are_refused_at_once_if_no_router_reaches_a_server():
     """Guards against requests that routers pass to each other in a circle."""
     async with CutWorld() as world:
