Split the codec of changes and the fields of passed-on requests into modules

No change of behaviour: _change_codec holds how changes and their differences are encoded, _forwarding_fields what routers say to each other of a request that is passed on. The version that messages can hold is a property of the document, used by both.

--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -11,18 +11,20 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
 import curio
 
-from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
-from hibiscustiller.discovery._deltas import (
-    MAX_UNPACKED_BYTES,
-    apply_delta,
-    make_delta,
+from hibiscustiller.discovery._change_codec import (
+    MAX_MESSAGE_BYTES,
+    decode_change,
+    encode_change,
+    get_revision,
+    split_changes,
 )
+from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
 from hibiscustiller.discovery._freshness import (
     POLL_JITTER,
     FreshnessLimits,
@@ -34,13 +36,12 @@
 from hibiscustiller.discovery._snapshots import encode_age
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.discovery._watcher import (
-    LARGE_VALUE_BYTES,
     FleetWatcher,
     StateSnapshot,
 )
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.fleet import FleetDocument
-from hibiscustiller.platform import NO_REVISION, Change, Revision
+from hibiscustiller.platform import Revision
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     BackedOff,
@@ -50,7 +51,7 @@
     log_event,
     rank_by_rendezvous,
 )
-from hibiscustiller.wire import DatagramSocket, compress, decompress_bounded
+from hibiscustiller.wire import DatagramSocket
 from hibiscustiller.wire._messages_generated import (
     FollowRequest,
     StoreChange,
@@ -62,11 +63,6 @@
 # A follower is added for each group of this size, whose routers each poll it at most a
 # few times a second.
 _ROUTERS_PER_FOLLOWER = 64
-# Longer messages to many routers would saturate the link of a small host, be lost and
-# be requested again. The routers read longer changes from the store instead.
-_MAX_MESSAGE_BYTES = 8000
-# Size of an encoded change apart from its key and its value.
-_CHANGE_OVERHEAD_BYTES = 40
 # A lost change is requested again after this period. It grows with the fleet to limit
 # the datagrams that a follower handles, and stays well below the time in which a new
 # configuration must be in force.
@@ -90,10 +86,6 @@
 _SUBSCRIPTION_PERIODS = 3
 
 
-# Messages hold numbers of 64 bits.
-_MAX_VERSION = 2**63 - 1
-
-
 @dataclass
 class _Subscriber:
     """A router to which new changes are pushed.
@@ -411,20 +403,23 @@
         if batch is None:
             return [self._encode_message(after, to, None, request_sent_ms)]
         messages = []
-        for changes in _split_changes(
-            [self._encode_change(change, after) for change in batch.items]
+        for changes in split_changes(
+            [
+                encode_change(change, after, self._watcher.find_version)
+                for change in batch.items
+            ]
         ):
             # Only the newest change of each key is sent. A key that is missing here
             # because it changed again is part of a later message.
             is_last = (
-                not changes or _get_revision(changes[-1]) >= batch.items[-1].revision
+                not changes or get_revision(changes[-1]) >= batch.items[-1].revision
             )
-            until = to if is_last else _get_revision(changes[-1])
+            until = to if is_last else get_revision(changes[-1])
             messages.append(
                 self._encode_message(after, until, changes, request_sent_ms)
             )
             after = until
-        if any(len(data) > _MAX_MESSAGE_BYTES for data in messages):
+        if any(len(data) > MAX_MESSAGE_BYTES for data in messages):
             return [
                 self._encode_message(batch.after_revision, to, None, request_sent_ms)
             ]
@@ -458,7 +453,7 @@
             after_era=after.era,
             to_era=to.era,
             era_age_ms=encode_age(self._watcher.era_age),
-            document_version=_limit_version(document),
+            document_version=_get_version(document),
             outage_began_ms=self._encode_age_of(began_at),
             reached_since_ms=self._encode_age_of(reached_since),
             answered_ms=self._encode_age_of(answered_at),
@@ -471,46 +466,6 @@
         )
         return self._datagrams.encode(message)
 
-    def _encode_change(self, change: Change, after: Revision) -> StoreChange:
-        """Encode a change for a router that has the state at an earlier revision."""
-        value, base_revision = change.value or b"", NO_REVISION
-        if len(value) >= LARGE_VALUE_BYTES:
-            base = self._watcher.find_version(change.key, after)
-            if base is not None:
-                base_revision = base[0]
-                value = make_delta(base[1], value)
-        if base_revision == NO_REVISION:
-            value = compress(value)
-        return StoreChange(
-            change.key,
-            change.revision.number,
-            change.value is None,
-            value,
-            base_revision.number,
-            change.revision.era,
-            base_revision.era,
-            change.is_restored,
-        )
-
-    def _decode_change(self, change: StoreChange) -> Change:
-        """Decode a change.
-
-        :raises WireFormatError: if it is malformed, or is a delta to a version that is
-            not retained.
-        """
-        revision = _get_revision(change)
-        base_revision = Revision(change.base_era, change.base_revision)
-        if change.deleted:
-            return Change(change.key, None, revision, is_restored=change.is_restored)
-        if base_revision == NO_REVISION:
-            value = decompress_bounded(change.value, MAX_UNPACKED_BYTES)
-            return Change(change.key, value, revision, is_restored=change.is_restored)
-        base = self._watcher.find_version(change.key, base_revision)
-        if base is None or base[0] != base_revision:
-            raise WireFormatError(f"no revision {base_revision} of {change.key}")
-        value = apply_delta(base[1], change.value)
-        return Change(change.key, value, revision, is_restored=change.is_restored)
-
     async def _handle_changes(
         self, router_id: RouterId, address: Address, message: StoreChanges
     ) -> None:
@@ -597,7 +552,7 @@
         A router that starts after the restore finds a configuration and servers there
         that the others know to be outdated.
         """
-        lacks_document = message.document_version > _limit_version(self._view.document)
+        lacks_document = message.document_version > _get_version(self._view.document)
         lacks_departures = message.era_age_ms and self._watcher.era_age is None
         if to > self._watcher.revision or not (lacks_document or lacks_departures):
             return
@@ -629,7 +584,10 @@
             await self._watcher.request_full_read()
             return
         try:
-            items = tuple(self._decode_change(change) for change in message.changes)
+            items = tuple(
+                decode_change(change, self._watcher.find_version)
+                for change in message.changes
+            )
         except WireFormatError as error:
             log_event("change_unreadable", level="warning", reason=error)
             await self._watcher.request_full_read()
@@ -644,26 +602,5 @@
             await self._watcher.set_follows_store(False)
 
 
-def _limit_version(document: FleetDocument | None) -> int:
-    """Return a document's version, as far as a message can hold it."""
-    return 0 if document is None else min(max(0, document.version), _MAX_VERSION)
-
-
-def _get_revision(change: StoreChange) -> Revision:
-    return Revision(change.era, change.revision)
-
-
-def _split_changes(changes: Sequence[StoreChange]) -> Iterator[list[StoreChange]]:
-    """Split changes, in order, into parts that each fit in a message; at least one."""
-    part: list[StoreChange] = []
-    size = 0
-    for change in changes:
-        added = len(change.key) + len(change.value) + _CHANGE_OVERHEAD_BYTES
-        # Changes of the same revision must be in the same message.
-        may_split = part and _get_revision(part[-1]) != _get_revision(change)
-        if may_split and size + added > _MAX_MESSAGE_BYTES:
-            yield part
-            part, size = [], 0
-        part.append(change)
-        size += added
-    yield part
+def _get_version(document: FleetDocument | None) -> int:
+    return 0 if document is None else document.short_version
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -12,6 +12,7 @@
 import curio
 from result import Err, Ok, Result
 
+from hibiscustiller.discovery._change_codec import LARGE_VALUE_BYTES
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
 from hibiscustiller.discovery._departures import Departure
 from hibiscustiller.discovery._freshness import ReportedEvidence, StateEvidence
@@ -66,8 +67,6 @@
 _MAX_RETRY_DELAY = timedelta(milliseconds=400)
 # A router that does not watch the store only waits for a change of its role.
 _IDLE_WAIT = timedelta(seconds=5)
-# Values of at least this size are sent to other routers as deltas.
-LARGE_VALUE_BYTES = 2048
 # A router may be several changes behind when changes arrive in quick succession.
 _MAX_VERSIONS_PER_KEY = 3
 # While the whole store is unavailable, the lease renewal of the registration is cheaper
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -209,6 +209,10 @@
     idle_timeout: timedelta = timedelta(seconds=60)
 
 
+# Messages hold numbers of 64 bits.
+_MAX_SHORT_VERSION = 2**63 - 1
+
+
 @dataclass(frozen=True)
 class FleetDocument:
     """One version of the operators' configuration.
@@ -226,6 +230,11 @@
     has_organisations: bool
     limits: ClientLimits
 
+    @property
+    def short_version(self) -> int:
+        """The version, as far as a message between routers can hold it."""
+        return min(max(0, self.version), _MAX_SHORT_VERSION)
+
     def get_priority(
         self, route: IngressRoute, organisation: Organisation | None
     ) -> int:
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -15,17 +15,16 @@
 from hibiscustiller.ingress._context import RequestContext, send_refusal
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._durations import RouteDurations
+from hibiscustiller.ingress._forwarding_fields import (
+    DECLINED_HEADER,
+    is_outdated,
+    limit_attempts,
+)
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder
-from hibiscustiller.ingress._router_forwarding import (
-    DECLINED_HEADER,
-    RouterForwarder,
-    limit_attempts,
-    limit_version,
-    read_document_version,
-)
+from hibiscustiller.ingress._router_forwarding import RouterForwarder
 from hibiscustiller.ingress._routes import RouteTable, choose_service
 from hibiscustiller.platform import read_request_facts
 from hibiscustiller.utils import (
@@ -104,7 +103,8 @@
         if self._health.is_cut_off or self._stop_at is not None:
             await self._decline(request, responder)
             return
-        if self._is_outdated(request):
+        document = self._view.document
+        if document is not None and is_outdated(document, request):
             await self._decline(request, responder, _OUTDATED)
             return
         await self.handle(request, responder, is_forwarded=True)
@@ -250,13 +250,6 @@
         await self._refuse(context.request, responder, refusal)
         return True
 
-    def _is_outdated(self, request: HttpRequest) -> bool:
-        """Tell whether the router that passed a request on has a newer document."""
-        document = self._view.document
-        if document is None:
-            return False
-        return limit_version(document.version) < read_document_version(request)
-
     async def _decline(
         self, request: HttpRequest, responder: Responder, refusal: Refusal | None = None
     ) -> None:
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -26,6 +26,7 @@
 from hibiscustiller.ingress._crash_sharing import CrashSharing
 from hibiscustiller.ingress._dispatcher import RequestDispatcher
 from hibiscustiller.ingress._exposition import ExposedMetrics
+from hibiscustiller.ingress._forwarding_fields import FORWARDED_BY_HEADER
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._inspection import InspectionServer
 from hibiscustiller.ingress._listeners import Listeners
@@ -37,10 +38,7 @@
 from hibiscustiller.ingress._plain import PlainForwarder
 from hibiscustiller.ingress._plain_selection import PlainServerSelector
 from hibiscustiller.ingress._rate_limits import RateLimits
-from hibiscustiller.ingress._router_forwarding import (
-    FORWARDED_BY_HEADER,
-    RouterForwarder,
-)
+from hibiscustiller.ingress._router_forwarding import RouterForwarder
 from hibiscustiller.ingress._server_reach import ServerReach
 from hibiscustiller.ingress._sharing import LoadSharing
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -11,14 +11,12 @@
 import random
 from collections import deque
 from collections.abc import Callable, Collection
-from dataclasses import replace
 from datetime import timedelta
 
 import curio
 
 from hibiscustiller.discovery import FleetView, Peer
 from hibiscustiller.exceptions import TransportError
-from hibiscustiller.fleet import IngressRoute
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._context import (
     MAX_BODY_BYTES,
@@ -29,6 +27,10 @@
     send_to_caller,
 )
 from hibiscustiller.ingress._events import EventSplitter, select_new_events
+from hibiscustiller.ingress._forwarding_fields import (
+    is_declined,
+    make_forwarding_fields,
+)
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.platform import make_router_answer_fields, make_router_fields
 from hibiscustiller.utils import (
@@ -45,22 +47,12 @@
     BodyHold,
     Exchange,
     HttpClient,
-    HttpRequest,
     RawRequest,
     Responder,
     find_described_length,
     wait_for_event,
 )
 
-# Names the router that passes a request on; such a request is not passed on again.
-FORWARDED_BY_HEADER = "x-forwarded-by-router"
-# The version of the document in force at the router that passes a request on.
-DOCUMENT_VERSION_HEADER = "x-document-version"
-# To how many servers the other router may send the request.
-ATTEMPTS_HEADER = "x-attempts-left"
-# Set on refusals after which yet another router may be asked.
-DECLINED_HEADER = "x-router-declined"
-_DECLINED = DECLINED_HEADER.encode()
 # Each router that declines costs a round trip between routers.
 _MAX_ROUTERS = 3
 # A router that declined or was not reached is not asked again for this time.
@@ -69,43 +61,9 @@
 _OK = 200
 _FIRST_FAILURE_STATUS = 500
 
-# Versions of any length are accepted in documents.
-_MAX_VERSION = 2**63 - 1
-_MAX_NUMBER_DIGITS = len(str(_MAX_VERSION))
-
 OnProgress = Callable[[int | None, int], None]
 
 
-def limit_version(version: int) -> int:
-    """Return a document's version, as far as it is compared between routers."""
-    return min(max(0, version), _MAX_VERSION)
-
-
-def read_document_version(request: HttpRequest) -> int:
-    """Return the version named by the router that passed a request on; 0 without one.
-
-    Routers of earlier versions do not name theirs.
-    """
-    return _read_number(request, DOCUMENT_VERSION_HEADER)
-
-
-def limit_attempts(route: IngressRoute, request: HttpRequest) -> IngressRoute:
-    """Return a route with the attempts that the router that passed it on leaves.
-
-    Routers of earlier versions name none.
-    """
-    attempts = _read_number(request, ATTEMPTS_HEADER)
-    if not 0 < attempts < route.max_attempts:
-        return route
-    return replace(route, max_attempts=attempts)
-
-
-def _read_number(request: HttpRequest, name: str) -> int:
-    text = request.headers_by_name.get(name, "")
-    is_number = text.isascii() and text.isdecimal()
-    return int(text) if is_number and len(text) <= _MAX_NUMBER_DIGITS else 0
-
-
 class RouterForwarder:
     """Passes requests on to other routers and relays their answers.
 
@@ -195,14 +153,9 @@
         fields = make_router_fields(
             context.request.fields, context.caller_time_left, last_event
         )
-        own_fields = [
-            (FORWARDED_BY_HEADER.encode(), self._router_id.encode()),
-            (ATTEMPTS_HEADER.encode(), str(attempts).encode()),
-        ]
-        document = self._view.document
-        if document is not None:
-            version = str(limit_version(document.version)).encode()
-            own_fields.append((DOCUMENT_VERSION_HEADER.encode(), version))
+        own_fields = make_forwarding_fields(
+            self._router_id, attempts, self._view.document
+        )
         request = context.request
         return RawRequest(
             request.method.encode(),
@@ -395,7 +348,7 @@
             await opened.add(peer, self._make_request(peer))
 
     def _is_declined(self, exchange: Exchange) -> bool:
-        if any(name == _DECLINED for name, _ in exchange.fields):
+        if is_declined(exchange.fields):
             return True
         # The other router knows nothing of the earlier attempts.
         return self._may_have_run and exchange.status in NOT_RUN_STATUSES
