--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -11,30 +11,37 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
 import curio
 
+from hibiscustiller.discovery._change_codec import (
+    MAX_MESSAGE_BYTES,
+    decode_change,
+    encode_change,
+    get_revision,
+    split_changes,
+)
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
-from hibiscustiller.discovery._deltas import (
-    MAX_UNPACKED_BYTES,
-    apply_delta,
-    make_delta,
+from hibiscustiller.discovery._freshness import (
+    POLL_JITTER,
+    FreshnessLimits,
+    ReportedEvidence,
+    compute_limits,
 )
 from hibiscustiller.discovery._outages import StoreAnswer, StoreOutage
 from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._snapshots import encode_age
 from hibiscustiller.discovery._view import FleetView, Peer
 from hibiscustiller.discovery._watcher import (
-    LARGE_VALUE_BYTES,
     FleetWatcher,
     StateSnapshot,
 )
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.fleet import FleetDocument
-from hibiscustiller.platform import NO_REVISION, Change, Revision
+from hibiscustiller.platform import Revision
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     BackedOff,
@@ -44,7 +51,7 @@
     log_event,
     rank_by_rendezvous,
 )
-from hibiscustiller.wire import DatagramSocket, compress, decompress_bounded
+from hibiscustiller.wire import DatagramSocket
 from hibiscustiller.wire._messages_generated import (
     FollowRequest,
     StoreChange,
@@ -56,11 +63,6 @@
 # A follower is added for each group of this size, whose routers each poll it at most a
 # few times a second.
 _ROUTERS_PER_FOLLOWER = 64
-# Longer messages to many routers would saturate the link of a small host, be lost and
-# be requested again. The routers read longer changes from the store instead.
-_MAX_MESSAGE_BYTES = 8000
-# Size of an encoded change apart from its key and its value.
-_CHANGE_OVERHEAD_BYTES = 40
 # A lost change is requested again after this period. It grows with the fleet to limit
 # the datagrams that a follower handles, and stays well below the time in which a new
 # configuration must be in force.
@@ -69,13 +71,6 @@
 _MAX_POLL_PERIOD = timedelta(milliseconds=700)
 # A single lost datagram must not count as a failure of the source.
 _MAX_UNANSWERED_REQUESTS = 2
-# A router watches the store itself if no source has confirmed for this time, and for
-# more than two polls, that it reaches the store.
-_SOURCE_TIMEOUT = timedelta(seconds=1.2)
-_SOURCE_TIMEOUT_PERIODS = 2.5
-# After this fraction of that time the router checks whether it reaches the store
-# itself.
-_REACH_CHECK_FRACTION = 0.5
 # A source that stopped answering is not used for this time.
 _SILENT_SOURCE_BACKOFF = timedelta(seconds=4)
 # A source that lost the store is avoided only briefly, because it opens its watch
@@ -84,15 +79,13 @@
 # A router that watches the store because its sources failed does so for at least this
 # time.
 _MIN_FALLBACK_DURATION = timedelta(seconds=3)
+# The evidence is not looked at more often.
+_MIN_STEP = timedelta(milliseconds=50)
 # A router whose last request is older than this number of poll periods has stopped or
 # uses another source.
 _SUBSCRIPTION_PERIODS = 3
 
 
-# Messages hold numbers of 64 bits.
-_MAX_VERSION = 2**63 - 1
-
-
 @dataclass
 class _Subscriber:
     """A router to which new changes are pushed.
@@ -126,6 +119,7 @@
     :param random_state: random numbers for jitter and for the choice of a source.
     :param reach: records whether this router reaches the store.
     :param fetch_snapshot: fetches a router's snapshot; None if that fails.
+    :param change_limit: time in which a change of the store must be in force.
     """
 
     def __init__(
@@ -140,7 +134,9 @@
         random_state: random.Random,
         reach: StoreReach,
         fetch_snapshot: Callable[[Address], Awaitable[StateSnapshot | None]],
+        change_limit: timedelta,
     ) -> None:
+        self._change_limit = change_limit
         self._reach = reach
         self._fetch_snapshot = fetch_snapshot
         self._is_fetching = False
@@ -160,10 +156,12 @@
         self._subscribers_by_id: dict[RouterId, _Subscriber] = {}
         self._source: RouterId | None = None
         self._unanswered_requests = 0
+        self._is_unconfirmed = False
         self._state_initialised = curio.Event()
-        # When a router that reaches the store last answered, or when this router last
-        # found that it cannot reach the store either.
-        self._last_confirmed_at = clock.monotonic()
+        # Until then a router that reaches the store again leaves it to the followers.
+        self._leave_to_followers_until = timedelta(0)
+        # When all followers were last asked because the evidence was old.
+        self._asked_all_at: timedelta | None = None
         self._backed_off: BackedOff[RouterId] = BackedOff(clock)
         self._fallback_until = timedelta(0)
         datagrams.register(FollowRequest, self._handle_request)
@@ -183,29 +181,62 @@
     async def run(self) -> None:
         """Poll a source, or watch the store, until cancelled."""
         await self._state_initialised.wait()
-        # The state that was just read counts as confirmed.
-        self._last_confirmed_at = self._clock.monotonic()
         while True:
             await self._maintain_source()
+            self._log_evidence()
             if self._is_confirmed():
                 # While the store is away, servers cannot register again.
                 self._view.drop_missing()
-            # Jitter keeps routers that start together from polling together.
-            share = 0.9 + 0.2 * self._random_state.random()
-            await self._clock.sleep(self._get_poll_period() * share)
+            await self._clock.sleep(self._compute_step())
+
+    def _compute_step(self) -> timedelta:
+        """Return the time until the next poll, or until the evidence is too old."""
+        limits = self.get_limits()
+        # Jitter keeps routers that start together from polling together.
+        share = self._random_state.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+        step, age = limits.poll_period * share, self._get_age()
+        for limit in (limits.check_age, limits.max_age):
+            if age is not None and age < limit:
+                step = min(step, limit - age)
+        return max(_MIN_STEP, step)
+
+    def get_limits(self) -> FreshnessLimits:
+        """Return how old this router's knowledge of the store may be."""
+        routers = len(self._view.peers_by_id)
+        period = _POLL_PERIOD + _POLL_PERIOD_PER_ROUTER * routers
+        return compute_limits(self._change_limit, min(_MAX_POLL_PERIOD, period))
 
-    def _is_confirmed(self) -> bool:
-        """Tell whether this router's state is known to be current."""
-        age = self._clock.monotonic() - self._last_confirmed_at
-        return self._watcher.is_watch_current or age <= self._get_source_timeout()
+    def _get_age(self) -> timedelta | None:
+        """Return the age of the evidence that this router's state is current."""
+        return self._watcher.evidence.get_age(self._clock.boot_time())
 
-    def _get_source_timeout(self) -> timedelta:
-        return max(_SOURCE_TIMEOUT, self._get_poll_period() * _SOURCE_TIMEOUT_PERIODS)
+    def _is_older_than(self, limit: timedelta) -> bool:
+        age = self._get_age()
+        return age is None or age > limit
 
-    def _get_poll_period(self) -> timedelta:
-        routers = len(self._view.peers_by_id)
-        period = _POLL_PERIOD + _POLL_PERIOD_PER_ROUTER * routers
-        return min(_MAX_POLL_PERIOD, period)
+    def _log_evidence(self) -> None:
+        """Log when this router's state is no longer known to be current, and again.
+
+        Without it the log does not tell a store in which nothing changes from one that
+        does not answer.
+        """
+        is_unconfirmed = not self._is_confirmed()
+        if is_unconfirmed == self._is_unconfirmed:
+            return
+        self._is_unconfirmed = is_unconfirmed
+        log_event(
+            "state_unconfirmed" if is_unconfirmed else "state_confirmed",
+            level="warning" if is_unconfirmed else "info",
+            age=self._get_age(),
+            revision=self._watcher.revision,
+            source=self._source,
+            is_direct=self._watcher.follows_store,
+            is_store_reachable=self._reach.is_reachable,
+        )
+
+    def _is_confirmed(self) -> bool:
+        """Tell whether this router's state is known to be current."""
+        return not self._is_older_than(self.get_limits().max_age)
 
     def _get_followers(self) -> list[RouterId]:
         generation = self._view.routers_generation
@@ -240,17 +271,31 @@
         """
         if self._watcher.follows_store:
             return
-        now = self._clock.monotonic()
+        now, limits, age = self._clock.monotonic(), self.get_limits(), self._get_age()
         if not self._reach.is_reachable:
-            # After an outage the sources have the full time to reach the store again.
-            self._last_confirmed_at = now
+            self._leave_to_followers_until = now + limits.return_time
+            return
+        overdue = limits.max_age if age is None else age - limits.check_age
+        if overdue <= timedelta(0):
             return
-        limit = self._get_source_timeout()
-        check_at = self._last_confirmed_at + limit * _REACH_CHECK_FRACTION
-        if now >= check_at and not self._reach.was_reached_since(check_at):
+        await self._ask_all_followers(now - overdue)
+        if not self._reach.was_reached_since(now - overdue):
             await self._reach.request_check()
-        elif now - self._last_confirmed_at > limit:
-            await self._start_fallback()
+        elif self._is_older_than(limits.max_age):
+            if now >= self._leave_to_followers_until:
+                await self._start_fallback()
+
+    async def _ask_all_followers(self, check_at: timedelta) -> None:
+        """Poll each follower once, because one of them may still reach the store.
+
+        :param check_at: when the evidence became old.
+        """
+        if self._asked_all_at is not None and self._asked_all_at >= check_at:
+            return
+        self._asked_all_at = self._clock.monotonic()
+        for router_id in self._get_followers():
+            if router_id not in (self._router_id, self._source):
+                await self._poll(self._find_peer(router_id))
 
     async def _poll_source(self) -> None:
         peer = self._find_peer(self._source)
@@ -258,8 +303,14 @@
             self._source = None
             return
         self._unanswered_requests += 1
+        await self._poll(peer)
+
+    async def _poll(self, peer: Peer | None) -> None:
+        if peer is None:
+            return
         revision = self._watcher.revision
-        request = FollowRequest(revision.number, revision.era)
+        sent_ms = encode_age(self._clock.boot_time())
+        request = FollowRequest(revision.number, revision.era, sent_ms)
         await self._datagrams.send(peer.address, self._datagrams.encode(request))
 
     def _find_peer(self, router_id: RouterId | None) -> Peer | None:
@@ -319,14 +370,14 @@
         if self._watcher.is_watch_current:
             self._subscribers_by_id[router_id] = subscriber
         subscriber.revision = max(revision, self._watcher.revision)
-        for data in self._encode_changes(revision):
+        for data in self._encode_changes(revision, request.sent_ms):
             await self._datagrams.send(address, data)
 
     async def _push_changes(self) -> None:
         """Push new changes to the routers that polled recently."""
         await self._state_initialised.set()
         now = self._clock.monotonic()
-        subscription_time = self._get_poll_period() * _SUBSCRIPTION_PERIODS
+        subscription_time = self.get_limits().poll_period * _SUBSCRIPTION_PERIODS
         # Most subscribers have the same revision, so they share encoded messages.
         messages_by_revision: dict[Revision, list[bytes]] = {}
         for router_id, subscriber in list(self._subscribers_by_id.items()):
@@ -341,26 +392,37 @@
             for data in messages_by_revision[after]:
                 await self._datagrams.send(subscriber.address, data)
 
-    def _encode_changes(self, after: Revision) -> list[bytes]:
-        """Encode the changes after a revision as consecutive messages."""
+    def _encode_changes(self, after: Revision, request_sent_ms: int = 0) -> list[bytes]:
+        """Encode the changes after a revision as consecutive messages.
+
+        :param request_sent_ms: when the request for them was sent, by the clock of the
+            other router; 0 without a request.
+        """
         to = self._watcher.revision
         batch = self._log.collect(after, to)
         if batch is None:
-            return [self._encode_message(after, to, None)]
+            return [self._encode_message(after, to, None, request_sent_ms)]
         messages = []
-        for changes in _split_changes(
-            [self._encode_change(change, after) for change in batch.items]
+        for changes in split_changes(
+            [
+                encode_change(change, after, self._watcher.find_version)
+                for change in batch.items
+            ]
         ):
             # Only the newest change of each key is sent. A key that is missing here
             # because it changed again is part of a later message.
             is_last = (
-                not changes or _get_revision(changes[-1]) >= batch.items[-1].revision
+                not changes or get_revision(changes[-1]) >= batch.items[-1].revision
+            )
+            until = to if is_last else get_revision(changes[-1])
+            messages.append(
+                self._encode_message(after, until, changes, request_sent_ms)
             )
-            until = to if is_last else _get_revision(changes[-1])
-            messages.append(self._encode_message(after, until, changes))
             after = until
-        if any(len(data) > _MAX_MESSAGE_BYTES for data in messages):
-            return [self._encode_message(batch.after_revision, to, None)]
+        if any(len(data) > MAX_MESSAGE_BYTES for data in messages):
+            return [
+                self._encode_message(batch.after_revision, to, None, request_sent_ms)
+            ]
         return messages
 
     def _encode_message(
@@ -368,6 +430,7 @@
         after: Revision,
         to: Revision,
         changes: Sequence[StoreChange] | None,
+        request_sent_ms: int,
     ) -> bytes:
         """Encode a message; None as `changes` states that they are unavailable."""
         document = self._view.document
@@ -382,84 +445,76 @@
         message = StoreChanges(
             after_revision=after.number,
             to_revision=to.number,
-            following=self._watcher.is_watch_current,
+            following=self._watcher.is_watch_current
+            and not self._is_older_than(self.get_limits().check_age),
             incomplete=changes is None,
             store_returned_ms=self._encode_age_of(ended_at),
             changes=tuple(changes or ()),
             after_era=after.era,
             to_era=to.era,
             era_age_ms=encode_age(self._watcher.era_age),
-            document_version=_limit_version(document),
+            document_version=_get_version(document),
             outage_began_ms=self._encode_age_of(began_at),
             reached_since_ms=self._encode_age_of(reached_since),
             answered_ms=self._encode_age_of(answered_at),
+            request_sent_ms=request_sent_ms,
+            current_ms=encode_age(
+                self._watcher.evidence.get_age(self._clock.boot_time())
+            ),
+            current_revision=self._watcher.revision.number,
+            current_era=self._watcher.revision.era,
         )
         return self._datagrams.encode(message)
 
-    def _encode_change(self, change: Change, after: Revision) -> StoreChange:
-        """Encode a change for a router that has the state at an earlier revision."""
-        value, base_revision = change.value or b"", NO_REVISION
-        if len(value) >= LARGE_VALUE_BYTES:
-            base = self._watcher.find_version(change.key, after)
-            if base is not None:
-                base_revision = base[0]
-                value = make_delta(base[1], value)
-        if base_revision == NO_REVISION:
-            value = compress(value)
-        return StoreChange(
-            change.key,
-            change.revision.number,
-            change.value is None,
-            value,
-            base_revision.number,
-            change.revision.era,
-            base_revision.era,
-            change.is_restored,
-        )
-
-    def _decode_change(self, change: StoreChange) -> Change:
-        """Decode a change.
-
-        :raises WireFormatError: if it is malformed, or is a delta to a version that is
-            not retained.
-        """
-        revision = _get_revision(change)
-        base_revision = Revision(change.base_era, change.base_revision)
-        if change.deleted:
-            return Change(change.key, None, revision, is_restored=change.is_restored)
-        if base_revision == NO_REVISION:
-            value = decompress_bounded(change.value, MAX_UNPACKED_BYTES)
-            return Change(change.key, value, revision, is_restored=change.is_restored)
-        base = self._watcher.find_version(change.key, base_revision)
-        if base is None or base[0] != base_revision:
-            raise WireFormatError(f"no revision {base_revision} of {change.key}")
-        value = apply_delta(base[1], change.value)
-        return Change(change.key, value, revision, is_restored=change.is_restored)
-
     async def _handle_changes(
         self, router_id: RouterId, address: Address, message: StoreChanges
     ) -> None:
-        if not message.following:
+        after = Revision(message.after_era, message.after_revision)
+        to = Revision(message.to_era, message.to_revision)
+        if router_id == self._source:
+            self._unanswered_requests = 0
+        report = self._read_evidence(message, to)
+        is_fresh = report is not None and self._is_recent(report.at)
+        if not (message.following or is_fresh):
             if router_id == self._source and not self._watcher.follows_store:
                 self._back_off_source(
                     "the source does not follow the store", _DISCONNECTED_SOURCE_BACKOFF
                 )
             return
-        after = Revision(message.after_era, message.after_revision)
-        to = Revision(message.to_era, message.to_revision)
-        if router_id == self._source:
-            self._unanswered_requests = 0
         if to.era < max(self._watcher.revision.era, self._watcher.store_era):
             # The sender has not learnt yet that the store was restored.
             return
-        self._last_confirmed_at = self._clock.monotonic()
         self._record_outages(router_id, message)
         if after == self._watcher.revision < to:
             await self._apply_message(message, after, to)
-        if self._watcher.revision >= to:
-            self._view.record_current()
+        if report is not None:
+            self._watcher.record_report(report)
         await self._learn_what_the_store_lacks(router_id, message, to)
-        await self._stop_following_if_possible(to)
+        if is_fresh:
+            await self._stop_following_if_possible(to)
+
+    def _is_recent(self, moment: timedelta) -> bool:
+        limit = self.get_limits().check_age
+        return self._clock.boot_time() - moment <= limit
+
+    def _read_evidence(
+        self, message: StoreChanges, to: Revision
+    ) -> ReportedEvidence | None:
+        """Return what another router knows of its state; None if it does not tell.
+
+        Daemons of earlier versions tell only when the store last answered them.
+        """
+        now, age_ms = self._clock.boot_time(), message.current_ms
+        if not message.current_revision:
+            age = timedelta(milliseconds=message.answered_ms)
+            return ReportedEvidence(to, now - age) if message.following else None
+        if not age_ms or not message.request_sent_ms:
+            # Pushed changes may have been under way for any time.
+            return None
+        # An answer that was delayed is as old as the request for it.
+        sent_at = min(now, timedelta(milliseconds=message.request_sent_ms))
+        revision = Revision(message.current_era, message.current_revision)
+        return ReportedEvidence(revision, sent_at - timedelta(milliseconds=age_ms))
 
     def _record_outages(self, router_id: RouterId, message: StoreChanges) -> None:
         """Record when another router reached the store, and which outage it knows.
@@ -497,7 +552,7 @@
         A router that starts after the restore finds a configuration and servers there
         that the others know to be outdated.
         """
-        lacks_document = message.document_version > _limit_version(self._view.document)
+        lacks_document = message.document_version > _get_version(self._view.document)
         lacks_departures = message.era_age_ms and self._watcher.era_age is None
         if to > self._watcher.revision or not (lacks_document or lacks_departures):
             return
@@ -529,7 +584,10 @@
             await self._watcher.request_full_read()
             return
         try:
-            items = tuple(self._decode_change(change) for change in message.changes)
+            items = tuple(
+                decode_change(change, self._watcher.find_version)
+                for change in message.changes
+            )
         except WireFormatError as error:
             log_event("change_unreadable", level="warning", reason=error)
             await self._watcher.request_full_read()
@@ -544,26 +602,5 @@
             await self._watcher.set_follows_store(False)
 
 
-def _limit_version(document: FleetDocument | None) -> int:
-    """Return a document's version, as far as a message can hold it."""
-    return 0 if document is None else min(max(0, document.version), _MAX_VERSION)
-
-
-def _get_revision(change: StoreChange) -> Revision:
-    return Revision(change.era, change.revision)
-
-
-def _split_changes(changes: Sequence[StoreChange]) -> Iterator[list[StoreChange]]:
-    """Split changes, in order, into parts that each fit in a message; at least one."""
-    part: list[StoreChange] = []
-    size = 0
-    for change in changes:
-        added = len(change.key) + len(change.value) + _CHANGE_OVERHEAD_BYTES
-        # Changes of the same revision must be in the same message.
-        may_split = part and _get_revision(part[-1]) != _get_revision(change)
-        if may_split and size + added > _MAX_MESSAGE_BYTES:
-            yield part
-            part, size = [], 0
-        part.append(change)
-        size += added
-    yield part
+def _get_version(document: FleetDocument | None) -> int:
+    return 0 if document is None else document.short_version
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -209,6 +209,10 @@
     idle_timeout: timedelta = timedelta(seconds=60)
 
 
+# Messages hold numbers of 64 bits.
+_MAX_SHORT_VERSION = 2**63 - 1
+
+
 @dataclass(frozen=True)
 class FleetDocument:
     """One version of the operators' configuration.
@@ -226,6 +230,11 @@
     has_organisations: bool
     limits: ClientLimits
 
+    @property
+    def short_version(self) -> int:
+        """The version, as far as a message between routers can hold it."""
+        return min(max(0, self.version), _MAX_SHORT_VERSION)
+
     def get_priority(
         self, route: IngressRoute, organisation: Organisation | None
     ) -> int:
@@ -306,6 +315,7 @@
     :param inner: listening address for the requests of other routers; None if the
         daemon does not serve any.
     :param seeds: ``inner`` addresses of some other routers, which may be down.
+    :param change_limit: time in which a new configuration must be in force.
     """
 
     router_id: RouterId
@@ -328,3 +338,4 @@
     is_first_start: bool = False
     inner: Address | None = None
     seeds: tuple[Address, ...] = ()
+    change_limit: timedelta = timedelta(seconds=2)
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -15,14 +15,16 @@
 from hibiscustiller.ingress._context import RequestContext, send_refusal
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._durations import RouteDurations
+from hibiscustiller.ingress._forwarding_fields import (
+    DECLINED_HEADER,
+    is_outdated,
+    limit_attempts,
+)
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._model_services import ModelServices
 from hibiscustiller.ingress._part_history import PartHistory
 from hibiscustiller.ingress._plain import PlainForwarder
-from hibiscustiller.ingress._router_forwarding import (
-    DECLINED_HEADER,
-    RouterForwarder,
-)
+from hibiscustiller.ingress._router_forwarding import RouterForwarder
 from hibiscustiller.ingress._routes import RouteTable, choose_service
 from hibiscustiller.platform import read_request_facts
 from hibiscustiller.utils import (
@@ -101,6 +103,10 @@
         if self._health.is_cut_off or self._stop_at is not None:
             await self._decline(request, responder)
             return
+        document = self._view.document
+        if document is not None and is_outdated(document, request):
+            await self._decline(request, responder, _OUTDATED)
+            return
         await self.handle(request, responder, is_forwarded=True)
 
     async def handle(
@@ -154,6 +160,8 @@
         if isinstance(route_result, Err):
             return route_result
         route = route_result.ok_value
+        if is_forwarded:
+            route = limit_attempts(route, request)
         organisation_result = table.find_organisation(route, facts.api_key)
         if isinstance(organisation_result, Err):
             return organisation_result
@@ -242,10 +250,12 @@
         await self._refuse(context.request, responder, refusal)
         return True
 
-    async def _decline(self, request: HttpRequest, responder: Responder) -> None:
+    async def _decline(
+        self, request: HttpRequest, responder: Responder, refusal: Refusal | None = None
+    ) -> None:
         """Refuse a request so that the router that passed it on asks another one."""
         responder.extra_headers[DECLINED_HEADER] = "1"
-        await self._refuse(request, responder, _DECLINED)
+        await self._refuse(request, responder, refusal or _DECLINED)
 
     def _can_end_before_stop(self, context: RequestContext) -> bool:
         """Tell whether a request will probably be answered before the router stops."""
@@ -279,6 +289,12 @@
     "the router reaches no server, or is stopping",
     _STOPPING_RETRY_AFTER,
 )
+_OUTDATED = Refusal(
+    RefusalReason.NO_ROUTE,
+    Verdict.NOT_RUN,
+    "the router lacks the configuration under which the request was passed on",
+    _STOPPING_RETRY_AFTER,
+)
 _STOPPING = Refusal(
     RefusalReason.NO_ROUTE,
     Verdict.NOT_RUN,
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -26,6 +26,7 @@
 from hibiscustiller.ingress._crash_sharing import CrashSharing
 from hibiscustiller.ingress._dispatcher import RequestDispatcher
 from hibiscustiller.ingress._exposition import ExposedMetrics
+from hibiscustiller.ingress._forwarding_fields import FORWARDED_BY_HEADER
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._inspection import InspectionServer
 from hibiscustiller.ingress._listeners import Listeners
@@ -37,10 +38,7 @@
 from hibiscustiller.ingress._plain import PlainForwarder
 from hibiscustiller.ingress._plain_selection import PlainServerSelector
 from hibiscustiller.ingress._rate_limits import RateLimits
-from hibiscustiller.ingress._router_forwarding import (
-    FORWARDED_BY_HEADER,
-    RouterForwarder,
-)
+from hibiscustiller.ingress._router_forwarding import RouterForwarder
 from hibiscustiller.ingress._server_reach import ServerReach
 from hibiscustiller.ingress._sharing import LoadSharing
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
@@ -317,6 +315,8 @@
             self._random_state,
             self._store_reach,
             lambda address: self._snapshot_exchange.fetch(address),
+            # The entries of servers that leave come the same way.
+            min(settings.change_limit, settings.drain),
         )
         self._load_sharing = LoadSharing(
             settings.router_id,
@@ -369,6 +369,8 @@
             self._fleet_watcher.handle_store_era,
             self.view.count_routers,
             self.view.outages,
+            self._fleet_watcher.record_renewal,
+            lambda: self._store_relay.get_limits().renewal_period,
         )
         self._fleet_watcher.subscribe_to_restores(self._registration.handle_restore)
         self._control_lease_ttl = max(_CONTROL_LEASE_TTL, settings.min_lease)
@@ -501,6 +503,7 @@
     def describe(self) -> dict[str, Any]:
         """Return the state of this daemon as JSON values."""
         document = self.view.document
+        state_age = self._fleet_watcher.evidence.get_age(self._clock.boot_time())
         return {
             "router": self._settings.router_id,
             "is_ready": self.is_ready,
@@ -511,6 +514,7 @@
             "source": self._store_relay.source,
             "store_revision": self._fleet_watcher.revision.number,
             "store_era": self._fleet_watcher.revision.era,
+            "state_age_s": None if state_age is None else state_age.total_seconds(),
             "routers": sorted(self.view.peers_by_id),
             "unreachable": self._health.list_unreachable(),
             "is_cut_off": self._health.is_cut_off,
