Renew the lease of a router that watches the store as often as its watch needs

While unconfirmed it kept servers whose entries were gone (DRAIN).

Cause: the renewal period hung on the rank of a follower, not on who watches. It now hangs on the watch, and old evidence asks for a renewal also at a router that watches. following_store names the age of the state.

--- a/hibiscustiller/discovery/_registration.py
+++ b/hibiscustiller/discovery/_registration.py
@@ -54,8 +54,8 @@
     :param outages: records whether the store answers.
     :param on_renewal: called after each successful renewal with the moment at which it
         began, as time since the host's start.
-    :param get_follower_period: returns the renewal period of a router that watches the
-        store for others.
+    :param get_watch_period: returns the renewal period of a router that watches the
+        store; None if this one does not.
     """
 
     def __init__(
@@ -71,9 +71,9 @@
         count_routers: Callable[[], int],
         outages: StoreOutages,
         on_renewal: Callable[[timedelta], None],
-        get_follower_period: Callable[[], timedelta],
+        get_watch_period: Callable[[], timedelta | None],
     ) -> None:
-        self._get_follower_period = get_follower_period
+        self._get_watch_period = get_watch_period
         self._outages = outages
         self._on_renewal = on_renewal
         self._reach = reach
@@ -123,11 +123,10 @@
                 await self._on_return()
 
     def _get_renewal_period(self) -> timedelta:
-        is_follower = self._is_follower()
         if self._reach.is_reachable:
-            # The renewals of a follower tell the others that its watch is current.
-            return self._get_follower_period() if is_follower else _RENEWAL_PERIOD
-        period = _FOLLOWER_RETRY_PERIOD if is_follower else _RETRY_PERIOD
+            # The renewals show that a watch is current.
+            return self._get_watch_period() or _RENEWAL_PERIOD
+        period = _FOLLOWER_RETRY_PERIOD if self._is_follower() else _RETRY_PERIOD
         return period * self._random_state.uniform(1 - _RETRY_JITTER, 1 + _RETRY_JITTER)
 
     async def end(self) -> None:
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -206,6 +206,13 @@
         period = _POLL_PERIOD + _POLL_PERIOD_PER_ROUTER * routers
         return compute_limits(self._change_limit, min(_MAX_POLL_PERIOD, period))
 
+    def get_watch_period(self) -> timedelta | None:
+        """Return the renewal period of the lease that confirms this router's watch.
+
+        :returns: None if it does not watch the store.
+        """
+        return self.get_limits().renewal_period if self._watcher.follows_store else None
+
     def _get_age(self) -> timedelta | None:
         """Return the age of the evidence that this router's state is current."""
         return self._watcher.evidence.get_age(self._clock.boot_time())
@@ -260,17 +267,15 @@
             if self._source not in followers or self._source in self._backed_off:
                 self._source = self._choose_source(followers)
                 self._unanswered_requests = 0
-            await self._follow_if_sources_fail()
+        await self._check_evidence()
         await self._poll_source()
 
-    async def _follow_if_sources_fail(self) -> None:
-        """Watch the store if this router reaches it but no source has for some time.
+    async def _check_evidence(self) -> None:
+        """Renew old evidence, and watch the store if only this router reaches it.
 
         While the store is unavailable to all, each router that tried to watch it would
         make several calls, and would read all keys after the outage.
         """
-        if self._watcher.follows_store:
-            return
         now, limits, age = self._clock.monotonic(), self.get_limits(), self._get_age()
         if not self._reach.is_reachable:
             self._leave_to_followers_until = now + limits.return_time
@@ -278,10 +283,13 @@
         overdue = limits.max_age if age is None else age - limits.check_age
         if overdue <= timedelta(0):
             return
-        await self._ask_all_followers(now - overdue)
+        is_watching = self._watcher.follows_store
+        if not is_watching:
+            await self._ask_all_followers(now - overdue)
         if not self._reach.was_reached_since(now - overdue):
+            # A renewal that succeeds also confirms a watch that is waiting.
             await self._reach.request_check()
-        elif self._is_older_than(limits.max_age):
+        elif self._is_older_than(limits.max_age) and not is_watching:
             if now >= self._leave_to_followers_until:
                 await self._start_fallback()
 
@@ -356,7 +364,12 @@
 
     async def _start_fallback(self) -> None:
         if not self._watcher.follows_store:
-            log_event("following_store", reason="no source")
+            log_event(
+                "following_store",
+                reason="no source has recent evidence",
+                state_age=self._get_age(),
+                revision=self._watcher.revision,
+            )
         self._fallback_until = self._clock.monotonic() + _MIN_FALLBACK_DURATION
         await self._watcher.set_follows_store(True)
 
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -260,7 +260,7 @@
             self.view.count_routers,
             self.view.outages,
             self.watcher.record_renewal,
-            lambda: self.relay.get_limits().renewal_period,
+            self.relay.get_watch_period,
         )
         self.watcher.subscribe_to_restores(self.registration.handle_restore)
         self.watcher.subscribe(self._record_revision)
--- a/hibiscustiller/discovery/tests/test_silent_store.py
+++ b/hibiscustiller/discovery/tests/test_silent_store.py
@@ -74,6 +74,21 @@
         await wait_for_change(fleet, others)
 
 
+async def test_a_router_that_watches_instead_of_its_sources_stays_confirmed():
+    """Guards against DRAIN: such a router kept servers whose entries were gone.
+
+    It renewed its lease so rarely that its own watch did not count as current.
+    """
+    async with Fleet(9) as fleet:
+        followers, others = split_followers(fleet)
+        fleet.store.silent_routers = set(followers)
+        await curio.sleep(CHANGE_LIMIT.total_seconds() + 1.0)
+        until = await curio.clock() + 4.0
+        while await curio.clock() < until:
+            assert all(member.relay._is_confirmed() for member in others)
+            await curio.sleep(0.02)
+
+
 async def test_one_follower_that_reaches_the_store_is_enough():
     """Guards against calls by all routers when the store is silent to two followers."""
     async with Fleet(24) as fleet:
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -370,7 +370,7 @@
             self.view.count_routers,
             self.view.outages,
             self._fleet_watcher.record_renewal,
-            lambda: self._store_relay.get_limits().renewal_period,
+            self._store_relay.get_watch_period,
         )
         self._fleet_watcher.subscribe_to_restores(self._registration.handle_restore)
         self._control_lease_ttl = max(_CONTROL_LEASE_TTL, settings.min_lease)
