Accept any positive bound for changes, and test how it is read

A bound below what renewals and messages need made a daemon refuse its settings; it now counts as the shortest one that can be kept.

--- a/hibiscustiller/discovery/_freshness.py
+++ b/hibiscustiller/discovery/_freshness.py
@@ -22,6 +22,9 @@
 _LEARNING_TIME = timedelta(milliseconds=400)
 # A renewal that a slow store answers, a message, and timers that are late.
 _DELAY = timedelta(milliseconds=200)
+# What renewals and messages need at least. A shorter limit cannot be kept while the
+# store is silent to all followers.
+_SHORTEST_LIMIT = timedelta(seconds=1.5)
 # Each renewal is charged.
 _LONGEST_RENEWAL_PERIOD = timedelta(seconds=1)
 _SHORTEST_RENEWAL_PERIOD = timedelta(milliseconds=500)
@@ -66,6 +69,7 @@
         be in force on a router that reaches the store.
     :param poll_period: desired period of polls.
     """
+    change_limit = max(change_limit, _SHORTEST_LIMIT)
     poll_period = min(poll_period, change_limit * _MAX_POLL_FRACTION)
     longest_poll = poll_period * (1 + POLL_JITTER)
     # The answer to one poll may be lost.
--- a/hibiscustiller/discovery/tests/test_silent_store.py
+++ b/hibiscustiller/discovery/tests/test_silent_store.py
@@ -233,6 +233,8 @@
             calm = limits.renewal_period + limits.poll_period * (1 + POLL_JITTER)
             assert calm < limits.check_age < limits.max_age
             assert limits.max_age + timedelta(milliseconds=400) <= limit_s * SECOND
+    shortest = compute_limits(timedelta(milliseconds=1), timedelta(milliseconds=700))
+    assert timedelta(0) < shortest.check_age < shortest.max_age
 
 
 def load_tests(loader, tests, pattern):
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -25,8 +25,6 @@
 _MIN_MAX_FDS = 200
 # Without a bound in the file, the shortest one of the platform is assumed.
 _DEFAULT_CHANGE_LIMIT_MS = 2000
-# Less than the lease renewals and messages that tell of a change take.
-_MIN_CHANGE_LIMIT_MS = 1500
 _BYTES_PER_MB = 1_000_000
 
 
@@ -108,9 +106,8 @@
 
 def _read_change_limit(bounds: Mapping[str, Any]) -> timedelta:
     limit_ms = float(bounds.get("config_apply_ms", _DEFAULT_CHANGE_LIMIT_MS))
-    if limit_ms < _MIN_CHANGE_LIMIT_MS:
-        message = f"config_apply_ms must be at least {_MIN_CHANGE_LIMIT_MS}"
-        raise ValueError(f"{message}, got {limit_ms:g}")
+    if limit_ms <= 0:
+        raise ValueError(f"config_apply_ms must be above 0, got {limit_ms:g}")
     return timedelta(milliseconds=limit_ms)
 
 
--- a/hibiscustiller/platform/tests/test_decoding.py
+++ b/hibiscustiller/platform/tests/test_decoding.py
@@ -41,6 +41,7 @@
 max_fds = 5000
 [bounds]
 drain_ms = 2000
+config_apply_ms = 3000
 grace_s = 8
 retry_budget_ratio = 0.2
 budget_window_s = 10
@@ -84,6 +85,9 @@
     assert found.min_lease == timedelta(seconds=1)
     assert found.memory_bytes == 300_000_000
     assert found.max_fds == 5000
+    assert found.change_limit == timedelta(seconds=3)
+    without_limit = parse_host_settings(SETTINGS.replace("config_apply_ms", "x"))
+    assert without_limit.change_limit == timedelta(seconds=2)
 
 
 def test_bad_settings_name_what_is_wrong():
@@ -94,10 +98,12 @@
         "[bounds]": "bounds is missing",
         "memory_mb = 300": "memory_mb must be above 0, got -1",
         "max_fds = 5000": "max_fds must be at least 200, got 199",
+        "config_apply_ms = 3000": "config_apply_ms must be above 0, got 0",
     }
     for removed, message in cases.items():
         added = "memory_mb = -1" if "memory" in removed else "x = 1 #"
         added = "max_fds = 199" if "max_fds" in removed else added
+        added = "config_apply_ms = 0" if "config_apply" in removed else added
         text = SETTINGS.replace(removed, "[other]" if "[" in removed else added)
         try:
             parse_host_settings(text)
