--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -79,6 +79,8 @@
 # A router that watches the store because its sources failed does so for at least this
 # time.
 _MIN_FALLBACK_DURATION = timedelta(seconds=3)
+# A follower is asked beside the source by all routers at the same time.
+_MAX_ASKED_FOLLOWERS = 3
 # The evidence is not looked at more often.
 _MIN_STEP = timedelta(milliseconds=50)
 # A router whose last request is older than this number of poll periods has stopped or
@@ -268,6 +270,10 @@
                 self._source = self._choose_source(followers)
                 self._unanswered_requests = 0
         await self._check_evidence()
+        if self._view.has_missing_servers:
+            # The report of an outage, which keeps them, may be disproved by any
+            # follower that the store answered meanwhile.
+            await self._ask_followers(_MAX_ASKED_FOLLOWERS)
         await self._poll_source()
 
     async def _check_evidence(self) -> None:
@@ -301,9 +307,22 @@
         if self._asked_all_at is not None and self._asked_all_at >= check_at:
             return
         self._asked_all_at = self._clock.monotonic()
-        for router_id in self._get_followers():
-            if router_id not in (self._router_id, self._source):
-                await self._poll(self._find_peer(router_id))
+        await self._ask_followers()
+
+    async def _ask_followers(self, count: int | None = None) -> None:
+        """Poll followers other than the source.
+
+        :param count: how many at most, chosen at random; None for all.
+        """
+        others = [
+            router_id
+            for router_id in self._get_followers()
+            if router_id not in (self._router_id, self._source)
+        ]
+        if count is not None and count < len(others):
+            others = self._random_state.sample(others, count)
+        for router_id in others:
+            await self._poll(self._find_peer(router_id))
 
     async def _poll_source(self) -> None:
         peer = self._find_peer(self._source)
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -284,6 +284,11 @@
                 self._drop_server(server.id, may_drain=False)
                 self._set_aside(server)
 
+    @property
+    def has_missing_servers(self) -> bool:
+        """Whether servers are kept although their entries are gone."""
+        return bool(self._missing_by_id)
+
     def drop_missing(self) -> None:
         """Remove missing servers that did not register again in time."""
         now = self._clock.monotonic()
