--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -79,9 +79,9 @@
 # A router that watches the store because its sources failed does so for at least this
 # time.
 _MIN_FALLBACK_DURATION = timedelta(seconds=3)
-# A follower is asked beside the source by all routers at the same time.
+# Bounds the polls that each follower receives while servers are missing.
 _MAX_ASKED_FOLLOWERS = 3
-# The evidence is not looked at more often.
+# Shortest delay between two checks of the age of the evidence.
 _MIN_STEP = timedelta(milliseconds=50)
 # A router whose last request is older than this number of poll periods has stopped or
 # uses another source.
