Show that answers cut off by a crash look complete beside a check

A check of the server that began before its crash, or a connection that the crash resets rather than refuses, makes a part of an answer without a length pass for the whole of it.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+folder=$(cd "$(dirname "$0")" && pwd)
+PYTHONPATH="$folder/../lib2" exec python3 "$folder/case.py"
