--- a/review/10/case.py
+++ b/review/10/case.py
@@ -18,6 +18,8 @@
 DOWN_S = 2.0
 PAUSE_S = 0.8
 PERIOD_S = 0.02
+STREAM_SHARE = 0.3
+ROUTERS = 5
 
 
 async def play(deployment: Deployment, has_trouble: bool) -> int:
@@ -27,7 +29,7 @@
     await deployment.write_config(make_config())
     for n in range(2):
         deployment.add_server(f"i-engine-{n}", "pool", "--engine", "--slots", "96")
-    options = ("--unframed", "--work-s", "0.3", "--slots", "24")
+    options = ("--unframed", "--work-s", "0.2", "--slots", "24")
     desks = [
         deployment.add_server(f"i-desk-{n}", "desk", *options)
         for n in range(DESK_COUNT)
@@ -36,7 +38,9 @@
     await deployment.wait_until_ready()
     await asyncio.sleep(SETTLING_S)
     length_s = PAUSE_S + CRASHES * (DOWN_S + PAUSE_S)
-    sending = asyncio.create_task(send_orders(deployment, length_s, PERIOD_S))
+    sending = asyncio.create_task(
+        send_orders(deployment, length_s, PERIOD_S, STREAM_SHARE)
+    )
     await asyncio.sleep(PAUSE_S)
     for number in range(CRASHES if has_trouble else 0):
         desk = desks[number % DESK_COUNT]
@@ -50,4 +54,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, FOLDER / "record.txt"))
+    sys.exit(run_case(play, FOLDER / "record.txt", ROUTERS))
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -526,18 +526,18 @@
     return True
 
 
-def run_case(play, record_path: Path) -> int:
+def run_case(play, record_path: Path, router_count: int = 3) -> int:
     """Play a case; 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        return asyncio.run(_play(play, record_path, has_trouble))
+        deployment = Deployment(record_path, router_count)
+        return asyncio.run(_play(play, deployment, has_trouble))
     except (RuntimeError, OSError, subprocess.SubprocessError) as error:
         print(f"the case could not run: {error!r}")
         return 2
 
 
-async def _play(play, record_path: Path, has_trouble: bool) -> int:
-    deployment = Deployment(record_path)
+async def _play(play, deployment: Deployment, has_trouble: bool) -> int:
     try:
         return await play(deployment, has_trouble)
     finally:
--- a/review/lib2/orders.py
+++ b/review/lib2/orders.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
-from deployment import Deployment, Outcome, send_plain
+from deployment import Deployment, Outcome, send_plain, send_stream
 from server import BOOKING
 
 
 async def send_orders(
-    deployment: Deployment, length_s: float, period_s: float
+    deployment: Deployment, length_s: float, period_s: float, stream_share: float = 0
 ) -> list[Outcome]:
-    """Send orders to every router for a time."""
-    tasks, end_at = [], time.monotonic() + length_s
+    """Send orders to every router for a time.
+
+    :param period_s: time between two orders to the same router.
+    :param stream_share: number of streams that are sent beside each order.
+    """
+    tasks, streams, end_at = [], [], time.monotonic() + length_s
     number = 0
     while time.monotonic() < end_at:
         for ip in deployment.routers_by_ip:
@@ -22,7 +27,11 @@
                 deployment, ip, "POST", f"/order/{number}", 2.0, 1000, b"40 boxes"
             )
             tasks.append(asyncio.create_task(order))
+            if random.random() < stream_share:
+                stream = send_stream(deployment, ip, f"/quote/{number}")
+                streams.append(asyncio.create_task(stream))
         await asyncio.sleep(period_s)
+    await asyncio.gather(*streams)
     return await asyncio.gather(*tasks)
 
 
