--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -414,17 +414,28 @@
 
 
 async def send_stream(
-    deployment: Deployment, ip: str, target: str, gap_s: float = 2.0
+    deployment: Deployment,
+    ip: str,
+    target: str,
+    gap_s: float = 2.0,
+    answer_tokens: int = 12,
+    pause_s: float = 0.0,
 ) -> Outcome:
-    """Send a request of a stream; its client leaves after a gap."""
+    """Send a request of a stream; its client leaves after a gap.
+
+    :param answer_tokens: tokens, and events, of the answer.
+    :param pause_s: time between the opening of the connection and the request.
+    """
     outcome = Outcome(make_id(), "quote", ip, time.monotonic())
-    deployment.note(event="sent", request=outcome.request, router=ip, target=target)
     fields = make_fields(outcome.request, 20000)
-    fields |= {"Model": "m", "Token-Usage": "800,12"}
+    fields |= {"Model": "m", "Token-Usage": f"800,{answer_tokens}"}
     fields["Prompt-Prefix"] = f"5c1e07a2:40,{outcome.request}:760"
     writer = None
     try:
         stream, writer = await asyncio.wait_for(asyncio.open_connection(ip, FRONT), 1)
+        await asyncio.sleep(pause_s)
+        outcome.sent_at = time.monotonic()
+        deployment.note(event="sent", request=outcome.request, router=ip, target=target)
         fields = {"Host": HOST, **fields}
         writer.write(encode(f"POST {target} HTTP/1.1", fields, b"{}"))
         reader = Reader(stream)
--- a/review/lib2/server.py
+++ b/review/lib2/server.py
@@ -21,7 +21,6 @@
 HEARTBEAT_S = 1.2
 LEASE_MS = 3600
 WORK_S = 0.045
-EVENTS = 12
 EVENT_PERIOD_S = 0.04
 BOOKING = b"booked: 40 boxes of white chalk for the school of Getxo\n"
 # Bytes of each piece of an answer without end, and about those of each write.
@@ -276,7 +275,9 @@
         self.running += 1
         try:
             first = int(request.fields.get("last-event-id", -1)) + 1
-            for number in range(first, EVENTS):
+            # One event for each token that the client allows.
+            count = int(request.fields["token-usage"].split(",")[1])
+            for number in range(first, count):
                 event = b"id: %d\ndata: piece-%d\n\n" % (number, number)
                 writer.write(b"%x\r\n%b\r\n" % (len(event), event))
                 await writer.drain()
