Judge a stream by its own length while a router stops

Cause: whether a request can end before the stop was estimated from the mean duration of its route, so a stream of 5 s among streams of 0.5 s was accepted. The listener also closed 3 s after the control lease had been released, not after the signal.

Change: the estimate of a stream is the time to its first event and the time between events, both observed by route, for the number of events that the request allows. A request that arrives after the listener has closed must fit twice into the time left. Other requests are refused at once as not run, so the client can go elsewhere.

--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -26,6 +26,7 @@
 from hibiscustiller.ingress._plain import PlainForwarder
 from hibiscustiller.ingress._router_forwarding import RouterForwarder
 from hibiscustiller.ingress._routes import RouteTable, choose_service
+from hibiscustiller.ingress._stream_demands import count_expected_events
 from hibiscustiller.platform import read_request_facts
 from hibiscustiller.utils import (
     Clock,
@@ -39,6 +40,9 @@
 
 _NO_ROUTE_RETRY_AFTER = timedelta(milliseconds=500)
 _FIRST_ERROR_STATUS = 400
+# A request that arrives after the listener has closed is owed its whole answer, so it
+# is accepted only if this many times its expected duration is left.
+_LATE_ARRIVAL_MARGIN = 2.0
 # Another router can take the request at once.
 _STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 
@@ -87,14 +91,17 @@
         self._route_table: RouteTable | None = None
         self._durations = RouteDurations()
         self._stop_at: timedelta | None = None
+        self._listen_until = timedelta(0)
 
-    def begin_stop(self, stop_at: timedelta) -> None:
+    def begin_stop(self, stop_at: timedelta, listen_until: timedelta) -> None:
         """Accept only requests that can probably be answered before the router stops.
 
         :param stop_at: when the router stops to work on requests, on the monotonic
             clock.
+        :param listen_until: when it closes its listener, on the same clock.
         """
         self._stop_at = stop_at
+        self._listen_until = listen_until
 
     async def handle_forwarded(
         self, request: HttpRequest, responder: Responder
@@ -192,7 +199,7 @@
     async def _forward(self, context: RequestContext, responder: Responder) -> None:
         service, kind = context.service, context.route.kind.value
         self._metrics.count(f"requests.{kind}")
-        if self._stop_at is not None and not self._can_end_before_stop(context):
+        if not self._can_end_before_stop(context):
             self._budgets.record_request(service.name)
             context.log("request_refused_by_stop", time_left=context.time_left)
             await self._refuse(context.request, responder, _STOPPING)
@@ -218,15 +225,15 @@
             )
             await self._refuse(context.request, responder, refusal)
             return
+        timing = None
         try:
             if service.engine is not None:
-                await self._model_services.get_forwarder(service).forward(
-                    context, responder
-                )
+                forwarder = self._model_services.get_forwarder(service)
+                timing = await forwarder.forward(context, responder)
             else:
                 await self._plain_forwarder.forward(context, responder)
             if responder.is_finished and responder.status < _FIRST_ERROR_STATUS:
-                self._durations.record(context.route, context.age)
+                self._durations.record(context.route, context.age, timing)
         finally:
             self._metrics.timing(f"request.{kind}", context.age)
 
@@ -259,9 +266,17 @@
 
     def _can_end_before_stop(self, context: RequestContext) -> bool:
         """Tell whether a request will probably be answered before the router stops."""
-        assert self._stop_at is not None
-        time_left = self._stop_at - self._clock.monotonic()
-        return self._durations.estimate(context.route) < time_left
+        if self._stop_at is None:
+            return True
+        spec = context.service.engine
+        if spec is None:
+            expected = self._durations.estimate(context.route)
+        else:
+            event_count = count_expected_events(context.facts, spec)
+            expected = self._durations.estimate_stream(context.route, event_count)
+        if context.received_at >= self._listen_until:
+            expected *= _LATE_ARRIVAL_MARGIN
+        return expected < self._stop_at - self._clock.monotonic()
 
     async def _refuse(
         self, request: HttpRequest, responder: Responder, refusal: Refusal
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -464,9 +464,12 @@
         self.models.place_allocator.is_stopping = True
         working_time = self._settings.grace * (1 - _CLOSING_SHARE_OF_GRACE)
         stop_at = started_at + working_time - _LAST_ANSWERS_TIME
-        self._dispatcher.begin_stop(stop_at)
+        listen_time = min(_LISTEN_TIME_AFTER_STOP, self._settings.grace / 2)
+        listen_until = started_at + listen_time
+        self._dispatcher.begin_stop(stop_at, listen_until)
         await self._layer_placer.release()
-        await self._clock.sleep(min(_LISTEN_TIME_AFTER_STOP, self._settings.grace / 2))
+        listening_time_left = listen_until - self._clock.monotonic()
+        await self._clock.sleep(max(timedelta(0), listening_time_left))
         time_left = stop_at - self._clock.monotonic()
         try:
             async with curio.timeout_after(max(0.0, time_left.total_seconds())):
--- a/hibiscustiller/ingress/_stream_demands.py
+++ b/hibiscustiller/ingress/_stream_demands.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from hibiscustiller.fleet import EngineSpec
 from hibiscustiller.ingress._context import RequestContext
 from hibiscustiller.ingress._usual_deadlines import UsualDeadlines
 from hibiscustiller.layers import Demand
+from hibiscustiller.platform import RequestFacts
 from hibiscustiller.utils import OrganisationId
 
 # Share of the answer that an engine holds in memory on average while generating it.
@@ -35,3 +37,10 @@
         is_resumable=context.route.is_resumable,
         answer_tokens=answer,
     )
+
+
+def count_expected_events(facts: RequestFacts, spec: EngineSpec) -> float:
+    """Return how many more events the answer to a stream's request may have."""
+    tokens = facts.max_answer_tokens or spec.mean_answer_tokens
+    sent_count = 0 if facts.last_event is None else facts.last_event + 1
+    return max(0.0, tokens / spec.stride - sent_count)
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -21,6 +21,7 @@
     send_refusal,
     send_to_caller,
 )
+from hibiscustiller.ingress._durations import StreamTiming
 from hibiscustiller.ingress._events import Event, select_new_events
 from hibiscustiller.ingress._patience import (
     compute_replacement_wait,
@@ -76,9 +77,12 @@
         self.metrics = services.metrics
         self._usual_deadlines = UsualDeadlines()
 
-    async def forward(self, context: RequestContext, responder: Responder) -> None:
+    async def forward(
+        self, context: RequestContext, responder: Responder
+    ) -> StreamTiming | None:
         """Forward a request and stream its answer to the caller.
 
+        :returns: how long the stream took; None if this router did not complete one.
         :raises TransportError: if the answer cannot be completed after its head was
             sent, or the caller has disconnected.
         """
@@ -87,7 +91,7 @@
         self.metrics.timing("wait_for_place", context.age)
         if isinstance(admitted, Err):
             await self._refuse(context, responder, admitted.err_value)
-            return
+            return None
         stream = _Stream(self.services, context, responder, demand)
         try:
             refusal = await stream.run(admitted.ok_value)
@@ -98,6 +102,8 @@
             if responder.is_started:
                 stream.log_cut(refusal)
             await self._refuse(context, responder, refusal)
+            return None
+        return stream.measure()
 
     async def _refuse(
         self, context: RequestContext, responder: Responder, refusal: Refusal
@@ -145,6 +151,8 @@
         self._is_trial = False
         self._attempt_count = 0
         self._event_count = 0
+        # Time from the request to its first event; None before.
+        self._begun_after: timedelta | None = None
         # When the caller received the latest event, or the request arrived.
         self._served_at = context.received_at
         self._stall_timeout = compute_stall_timeout(context.route)
@@ -198,6 +206,12 @@
             self._services.metrics.count(f"streams.repeated.{outcome.value}")
             grant = next_grant
 
+    def measure(self) -> StreamTiming | None:
+        """Return how long the stream took; None if another router completed it."""
+        if self._begun_after is None or self._is_answered_elsewhere:
+            return None
+        return StreamTiming(self._begun_after, self._context.age, self._event_count)
+
     def log_cut(self, refusal: Refusal) -> None:
         """Log that the answer ends before its end, and what was tried for it."""
         self._services.metrics.count("streams.cut")
@@ -482,7 +496,8 @@
             services.parts.record_begin(parts, attempt.sent_at)
         services.health.refusals.record_accepted(attempt.pipeline.server_ids)
         if not self._event_count:
-            services.metrics.timing("first_event", self._context.age)
+            self._begun_after = self._context.age
+            services.metrics.timing("first_event", self._begun_after)
         await self._start_response(attempt)
         self._event_count += len(events)
         attempt.record_progress(len(events))
--- a/hibiscustiller/ingress/tests/test_planned_stop.py
+++ b/hibiscustiller/ingress/tests/test_planned_stop.py
@@ -129,5 +129,71 @@
         assert (answer.status, answer.is_complete) == (504, True), answer
 
 
+async def start_streams(world, period_s, event_count):
+    """Let engines send the events of a route whose usual streams are short."""
+    for engine in world.engines:
+        engine._event_period_s = period_s
+    world.hold_all_layers(*world.engines)
+    await world.wait_for_pipelines(2)
+    async with curio.TaskGroup(wait=all) as group:
+        for number in range(12):
+            await group.spawn(world.request, f"/once/{number}")
+    assert all(answer.is_complete for answer in group.results)
+    for engine in world.engines:
+        engine._event_count = event_count
+
+
+def count_runs(world, request_ids):
+    """Return how many of some requests the engines have begun to run."""
+    run_ids = [
+        request.headers_by_name["request-id"]
+        for engine in world.engines
+        for request in engine.requests
+    ]
+    return sum(request_id in run_ids for request_id in request_ids)
+
+
+# Guards against a long stream that a stopping router accepts by the mean duration of
+# its route, and cuts.
+async def test_late_streams_are_judged_by_their_own_length():
+    async with World() as world:
+        await start_streams(world, 0.01, 150)
+        socks = [await world.connect() for _ in range(8)]
+        answers = {}
+
+        async def send(number):
+            # Connections that have sent nothing are open for half a second longer.
+            await curio.sleep(1.4 + 0.5 * number / len(socks))
+            options = {"request_id": f"long-{number}"}
+            options["headers"] = [("token-usage", "100,150")]
+            path = f"/once/late-{number}"
+            answers[number] = await world.exchange(socks[number], path, **options)
+
+        async with curio.TaskGroup() as group:
+            await group.spawn(world.gateway.stop)
+            for number in range(len(socks)):
+                await group.spawn(send, number)
+        for sock in socks:
+            await sock.close()
+        assert all(a.status == 503 and a.is_complete for a in answers.values()), answers
+        assert not count_runs(world, [f"long-{n}" for n in answers])
+
+
+# Guards against a stop that refuses a short stream, which can still be answered, on a
+# route with long ones.
+async def test_late_streams_that_are_short_are_served():
+    async with World() as world:
+        await start_streams(world, 0.01, 150)
+        headers = [("token-usage", "100,150")]
+        await world.request("/once/long", headers=headers)
+        for engine in world.engines:
+            engine._event_count = 20
+        async with curio.TaskGroup() as group:
+            await group.spawn(world.gateway.stop)
+            await curio.sleep(1.3)
+            answer = await world.request("/once/short")
+        assert (answer.status, answer.is_complete) == (200, True), answer
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
