Read events in time that grows with their bytes, and let other tasks run

Cause: EventSplitter.feed joined each piece to the whole incomplete event and searched it again, so the time grew with the square of its length. Exchange let other tasks run only after 20 receives of 64 KiB, 18,000 chunks; a socket that always has data never makes curio's recv wait, so no timeout took effect either.

Change: the splitter searches new bytes only. A stand-in that floods its callers runs as a process of its own: a sender in the router's process sends only while the router waits, and cannot show this.

--- a/hibiscustiller/ingress/_events.py
+++ b/hibiscustiller/ingress/_events.py
@@ -9,6 +9,7 @@
 from hibiscustiller.wire import BodyHold
 
 _EVENT_END_PATTERN = re.compile(rb"\r?\n\r?\n")
+_MAX_EVENT_END_BYTES = len(b"\r\n\r\n")
 _ID_FIELD_PATTERN = re.compile(rb"(?:^|\n)id: ?(\d+)")
 # Far above the few hundred bytes of an event with a few tokens.
 _MAX_EVENT_BYTES = 1 << 20
@@ -55,12 +56,12 @@
 
     def __init__(self, hold: BodyHold) -> None:
         self._hold = hold
-        self._rest = b""
+        self._buffer = bytearray()
 
     @property
-    def rest(self) -> bytes:
-        """Buffered bytes of an incomplete event."""
-        return self._rest
+    def has_rest(self) -> bool:
+        """Whether bytes of an incomplete event are buffered."""
+        return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
@@ -68,16 +69,22 @@
         :raises ValueError: if an incomplete event exceeds the maximum size.
         :raises TransportError: if there is no memory for an incomplete event.
         """
-        buffer = self._rest + data
+        buffer = self._buffer
+        # Only the new bytes are searched, and those before them that may be part of an
+        # event end; otherwise the time grows with the square of an event's length.
+        search_from = max(0, len(buffer) - _MAX_EVENT_END_BYTES + 1)
+        buffer += data
         events = []
         start = 0
-        for match in _EVENT_END_PATTERN.finditer(buffer):
-            event = buffer[start : match.end()]
+        for match in _EVENT_END_PATTERN.finditer(buffer, search_from):
+            event = bytes(buffer[start : match.end()])
             found = _ID_FIELD_PATTERN.search(event)
             events.append(Event(int(found[1]) if found else None, event))
             start = match.end()
-        self._rest = buffer[start:]
-        if len(self._rest) > _MAX_EVENT_BYTES:
+        # A match refers to the buffer, which cannot be resized as long as it exists.
+        match = None
+        del buffer[:start]
+        if len(buffer) > _MAX_EVENT_BYTES:
             raise ValueError(f"an event is longer than {_MAX_EVENT_BYTES} bytes")
-        self._hold.resize(len(self._rest))
+        self._hold.resize(len(buffer))
         return events
--- a/hibiscustiller/standins/__init__.py
+++ b/hibiscustiller/standins/__init__.py
@@ -11,6 +11,7 @@
     Fleet,
     start_fleet,
 )
+from hibiscustiller.standins._flooding_server import Flood, run_flooding_server
 from hibiscustiller.standins._layered_engine import (
     LayeredEngineFaults,
     LayeredEngineStandin,
@@ -38,6 +39,7 @@
     "EngineOptions",
     "EngineStandin",
     "Fleet",
+    "Flood",
     "LayeredEngineFaults",
     "LayeredEngineStandin",
     "MetadataFaults",
@@ -48,5 +50,6 @@
     "compute_answer",
     "make_event",
     "make_standin_settings",
+    "run_flooding_server",
     "start_fleet",
 ]
--- a/hibiscustiller/standins/__main__.py
+++ b/hibiscustiller/standins/__main__.py
@@ -8,6 +8,7 @@
 import curio
 
 from hibiscustiller.settings import Address, parse_address
+from hibiscustiller.standins._flooding_server import Flood, run_flooding_server
 from hibiscustiller.standins._programs import (
     run_engine,
     run_metadata_store,
@@ -79,5 +80,12 @@
     curio.run(run_plain_server, server_id, port, public, store_address, record)
 
 
+@main.command()
+@click.argument("kind", type=click.Choice([flood.value for flood in Flood]))
+def flood(kind: str) -> None:
+    """Run a server whose answers do not end, on a port that it prints."""
+    run_flooding_server(Flood(kind))
+
+
 if __name__ == "__main__":
     main()
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -13,7 +13,6 @@
 from datetime import timedelta
 from typing import Any
 
-import curio
 import h11
 
 from hibiscustiller.exceptions import TransportError
@@ -28,6 +27,7 @@
     send_parts,
     set_tcp_options,
 )
+from hibiscustiller.wire._turns import Turns
 
 _RECEIVE_BYTES = 65536
 # An answer larger than this is refused; a document of 1 MB grows by a third in base64.
@@ -35,10 +35,10 @@
 # Servers commonly close idle connections after a minute or less.
 _MAX_IDLE = timedelta(seconds=20)
 _MAX_IDLE_PER_ADDRESS = 32
+# Chunks that are parsed before other tasks may run.
+_MAX_JOINED_PARTS = 256
 # A server sends one or two; one that goes on has no answer.
 _MAX_INTERIM_ANSWERS = 20
-# Bytes that arrive without end must not keep other tasks waiting.
-_RECEIVES_PER_TURN = 20
 
 
 @dataclass(frozen=True)
@@ -319,7 +319,9 @@
         self._is_reusable = False
         self._is_discarded = False
         self._interim_count = 0
-        self._receive_count = 0
+        self._turns = Turns()
+        # What ended the latest part of the body, to be returned or raised next.
+        self._next: Any = None
 
     @property
     def is_on_new_connection(self) -> bool:
@@ -368,11 +370,27 @@
             return None
         event = await self._next_event(self._client.clock.monotonic() + timeout)
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return self._join_arrived(event)
         self.is_ended = True
         self._is_reusable = True
         return None
 
+    def _join_arrived(self, first: h11.Data) -> bytes:
+        """Join the data of small chunks that were received together."""
+        parts = [first.data]
+        while len(parts) < _MAX_JOINED_PARTS:
+            try:
+                event = self._connection.state.next_event()
+            except h11.RemoteProtocolError as error:
+                self._next = error
+                break
+            if not isinstance(event, h11.Data):
+                self._next = None if event is h11.NEED_DATA else event
+                break
+            parts.append(event.data)
+        self._turns.count_parts(len(parts))
+        return b"".join(parts)
+
     async def read_body(
         self, hold: BodyHold, timeout: timedelta, max_bytes: int
     ) -> bytes:
@@ -409,19 +427,19 @@
             of it, so that a byte now and then does not extend the wait.
         """
         state = self._connection.state
+        await self._turns.end_if_over()
         try:
-            while (event := state.next_event()) is h11.NEED_DATA:
+            while (event := self._take_event()) is h11.NEED_DATA:
                 left = deadline - self._client.clock.monotonic()
                 if left <= timedelta(0):
                     raise TimeoutError("the time for the answer is up")
+                await self._turns.end_if_over()
                 data = await wait_at_most(
                     left, self._connection.sock.recv(_RECEIVE_BYTES)
                 )
                 state.receive_data(data)
                 del data
-                self._receive_count += 1
-                if self._receive_count % _RECEIVES_PER_TURN == 0:
-                    await curio.sleep(0)
+                self._turns.count_receive()
         except TimeoutError:
             raise
         except (OSError, h11.RemoteProtocolError) as error:
@@ -434,6 +452,16 @@
             )
         return event
 
+    def _take_event(self) -> Any:
+        """Return what ended the latest part, or else the next event.
+
+        :raises RemoteProtocolError: if the answer is malformed from here on.
+        """
+        event, self._next = self._next, None
+        if isinstance(event, h11.RemoteProtocolError):
+            raise event
+        return self._connection.state.next_event() if event is None else event
+
 
 class AnswerStream:
     """An answer whose body is read line by line.
--- a/hibiscustiller/wire/tests/test_endless_answers.py
+++ b/hibiscustiller/wire/tests/test_endless_answers.py
@@ -7,10 +7,15 @@
 import curio
 
 from hibiscustiller.exceptions import TransportError
-from hibiscustiller.standins import DrippingServer, EndlessAnswer
+from hibiscustiller.standins import DrippingServer, EndlessAnswer, Flood
 from hibiscustiller.utils import SystemClock
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import HttpClient, RawRequest
+from hibiscustiller.wire.tests.floods import (
+    MAX_PAUSE_S,
+    flooding_server,
+    measure_pause,
+)
 
 TIMEOUT = timedelta(milliseconds=300)
 # A loaded machine is late with its timers.
@@ -87,5 +92,22 @@
         assert max(pauses) < 0.25
 
 
+# Guards against a sender in another process, which is always ahead of the reader, that
+# keeps all other tasks of the router waiting.
+async def test_other_tasks_go_on_beside_a_flood():
+    for flood in Flood:
+        for read in (read_answer,):
+            client = HttpClient(SystemClock())
+            with flooding_server(flood) as address:
+                task = await curio.spawn(read, client, address)
+                pause_s = await measure_pause(task, LIMIT_S)
+                assert pause_s < MAX_PAUSE_S, (read.__name__, flood, pause_s)
+                try:
+                    answer = await task.join()
+                    raise AssertionError(f"accepted: {read.__name__} {flood} {answer}")
+                except curio.TaskError as error:
+                    assert isinstance(error.__cause__, (TransportError, TimeoutError))
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
