Bound the time in which the input of a refused client is discarded

A client that goes on sending after its refusal was read for as long as data was there when it was looked for: receiving does not wait then, so the timeout of one second had no effect and no other task ran.

Evidence: the new test, whose socket always has data, reached 1,000,000 receives before and ends after 50 ms now.

--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -40,6 +40,7 @@
 from hibiscustiller.wire._request_reading import RECEIVE_BYTES, RequestReader
 from hibiscustiller.wire._responder import Responder
 from hibiscustiller.wire._sockets import is_readable, set_tcp_options
+from hibiscustiller.wire._turns import Turns
 
 _DRAIN_POLL_S = 0.02
 _ACCEPT_RETRY_S = 0.1
@@ -488,8 +489,10 @@
 
     Closing with unread bytes would reset the connection and destroy the answer.
     """
+    turns = Turns()
     while await sock.recv(RECEIVE_BYTES):
-        pass
+        turns.count_receive()
+        await turns.end_if_over()
 
 
 def _find_closed(fds: Iterable[int]) -> list[int]:
--- a/hibiscustiller/wire/tests/test_http_server.py
+++ b/hibiscustiller/wire/tests/test_http_server.py
@@ -16,6 +16,8 @@
 from hibiscustiller.settings import Address
 from hibiscustiller.utils._testing import collect_tests
 from hibiscustiller.wire import BodyMemory, HttpLimits, HttpServer
+from hibiscustiller.wire._deadlines import wait_at_most
+from hibiscustiller.wire._http_server import _discard_input
 
 LIMITS = HttpLimits(
     max_connections=5,
@@ -478,5 +480,29 @@
         waiting.close()
 
 
+class AlwaysReadySocket:
+    """A socket whose other side is always ahead, so that receiving never waits."""
+
+    def __init__(self):
+        self.count = 0
+
+    async def recv(self, max_bytes):
+        self.count += 1
+        assert self.count < 1_000_000, "no timeout took effect"
+        return b"x"
+
+
+# Guards against a refused client whose further input is read past the time allowed,
+# without a turn for other tasks.
+async def test_input_after_a_refusal_is_discarded_for_a_limited_time():
+    try:
+        await wait_at_most(
+            timedelta(milliseconds=50), _discard_input(AlwaysReadySocket())
+        )
+        raise AssertionError("the input has no end")
+    except TimeoutError:
+        pass
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
