Take an unframed answer for whole only if its process still answers

Cause: the end of the connection counted as the end of the answer unless a connection to the server was refused. A reset connection, a check that had begun before the end, and a router that was cut off made it count as whole.

Change: the server is asked after the end (the report of an engine, which names the start of its process; the health check of a plain service), and only an answer of the same process proves the end. Answers that ended before a question share it. Without a proof a stream goes on elsewhere or is cut, and a plain answer becomes 502. The same for answers that are no stream on a route of streams, which were not checked at all. A check with a time does not use the result of one that began before it.

Tests: the scripted servers of test_broken_answers closed only their listener to stand for a crash. Their reports now end their connections, so that none outlives the process.

--- a/hibiscustiller/fleet/__init__.py
+++ b/hibiscustiller/fleet/__init__.py
@@ -13,6 +13,7 @@
     describe_place,
 )
 from hibiscustiller.fleet._types import (
+    DEFAULT_HEALTH_PATH,
     EMPTY_RANGE,
     AcceleratorKind,
     BackendServer,
@@ -29,6 +30,7 @@
 )
 
 __all__ = [
+    "DEFAULT_HEALTH_PATH",
     "EMPTY_RANGE",
     "AcceleratorKind",
     "BackendServer",
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -128,6 +128,9 @@
         return self.token_bytes / self.layers
 
 
+DEFAULT_HEALTH_PATH = "/health"
+
+
 @dataclass(frozen=True)
 class ServiceSpec:
     """A service to which requests are routed.
@@ -135,11 +138,13 @@
     :param engine: parameters of its engines; None for a service without model layers.
     :param max_connections: number of connections that each of its servers accepts from
         all routers together; None if unknown.
+    :param health_path: path of the health checks of its servers.
     """
 
     name: ServiceName
     engine: EngineSpec | None = None
     max_connections: int | None = None
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 @dataclass(frozen=True)
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -44,7 +44,11 @@
 from hibiscustiller.ingress._unanswered_runs import UnansweredRuns
 from hibiscustiller.layers import EngineLoad, LayerPlacer
 from hibiscustiller.leadership import ControlLease, find_election_delay
-from hibiscustiller.platform import MetadataStore, read_engine_report
+from hibiscustiller.platform import (
+    MetadataStore,
+    check_process,
+    read_engine_report,
+)
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
     Clock,
@@ -71,6 +75,9 @@
 _FIRST_READ_DELAY = timedelta(seconds=1)
 # Connecting takes a few milliseconds; callers' target latencies are a few hundred.
 _CONNECT_TIMEOUT = timedelta(milliseconds=350)
+# A server that is silent for a moment may still answer whether its process runs; the
+# caller has all of its answer but the end.
+_PROCESS_ANSWER_TIMEOUT = timedelta(seconds=1)
 # A crashed lease holder is replaced after this time; until then the placement of
 # layers does not change.
 _CONTROL_LEASE_TTL = timedelta(seconds=2)
@@ -148,6 +155,7 @@
             self._reach,
             self._read_born,
             random_state,
+            self._ask_process,
         )
         router_id = settings.router_id
         self._parts = PartHistory(
@@ -590,6 +598,20 @@
             return None
         return report.born
 
+    async def _ask_process(self, server: BackendServer) -> bool:
+        """Tell whether the process that is known as a server answers.
+
+        :raises TransportError: if there is no answer.
+        """
+        client, timeout = self._server_client, _PROCESS_ANSWER_TIMEOUT
+        document = self.view.document
+        services = {} if document is None else document.services_by_name
+        service = services.get(server.service)
+        if service is not None and service.engine is None:
+            return await check_process(client, server, service.health_path, timeout)
+        report = await read_engine_report(client, server, timeout)
+        return report.born == server.born
+
     async def _handle_store_return(self) -> None:
         await self._store_client.close()
         await self._fleet_watcher.restart()
--- a/hibiscustiller/ingress/_health.py
+++ b/hibiscustiller/ingress/_health.py
@@ -19,6 +19,7 @@
 import curio
 
 from hibiscustiller.fleet import BackendServer
+from hibiscustiller.ingress._answer_ends import AnswerEnds
 from hibiscustiller.ingress._refusals import ServerRefusals
 from hibiscustiller.ingress._server_reach import (
     Reach,
@@ -75,10 +76,25 @@
     reporter: RouterId | None = field(default=None, compare=False)
 
 
+@dataclass(frozen=True)
+class _PendingCheck:
+    """A check that other requests may join.
+
+    :param started_at: when its connection was attempted, on the monotonic clock.
+    """
+
+    started_at: timedelta
+    done: curio.Event = field(default_factory=curio.Event)
+
+
 async def _read_nothing(server: BackendServer) -> int | None:
     return None
 
 
+async def _expect_no_answer(server: BackendServer) -> bool:
+    return False
+
+
 class ServerHealth:
     """Reachability of backend servers, and which of them accept requests.
 
@@ -94,6 +110,8 @@
     :param read_born: asks a server for the start time of its process; returns None if
         it does not tell.
     :param random_state: random numbers for jitter.
+    :param ask_process: asks a server whether its process still runs, see
+        ``AnswerEnds``.
     """
 
     def __init__(
@@ -108,7 +126,9 @@
         reach: ServerReach | None = None,
         read_born: Callable[[BackendServer], Awaitable[int | None]] = _read_nothing,
         random_state: random.Random | None = None,
+        ask_process: Callable[[BackendServer], Awaitable[bool]] = _expect_no_answer,
     ) -> None:
+        self.answer_ends = AnswerEnds(clock, ask_process)
         self._open_connection = connect
         self._random_state = random_state or random.Random()
         self._read_born = read_born
@@ -134,7 +154,7 @@
         self._reached_by_id: dict[ServerId, tuple[int, timedelta]] = {}
         self._checked_at: dict[ServerId, timedelta] = {}
         self._report_checked_at: dict[ServerId, timedelta] = {}
-        self._pending_checks: dict[ServerId, curio.Event] = {}
+        self._pending_checks: dict[ServerId, _PendingCheck] = {}
         self.refusals = ServerRefusals(clock, get_server, lambda: on_change(True))
         self.statements = ServerStatements(clock, drain, lambda: on_change(True))
 
@@ -364,10 +384,11 @@
     async def _check_server(
         self, server: BackendServer, since: timedelta | None = None
     ) -> None:
-        pending = self._pending_checks.get(server.id)
-        if pending is not None:
-            await pending.wait()
-            return
+        while (pending := self._pending_checks.get(server.id)) is not None:
+            await pending.done.wait()
+            # One that began before tells nothing of what ended since.
+            if since is None or pending.started_at >= since:
+                return
         now = self._clock.monotonic()
         ttl = _RESULT_TTL * max(1.0, self._count_routers() / _BASE_ROUTER_COUNT)
         oldest = now - ttl if since is None else max(now - ttl, since)
@@ -377,13 +398,13 @@
         if self.reach.is_cut_off:
             # The connection would fail, whatever the state of the server.
             return
-        self._pending_checks[server.id] = done = curio.Event()
+        self._pending_checks[server.id] = check = _PendingCheck(now)
         try:
             await self._connect(server)
         finally:
-            self._checked_at[server.id] = self._clock.monotonic()
+            self._checked_at[server.id] = check.started_at
             del self._pending_checks[server.id]
-            await done.set()
+            await check.done.set()
 
     async def _connect(self, server: BackendServer) -> None:
         started_at = self._clock.monotonic()
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -50,7 +50,13 @@
     ServiceName,
     Verdict,
 )
-from hibiscustiller.wire import Exchange, HttpClient, Responder, find_described_length
+from hibiscustiller.wire import (
+    Exchange,
+    HttpClient,
+    Responder,
+    find_described_length,
+    wait_at_most,
+)
 
 # A repeatable request is sent to another server as well if no head of an answer has
 # arrived within this share of the route's target latency.
@@ -525,11 +531,8 @@
         )
         try:
             answer = await self._read_answer(exchange, attempt)
-            # The connection of a crashed process ends like an answer without framing.
-            health = self._forwarder.health
-            if not exchange.is_framed and await health.check_ended(server):
-                message = "the server of an answer without framing has ended"
-                raise TransportError(message, Verdict.MAY_HAVE_RUN)
+            if not exchange.is_framed:
+                await self._check_end(server)
             return answer
         except TransportError:
             exchange.discard()
@@ -537,6 +540,16 @@
         finally:
             await exchange.close()
 
+    async def _check_end(self, server: BackendServer) -> None:
+        """Check that an answer without framing is whole.
+
+        :raises TransportError: if its server may have ended instead.
+        """
+        ends = self._forwarder.health.answer_ends
+        if not await wait_at_most(self.context.timeout_left, ends.is_proven(server)):
+            message = "the end of an answer without framing is not proven"
+            raise TransportError(message, Verdict.MAY_HAVE_RUN)
+
     async def _check_crash(self, server: BackendServer, started_at: timedelta) -> bool:
         """Record a crash if the process of a server that failed has ended.
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -45,7 +45,7 @@
     ServerId,
     Verdict,
 )
-from hibiscustiller.wire import Responder, find_described_length
+from hibiscustiller.wire import Responder, find_described_length, wait_at_most
 
 # How often a paused stream looks up whether one of its stages is known to be lost, and
 # whether another attempt has answered.
@@ -408,6 +408,7 @@
         self._may_have_run = True
         remaining = self._context.timeout_left
         body = await exchange.read_body(attempt.hold, remaining, MAX_BODY_BYTES)
+        await self._check_framing(attempt)
         if not self._may_relay_whole_answer(attempt):
             return Outcome.BROKEN
         await self._end_second()
@@ -453,19 +454,30 @@
         attempt.record_whole_answer(self._event_count)
         return Outcome.FINISHED
 
+    async def _check_framing(self, attempt: StreamAttempt) -> None:
+        """Check that an answer whose connection has closed is whole.
+
+        :raises TransportError: if its engine may have ended instead.
+        """
+        assert attempt.exchange is not None
+        if attempt.exchange.is_framed:
+            return
+        ends, timeout = self._services.health.answer_ends, self._context.timeout_left
+        if not await wait_at_most(timeout, ends.is_proven(attempt.entry)):
+            # The next attempt would meet the same silence there.
+            self._search.exclude(attempt.entry.id)
+            message = "the end of an answer without framing is not proven"
+            raise TransportError(message, Verdict.MAY_HAVE_RUN)
+
     async def _check_end(self, attempt: StreamAttempt) -> None:
         """Check that the end of an attempt's stream is the end of the answer.
 
         :raises TransportError: if more events may follow.
         """
-        entry, health = attempt.entry, self._services.health
-        assert attempt.exchange is not None
-        # The connection of a crashed process ends like a complete stream.
-        if not attempt.exchange.is_framed and await health.check_ended(entry):
-            message = "the server of a stream without framing has ended"
-            raise TransportError(message, Verdict.MAY_HAVE_RUN)
+        await self._check_framing(attempt)
         if attempt.event_count:
             return
+        entry = attempt.entry
         # Either the caller has all events, or this engine is faulty.
         is_confirmed = any(key != entry.id for key in self._eventless_ids)
         if is_confirmed:
--- a/hibiscustiller/ingress/tests/test_broken_answers.py
+++ b/hibiscustiller/ingress/tests/test_broken_answers.py
@@ -13,11 +13,17 @@
 
 EVENT_COUNT = 3
 EVENTS = b"".join(make_event(number) for number in range(EVENT_COUNT))
+# What a sound process says of itself; its entry names the same start.
+_REPORT = b'{"sequence": 0, "busy": false, "born": 1}'
+REPORT = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(_REPORT) + _REPORT
 
 
 class ScriptedServer(RawServer):
     """A server that answers each request with bytes of the test's choice.
 
+    Its health checks and reports are those of a sound server, as long as it accepts
+    connections.
+
     :param make_answer: returns the bytes for a request's id and its number on the
         connection, from 0.
     :param is_closed: whether the connection is closed after each answer.
@@ -26,6 +32,8 @@
     def __init__(self, make_answer, is_closed=True):
         super().__init__()
         self.make_answer = make_answer
+        self.report = REPORT
+        self.health = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
         self.is_closed = is_closed
         self.request_count = 0
 
@@ -33,6 +41,12 @@
         async with sock:
             number = 0
             while request := await sock.recv(65536):
+                if request.startswith(b"GET /report"):
+                    await sock.sendall(self.report)
+                    return
+                if request.startswith(b"GET /health"):
+                    await sock.sendall(self.health)
+                    return
                 found = re.search(rb"request-id: *(\S+)", request, re.IGNORECASE)
                 self.request_count += 1
                 await sock.sendall(self.make_answer(found[1], number))
@@ -305,5 +319,62 @@
             assert answer.status == 502, answer
 
 
+# What the process says, or does not say, after its answers without framing have ended.
+ENDED_PROCESSES = {
+    "connections are accepted and closed": (b"", b""),
+    "another process answers": (
+        REPORT.replace(b'"born": 1', b'"born": 2'),
+        b"HTTP/1.1 200 OK\r\ninstance-id: other\r\ncontent-length: 0\r\n\r\n",
+    ),
+}
+
+
+# Guards against a stream that ends as complete before its last event: the kernel of an
+# ending process still accepts connections, or a later process has its address.
+async def test_a_stream_is_complete_only_if_its_process_still_answers():
+    for name, (report, _) in ENDED_PROCESSES.items():
+        async with World(("e0", "e1"), ("north", "east")) as world:
+            world.hold_all_layers(*world.engines)
+            await world.wait_for_pipelines(2)
+            async with ScriptedServer(lambda id, _: make_stream(id)) as server:
+                await use_for_engine(world, "e0", server)
+                server.report = report
+                for number in range(4):
+                    answer = await world.request(f"/chat/{number}")
+                    assert answer.is_complete, (name, answer)
+                    assert answer.body.count(b"id:") == 20, (name, answer)
+                    once = await world.request(f"/once/{number}")
+                    is_whole = once.body.count(b"id:") == 20
+                    assert once.is_complete == is_whole, (name, once)
+                assert server.request_count, name
+
+
+# Guards against a part of an answer that reaches its caller as whole, for the same
+# reasons.
+async def test_an_answer_is_whole_only_if_its_process_still_answers():
+    async with World() as world:
+        async with ScriptedServer(lambda id, _: make_head(id) + b"boo") as server:
+            await use_only(world, server)
+            for name, (_, server.health) in ENDED_PROCESSES.items():
+                answer = await world.request("/book/1")
+                assert answer.status == 502, (name, answer)
+
+
+# Guards against a part of an answer that is no stream, on a route of streams.
+async def test_an_answer_that_is_no_stream_is_whole_only_if_its_process_answers():
+    async with World(("e0",), ("north",)) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(1)
+        async with ScriptedServer(
+            lambda id, _: make_head(id, b"404 Unknown") + b"half"
+        ) as server:
+            await use_for_engine(world, "e0", server)
+            answer = await world.request("/once/1")
+            assert (answer.status, answer.body) == (404, b"half"), answer
+            server.report = b""
+            answer = await world.request("/once/2")
+            assert answer.status == 502, answer
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/platform/__init__.py
+++ b/hibiscustiller/platform/__init__.py
@@ -10,6 +10,7 @@
 from hibiscustiller.platform._engine_calls import (
     EngineReport,
     OrderOutcome,
+    check_process,
     order_layers,
     read_engine_report,
 )
@@ -84,6 +85,7 @@
     "SwapOutcome",
     "ValueTooLargeError",
     "Watch",
+    "check_process",
     "decode_fleet_document",
     "decode_server_entry",
     "find_host_settings",
--- a/hibiscustiller/platform/_document_problems.py
+++ b/hibiscustiller/platform/_document_problems.py
@@ -153,7 +153,7 @@
 _SHARE = ({"service": _text, "weight": _AT_LEAST_0}, {}, frozenset())
 _SERVICE = (
     {"name": _text},
-    {"max_connections": _COUNT, "engine": _object},
+    {"max_connections": _COUNT, "engine": _object, "health_path": _text},
     frozenset({"max_connections", "engine"}),
 )
 _ENGINE = (
--- a/hibiscustiller/platform/_engine_calls.py
+++ b/hibiscustiller/platform/_engine_calls.py
@@ -1,4 +1,4 @@
-"""Calls to model engines besides requests: their reports and their orders."""
+"""Calls to servers besides requests: health checks, reports of engines, orders."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 
 _OK = 200
 _ACCEPTED = 202
+_MISDIRECTED = 421
 
 
 class OrderOutcome(Enum):
@@ -122,3 +123,32 @@
         raise TransportError(
             f"report of {server.id} cannot be read: {error!r}", Verdict.NOT_RUN
         ) from error
+
+
+async def check_process(
+    client: HttpClient, server: BackendServer, health_path: str, timeout: timedelta
+) -> bool:
+    """Tell whether the process that is known as a server answers its health check.
+
+    A refusal is an answer too: a server that is full or leaves runs.
+
+    :param health_path: path of the health checks of its service.
+    :returns: False if another process has answered.
+    :raises TransportError: if there is no answer.
+    """
+    answer = await client.request(
+        server.address,
+        "GET",
+        health_path,
+        timeout=timeout,
+        headers={"expect-instance": server.id},
+    )
+    instance = answer.headers_by_name.get("instance-id", server.id)
+    if answer.status == _MISDIRECTED or instance != server.id:
+        return False
+    try:
+        values = answer.read_json()
+    except ValueError:
+        return True
+    born = values.get("born") if isinstance(values, dict) else None
+    return born in (None, server.born)
--- a/hibiscustiller/platform/_fleet_document.py
+++ b/hibiscustiller/platform/_fleet_document.py
@@ -9,6 +9,7 @@
 
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.fleet import (
+    DEFAULT_HEALTH_PATH,
     AcceleratorKind,
     ClientLimits,
     EngineSpec,
@@ -84,9 +85,16 @@
         name=ServiceName(values["name"]),
         engine=_read_engine(engine) if has_layers else None,
         max_connections=None if max_connections is None else int(max_connections),
+        health_path=_read_health_path(values.get("health_path")),
     )
 
 
+def _read_health_path(value: Any) -> str:
+    """Return the path of health checks; the usual one if it is none."""
+    is_path = isinstance(value, str) and value.startswith("/") and value.isascii()
+    return value if is_path and value.isprintable() else DEFAULT_HEALTH_PATH
+
+
 def _read_engine(values: Mapping[str, Any]) -> EngineSpec:
     kinds = [
         AcceleratorKind(
--- a/hibiscustiller/standins/_layered_engine.py
+++ b/hibiscustiller/standins/_layered_engine.py
@@ -227,6 +227,7 @@
             "sequence": self.order_count,
             "busy": False,
             "layers": {"from": first, "target": end, "version": 1},
+            "born": self._born,
         }
 
     async def _answer_order(self, order: dict[str, Any], responder: Responder) -> None:
--- a/hibiscustiller/standins/_plain_server.py
+++ b/hibiscustiller/standins/_plain_server.py
@@ -134,6 +134,9 @@
                 headers["Request-Id"] = request.headers_by_name["request-id"]
             await responder.send_json(421, {}, headers)
             return
+        if request.path == "/health":
+            await responder.send(200, headers={"Instance-Id": self.id})
+            return
         self.requests.append(request)
         headers = {"Request-Id": request.headers_by_name["request-id"]}
         if self.rate_limit is not None:
