Take a status that HTTP does not know for a broken answer

A server that answered 600 or 999 had its answer passed on to the caller; so had the store, engines and routers. 000, 099 and 101 were refused already (by h11), which takes any number of three digits from 200 on.

Change: all answers are read by Exchange.read_head, which accepts 200 to 599.

Evidence: the three new tests failed before (a booking came back as 600; 600 counted as an answer with each of the three readers) and pass.

--- a/hibiscustiller/ingress/tests/test_broken_answers.py
+++ b/hibiscustiller/ingress/tests/test_broken_answers.py
@@ -319,6 +319,36 @@
             assert answer.status == 502, answer
 
 
+# Guards against a status that HTTP does not know, which reaches a caller.
+async def test_answers_with_odd_statuses_reach_no_caller():
+    async with World() as world:
+        async with ScriptedServer(lambda id, _: b"") as server:
+            await use_only(world, server)
+            for status in (b"000", b"099", b"600", b"999"):
+                server.make_answer = lambda id, _, status=status: make_head(
+                    id, status + b" Odd", b"content-length: 0"
+                )
+                for path in ("/book/1", "/stock/1"):
+                    answer = await world.request(path)
+                    assert answer.status == 502, (status, path, answer)
+
+
+# Guards against such an answer in place of a stream.
+async def test_odd_statuses_in_place_of_streams_reach_no_caller():
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        world.hold_all_layers(*world.engines)
+        await world.wait_for_pipelines(2)
+        async with ScriptedServer(lambda id, _: b"") as server:
+            await use_for_engine(world, "e0", server)
+            for status in (b"000", b"600", b"999"):
+                server.make_answer = lambda id, _, status=status: make_head(
+                    id, status + b" Odd", b"content-length: 0"
+                )
+                for number in range(3):
+                    answer = await world.request(f"/once/{number}")
+                    assert answer.status in (200, 502), (status, answer)
+
+
 # What the process says, or does not say, after its answers without framing have ended.
 ENDED_PROCESSES = {
     "connections are accepted and closed": (b"", b""),
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -35,6 +35,8 @@
 # Servers commonly close idle connections after a minute or less.
 _MAX_IDLE = timedelta(seconds=20)
 _MAX_IDLE_PER_ADDRESS = 32
+# The statuses of final answers that HTTP has.
+_STATUSES = range(200, 600)
 # Chunks that are parsed before other tasks may run.
 _MAX_JOINED_PARTS = 256
 # A server sends one or two; one that goes on has no answer.
@@ -359,6 +361,10 @@
                 message = f"{self._address}: interim answers without end"
                 raise TransportError(message, Verdict.MAY_HAVE_RUN)
             event = await self._next_event(deadline)
+        if event.status_code not in _STATUSES:
+            # h11 accepts any number of three digits from 200 on.
+            message = f"{self._address}: status {event.status_code} is unknown"
+            raise TransportError(message, Verdict.MAY_HAVE_RUN)
         self.status = event.status_code
         self.fields = tuple(
             (bytes(name), bytes(value)) for name, value in event.headers
--- a/hibiscustiller/wire/tests/test_http_client.py
+++ b/hibiscustiller/wire/tests/test_http_client.py
@@ -10,7 +10,7 @@
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import SystemClock, Verdict
 from hibiscustiller.utils._testing import collect_tests
-from hibiscustiller.wire import HttpClient, set_tcp_options
+from hibiscustiller.wire import HttpClient, RawRequest, set_tcp_options
 
 TIMEOUT = timedelta(milliseconds=200)
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -255,5 +255,33 @@
     return lines
 
 
+# Guards against a number that HTTP does not know as a status, which reaches a caller or
+# counts as the store's, a router's or an engine's answer.
+async def test_statuses_outside_of_http_are_no_answers():
+    for status in (b"000", b"099", b"101", b"600", b"700", b"999"):
+        answer = b"HTTP/1.1 " + status + b" Odd\r\ncontent-length: 2\r\n\r\nok"
+        for read in (read_lines, request_once, read_exchange):
+            async with ScriptedServer(answer) as server:
+                client = HttpClient(SystemClock())
+                verdict = await get_verdict(read(client, server.address))
+                assert verdict is MAY_HAVE_RUN, (status, read.__name__)
+                assert not client._idle_by_address, (status, read.__name__)
+
+
+async def request_once(client, address):
+    return await client.request(address, "GET", "/", timeout=TIMEOUT)
+
+
+async def read_exchange(client, address):
+    request = RawRequest(b"GET", b"/", ((b"host", b"a"),))
+    exchange = await client.open_exchange(
+        address, request, head_timeout=TIMEOUT, is_fresh=False
+    )
+    try:
+        await exchange.read_head(TIMEOUT)
+    finally:
+        await exchange.close()
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
