--- a/hibiscustiller/ingress/_events.py
+++ b/hibiscustiller/ingress/_events.py
@@ -59,9 +59,9 @@
         self._buffer = bytearray()
 
     @property
-    def has_rest(self) -> bool:
-        """Whether bytes of an incomplete event are buffered."""
-        return bool(self._buffer)
+    def rest(self) -> bytes:
+        """Buffered bytes of an incomplete event."""
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -384,7 +384,7 @@
                 await self._start_response(exchange)
                 data = b"".join(event.data for event in events)
                 await send_to_caller(self._responder.send_part(data))
-        if splitter.has_rest or not exchange.is_framed:
+        if splitter.rest or not exchange.is_framed:
             message = "the stream of a router ended early"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
         self._on_progress(self._last_event, 0)
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -258,7 +258,7 @@
 
         :raises TransportError: if it has.
         """
-        if self._splitter.has_rest:
+        if self._splitter.rest:
             message = "the stream ended in the middle of an event"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
 
--- a/hibiscustiller/ingress/tests/test_events.py
+++ b/hibiscustiller/ingress/tests/test_events.py
@@ -25,7 +25,7 @@
     started_at = time.process_time()
     for _ in range(MAX_EVENT_BYTES // len(PIECE)):
         assert splitter.feed(PIECE) == []
-    assert splitter.has_rest
+    assert splitter.rest
     assert time.process_time() - started_at < 1.0
     try:
         splitter.feed(PIECE)
@@ -49,7 +49,7 @@
             position = end
         assert [event.data for event in found] == expected, seed
         assert [event.id for event in found] == list(range(40)), seed
-        assert not splitter.has_rest
+        assert not splitter.rest
 
 
 def load_tests(loader, tests, pattern):
