Do not report the first failed calls of a process as an outage of the store

Evidence: test_servers_that_left_are_dropped_beside_followers_that_read_late failed 2 of 2 before (kept for more than 5 s) and passed 2 of 2.

--- a/hibiscustiller/discovery/_outages.py
+++ b/hibiscustiller/discovery/_outages.py
@@ -40,11 +40,14 @@
     :param ended_at: when the store answered again.
     :param is_restore: whether the store came back from a copy. It then lacks entries
         even if it answered all the time.
+    :param is_local: whether it is known from the first calls of this process only,
+        which tell nothing of how the store was before.
     """
 
     began_at: timedelta
     ended_at: timedelta
     is_restore: bool = False
+    is_local: bool = False
 
 
 @dataclass(frozen=True)
@@ -97,9 +100,23 @@
             self._reached_since = now
         self._record_own_answer(now, is_follower)
         if failing_since is not None:
-            self._record(StoreOutage(failing_since, now), "own calls")
+            self._record_silence(failing_since, now, answered_at)
         self._log_disproved("own calls")
 
+    def _record_silence(
+        self, began_at: timedelta, ended_at: timedelta, answered_at: timedelta | None
+    ) -> None:
+        """Record a time in which own calls failed, if it may have been an outage.
+
+        :param answered_at: the last answer before it; None for a process that has had
+            none since its start or its suspension.
+        """
+        if answered_at is None:
+            outage = StoreOutage(began_at, ended_at, is_local=True)
+            self._record(outage, "first calls")
+        else:
+            self._record(StoreOutage(began_at, ended_at), "own calls")
+
     def record_failure(self, called_at: timedelta) -> None:
         """Record a call of this router that got no usable answer.
 
@@ -158,6 +175,15 @@
         known = [outage for outage in self._outages if not self._is_disproved(outage)]
         return max(known, key=lambda outage: outage.ended_at, default=None)
 
+    def find_last_reported(self) -> StoreOutage | None:
+        """Return the last outage that other routers are told of; None if none is."""
+        known = [
+            outage
+            for outage in self._outages
+            if not outage.is_local and not self._is_disproved(outage)
+        ]
+        return max(known, key=lambda outage: outage.ended_at, default=None)
+
     def get_last_answer(self) -> StoreAnswer | None:
         """Return the last answer of the store to this router; None without one."""
         if self._reached_since is None or self._answered_at is None:
@@ -176,7 +202,8 @@
         ]
         for known in same:
             self._reporters_by_outage.setdefault(known, set()).add(reporter)
-        if same or self._is_disproved(outage):
+        is_known = any(outage.is_local or not known.is_local for known in same)
+        if is_known or self._is_disproved(outage):
             return
         self._outages.append(outage)
         self._reporters_by_outage[outage] = {reporter}
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -466,7 +466,7 @@
     ) -> bytes:
         """Encode a message; None as `changes` states that they are unavailable."""
         document = self._view.document
-        outage = self._view.outages.find_last()
+        outage = self._view.outages.find_last_reported()
         began_at, ended_at = (
             (None, None) if outage is None else (outage.began_at, outage.ended_at)
         )
--- a/hibiscustiller/discovery/tests/test_servers_that_leave.py
+++ b/hibiscustiller/discovery/tests/test_servers_that_leave.py
@@ -85,20 +85,36 @@
             await curio.sleep(duration_s / 3)
 
 
-def split_followers(fleet):
-    """Return the numbers of two followers, and the routers that are left alone."""
-    followers = [n for n, m in enumerate(fleet.members) if m.relay.is_follower][:2]
+async def restart_late(fleet, numbers, period_s):
+    """Kill and restart routers together; the store does not answer them at first."""
+    while True:
+        for number in numbers:
+            member = fleet.members[number]
+            await member.kill()
+            fleet.store.refused_routers.add(member.router_id)
+            await fleet.restart(member).start()
+        await curio.sleep(period_s / 2)
+        fleet.store.refused_routers = set()
+        await curio.sleep(period_s / 2)
+
+
+def split_followers(fleet, count=2):
+    """Return the numbers of some followers, and the routers that are left alone."""
+    followers = [n for n, m in enumerate(fleet.members) if m.relay.is_follower][:count]
     others = [m for n, m in enumerate(fleet.members) if n not in followers]
     return followers, others
 
 
-async def check_removals_beside(fleet, disturb, period_s):
-    """Check that undisturbed routers drop servers in time beside a disturbance."""
+async def check_removals_beside(fleet, disturb, period_s, count=2):
+    """Check that undisturbed routers drop servers in time beside a disturbance.
+
+    :param count: how many followers are disturbed.
+    """
     server_ids = put_servers(fleet, 12)
     await fleet.wait_for_all()
     # Shortly after the start, servers that are missing may still be kept.
     await curio.sleep(2.4)
-    numbers, others = split_followers(fleet)
+    numbers, others = split_followers(fleet, count)
     task = await curio.spawn(disturb, fleet, numbers, period_s, daemon=True)
     try:
         times = await measure_removals(fleet, others, server_ids, 0.35)
@@ -122,6 +138,13 @@
         await check_removals_beside(fleet, cut_off_in_turn, 1.5)
 
 
+# Guards against a router that starts and reads the store late, whose first failed calls
+# count as an outage at all others.
+async def test_servers_that_left_are_dropped_beside_followers_that_read_late():
+    async with Fleet(6) as fleet:
+        await check_removals_beside(fleet, restart_late, 1.4, count=3)
+
+
 async def test_returns_of_the_store_that_earlier_builds_report_are_not_believed():
     """Guards against DRAIN in an upgrade: earlier builds report each of their starts.
 
