Ignore silences of the store in which no entry can have expired

One failed call of a follower (0.7 s on a slow link) counted as an outage of the store at all routers that do not follow it, which then kept a removed server for 2.3 s (DRAIN).

Cause: any failed call began an outage, however short. Entries expire after three heartbeats without a renewal, so the store must have been silent for about two of them.

Change: with the heartbeat of the settings known, a router records a silence only if 1.5 heartbeats passed since the last answer before it.

--- a/hibiscustiller/discovery/_outages.py
+++ b/hibiscustiller/discovery/_outages.py
@@ -27,6 +27,9 @@
 # Own answers are kept as times without a failed call. A router rarely loses the store
 # more often while an outage matters.
 _MAX_OWN_TIMES = 8
+# Entries expire after three heartbeats without a renewal. The store must be silent for
+# about two of them before an entry can expire; a renewal may be early.
+_MIN_MISSED_HEARTBEATS = 1.5
 # Several routers report the same outage, and a router may lose the store by itself
 # several times meanwhile.
 _MAX_OUTAGES = 8
@@ -66,11 +69,15 @@
     """The outages of the store, as far as this router knows.
 
     A router's own failures are evidence of an outage only if no other router is known
-    to have reached the store meanwhile. What it learns afterwards counts too.
+    to have reached the store meanwhile. What it learns afterwards counts too. A silence
+    in which no entry can have expired is none.
+
+    :param heartbeat: period in which servers renew their entries; zero if unknown.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, heartbeat: timedelta = timedelta(0)) -> None:
         self._clock = clock
+        self._min_silence = heartbeat * _MIN_MISSED_HEARTBEATS
         self._reached_since: timedelta | None = None
         self._answered_at: timedelta | None = None
         # When the first of the failed calls since the last answer was made.
@@ -114,7 +121,7 @@
         if answered_at is None:
             outage = StoreOutage(began_at, ended_at, is_local=True)
             self._record(outage, "first calls")
-        else:
+        elif ended_at - answered_at >= self._min_silence:
             self._record(StoreOutage(began_at, ended_at), "own calls")
 
     def record_failure(self, called_at: timedelta) -> None:
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -107,11 +107,14 @@
 
     :param clock: measures how long servers have been missing.
     :param drain: time for which a leaving server continues to serve.
+    :param heartbeat: period in which servers renew their entries; zero if unknown.
     """
 
-    def __init__(self, clock: Clock, drain: timedelta) -> None:
+    def __init__(
+        self, clock: Clock, drain: timedelta, heartbeat: timedelta = timedelta(0)
+    ) -> None:
         self._clock = clock
-        self.outages = StoreOutages(clock)
+        self.outages = StoreOutages(clock, heartbeat)
         self._drain = drain
         # Leaving servers, each with the time until which it may receive requests.
         self._leaving_by_id: dict[ServerId, tuple[BackendServer, timedelta]] = {}
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -220,7 +220,7 @@
         self.revisions = [Revision(0, 0)]
         clock = SystemClock()
         random_state = random.Random(number)
-        self.view = FleetView(clock, 2 * SECOND)
+        self.view = FleetView(clock, 2 * SECOND, fleet.heartbeat)
         log = ChangeLog()
         store = StoreClient(fleet.store, self.router_id)
         reach = StoreReach()
@@ -286,9 +286,13 @@
 
 
 class Fleet:
-    """Several routers that share one store."""
+    """Several routers that share one store.
 
-    def __init__(self, size, loss=0.0):
+    :param heartbeat: period in which servers renew their entries, as the routers know.
+    """
+
+    def __init__(self, size, loss=0.0, heartbeat=0 * SECOND):
+        self.heartbeat = heartbeat
         self.sent_bytes = 0
         self.size = size
         self.loss = loss
--- a/hibiscustiller/discovery/tests/test_servers_that_leave.py
+++ b/hibiscustiller/discovery/tests/test_servers_that_leave.py
@@ -145,6 +145,13 @@
         await check_removals_beside(fleet, restart_late, 1.4, count=3)
 
 
+# Guards against failed calls of a few followers that count as an outage, although no
+# entry can have expired in so short a time.
+async def test_servers_that_left_are_dropped_beside_short_cuts_of_all_followers():
+    async with Fleet(6, heartbeat=timedelta(seconds=1.2)) as fleet:
+        await check_removals_beside(fleet, cut_off_in_turn, 0.3, count=3)
+
+
 async def test_returns_of_the_store_that_earlier_builds_report_are_not_believed():
     """Guards against DRAIN in an upgrade: earlier builds report each of their starts.
 
--- a/hibiscustiller/fleet/_types.py
+++ b/hibiscustiller/fleet/_types.py
@@ -321,6 +321,8 @@
         daemon does not serve any.
     :param seeds: ``inner`` addresses of some other routers, which may be down.
     :param change_limit: time in which a new configuration must be in force.
+    :param heartbeat: period in which backend servers renew their entries in the store;
+        zero if unknown.
     """
 
     router_id: RouterId
@@ -344,3 +346,4 @@
     inner: Address | None = None
     seeds: tuple[Address, ...] = ()
     change_limit: timedelta = timedelta(seconds=2)
+    heartbeat: timedelta = timedelta(0)
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -130,7 +130,7 @@
         self._metrics = metrics
         self._is_stopping = False
         self._tasks: list[curio.Task] = []
-        self.view = FleetView(clock, settings.drain)
+        self.view = FleetView(clock, settings.drain, settings.heartbeat)
         self._load = EngineLoad(clock)
         self._reach = ServerReach(
             clock,
--- a/hibiscustiller/platform/_host_settings.py
+++ b/hibiscustiller/platform/_host_settings.py
@@ -97,6 +97,7 @@
         inner=parse_address(inner) if inner else None,
         seeds=tuple(parse_address(seed) for seed in values.get("seeds") or ()),
         change_limit=_read_change_limit(bounds),
+        heartbeat=_read_heartbeat(values),
     )
 
 
@@ -104,6 +105,13 @@
     return timedelta(milliseconds=values[name])
 
 
+def _read_heartbeat(values: Mapping[str, Any]) -> timedelta:
+    heartbeat_ms = float(values.get("heartbeat_ms", 0))
+    if heartbeat_ms < 0:
+        raise ValueError(f"heartbeat_ms must be at least 0, got {heartbeat_ms:g}")
+    return timedelta(milliseconds=heartbeat_ms)
+
+
 def _read_change_limit(bounds: Mapping[str, Any]) -> timedelta:
     limit_ms = float(bounds.get("config_apply_ms", _DEFAULT_CHANGE_LIMIT_MS))
     if limit_ms <= 0:
