Parse a stream's chunk once, and search an event that came whole as it is

Change: what follows the latest part is kept, also that more data is needed; a buffer is used only for events that came in pieces; a turn that is not over costs no await.

--- a/hibiscustiller/ingress/_events.py
+++ b/hibiscustiller/ingress/_events.py
@@ -69,22 +69,32 @@
         :raises ValueError: if an incomplete event exceeds the maximum size.
         :raises TransportError: if there is no memory for an incomplete event.
         """
-        buffer = self._buffer
-        # Only the new bytes are searched, and those before them that may be part of an
-        # event end; otherwise the time grows with the square of an event's length.
-        search_from = max(0, len(buffer) - _MAX_EVENT_END_BYTES + 1)
-        buffer += data
+        if self._buffer:
+            # Only the new bytes are searched, and those before them that may be part of
+            # an event end, or the time grows with the square of an event's length.
+            search_from = max(0, len(self._buffer) - _MAX_EVENT_END_BYTES + 1)
+            self._buffer += data
+            if not _EVENT_END_PATTERN.search(self._buffer, search_from):
+                self._hold_rest()
+                return []
+            data = bytes(self._buffer)
         events = []
         start = 0
-        for match in _EVENT_END_PATTERN.finditer(buffer, search_from):
-            event = bytes(buffer[start : match.end()])
+        for match in _EVENT_END_PATTERN.finditer(data):
+            event = data[start : match.end()]
             found = _ID_FIELD_PATTERN.search(event)
             events.append(Event(int(found[1]) if found else None, event))
             start = match.end()
-        # A match refers to the buffer, which cannot be resized as long as it exists.
-        match = None
-        del buffer[:start]
-        if len(buffer) > _MAX_EVENT_BYTES:
-            raise ValueError(f"an event is longer than {_MAX_EVENT_BYTES} bytes")
-        self._hold.resize(len(buffer))
+        self._buffer = bytearray(data[start:])
+        self._hold_rest()
         return events
+
+    def _hold_rest(self) -> None:
+        """Count the bytes of the incomplete event.
+
+        :raises ValueError: if they exceed the maximum size.
+        :raises TransportError: if there is no memory for them.
+        """
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            raise ValueError(f"an event is longer than {_MAX_EVENT_BYTES} bytes")
+        self._hold.resize(len(self._buffer))
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -327,7 +327,8 @@
         self._is_discarded = False
         self._interim_count = 0
         self._turns = Turns()
-        # What ended the latest part of the body, to be returned or raised next.
+        # What follows the latest part of the body, to be returned or raised next; None
+        # if that is not known.
         self._next: Any = None
 
     @property
@@ -396,7 +397,7 @@
                 self._next = error
                 break
             if not isinstance(event, h11.Data):
-                self._next = None if event is h11.NEED_DATA else event
+                self._next = event
                 break
             parts.append(event.data)
         self._turns.count_parts(len(parts))
@@ -438,13 +439,15 @@
             of it, so that a byte now and then does not extend the wait.
         """
         state = self._connection.state
-        await self._turns.end_if_over()
+        if self._turns.is_over:
+            await self._turns.end()
         try:
             while (event := self._take_event()) is h11.NEED_DATA:
                 left = deadline - self._client.clock.monotonic()
                 if left <= timedelta(0):
                     raise TimeoutError("the time for the answer is up")
-                await self._turns.end_if_over()
+                if self._turns.is_over:
+                    await self._turns.end()
                 data = await wait_at_most(
                     left, self._connection.sock.recv(_RECEIVE_BYTES)
                 )
@@ -464,7 +467,7 @@
         return event
 
     def _take_event(self) -> Any:
-        """Return what ended the latest part, or else the next event.
+        """Return what follows the latest part, or else the next event.
 
         :raises RemoteProtocolError: if the answer is malformed from here on.
         """
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -492,7 +492,8 @@
     turns = Turns()
     while await sock.recv(RECEIVE_BYTES):
         turns.count_receive()
-        await turns.end_if_over()
+        if turns.is_over:
+            await turns.end()
 
 
 def _find_closed(fds: Iterable[int]) -> list[int]:
--- a/hibiscustiller/wire/_turns.py
+++ b/hibiscustiller/wire/_turns.py
@@ -28,11 +28,15 @@
         """Count chunks or other parts that were parsed."""
         self._part_count += count
 
-    async def end_if_over(self) -> None:
-        """Let other tasks run if the work of a turn has been done.
+    @property
+    def is_over(self) -> bool:
+        """Whether the work of a turn has been done."""
+        return self._part_count >= _PARTS_PER_TURN
+
+    async def end(self) -> None:
+        """Let other tasks run.
 
         A task may be cancelled here, so nothing that it has read may be at stake.
         """
-        if self._part_count >= _PARTS_PER_TURN:
-            self._part_count = 0
-            await curio.sleep(0)
+        self._part_count = 0
+        await curio.sleep(0)
