--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -39,6 +39,10 @@
 CHANGE_LIMIT = timedelta(seconds=2)
 # After this time a call other than a watch fails if the store does not answer.
 CALL_TIMEOUT_S = 0.8
+# The piece of an answer after which a link serves the next one.
+LINK_PIECE_BYTES = 64 << 10
+# Size of a key's entry in an answer apart from its value, which is sent as base64.
+ENTRY_OVERHEAD_BYTES = 80
 
 
 def make_entry(state="ready"):
@@ -57,10 +61,41 @@
     return json.dumps(values).encode()
 
 
+class Link:
+    """A link that answers share piece by piece.
+
+    :param bytes_per_s: its bandwidth; None if it is not a limit.
+    """
+
+    def __init__(self, bytes_per_s=None):
+        self.bytes_per_s = bytes_per_s
+        self.sent_bytes = 0
+        self._is_free_at = 0.0
+
+    async def send(self, size):
+        """Wait until some bytes have passed."""
+        self.sent_bytes += size
+        while size > 0 and self.bytes_per_s is not None:
+            piece = min(size, LINK_PIECE_BYTES)
+            size -= piece
+            now = await curio.clock()
+            self._is_free_at = max(now, self._is_free_at) + piece / self.bytes_per_s
+            await curio.sleep(self._is_free_at - now)
+
+
+def count_bytes(changes):
+    """Return the size of an answer of the store."""
+    return sum(
+        ENTRY_OVERHEAD_BYTES + len(change.value or b"") * 4 // 3 for change in changes
+    )
+
+
 class MemoryStore:
     """An in-memory store that counts the calls of all routers."""
 
     def __init__(self):
+        self.link = Link()
+        self.abandoned_calls = 0
         self.calls = 0
         self.cost = 0.0
         self.calls_by_router = Counter()
@@ -140,6 +175,15 @@
                 raise StoreUnavailableError("no answer", Verdict.NOT_RUN)
             await curio.sleep(0.01)
 
+    async def _receive(self, changes, timeout_s):
+        """Wait for an answer that names some changes, at most for a time."""
+        try:
+            async with curio.timeout_after(timeout_s):
+                await self.store.link.send(count_bytes(changes))
+        except curio.TaskTimeout:
+            self.store.abandoned_calls += 1
+            raise StoreUnavailableError("no answer", Verdict.NOT_RUN) from None
+
     async def read_prefix(self, prefix, *, may_be_old=False):
         await self._wait_while_silent()
         pages = 1 + len(self.store.values_by_key) // PAGE_KEYS
@@ -149,7 +193,10 @@
         values_by_key, revision = self.store.values_by_key, self.store.revision
         if may_be_old and self.store.stale_state is not None:
             values_by_key, revision = self.store.stale_state
-        return Changes(tuple(values_by_key.values()), revision)
+        items = tuple(values_by_key.values())
+        for first in range(0, len(items), PAGE_KEYS):
+            await self._receive(items[first : first + PAGE_KEYS], CALL_TIMEOUT_S)
+        return Changes(items, revision)
 
     async def wait_changes(self, prefix, after, wait):
         self._record_call()
@@ -167,7 +214,11 @@
         if self.era > after.era:
             raise HistoryLostError(after)
         items = tuple(c for c in self.store.history if c.revision > after)
-        return Changes(items, self.store.revision)
+        revision = self.store.revision
+        # The client gives an answer one second more than the wait.
+        left_s = until - await curio.clock() + 1.0
+        await self._receive(items, left_s)
+        return Changes(items, revision)
 
     async def grant_lease(self, ttl):
         await self._wait_while_silent()
--- /dev/null
+++ b/hibiscustiller/discovery/tests/test_large_changes.py
@@ -0,0 +1,72 @@
+"""A large change of the configuration in a large fleet.
+
+The store's link carries some whole documents at a time, and the routers' links fewer.
+"""
+
+import random
+import sys
+from datetime import timedelta
+
+import curio
+
+from hibiscustiller.discovery.tests.fixtures import Fleet
+from hibiscustiller.platform import DOCUMENT_KEY
+from hibiscustiller.utils._testing import collect_tests, in_simulated_time
+
+# The platform's time from the acknowledgement of a configuration until it is in force.
+APPLY_TIME = timedelta(seconds=4)
+# 1,000 Mbit/s, shared by all answers of the store.
+STORE_LINK_BYTES_PER_S = 125e6
+# An element of the document for one route.
+ROUTE_BYTES = 280
+
+
+def make_document(version, routes, seed=1):
+    """Return a document with the size of one that has some routes."""
+    rng = random.Random(seed)
+    # The elements end like those of a document and are cheap to decode.
+    elements = "},".join(
+        f"r-{number}:{rng.getrandbits(8 * 20):x}".ljust(ROUTE_BYTES, ".")
+        for number in range(routes)
+    )
+    text = f'{{"version":{version},"routes":[],"services":[],"more":"{elements}"}}'
+    return text.encode()
+
+
+async def measure_change(fleet, routes, changes=1, gap_s=0.3):
+    """Return the times after which a large change is in force on the routers.
+
+    Routers where it is not in force within the apply time are left out.
+
+    :param changes: number of changes in series, the last of which counts.
+    """
+    for version in range(2, 2 + changes):
+        fleet.store.put(DOCUMENT_KEY, make_document(version, routes))
+        began_at = await curio.clock()
+        if version < 1 + changes:
+            await curio.sleep(gap_s)
+    times = {}
+    async with curio.ignore_after(APPLY_TIME.total_seconds()):
+        while len(times) < len(fleet.running):
+            now = await curio.clock()
+            for member in fleet.running:
+                document = member.view.document
+                if document is not None and document.version == 1 + changes:
+                    times.setdefault(member.router_id, now - began_at)
+            await curio.sleep(0.01)
+    return sorted(times.values())
+
+
+@in_simulated_time
+async def test_a_large_change_in_a_series_reaches_a_large_fleet_in_time():
+    """Guards against reads of all routers at once that all exceed their timeout."""
+    fleet = Fleet(230)
+    fleet.store.put(DOCUMENT_KEY, make_document(1, 130))
+    async with fleet:
+        fleet.store.link.bytes_per_s = STORE_LINK_BYTES_PER_S
+        times = await measure_change(fleet, 1450, changes=4)
+        assert len(times) == 230, (len(times), fleet.store.abandoned_calls)
+
+
+def load_tests(loader, tests, pattern):
+    return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/utils/_testing.py
+++ b/hibiscustiller/utils/_testing.py
@@ -1,10 +1,14 @@
 """Adapter that collects plain test functions for unittest."""
 
+import functools
 import inspect
+import selectors
+import time
 import unittest
 from collections.abc import Callable
 from types import ModuleType
 from typing import Any, TypeVar
+from unittest import mock
 
 import curio
 
@@ -29,6 +33,45 @@
     return suite
 
 
+class _SimulatedTime(selectors.DefaultSelector):
+    """Selector whose waits take no real time: the clocks are set forward instead."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now = time.monotonic()
+
+    def get_time(self, clock: object = None) -> float:
+        """Return the simulated time, in seconds, of any of the system's clocks."""
+        return self._now
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        events = super().select(0)
+        if not events and timeout is not None:
+            self._now += max(0.0, timeout)
+        return events
+
+
+def in_simulated_time(function: Function) -> Function:
+    """Run a coroutine function in simulated time, as a function.
+
+    Waits end at once and the processor time of the test counts as none, so that the
+    figures that it measures do not depend on the machine. It must not do I/O.
+    """
+
+    @functools.wraps(function)
+    def run() -> None:
+        selector = _SimulatedTime()
+        with (
+            mock.patch("time.monotonic", selector.get_time),
+            mock.patch("time.clock_gettime", selector.get_time),
+        ):
+            curio.run(function, selector=selector)
+
+    # Otherwise it would be taken for a coroutine function.
+    del run.__wrapped__
+    return run  # type: ignore[return-value]
+
+
 def breaks_invariant(*names: str) -> Callable[[Function], Function]:
     """Declare the invariants that a test violates on purpose.
 
