Log by what a request was refused, and count what the store's answers cost

A refusal named its reason and the version in force, but neither host, path nor key, nor whether the router knew of a newer configuration, nor the age of its state. A request refused while it was read left no line at all, and a request passed on did not tell the status it got.

request_refused names them now, request_not_read is new, and request_forwarded has the status. store.bytes.KIND and store.unanswered.KIND tell how much the store sends and which calls are given up. Keys appear as the first digits of their digest only.

--- a/hibiscustiller/discovery/__init__.py
+++ b/hibiscustiller/discovery/__init__.py
@@ -1,6 +1,7 @@
 """The configuration, servers and routers of the fleet, as found in the store."""
 
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
+from hibiscustiller.discovery._currency import StateCurrency
 from hibiscustiller.discovery._reach import StoreReach
 from hibiscustiller.discovery._registration import Registration
 from hibiscustiller.discovery._relay import StoreRelay, choose_followers
@@ -17,6 +18,7 @@
     "Registration",
     "ServerPresence",
     "SnapshotExchange",
+    "StateCurrency",
     "StoreReach",
     "StoreRelay",
     "choose_followers",
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -25,6 +25,7 @@
     split_changes,
 )
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
+from hibiscustiller.discovery._currency import StateCurrency
 from hibiscustiller.discovery._freshness import (
     POLL_JITTER,
     FreshnessLimits,
@@ -208,6 +209,15 @@
         period = _POLL_PERIOD + _POLL_PERIOD_PER_ROUTER * routers
         return compute_limits(self._change_limit, min(_MAX_POLL_PERIOD, period))
 
+    def get_currency(self) -> StateCurrency:
+        """Return how current the state is by which this router judges requests."""
+        return StateCurrency(
+            _get_version(self._view.document),
+            self._view.named_version,
+            self._get_age(),
+            self.get_limits().max_age,
+        )
+
     def get_watch_period(self) -> timedelta | None:
         """Return the renewal period of the lease that confirms this router's watch.
 
@@ -505,6 +515,7 @@
         to = Revision(message.to_era, message.to_revision)
         if router_id == self._source:
             self._unanswered_requests = 0
+        self._view.record_named_version(message.document_version)
         report = self._read_evidence(message, to)
         is_fresh = report is not None and self._is_recent(report.at)
         if not (message.following or is_fresh):
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -139,6 +139,8 @@
         self._current_at: timedelta | None = None
         self._listeners: list[Callable[[], object]] = []
         self.document: FleetDocument | None = None
+        # The newest version of the document that another router has named.
+        self.named_version = 0
         self.peers_by_id: dict[RouterId, Peer] = {}
         # Incremented with each change of `peers_by_id`.
         self.routers_generation = 0
@@ -185,6 +187,10 @@
         self._notify_listeners()
         return True
 
+    def record_named_version(self, version: int) -> None:
+        """Record that another router has a version of the document."""
+        self.named_version = max(self.named_version, version)
+
     def record_current(self, age: timedelta = timedelta(0)) -> None:
         """Record that the state is that of the store, or was some time ago.
 
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok, Result
 
-from hibiscustiller.discovery import FleetView
+from hibiscustiller.discovery import FleetView, StateCurrency
 from hibiscustiller.fleet import ClientLimits
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._context import RequestContext, send_refusal
@@ -17,6 +17,7 @@
 from hibiscustiller.ingress._durations import RouteDurations
 from hibiscustiller.ingress._forwarding_fields import (
     DECLINED_HEADER,
+    FORWARDED_BY_HEADER,
     is_outdated,
     limit_attempts,
 )
@@ -34,6 +35,7 @@
     Refusal,
     RefusalReason,
     Verdict,
+    hash_secret,
     log_event,
 )
 from hibiscustiller.wire import HttpRequest, Responder
@@ -43,6 +45,9 @@
 # A request that arrives after the listener has closed is owed its whole answer, so it
 # is accepted only if this many times its expected duration is left.
 _LATE_ARRIVAL_MARGIN = 2.0
+# What a log line holds of a path, and of the digest of a key.
+_MAX_LOGGED_PATH = 80
+_LOGGED_DIGEST_LENGTH = 12
 # Another router can take the request at once.
 _STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 
@@ -59,6 +64,7 @@
     :param apply_limits: called with the client limits of each new document.
     :param routers: passes requests on while this router reaches no server.
     :param health: reachability of the servers.
+    :param get_currency: tells how current the state of this router is.
     """
 
     def __init__(
@@ -75,7 +81,9 @@
         apply_limits: Callable[[ClientLimits], None],
         routers: RouterForwarder,
         health: ServerHealth,
+        get_currency: Callable[[], StateCurrency],
     ) -> None:
+        self._get_currency = get_currency
         self._routers = routers
         self._health = health
         self._view = view
@@ -162,8 +170,8 @@
         is_forwarded: bool,
     ) -> Result[RequestContext, Refusal]:
         facts = read_request_facts(request.fields)
-        path = request.target.partition(b"?")[0].decode("latin-1")
-        route_result = table.find_route(request.headers_by_name.get("host", ""), path)
+        host = request.headers_by_name.get("host", "")
+        route_result = table.find_route(host, _read_path(request))
         if isinstance(route_result, Err):
             return route_result
         route = route_result.ok_value
@@ -281,17 +289,30 @@
     async def _refuse(
         self, request: HttpRequest, responder: Responder, refusal: Refusal
     ) -> None:
-        document = self._view.document
+        currency, headers = self._get_currency(), request.headers_by_name
+        key = read_request_facts(request.fields).api_key
         log_event(
             "request_refused",
-            request=request.headers_by_name.get("request-id", ""),
+            request=headers.get("request-id", ""),
             reason=refusal.reason.label,
-            version=None if document is None else document.version,
+            detail=refusal.message,
+            host=headers.get("host", ""),
+            path=_read_path(request)[:_MAX_LOGGED_PATH],
+            key="" if key is None else hash_secret(key)[:_LOGGED_DIGEST_LENGTH],
+            passed_on_by=headers.get(FORWARDED_BY_HEADER, ""),
+            version=currency.version,
+            named_version=currency.named_version,
+            state_age=currency.age,
         )
         self._metrics.count(f"refused.{refusal.reason.label}")
         await send_refusal(responder, refusal)
 
 
+def _read_path(request: HttpRequest) -> str:
+    """Return the path as it was sent."""
+    return request.target.partition(b"?")[0].decode("latin-1")
+
+
 _NO_DOCUMENT = Refusal(
     RefusalReason.NO_ROUTE,
     Verdict.NOT_RUN,
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -286,6 +286,7 @@
             self._listeners.apply_document,
             self._router_forwarder,
             self._health,
+            lambda: self._store_relay.get_currency(),
         )
 
     def _build_store_clients(self) -> None:
--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -191,6 +191,8 @@
         self._attempts_left = max(1, context.route.max_attempts)
         # The attempts left to each router whose outcome is open.
         self._granted_by_router: dict[RouterId, int] = {}
+        # The status of the latest answer of a router.
+        self._status: int | None = None
         # Whether the retry budget has already paid for the next router.
         self._is_repeat_granted = False
 
@@ -200,6 +202,7 @@
             if peer is None:
                 break
             self._tried.add(peer.router_id)
+            self._status = None
             try:
                 is_answered = await self._try(peer)
                 reason = "declined"
@@ -253,6 +256,8 @@
             "request_forwarded",
             router=peer.router_id,
             outcome=outcome,
+            status=self._status,
+            version=self._context.document_version,
             last_event=self._last_event,
         )
 
@@ -275,7 +280,10 @@
         async with _OpenExchanges(self._forwarder.client, self._context) as opened:
             await opened.add(peer, self._make_request(peer))
             peer, exchange = await self._wait_for_head(opened)
-            if exchange is None or await self._may_replace(exchange):
+            if exchange is None:
+                return False
+            self._status = exchange.status
+            if await self._may_replace(exchange):
                 return False
             assert peer.inner is not None
             with self._forwarder.client.memory.hold(peer.inner) as hold:
--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -94,7 +94,8 @@
     :param address: the store's address.
     :param timeout: longest wait for an answer.
     :param max_value_bytes: longest value that the store takes.
-    :param metrics: counts the calls by kind, since the platform charges for each.
+    :param metrics: counts the calls by kind, since the platform charges for each, the
+        bytes of their answers, and calls without an answer.
     """
 
     def __init__(
@@ -289,7 +290,9 @@
                 headers=headers,
             )
         except TransportError as error:
+            self._metrics.count(f"store.unanswered.{kind}")
             raise StoreUnavailableError(str(error), error.verdict) from error
+        self._metrics.count(f"store.bytes.{kind}", len(answer.body))
         try:
             self._check_era(_read_era(answer))
             _check_status(answer.status, accepted)
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -356,6 +356,15 @@
             # The end of what the client sends may look like an error of its own.
             refusal = _NO_PLACE
         self.count_event(f"requests.not_read.{refusal.reason.label}")
+        log_event(
+            "request_not_read",
+            server=self.name,
+            request=_find_request_id(reader.head),
+            client=place.client,
+            reason=refusal.reason.label,
+            detail=refusal.message,
+            received=place.received_bytes,
+        )
         # Neither the body nor the place is of use to anyone from here on.
         reader.release()
         self._begin_phase(place, Phase.REFUSED)
@@ -496,6 +505,12 @@
             await turns.end()
 
 
+def _find_request_id(head: h11.Request | None) -> str:
+    """Return the id that a caller gave its request; empty if it is not known."""
+    headers = () if head is None else head.headers
+    return next((v.decode("latin-1") for n, v in headers if n == b"request-id"), "")
+
+
 def _find_closed(fds: Iterable[int]) -> list[int]:
     """Return the sockets whose other side has closed."""
     poll = select.poll()
--- a/hibiscustiller/wire/_request_reading.py
+++ b/hibiscustiller/wire/_request_reading.py
@@ -46,6 +46,8 @@
         self.hold = hold
         self.place = place
         self._limits = limits
+        # The head, once it has been read.
+        self.head: h11.Request | None = None
         self._event: Any = None
         self._merger: ChunkMerger | None = None
 
@@ -86,7 +88,7 @@
                 await self._receive_more()
                 hold.resize(head_bytes + body_bytes)
             elif isinstance(event, h11.Request):
-                head = event
+                self.head = head = event
                 check_head(head, self._limits)
                 head_bytes = measure_head(head)
                 hold.resize(head_bytes)
