Let reads of the store take the time that their bytes need

When a change above 8 KB came, some 200 routers read the store at once. Each call had 0.8 s for its whole answer, however large it was and however many shared the store's link; all failed together, dropped what had arrived and began anew.

A read or a watch now fails if its answer does not begin within 0.8 s, if nothing arrives for 0.8 s, or if it falls below 128 KB/s on average. So a stalled answer ends as soon as before and one that trickles ends too, but a large one that keeps arriving is not given up. Other calls keep their timeout, because the terms of leases count on it.

--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -20,7 +20,7 @@
 from hibiscustiller.platform._store import NO_LEASE, Entry, LeaseId, SwapOutcome
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import Metrics, Verdict, log_event
-from hibiscustiller.wire import HttpAnswer, HttpClient
+from hibiscustiller.wire import HttpAnswer, HttpClient, TransferLimits
 
 Value = TypeVar("Value")
 _OK = 200
@@ -31,6 +31,9 @@
 _SHAPE_ERRORS = (ValueError, KeyError, TypeError, AttributeError, IndexError)
 # The store ends a waiting watch by itself; its answer gets this much longer.
 _WATCH_SLACK = timedelta(seconds=1)
+# A value of 1 MB, base64 included, may take 11 s. Hundreds of readers that share the
+# store's link get more than twice as much each.
+_MIN_BYTES_PER_S = 128_000
 # Counts how often the store was restored from a backup.
 _ERA_HEADER = "store-era"
 # Far more restores than a store ever has. An era is part of fences of 64 bits.
@@ -92,7 +95,7 @@
 
     :param client: HTTP client.
     :param address: the store's address.
-    :param timeout: longest wait for an answer.
+    :param timeout: longest wait for an answer to begin, and for its next bytes.
     :param max_value_bytes: longest value that the store takes.
     :param metrics: counts the calls by kind, since the platform charges for each, the
         bytes of their answers, and calls without an answer.
@@ -109,6 +112,7 @@
         self._client = client
         self._address = address
         self._timeout = timeout
+        self._transfer = TransferLimits(timeout, _MIN_BYTES_PER_S)
         self._max_value_bytes = max_value_bytes
         self._metrics = metrics or Metrics()
         # The latest era that an answer named.
@@ -182,7 +186,13 @@
 
         timeout = wait + _WATCH_SLACK
         return await self._call(
-            "watch", "GET", target, read, accepted=(_GONE,), timeout=timeout
+            "watch",
+            "GET",
+            target,
+            read,
+            accepted=(_GONE,),
+            timeout=timeout,
+            transfer=self._transfer,
         )
 
     async def compare_and_swap(
@@ -263,7 +273,11 @@
             return Changes(items, revision), bool(values["has_more"])
 
         return await self._call(
-            "range", "GET", _make_target("/kv-range", **fields), read
+            "range",
+            "GET",
+            _make_target("/kv-range", **fields),
+            read,
+            transfer=self._transfer,
         )
 
     async def _call(
@@ -276,7 +290,13 @@
         *,
         accepted: tuple[int, ...] = (),
         timeout: timedelta | None = None,
+        transfer: TransferLimits | None = None,
     ) -> Value:
+        """Make a call.
+
+        :param transfer: bounds on the time of an answer that may be large; other calls
+            end within the timeout, which the terms of leases count on.
+        """
         self._metrics.count(f"store.calls.{kind}")
         data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
         headers = {"content-type": "application/json"} if data else {}
@@ -288,6 +308,7 @@
                 timeout=timeout or self._timeout,
                 body=data,
                 headers=headers,
+                transfer=transfer,
             )
         except TransportError as error:
             self._metrics.count(f"store.unanswered.{kind}")
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -29,6 +29,7 @@
     open_connection,
     set_tcp_options,
 )
+from hibiscustiller.wire._transfer_deadline import TransferDeadline, TransferLimits
 
 __all__ = [
     "AnswerStream",
@@ -47,6 +48,8 @@
     "PendingRequests",
     "RawRequest",
     "Responder",
+    "TransferDeadline",
+    "TransferLimits",
     "compress",
     "count_descriptors",
     "decompress_bounded",
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -27,6 +27,7 @@
     send_parts,
     set_tcp_options,
 )
+from hibiscustiller.wire._transfer_deadline import TransferDeadline, TransferLimits
 from hibiscustiller.wire._turns import Turns
 
 _RECEIVE_BYTES = 65536
@@ -103,11 +104,15 @@
         headers: Mapping[str, str] | None = None,
         is_fresh: bool = False,
         before_send: Callable[[], None] | None = None,
+        transfer: TransferLimits | None = None,
     ) -> HttpAnswer:
         """Send a request and read the whole answer.
 
         :param target: path with the query.
-        :param timeout: longest wait for the whole exchange after connecting.
+        :param timeout: longest wait for the whole exchange after connecting; with
+            `transfer`, for the head of the answer.
+        :param transfer: bounds on the time of the body of the answer; None to bound the
+            whole exchange alone.
         :param is_fresh: use a new connection; a pooled one may have been closed by
             the other side, which leaves the fate of the request unknown.
         :param before_send: called before the first byte leaves; what it raises is
@@ -128,7 +133,9 @@
             with self.memory.hold(address) as hold:
                 await exchange.read_head(deadline - self.clock.monotonic())
                 left = deadline - self.clock.monotonic()
-                content = await exchange.read_body(hold, left, _MAX_ANSWER_BYTES)
+                content = await exchange.read_body(
+                    hold, left, _MAX_ANSWER_BYTES, transfer
+                )
             return HttpAnswer(
                 exchange.status, _decode_headers(exchange.fields), content
             )
@@ -404,24 +411,35 @@
         return b"".join(parts)
 
     async def read_body(
-        self, hold: BodyHold, timeout: timedelta, max_bytes: int
+        self,
+        hold: BodyHold,
+        timeout: timedelta,
+        max_bytes: int,
+        transfer: TransferLimits | None = None,
     ) -> bytes:
         """Read the whole body; see :meth:`read_part`.
 
         :param hold: memory of the body, to be released when it has been passed on.
-        :param timeout: longest wait for all of it.
+        :param timeout: longest wait for all of it, unless `transfer` is given.
+        :param transfer: bounds on the time that follow from the bytes.
         """
         clock = self._client.clock
-        deadline = clock.monotonic() + timeout
-        part = await self.read_part(deadline - clock.monotonic())
-        while part is not None:
+        now = clock.monotonic()
+        deadline = now + timeout
+        moving = None if transfer is None else TransferDeadline(transfer, now)
+        while True:
+            now = clock.monotonic()
+            limit = deadline if moving is None else moving.at
+            part = await self.read_part(limit - now)
+            if part is None:
+                return hold.finish()
+            if moving is not None:
+                moving.record(clock.monotonic(), len(part))
             hold.append(part)
             if hold.size > max_bytes:
                 raise TransportError("answer too large", Verdict.MAY_HAVE_RUN)
             # Only the hold counts what waits for the rest.
             del part
-            part = await self.read_part(deadline - clock.monotonic())
-        return hold.finish()
 
     async def close(self) -> None:
         """Return the connection for the next request, or close it."""
