Pass large changes from router to router instead of having all read the store

A change above 8 KB was passed on as advice to read the store, which all routers followed at the same moment. With 232 routers and 1,320 routes more, not one of 220 got an answer from a sound store for 3.5 s.

A router that is told of such a change now requests it over HTTP from the router that told it, as a compressed delta in a message of any size. A router sends three copies at a time and names those that it has served to the others, so that the senders double with each round; the ones in the same failure domain are named first. A newer version that arrives meanwhile does not begin the transfer anew. Six versions of a large value are kept as bases instead of three.

--- a/hibiscustiller/discovery/__init__.py
+++ b/hibiscustiller/discovery/__init__.py
@@ -1,5 +1,6 @@
 """The configuration, servers and routers of the fleet, as found in the store."""
 
+from hibiscustiller.discovery._change_exchange import CHANGES_PATH, ChangeExchange
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
 from hibiscustiller.discovery._currency import StateCurrency
 from hibiscustiller.discovery._reach import StoreReach
@@ -10,7 +11,9 @@
 from hibiscustiller.discovery._watcher import FleetWatcher
 
 __all__ = [
+    "CHANGES_PATH",
     "ChangeBatch",
+    "ChangeExchange",
     "ChangeLog",
     "FleetView",
     "FleetWatcher",
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -25,6 +25,11 @@
     split_changes,
 )
 from hibiscustiller.discovery._change_log import ChangeBatch, ChangeLog
+from hibiscustiller.discovery._change_transfer import (
+    ChangeFetcher,
+    ChangeSender,
+    RequestChanges,
+)
 from hibiscustiller.discovery._currency import StateCurrency
 from hibiscustiller.discovery._freshness import (
     POLL_JITTER,
@@ -57,6 +62,7 @@
     FollowRequest,
     StoreChange,
     StoreChanges,
+    decode_message,
 )
 
 # Two followers may fail, or be refused by the store, at the same time.
@@ -80,6 +86,9 @@
 # A router that watches the store because its sources failed does so for at least this
 # time.
 _MIN_FALLBACK_DURATION = timedelta(seconds=3)
+# Share of the time in which a change must be in force for its transfer from other
+# routers; after it the store is read.
+_TRANSFER_SHARE = 1 / 4
 # Bounds the polls that each follower receives while servers are missing.
 _MAX_ASKED_FOLLOWERS = 3
 # Shortest delay between two checks of the age of the evidence.
@@ -122,6 +131,7 @@
     :param random_state: random numbers for jitter and for the choice of a source.
     :param reach: records whether this router reaches the store.
     :param fetch_snapshot: fetches a router's snapshot; None if that fails.
+    :param request_changes: asks a router for changes that are too large for datagrams.
     :param change_limit: time in which a change of the store must be in force.
     """
 
@@ -137,8 +147,17 @@
         random_state: random.Random,
         reach: StoreReach,
         fetch_snapshot: Callable[[Address], Awaitable[StateSnapshot | None]],
+        request_changes: RequestChanges,
         change_limit: timedelta,
     ) -> None:
+        self._fetcher = ChangeFetcher(
+            request_changes, self._find_peer, clock, random_state
+        )
+        self._is_fetching_changes = False
+        # Answers routers that request large changes.
+        self.sender = ChangeSender(
+            self._encode_all_changes, lambda: watcher.revision, view.are_close
+        )
         self._change_limit = change_limit
         self._reach = reach
         self._fetch_snapshot = fetch_snapshot
@@ -467,6 +486,21 @@
             ]
         return messages
 
+    def _encode_all_changes(self, after: Revision) -> bytes | None:
+        """Encode the changes after a revision in one message of any size.
+
+        :returns: None if some of them are not known any more.
+        """
+        to = self._watcher.revision
+        batch = self._log.collect(after, to)
+        if batch is None:
+            return None
+        changes = [
+            encode_change(change, after, self._watcher.find_version)
+            for change in batch.items
+        ]
+        return self._encode_message(after, to, changes, 0)
+
     def _encode_message(
         self,
         after: Revision,
@@ -529,7 +563,7 @@
             return
         self._record_outages(router_id, message)
         if after == self._watcher.revision < to:
-            await self._apply_message(message, after, to)
+            await self._apply_message(router_id, message, after, to)
         if report is not None:
             self._watcher.record_report(report)
         await self._learn_what_the_store_lacks(router_id, message, to)
@@ -621,11 +655,17 @@
             self._is_fetching = False
 
     async def _apply_message(
-        self, message: StoreChanges, after: Revision, to: Revision
+        self, router_id: RouterId, message: StoreChanges, after: Revision, to: Revision
     ) -> None:
         if message.incomplete:
+            await self._begin_fetch(router_id)
+        elif not await self._apply_changes(message, after, to):
             await self._watcher.request_full_read()
-            return
+
+    async def _apply_changes(
+        self, message: StoreChanges, after: Revision, to: Revision
+    ) -> bool:
+        """Apply the changes of a message; False if they cannot be read."""
         try:
             items = tuple(
                 decode_change(change, self._watcher.find_version)
@@ -633,9 +673,63 @@
             )
         except WireFormatError as error:
             log_event("change_unreadable", level="warning", reason=error)
+            return False
+        await self._watcher.apply_peer_batch(ChangeBatch(after, to, items))
+        return True
+
+    async def _begin_fetch(self, router_id: RouterId) -> None:
+        """Fetch changes that are too large for a datagram from a router."""
+        peer = self._find_peer(router_id)
+        if self._is_fetching_changes or not self._watcher.may_apply_changes:
+            return
+        if peer is None or peer.inner is None:
             await self._watcher.request_full_read()
             return
-        await self._watcher.apply_peer_batch(ChangeBatch(after, to, items))
+        self._is_fetching_changes = True
+        await curio.spawn(self._fetch_changes, peer, daemon=True)
+
+    async def _fetch_changes(self, peer: Peer) -> None:
+        after = self._watcher.revision
+        began_at = self._clock.monotonic()
+        try:
+            others = [
+                other
+                for router_id in self._get_followers()
+                if router_id not in (peer.router_id, self._router_id)
+                and (other := self._find_peer(router_id)) is not None
+            ]
+            time_limit = self._change_limit * _TRANSFER_SHARE
+            body = await self._fetcher.fetch((peer, *others), after, time_limit)
+            is_applied = body is not None and await self._apply_transfer(body)
+            log_event(
+                "changes_fetched" if is_applied else "changes_not_found",
+                source=peer.router_id,
+                after=after,
+                revision=self._watcher.revision,
+                bytes=0 if body is None else len(body),
+                duration=self._clock.monotonic() - began_at,
+            )
+            if self._watcher.revision == after:
+                await self._watcher.request_full_read()
+        finally:
+            self._is_fetching_changes = False
+        # The state may have changed again since, and its evidence is not known.
+        await self._poll_source()
+
+    async def _apply_transfer(self, body: bytes) -> bool:
+        """Apply the changes of an answer; False if they do not fit this state."""
+        try:
+            _, message = decode_message(body)
+        except WireFormatError as error:
+            log_event("change_unreadable", level="warning", reason=error)
+            return False
+        if not isinstance(message, StoreChanges):
+            return False
+        after = Revision(message.after_era, message.after_revision)
+        to = Revision(message.to_era, message.to_revision)
+        if after != self._watcher.revision or to.era < self._watcher.store_era:
+            return False
+        return await self._apply_changes(message, after, to)
 
     async def _stop_following_if_possible(self, revision: Revision) -> None:
         """Stop watching the store if another router confirmed a current revision."""
--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -187,6 +187,11 @@
         self._notify_listeners()
         return True
 
+    def are_close(self, router_id: RouterId, other_id: RouterId) -> bool:
+        """Tell whether two routers are known to be in the same failure domain."""
+        peer, other = self.peers_by_id.get(router_id), self.peers_by_id.get(other_id)
+        return peer is not None and other is not None and peer.domain == other.domain
+
     def record_named_version(self, version: int) -> None:
         """Record that another router has a version of the document."""
         self.named_version = max(self.named_version, version)
--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -67,8 +67,9 @@
 _MAX_RETRY_DELAY = timedelta(milliseconds=400)
 # A router that does not watch the store only waits for a change of its role.
 _IDLE_WAIT = timedelta(seconds=5)
-# A router may be several changes behind when changes arrive in quick succession.
-_MAX_VERSIONS_PER_KEY = 3
+# A router may be several changes behind when changes arrive in quick succession, also
+# after the transfer of a large one.
+_MAX_VERSIONS_PER_KEY = 6
 # While the whole store is unavailable, the lease renewal of the registration is cheaper
 # than a watch and detects its return sooner.
 _MAX_OUTAGE_RETRY_DELAY = timedelta(seconds=2)
@@ -273,11 +274,18 @@
                 self._apply_document(change)
         self._view.merge_departures(snapshot.departures)
 
+    @property
+    def may_apply_changes(self) -> bool:
+        """Whether changes from another router would be applied now.
+
+        A read in progress may return data older than they are.
+        """
+        return self.has_initial_state and not self._is_reading
+
     async def apply_peer_batch(self, batch: ChangeBatch) -> None:
         """Apply changes from another router if they start at the present revision."""
         is_next = batch.after_revision == self.revision < batch.to_revision
-        # A read in progress may return data older than these changes.
-        if self.has_initial_state and is_next and not self._is_reading:
+        if self.may_apply_changes and is_next:
             await self._apply_batch(batch)
 
     async def run(self) -> None:
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -16,7 +16,7 @@
     StoreReach,
     StoreRelay,
 )
-from hibiscustiller.exceptions import StoreUnavailableError
+from hibiscustiller.exceptions import StoreUnavailableError, TransportError
 from hibiscustiller.platform import (
     Change,
     Changes,
@@ -267,6 +267,8 @@
     """One router with its view, watcher, relay and registration."""
 
     def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.link = Link(fleet.link_bytes_per_s)
         self.router_id = f"r{number}"
         self.revisions = [Revision(0, 0)]
         clock = SystemClock()
@@ -297,6 +299,7 @@
             random_state,
             reach,
             fleet.fetch_snapshot,
+            self._request_changes,
             CHANGE_LIMIT,
         )
         self.registration = Registration(
@@ -322,6 +325,15 @@
                 Peer(f"r{other}", peer_address, f"d{other % 3}", inner=peer_address)
             )
 
+    async def _request_changes(self, peer, after):
+        """Ask another running member for changes, which pass its link."""
+        other = self.fleet.members_by_address[peer.inner]
+        if not other.tasks:
+            raise TransportError("refused", Verdict.NOT_RUN)
+        with other.relay.sender.answer(self.router_id, after) as answer:
+            await other.link.send(len(answer.body or b""))
+            return answer
+
     async def _record_revision(self):
         self.revisions.append(self.watcher.revision)
 
@@ -340,9 +352,12 @@
     """Several routers that share one store.
 
     :param heartbeat: period in which servers renew their entries, as the routers know.
+    :param link_bytes_per_s: bandwidth of the link on which each router sends large
+        changes.
     """
 
-    def __init__(self, size, loss=0.0, heartbeat=0 * SECOND):
+    def __init__(self, size, loss=0.0, heartbeat=0 * SECOND, link_bytes_per_s=None):
+        self.link_bytes_per_s = link_bytes_per_s
         self.heartbeat = heartbeat
         self.sent_bytes = 0
         self.size = size
--- a/hibiscustiller/discovery/tests/test_large_changes.py
+++ b/hibiscustiller/discovery/tests/test_large_changes.py
@@ -17,6 +17,8 @@
 APPLY_TIME = timedelta(seconds=4)
 # 1,000 Mbit/s, shared by all answers of the store.
 STORE_LINK_BYTES_PER_S = 125e6
+# 10 Mbit/s, for all that a router sends.
+ROUTER_LINK_BYTES_PER_S = 1.25e6
 # An element of the document for one route.
 ROUTE_BYTES = 280
 
@@ -60,7 +62,7 @@
 @in_simulated_time
 async def test_a_large_change_in_a_series_reaches_a_large_fleet_in_time():
     """Guards against reads of all routers at once that all exceed their timeout."""
-    fleet = Fleet(230)
+    fleet = Fleet(230, link_bytes_per_s=ROUTER_LINK_BYTES_PER_S)
     fleet.store.put(DOCUMENT_KEY, make_document(1, 130))
     async with fleet:
         fleet.store.link.bytes_per_s = STORE_LINK_BYTES_PER_S
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -9,6 +9,8 @@
 import curio
 
 from hibiscustiller.discovery import (
+    CHANGES_PATH,
+    ChangeExchange,
     ChangeLog,
     FleetView,
     FleetWatcher,
@@ -313,6 +315,10 @@
             lambda: self._store_reach.is_reachable or self._store_relay.is_follower,
             first_read_delay,
         )
+        router_client = HttpClient(clock, _CONNECT_TIMEOUT, memory=self._body_memory)
+        self._change_exchange = ChangeExchange(
+            settings.router_id, router_client, self._metrics
+        )
         self._store_relay = StoreRelay(
             settings.router_id,
             settings.domain,
@@ -324,6 +330,7 @@
             self._random_state,
             self._store_reach,
             lambda address: self._snapshot_exchange.fetch(address),
+            self._change_exchange.request,
             # The entries of servers that leave come the same way.
             min(settings.change_limit, settings.drain),
         )
@@ -357,7 +364,7 @@
             settings.seeds,
             settings.inner,
             self._fleet_watcher,
-            HttpClient(clock, _CONNECT_TIMEOUT, memory=self._body_memory),
+            router_client,
             clock,
             first_read_delay,
         )
@@ -565,6 +572,9 @@
         """Handle the request of another router."""
         if FORWARDED_BY_HEADER in request.headers_by_name:
             await self._dispatcher.handle_forwarded(request, responder)
+        elif request.path == CHANGES_PATH:
+            sender = self._store_relay.sender
+            await self._change_exchange.handle(sender, request, responder)
         else:
             await self._snapshot_exchange.handle(request, responder)
 
