Refuse for good only by a configuration that is known to be current

The routers that refused had been told of a newer version by their sources, which name it in each message, and refused all the same; others had not known their state to be current for seconds.

A router that was told of a newer configuration now waits up to half a second, and a quarter of the caller's time, for it, and judges the request again. If it does not come, or if the state of the router may lack changes that must be in force, the request is refused with 503 as not run, with a Retry-After of 0.2 to 0.6 s, so that the caller asks another router. At most 64 requests wait at a time. A router that is current answers wrong paths and keys at once, as before. A request that another router passed on is declined instead, so that a third one can be asked.

A version that no router has named for ten seconds does not count: a restored store may have lost it together with the routers that knew it.

--- a/hibiscustiller/discovery/_view.py
+++ b/hibiscustiller/discovery/_view.py
@@ -54,6 +54,9 @@
 # time. The platform removes the entry of a silent server within some seconds; one that
 # is still there belongs to a running server.
 _OUTDATED_ENTRY_TIME = timedelta(seconds=30)
+# Routers name their versions several times a second. One that none has named for this
+# time was lost with the routers that had it and with a restored store.
+_NAMED_VERSION_TIME = timedelta(seconds=10)
 # The lease with which a router registers; a router that a restored store lacks, or that
 # it lists although it had left, is known for certain by then.
 _ROUTER_LEASE_TIME = timedelta(seconds=8)
@@ -139,8 +142,10 @@
         self._current_at: timedelta | None = None
         self._listeners: list[Callable[[], object]] = []
         self.document: FleetDocument | None = None
-        # The newest version of the document that another router has named.
-        self.named_version = 0
+        # The newest version of the document that another router has named, and when it
+        # was last named.
+        self._named_version = 0
+        self._named_at = timedelta(0)
         self.peers_by_id: dict[RouterId, Peer] = {}
         # Incremented with each change of `peers_by_id`.
         self.routers_generation = 0
@@ -192,9 +197,17 @@
         peer, other = self.peers_by_id.get(router_id), self.peers_by_id.get(other_id)
         return peer is not None and other is not None and peer.domain == other.domain
 
+    @property
+    def named_version(self) -> int:
+        """The newest version of the document that another router has; 0 if unknown."""
+        age = self._clock.monotonic() - self._named_at
+        return self._named_version if age <= _NAMED_VERSION_TIME else 0
+
     def record_named_version(self, version: int) -> None:
         """Record that another router has a version of the document."""
-        self.named_version = max(self.named_version, version)
+        if version >= self.named_version:
+            self._named_version = version
+            self._named_at = self._clock.monotonic()
 
     def record_current(self, age: timedelta = timedelta(0)) -> None:
         """Record that the state is that of the store, or was some time ago.
--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -15,11 +15,12 @@
 from hibiscustiller.ingress._context import RequestContext, send_refusal
 from hibiscustiller.ingress._crash_history import CrashHistory
 from hibiscustiller.ingress._durations import RouteDurations
+from hibiscustiller.ingress._final_refusals import FinalRefusals
 from hibiscustiller.ingress._forwarding_fields import (
     DECLINED_HEADER,
     FORWARDED_BY_HEADER,
-    is_outdated,
     limit_attempts,
+    read_document_version,
 )
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._model_services import ModelServices
@@ -42,6 +43,8 @@
 
 _NO_ROUTE_RETRY_AFTER = timedelta(milliseconds=500)
 _FIRST_ERROR_STATUS = 400
+# The wait of a caller that does not tell its own, if its route is not known either.
+_USUAL_WAIT_LIMIT = timedelta(seconds=1)
 # A request that arrives after the listener has closed is owed its whole answer, so it
 # is accepted only if this many times its expected duration is left.
 _LATE_ARRIVAL_MARGIN = 2.0
@@ -84,6 +87,7 @@
         get_currency: Callable[[], StateCurrency],
     ) -> None:
         self._get_currency = get_currency
+        self._final_refusals = FinalRefusals(get_currency, clock, random_state)
         self._routers = routers
         self._health = health
         self._view = view
@@ -118,8 +122,9 @@
         if self._health.is_cut_off or self._stop_at is not None:
             await self._decline(request, responder)
             return
-        document = self._view.document
-        if document is not None and is_outdated(document, request):
+        version, document = read_document_version(request), self._view.document
+        self._view.record_named_version(version)
+        if document is not None and document.short_version < version:
             await self._decline(request, responder, _OUTDATED)
             return
         await self.handle(request, responder, is_forwarded=True)
@@ -132,20 +137,41 @@
         :param is_forwarded: whether another router passed it on.
         """
         received_at = self._clock.monotonic()
-        table = self.update_route_table()
-        if table is None:
-            await send_refusal(responder, _NO_DOCUMENT)
-            return
-        context_result = self._build_context(
-            table, request, received_at, is_forwarded=is_forwarded
+        context_result = await self._judge(
+            request, received_at, is_forwarded=is_forwarded
         )
-        if isinstance(context_result, Err):
+        if isinstance(context_result, Ok):
+            try:
+                await self._forward(context_result.ok_value, responder)
+            finally:
+                request.release_body()
+        elif is_forwarded and context_result.err_value.reason is _OUTDATED.reason:
+            await self._decline(request, responder, context_result.err_value)
+        else:
             await self._refuse(request, responder, context_result.err_value)
-            return
-        try:
-            await self._forward(context_result.ok_value, responder)
-        finally:
-            request.release_body()
+
+    async def _judge(
+        self, request: HttpRequest, received_at: timedelta, *, is_forwarded: bool
+    ) -> Result[RequestContext, Refusal]:
+        """Find the route and the organisation of a request, or why it is refused.
+
+        A final refusal is given only by a state that is known to be current.
+        """
+        while True:
+            table = self.update_route_table()
+            if table is None:
+                return Err(_NO_DOCUMENT)
+            result = self._build_context(
+                table, request, received_at, is_forwarded=is_forwarded
+            )
+            if isinstance(result, Ok):
+                return result
+            wait_limit = read_request_facts(request.fields).wait_limit
+            age = self._clock.monotonic() - received_at
+            time_left = (wait_limit or _USUAL_WAIT_LIMIT) - age
+            refusal = result.err_value
+            if not await self._final_refusals.wait_for_newer(refusal, time_left):
+                return Err(self._final_refusals.check(refusal))
 
     def update_route_table(self) -> RouteTable | None:
         """Rebuild the route table if the fleet document has changed.
@@ -326,7 +352,7 @@
     _STOPPING_RETRY_AFTER,
 )
 _OUTDATED = Refusal(
-    RefusalReason.NO_ROUTE,
+    RefusalReason.OUTDATED,
     Verdict.NOT_RUN,
     "the router lacks the configuration under which the request was passed on",
     _STOPPING_RETRY_AFTER,
--- a/hibiscustiller/ingress/_forwarding_fields.py
+++ b/hibiscustiller/ingress/_forwarding_fields.py
@@ -46,9 +46,12 @@
     return tuple((n.encode(), v.encode()) for n, v in values_by_name.items())
 
 
-def is_outdated(document: FleetDocument, request: HttpRequest) -> bool:
-    """Tell whether the router that passed a request on has a newer document."""
-    return document.short_version < _read_number(request, _DOCUMENT_VERSION_HEADER)
+def read_document_version(request: HttpRequest) -> int:
+    """Return the version of the document at the router that passed a request on.
+
+    :returns: 0 if that router did not name it.
+    """
+    return _read_number(request, _DOCUMENT_VERSION_HEADER)
 
 
 def limit_attempts(route: IngressRoute, request: HttpRequest) -> IngressRoute:
--- a/hibiscustiller/utils/_verdicts.py
+++ b/hibiscustiller/utils/_verdicts.py
@@ -37,6 +37,7 @@
     INTERNAL = ("internal", 500)
     BACKEND_FAILED = ("backend-failed", 502)
     NO_ROUTE = ("no-route", 503)
+    OUTDATED = ("outdated", 503)
     CRASHES_SERVERS = ("crashes-servers", 503)
     STORE_UNAVAILABLE = ("store-unavailable", 503)
     BACKEND_TIMEOUT = ("backend-timeout", 504)
