Check the digest of a value that was made from a delta

A delta names its base by revision alone. A base with other bytes under the same revision gives a document that can be read and lacks routes or keys, for which a router would refuse callers with 404 or 401.

A delta carries the beginning of the digest of the whole value now; a value that does not fit it is not used, and the store is read. Daemons of earlier versions neither send nor check it. Without the check the test gets a document of the other base.

--- a/hibiscustiller/discovery/_change_codec.py
+++ b/hibiscustiller/discovery/_change_codec.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Callable, Iterator, Sequence
 
 from hibiscustiller.discovery._deltas import (
@@ -23,6 +24,8 @@
 # Longer messages to many routers would saturate the link of a small host, be lost and
 # be requested again. The routers read longer changes from the store instead.
 MAX_MESSAGE_BYTES = 8000
+# Bytes of a digest, far more than an accident needs.
+_DIGEST_BYTES = 8
 # Size of an encoded change apart from its key and its value.
 _CHANGE_OVERHEAD_BYTES = 40
 
@@ -36,10 +39,12 @@
 ) -> StoreChange:
     """Encode a change for a router that has the state at an earlier revision."""
     value, base_revision = change.value or b"", NO_REVISION
+    digest = b""
     if len(value) >= LARGE_VALUE_BYTES:
         base = find_version(change.key, after)
         if base is not None:
             base_revision = base[0]
+            digest = _compute_digest(value)
             value = make_delta(base[1], value)
     if base_revision == NO_REVISION:
         value = compress(value)
@@ -52,14 +57,15 @@
         change.revision.era,
         base_revision.era,
         change.is_restored,
+        digest,
     )
 
 
 def decode_change(change: StoreChange, find_version: FindVersion) -> Change:
     """Decode a change.
 
-    :raises WireFormatError: if it is malformed, or is a delta to a version that is
-        not retained.
+    :raises WireFormatError: if it is malformed, is a delta to a version that is not
+        retained, or gives another value than it was made from.
     """
     revision = get_revision(change)
     base_revision = Revision(change.base_era, change.base_revision)
@@ -72,9 +78,15 @@
     if base is None or base[0] != base_revision:
         raise WireFormatError(f"no revision {base_revision} of {change.key}")
     value = apply_delta(base[1], change.value)
+    if change.digest and change.digest != _compute_digest(value):
+        raise WireFormatError(f"the base of a delta of {change.key} is another one")
     return Change(change.key, value, revision, is_restored=change.is_restored)
 
 
+def _compute_digest(value: bytes) -> bytes:
+    return hashlib.sha256(value).digest()[:_DIGEST_BYTES]
+
+
 def get_revision(change: StoreChange) -> Revision:
     """Return the revision of a change."""
     return Revision(change.era, change.revision)
--- a/hibiscustiller/discovery/_snapshots.py
+++ b/hibiscustiller/discovery/_snapshots.py
@@ -128,6 +128,7 @@
             change.revision.era,
             0,
             False,
+            b"",
         )
         for change in snapshot.changes.items
     )
--- a/hibiscustiller/discovery/tests/test_large_changes.py
+++ b/hibiscustiller/discovery/tests/test_large_changes.py
@@ -9,8 +9,10 @@
 
 import curio
 
+from hibiscustiller.discovery._change_codec import decode_change, encode_change
 from hibiscustiller.discovery.tests.fixtures import Fleet
-from hibiscustiller.platform import DOCUMENT_KEY
+from hibiscustiller.exceptions import WireFormatError
+from hibiscustiller.platform import DOCUMENT_KEY, Change, Revision
 from hibiscustiller.utils._testing import collect_tests, in_simulated_time
 
 # The platform's time from the acknowledgement of a configuration until it is in force.
@@ -70,5 +72,21 @@
         assert len(times) == 230, (len(times), fleet.store.abandoned_calls)
 
 
+def test_a_delta_to_another_base_of_the_same_revision_is_not_used():
+    """Guards against a document that can be read and lacks routes."""
+    base, other, value = (
+        make_document(version, 200, seed) for version, seed in ((1, 1), (1, 2), (2, 1))
+    )
+    change = Change(DOCUMENT_KEY, value, Revision(1, 8))
+    sent = encode_change(change, Revision(1, 7), lambda key, at: (Revision(1, 7), base))
+    found = decode_change(sent, lambda key, at: (Revision(1, 7), base))
+    assert found == change
+    try:
+        found = decode_change(sent, lambda key, at: (Revision(1, 7), other))
+    except WireFormatError:
+        return
+    raise AssertionError(f"{len(found.value)} bytes were used instead of {len(value)}")
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/wire/_messages_generated.py
+++ b/hibiscustiller/wire/_messages_generated.py
@@ -715,6 +715,7 @@
     era: int
     base_era: int
     is_restored: bool
+    digest: bytes
 
 
 def _write_StoreChange(builder: Any, message: StoreChange) -> None:
@@ -726,6 +727,7 @@
     builder.era = message.era
     builder.baseEra = message.base_era
     builder.isRestored = message.is_restored
+    builder.digest = message.digest
 
 
 def _read_StoreChange(reader: Any) -> StoreChange:
@@ -738,6 +740,7 @@
         era=reader.era,
         base_era=reader.baseEra,
         is_restored=reader.isRestored,
+        digest=bytes(reader.digest),
     )
 
 
--- a/schema/messages.capnp
+++ b/schema/messages.capnp
@@ -261,6 +261,9 @@
   baseEra @6 :UInt64;
   # Whether nobody wrote it, but the store was restored to it.
   isRestored @7 :Bool;
+  # Begins the SHA-256 digest of the whole value, which a difference from another base
+  # would not give; empty if the value is whole, or from daemons of earlier versions.
+  digest @8 :Data;
 }
 
 # The store's changes after one revision up to another.
