--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -25,8 +25,10 @@
     Revision,
     SwapOutcome,
 )
+from hibiscustiller.platform._kv_store import MIN_BYTES_PER_S
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import SystemClock, Verdict
+from hibiscustiller.wire import TransferDeadline, TransferLimits
 from hibiscustiller.wire._messages_generated import decode_message, encode_message
 
 SECOND = timedelta(seconds=1)
@@ -72,15 +74,27 @@
         self.sent_bytes = 0
         self._is_free_at = 0.0
 
-    async def send(self, size):
-        """Wait until some bytes have passed."""
-        self.sent_bytes += size
-        while size > 0 and self.bytes_per_s is not None:
+    async def send(self, size, deadline=None):
+        """Wait until some bytes have passed.
+
+        :param deadline: of the receiver, which moves with the bytes; None for none.
+        :raises StoreUnavailableError: if the receiver gives up.
+        """
+        while size > 0:
             piece = min(size, LINK_PIECE_BYTES)
             size -= piece
+            self.sent_bytes += piece
+            if self.bytes_per_s is None:
+                continue
             now = await curio.clock()
             self._is_free_at = max(now, self._is_free_at) + piece / self.bytes_per_s
-            await curio.sleep(self._is_free_at - now)
+            arrives_at = self._is_free_at
+            if deadline is not None and arrives_at > deadline.at.total_seconds():
+                await curio.sleep(max(0.0, deadline.at.total_seconds() - now))
+                raise StoreUnavailableError("no answer", Verdict.NOT_RUN)
+            await curio.sleep(arrives_at - now)
+            if deadline is not None:
+                deadline.record(arrives_at * SECOND, piece)
 
 
 def count_bytes(changes):
@@ -175,14 +189,15 @@
                 raise StoreUnavailableError("no answer", Verdict.NOT_RUN)
             await curio.sleep(0.01)
 
-    async def _receive(self, changes, timeout_s):
-        """Wait for an answer that names some changes, at most for a time."""
+    async def _receive(self, changes):
+        """Wait for an answer that names some changes, as the store's client does."""
+        limits = TransferLimits(CALL_TIMEOUT_S * SECOND, MIN_BYTES_PER_S)
+        deadline = TransferDeadline(limits, await curio.clock() * SECOND)
         try:
-            async with curio.timeout_after(timeout_s):
-                await self.store.link.send(count_bytes(changes))
-        except curio.TaskTimeout:
+            await self.store.link.send(count_bytes(changes), deadline)
+        except StoreUnavailableError:
             self.store.abandoned_calls += 1
-            raise StoreUnavailableError("no answer", Verdict.NOT_RUN) from None
+            raise
 
     async def read_prefix(self, prefix, *, may_be_old=False):
         await self._wait_while_silent()
@@ -195,7 +210,7 @@
             values_by_key, revision = self.store.stale_state
         items = tuple(values_by_key.values())
         for first in range(0, len(items), PAGE_KEYS):
-            await self._receive(items[first : first + PAGE_KEYS], CALL_TIMEOUT_S)
+            await self._receive(items[first : first + PAGE_KEYS])
         return Changes(items, revision)
 
     async def wait_changes(self, prefix, after, wait):
@@ -215,9 +230,7 @@
             raise HistoryLostError(after)
         items = tuple(c for c in self.store.history if c.revision > after)
         revision = self.store.revision
-        # The client gives an answer one second more than the wait.
-        left_s = until - await curio.clock() + 1.0
-        await self._receive(items, left_s)
+        await self._receive(items)
         return Changes(items, revision)
 
     async def grant_lease(self, ttl):
--- a/hibiscustiller/discovery/tests/test_large_changes.py
+++ b/hibiscustiller/discovery/tests/test_large_changes.py
@@ -72,6 +72,18 @@
         assert len(times) == 230, (len(times), fleet.store.abandoned_calls)
 
 
+@in_simulated_time
+async def test_a_large_fleet_that_starts_at_once_reads_a_large_configuration():
+    """Guards against first reads of all routers that all exceed their timeout."""
+    fleet = Fleet(230)
+    fleet.store.put(DOCUMENT_KEY, make_document(1, 1450))
+    fleet.store.link.bytes_per_s = STORE_LINK_BYTES_PER_S
+    for member in fleet.members:
+        await member.start()
+    await fleet.wait_for_all(APPLY_TIME.total_seconds())
+    assert all(member.view.document is not None for member in fleet.members)
+
+
 def test_a_delta_to_another_base_of_the_same_revision_is_not_used():
     """Guards against a document that can be read and lacks routes."""
     base, other, value = (
--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -33,7 +33,7 @@
 _WATCH_SLACK = timedelta(seconds=1)
 # A value of 1 MB, base64 included, may take 11 s. Hundreds of readers that share the
 # store's link get more than twice as much each.
-_MIN_BYTES_PER_S = 128_000
+MIN_BYTES_PER_S = 128_000
 # Counts how often the store was restored from a backup.
 _ERA_HEADER = "store-era"
 # Far more restores than a store ever has. An era is part of fences of 64 bits.
@@ -112,7 +112,7 @@
         self._client = client
         self._address = address
         self._timeout = timeout
-        self._transfer = TransferLimits(timeout, _MIN_BYTES_PER_S)
+        self._transfer = TransferLimits(timeout, MIN_BYTES_PER_S)
         self._max_value_bytes = max_value_bytes
         self._metrics = metrics or Metrics()
         # The latest era that an answer named.
