Hold a transfer open until its receiver confirms it, and ask all that are named

- A transfer counted as ended when the system had buffered its bytes, so that one router sent to all at once.
The receiver now confirms what has arrived; without that a transfer ends when the receiver must have given it up.
- A fetch went on beyond its time limit, and ended with the last source although others had been named.
- A router encoded the same change for each poll of a router that was behind, only to find it too large for a datagram.

A busy router is asked again after 60 to 180 ms instead of 30 to 90 ms.

--- a/hibiscustiller/discovery/_change_exchange.py
+++ b/hibiscustiller/discovery/_change_exchange.py
@@ -4,28 +4,33 @@
 
 from datetime import timedelta
 
-from hibiscustiller.discovery._change_transfer import ChangeSender, TransferAnswer
+import curio
+
+from hibiscustiller.discovery._change_transfer import (
+    TRANSFER_LIMITS,
+    ChangeSender,
+    TransferAnswer,
+)
 from hibiscustiller.discovery._view import Peer
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.platform import Revision
-from hibiscustiller.utils import Metrics, RouterId, Verdict
+from hibiscustiller.settings import Address
+from hibiscustiller.utils import Metrics, RouterId, Verdict, log_event
 from hibiscustiller.wire import (
+    HttpAnswer,
     HttpClient,
     HttpRequest,
     Responder,
-    TransferLimits,
+    wait_at_most,
 )
 
 CHANGES_PATH = "/changes"
 _STATUS_OK = 200
+_BAD_REQUEST = 400
 _UNAVAILABLE = 503
 _OTHERS_HEADER = "x-ask-routers"
 _BUSY_HEADER = "x-router-busy"
-# A router that is not stopped, cut off or overloaded answers within this time.
-_HEAD_TIMEOUT = timedelta(milliseconds=300)
-# A third of the link of a small host; slower transfers are begun at another router.
-_TRANSFER = TransferLimits(timedelta(milliseconds=300), 64_000)
-# A receiver that does not read holds one of few transfers at most this long.
+# A receiver that does not read is given up after this time.
 _SEND_TIMEOUT = timedelta(seconds=2)
 
 
@@ -44,26 +49,27 @@
         self._client = client
         self._metrics = metrics
 
-    async def request(self, peer: Peer, after: Revision) -> TransferAnswer:
+    async def request(
+        self, peer: Peer, after: Revision, time_limit: timedelta
+    ) -> TransferAnswer:
         """Request the changes after a revision from a router.
 
-        :raises TransportError: if it gives no answer that can be used.
+        :raises TransportError: if it gives no answer in time that can be used.
         """
         if peer.inner is None:
             raise TransportError("the router serves no requests", Verdict.NOT_RUN)
-        target = (
-            f"{CHANGES_PATH}?era={after.era}&revision={after.number}"
-            f"&router={self._router_id}"
-        )
-        answer = await self._client.request(
-            peer.inner, "GET", target, timeout=_HEAD_TIMEOUT, transfer=_TRANSFER
-        )
+        target = f"{CHANGES_PATH}?era={after.era}&revision={after.number}"
+        call = self._call(peer.inner, target)
+        try:
+            answer = await wait_at_most(time_limit, call)
+        except TimeoutError as error:
+            raise TransportError(str(error), Verdict.NOT_RUN) from error
         if answer.status == _STATUS_OK:
+            await curio.spawn(self._confirm, peer.inner, daemon=True)
             return TransferAnswer(answer.body)
         if answer.status != _UNAVAILABLE:
             # A router of an earlier version does not know the path.
-            message = f"status {answer.status}"
-            raise TransportError(message, Verdict.NOT_RUN)
+            raise TransportError(f"status {answer.status}", Verdict.NOT_RUN)
         names = answer.headers_by_name.get(_OTHERS_HEADER, "").split(",")
         return TransferAnswer(
             None,
@@ -71,27 +77,52 @@
             _BUSY_HEADER in answer.headers_by_name,
         )
 
+    async def _call(self, address: Address, target: str) -> HttpAnswer:
+        return await self._client.request(
+            address,
+            "GET",
+            f"{target}&router={self._router_id}",
+            timeout=TRANSFER_LIMITS.pause,
+            transfer=TRANSFER_LIMITS,
+        )
+
+    async def _confirm(self, address: Address) -> None:
+        """Tell a router that its changes have arrived, so that it sends to others."""
+        try:
+            await self._call(address, f"{CHANGES_PATH}?received=1")
+        except TransportError as error:
+            log_event("transfer_not_confirmed", source=address, reason=error)
+
     async def handle(
         self, sender: ChangeSender, request: HttpRequest, responder: Responder
     ) -> None:
-        """Answer another router's request for changes.
+        """Answer another router's request for changes, or its confirmation.
 
         :raises TransportError: if the other router does not take the answer.
         """
         query = request.query_by_name
+        router_id = RouterId(query.get("router", ""))
+        if "received" in query:
+            sender.end_transfer(router_id, has_arrived=True)
+            await responder.send(_STATUS_OK)
+            return
         try:
             after = Revision(int(query["era"]), int(query["revision"]))
         except (KeyError, ValueError):
-            await responder.send(400)
+            await responder.send(_BAD_REQUEST)
+            return
+        answer = sender.answer(router_id, after)
+        if answer.body is None:
+            responder.extra_headers[_OTHERS_HEADER] = ",".join(answer.others)
+            if answer.is_busy:
+                responder.extra_headers[_BUSY_HEADER] = "1"
+            await responder.send(_UNAVAILABLE)
             return
-        with sender.answer(RouterId(query.get("router", "")), after) as answer:
-            if answer.body is None:
-                responder.extra_headers[_OTHERS_HEADER] = ",".join(answer.others)
-                if answer.is_busy:
-                    responder.extra_headers[_BUSY_HEADER] = "1"
-                await responder.send(_UNAVAILABLE)
-                return
-            self._metrics.count("changes.sent")
-            self._metrics.count("changes.sent_bytes", len(answer.body))
-            responder.write_timeout = _SEND_TIMEOUT
+        self._metrics.count("changes.sent")
+        self._metrics.count("changes.sent_bytes", len(answer.body))
+        responder.write_timeout = _SEND_TIMEOUT
+        try:
             await responder.send(_STATUS_OK, answer.body, "application/octet-stream")
+        except TransportError:
+            sender.end_transfer(router_id, has_arrived=False)
+            raise
--- a/hibiscustiller/discovery/_change_transfer.py
+++ b/hibiscustiller/discovery/_change_transfer.py
@@ -10,8 +10,7 @@
 
 import random
 from collections import OrderedDict, deque
-from collections.abc import Awaitable, Callable, Collection, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -19,7 +18,10 @@
 from hibiscustiller.exceptions import TransportError
 from hibiscustiller.platform import Revision
 from hibiscustiller.utils import Clock, RouterId, log_event
+from hibiscustiller.wire import TransferLimits
 
+# A third of the link of a small host; slower transfers are given up for another router.
+TRANSFER_LIMITS = TransferLimits(timedelta(milliseconds=300), 64_000)
 # More transfers at once would each take longer and delay the first copy that others
 # can pass on. The link of a small host sends so many copies of a large change in a
 # quarter of a second.
@@ -33,7 +35,7 @@
 _MAX_ENCODED = 2
 # A router that names no other is asked again after this time, when its first transfers
 # have ended.
-_BUSY_DELAY = timedelta(milliseconds=60)
+_BUSY_DELAY = timedelta(milliseconds=120)
 
 
 @dataclass(frozen=True)
@@ -50,6 +52,18 @@
     is_busy: bool = False
 
 
+@dataclass(frozen=True)
+class _OpenTransfer:
+    """Changes that a router has not confirmed.
+
+    :param revision: the state that it will have.
+    :param until: when it has given them up, on the monotonic clock.
+    """
+
+    revision: Revision
+    until: timedelta
+
+
 @dataclass
 class _Receiver:
     """A router that was sent changes.
@@ -70,6 +84,7 @@
         are not known any more, or there are none.
     :param get_revision: returns the revision of the present state.
     :param are_close: tells whether two routers are in the same failure domain.
+    :param clock: measures how long transfers are open.
     """
 
     def __init__(
@@ -77,34 +92,43 @@
         encode_changes: Callable[[Revision], bytes | None],
         get_revision: Callable[[], Revision],
         are_close: Callable[[RouterId, RouterId], bool],
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._encode_changes = encode_changes
         self._get_revision = get_revision
         self._are_close = are_close
-        self._open_count = 0
+        self._open_by_id: dict[RouterId, _OpenTransfer] = {}
         self._receivers: deque[_Receiver] = deque(maxlen=_MAX_KNOWN_RECEIVERS)
         self._encoded: OrderedDict[tuple[Revision, Revision], bytes] = OrderedDict()
 
-    @contextmanager
-    def answer(self, router_id: RouterId, after: Revision) -> Iterator[TransferAnswer]:
-        """Answer a router; the body is to be sent within the context.
+    def answer(self, router_id: RouterId, after: Revision) -> TransferAnswer:
+        """Answer a router that asks for the changes after a revision.
 
-        :param after: the revision that it has.
+        A transfer stays open until the router confirms it, since what was written to
+        its connection may wait in buffers behind other transfers.
         """
-        revision = self._get_revision()
-        if self._open_count >= _MAX_OPEN_TRANSFERS and revision > after:
-            yield TransferAnswer(None, self._name_others(router_id, after), True)
-            return
+        now, revision = self._clock.monotonic(), self._get_revision()
+        for other_id, transfer in list(self._open_by_id.items()):
+            # The receiver has vanished, or its confirmation was lost.
+            if now >= transfer.until:
+                del self._open_by_id[other_id]
+        self._open_by_id.pop(router_id, None)
+        if len(self._open_by_id) >= _MAX_OPEN_TRANSFERS and revision > after:
+            return TransferAnswer(None, self._name_others(router_id, after), True)
         body = self._get_encoded(after, revision)
         if body is None:
-            yield TransferAnswer(None, self._name_others(router_id, after))
-            return
-        self._open_count += 1
-        try:
-            yield TransferAnswer(body)
-            self._receivers.append(_Receiver(router_id, revision))
-        finally:
-            self._open_count -= 1
+            return TransferAnswer(None, self._name_others(router_id, after))
+        until = now + TRANSFER_LIMITS.pause
+        until += timedelta(seconds=len(body) / TRANSFER_LIMITS.min_bytes_per_s)
+        self._open_by_id[router_id] = _OpenTransfer(revision, until)
+        return TransferAnswer(body)
+
+    def end_transfer(self, router_id: RouterId, *, has_arrived: bool) -> None:
+        """Record that a router has received changes, or that it cannot."""
+        transfer = self._open_by_id.pop(router_id, None)
+        if transfer is not None and has_arrived:
+            self._receivers.append(_Receiver(router_id, transfer.revision))
 
     def _get_encoded(self, after: Revision, to: Revision) -> bytes | None:
         if after >= to:
@@ -137,8 +161,8 @@
         return tuple(receiver.router_id for receiver in named)
 
 
-# Asks the router at an address for the changes after a revision.
-RequestChanges = Callable[[Peer, Revision], Awaitable[TransferAnswer]]
+# Asks a router for the changes after a revision, for at most a time.
+RequestChanges = Callable[[Peer, Revision, timedelta], Awaitable[TransferAnswer]]
 
 
 class ChangeFetcher:
@@ -168,16 +192,19 @@
         """Return the encoded changes after a revision; None if no router sends them.
 
         :param sources: routers that have a newer state, the first one preferred.
-        :param time_limit: time after which no further router is asked.
+        :param time_limit: time after which they are not waited for any longer.
         """
         until = self._clock.monotonic() + time_limit
         sources_by_id = {peer.router_id: peer for peer in sources}
         # The routers named last have had the least requests.
         named: list[Peer] = []
-        while sources_by_id and self._clock.monotonic() < until:
+        while named or sources_by_id:
             peer = named.pop() if named else next(iter(sources_by_id.values()))
+            time_left = until - self._clock.monotonic()
+            if time_left <= timedelta(0):
+                break
             try:
-                answer = await self._request(peer, after)
+                answer = await self._request(peer, after, time_left)
             except TransportError as error:
                 log_event("changes_not_fetched", source=peer.router_id, reason=error)
                 sources_by_id.pop(peer.router_id, None)
--- a/hibiscustiller/discovery/_relay.py
+++ b/hibiscustiller/discovery/_relay.py
@@ -156,8 +156,11 @@
         self._is_fetching_changes = False
         # Answers routers that request large changes.
         self.sender = ChangeSender(
-            self._encode_all_changes, lambda: watcher.revision, view.are_close
+            self._encode_all_changes, lambda: watcher.revision, view.are_close, clock
         )
+        # Revisions after which the changes up to the present one exceed a datagram.
+        self._oversized_after: set[Revision] = set()
+        self._oversized_to: Revision | None = None
         self._change_limit = change_limit
         self._reach = reach
         self._fetch_snapshot = fetch_snapshot
@@ -460,7 +463,12 @@
             other router; 0 without a request.
         """
         to = self._watcher.revision
-        batch = self._log.collect(after, to)
+        if to != self._oversized_to:
+            self._oversized_to = to
+            self._oversized_after.clear()
+        batch = None
+        if after not in self._oversized_after:
+            batch = self._log.collect(after, to)
         if batch is None:
             return [self._encode_message(after, to, None, request_sent_ms)]
         messages = []
@@ -481,6 +489,8 @@
             )
             after = until
         if any(len(data) > MAX_MESSAGE_BYTES for data in messages):
+            # All routers that are behind ask until they have the changes.
+            self._oversized_after.add(batch.after_revision)
             return [
                 self._encode_message(batch.after_revision, to, None, request_sent_ms)
             ]
--- a/hibiscustiller/discovery/tests/fixtures.py
+++ b/hibiscustiller/discovery/tests/fixtures.py
@@ -16,6 +16,7 @@
     StoreReach,
     StoreRelay,
 )
+from hibiscustiller.discovery._change_transfer import TRANSFER_LIMITS
 from hibiscustiller.exceptions import StoreUnavailableError, TransportError
 from hibiscustiller.platform import (
     Change,
@@ -168,6 +169,8 @@
 
     def __init__(self, store, router_id):
         self.store = store
+        # The link of this router alone; None if it shares that of the store.
+        self.link = None
         self.router_id = router_id
         self.era = 0
 
@@ -194,7 +197,7 @@
         limits = TransferLimits(CALL_TIMEOUT_S * SECOND, MIN_BYTES_PER_S)
         deadline = TransferDeadline(limits, await curio.clock() * SECOND)
         try:
-            await self.store.link.send(count_bytes(changes), deadline)
+            await (self.link or self.store.link).send(count_bytes(changes), deadline)
         except StoreUnavailableError:
             self.store.abandoned_calls += 1
             raise
@@ -213,7 +216,7 @@
             await self._receive(items[first : first + PAGE_KEYS])
         return Changes(items, revision)
 
-    async def wait_changes(self, prefix, after, wait):
+    async def wait_changes(self, prefix, after, wait, on_answer=lambda: None):
         self._record_call()
         is_known = self.store.first_revision <= after <= self.store.revision
         if not is_known:
@@ -230,6 +233,7 @@
             raise HistoryLostError(after)
         items = tuple(c for c in self.store.history if c.revision > after)
         revision = self.store.revision
+        on_answer()
         await self._receive(items)
         return Changes(items, revision)
 
@@ -338,14 +342,21 @@
                 Peer(f"r{other}", peer_address, f"d{other % 3}", inner=peer_address)
             )
 
-    async def _request_changes(self, peer, after):
+    async def _request_changes(self, peer, after, time_limit):
         """Ask another running member for changes, which pass its link."""
         other = self.fleet.members_by_address[peer.inner]
         if not other.tasks:
             raise TransportError("refused", Verdict.NOT_RUN)
-        with other.relay.sender.answer(self.router_id, after) as answer:
-            await other.link.send(len(answer.body or b""))
-            return answer
+        sender = other.relay.sender
+        answer = sender.answer(self.router_id, after)
+        deadline = TransferDeadline(TRANSFER_LIMITS, await curio.clock() * SECOND)
+        try:
+            async with curio.timeout_after(time_limit.total_seconds()):
+                await other.link.send(len(answer.body or b""), deadline)
+        except (StoreUnavailableError, curio.TaskTimeout):
+            raise TransportError("no answer", Verdict.NOT_RUN) from None
+        sender.end_transfer(self.router_id, has_arrived=True)
+        return answer
 
     async def _record_revision(self):
         self.revisions.append(self.watcher.revision)
