Bound the wait for newer configurations over a series of changes

The deadline is computed once for each request now. A request that was passed on to a router without a configuration is declined, so that a third one is asked.

test_a_series_of_changes_does_not_hold_a_request_until_its_time_is_up fails before.

--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -145,7 +145,7 @@
                 await self._forward(context_result.ok_value, responder)
             finally:
                 request.release_body()
-        elif is_forwarded and context_result.err_value.reason is _OUTDATED.reason:
+        elif is_forwarded and context_result.err_value.reason in _LACKING_REASONS:
             await self._decline(request, responder, context_result.err_value)
         else:
             await self._refuse(request, responder, context_result.err_value)
@@ -157,6 +157,8 @@
 
         A final refusal is given only by a state that is known to be current.
         """
+        wait_limit = read_request_facts(request.fields).wait_limit
+        until = self._final_refusals.get_deadline(wait_limit or _USUAL_WAIT_LIMIT)
         while True:
             table = self.update_route_table()
             if table is None:
@@ -166,11 +168,8 @@
             )
             if isinstance(result, Ok):
                 return result
-            wait_limit = read_request_facts(request.fields).wait_limit
-            age = self._clock.monotonic() - received_at
-            time_left = (wait_limit or _USUAL_WAIT_LIMIT) - age
             refusal = result.err_value
-            if not await self._final_refusals.wait_for_newer(refusal, time_left):
+            if not await self._final_refusals.wait_for_newer(refusal, until):
                 return Err(self._final_refusals.check(refusal))
 
     def update_route_table(self) -> RouteTable | None:
@@ -345,6 +344,8 @@
     "the router has not received a configuration yet",
     _NO_ROUTE_RETRY_AFTER,
 )
+# Another router may have the configuration that this one lacks.
+_LACKING_REASONS = frozenset({RefusalReason.NO_ROUTE, RefusalReason.OUTDATED})
 _DECLINED = Refusal(
     RefusalReason.NO_ROUTE,
     Verdict.NOT_RUN,
--- a/hibiscustiller/ingress/_final_refusals.py
+++ b/hibiscustiller/ingress/_final_refusals.py
@@ -52,18 +52,25 @@
         self._random_state = random_state
         self._waiting_count = 0
 
-    async def wait_for_newer(self, refusal: Refusal, time_left: timedelta) -> bool:
+    def get_deadline(self, wait_limit: timedelta) -> timedelta:
+        """Return until when a request may wait for newer configurations, in all.
+
+        :param wait_limit: how long its caller waits for the answer.
+        :returns: a time on the monotonic clock.
+        """
+        waiting = min(_MAX_WAIT, wait_limit * _MAX_SHARE_OF_TIME)
+        return self._clock.monotonic() + waiting
+
+    async def wait_for_newer(self, refusal: Refusal, until: timedelta) -> bool:
         """Wait for the newer configuration that is known to exist, if there is one.
 
-        :param time_left: how long the caller waits for its answer.
+        :param until: the deadline of the request.
         :returns: whether a newer one is in force, so that the request is judged again.
         """
         currency = self._get_currency()
         is_due = refusal.reason in _FINAL_REASONS and currency.is_behind
         if not is_due or self._waiting_count >= _MAX_WAITING:
             return False
-        now = self._clock.monotonic()
-        until = now + min(_MAX_WAIT, time_left * _MAX_SHARE_OF_TIME)
         self._waiting_count += 1
         try:
             while self._clock.monotonic() < until:
--- a/hibiscustiller/ingress/tests/test_final_refusals.py
+++ b/hibiscustiller/ingress/tests/test_final_refusals.py
@@ -78,7 +78,9 @@
         lambda: replace(CURRENT, named_version=8), SleepingClock(), random.Random(1)
     )
     tasks = [
-        await curio.spawn(refusals.wait_for_newer, NOT_FOUND, 10 * SECOND)
+        await curio.spawn(
+            refusals.wait_for_newer, NOT_FOUND, refusals.get_deadline(10 * SECOND)
+        )
         for _ in range(500)
     ]
     await curio.sleep(0)
@@ -111,9 +113,26 @@
     clock = ManualClock()
     behind = replace(CURRENT, named_version=8)
     refusals = FinalRefusals(lambda: behind, clock, random.Random(1))
-    assert not await refusals.wait_for_newer(NOT_FOUND, 0.8 * SECOND)
+    until = refusals.get_deadline(0.8 * SECOND)
+    assert not await refusals.wait_for_newer(NOT_FOUND, until)
     assert clock.monotonic() <= 0.24 * SECOND
 
 
+async def test_a_series_of_changes_does_not_hold_a_request_until_its_time_is_up():
+    """Guards against a wait that begins anew with each version of a series."""
+    clock = ManualClock()
+
+    def get_currency():
+        # 12 changes a second; the newest is always named before it is in force.
+        version = 1 + int(clock.monotonic() / timedelta(milliseconds=83))
+        return replace(CURRENT, version=version, named_version=version + 1)
+
+    refusals = FinalRefusals(get_currency, clock, random.Random(1))
+    until = refusals.get_deadline(8 * SECOND)
+    while await refusals.wait_for_newer(NOT_FOUND, until):
+        pass
+    assert clock.monotonic() <= 2 * SECOND
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
