End the evidence of a waiting watch when its answer begins

A follower counted its state as current while the store was already sending it a change: a watch counted as waiting until its whole answer had arrived, and lease renewals that were answered meanwhile confirmed the old state, also to other routers.

The client tells when the head of an answer arrives; the watch ends there, and the state is known to be that of the store at this moment. test_a_renewal_does_not_confirm_a_state_while_its_change_is_arriving fails before.

--- a/hibiscustiller/discovery/_watcher.py
+++ b/hibiscustiller/discovery/_watcher.py
@@ -146,6 +146,8 @@
         self._listeners: list[Callable[[], Awaitable[None]]] = []
         self._restore_listeners: list[Callable[[], Awaitable[None]]] = []
         self.evidence = StateEvidence()
+        # When the latest answer to a watch began, as time since the host's start.
+        self._answered_at = timedelta(0)
         # The store revision that the view reflects.
         self.revision = NO_REVISION
         # Whether this router watches the store itself.
@@ -373,15 +375,14 @@
         changes = await self._wait_for_changes(after, wait)
         if changes is None:
             return False
-        answered_at = self._clock.boot_time()
         if self.is_watch_current:
             # No change came before these.
-            self._view.record_current()
+            self._view.record_current(self._clock.boot_time() - self._answered_at)
         self._record_success()
         # Some of them may have arrived from other routers during the call.
         await self._apply_batch(ChangeBatch(after, changes.revision, changes.items))
-        self.evidence.record_answer(answered_at)
-        self._view.record_current()
+        self.evidence.record_answer(self._answered_at)
+        self._view.record_current(self._clock.boot_time() - self._answered_at)
         self._view.drop_missing()
         return True
 
@@ -414,10 +415,22 @@
     ) -> Result[Changes, StoreUnavailableError]:
         # curio logs a task that ends with an exception as crashed.
         try:
-            return Ok(await self._store.wait_changes(_ALL_KEYS, revision, wait))
+            changes = await self._store.wait_changes(
+                _ALL_KEYS, revision, wait, self._record_begun_answer
+            )
+            return Ok(changes)
         except StoreUnavailableError as error:
             return Err(error)
 
+    def _record_begun_answer(self) -> None:
+        """Record that a watch does not wait any more.
+
+        Its answer may take seconds to arrive. The store's state is a newer one, and
+        renewals do not confirm the present one.
+        """
+        self._answered_at = self._clock.boot_time()
+        self.evidence.end_wait()
+
     async def _read_all(self) -> None:
         """Read every key from the store and apply the result."""
         self._is_reading = True
--- a/hibiscustiller/discovery/tests/test_large_changes.py
+++ b/hibiscustiller/discovery/tests/test_large_changes.py
@@ -10,7 +10,7 @@
 import curio
 
 from hibiscustiller.discovery._change_codec import decode_change, encode_change
-from hibiscustiller.discovery.tests.fixtures import Fleet
+from hibiscustiller.discovery.tests.fixtures import CHANGE_LIMIT, Fleet
 from hibiscustiller.exceptions import WireFormatError
 from hibiscustiller.platform import DOCUMENT_KEY, Change, Revision
 from hibiscustiller.utils._testing import collect_tests, in_simulated_time
@@ -19,6 +19,8 @@
 APPLY_TIME = timedelta(seconds=4)
 # 1,000 Mbit/s, shared by all answers of the store.
 STORE_LINK_BYTES_PER_S = 125e6
+# Little more than the rate below which a read is given up.
+SLOW_LINK_BYTES_PER_S = 135_000
 # 10 Mbit/s, for all that a router sends.
 ROUTER_LINK_BYTES_PER_S = 1.25e6
 # An element of the document for one route.
@@ -84,6 +86,20 @@
     assert all(member.view.document is not None for member in fleet.members)
 
 
+@in_simulated_time
+async def test_a_renewal_does_not_confirm_a_state_while_its_change_is_arriving():
+    """Guards against final refusals while the answer of a watch arrives slowly."""
+    fleet = Fleet(1)
+    fleet.store.put(DOCUMENT_KEY, make_document(1, 130))
+    async with fleet:
+        member = fleet.members[0]
+        fleet.store.link.bytes_per_s = SLOW_LINK_BYTES_PER_S
+        fleet.store.put(DOCUMENT_KEY, make_document(2, 1450))
+        await curio.sleep(CHANGE_LIMIT.total_seconds())
+        currency = member.relay.get_currency()
+        assert currency.version == 1 and not currency.is_confirmed, currency
+
+
 def test_a_delta_to_another_base_of_the_same_revision_is_not_used():
     """Guards against a document that can be read and lacks routes."""
     base, other, value = (
--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -154,12 +154,17 @@
             after = page.items[-1].key
 
     async def wait_changes(
-        self, prefix: str, after_revision: Revision, wait: timedelta
+        self,
+        prefix: str,
+        after_revision: Revision,
+        wait: timedelta,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> Changes:
         """Wait for changes of keys that begin with a prefix.
 
         :param after_revision: the last revision that the caller has seen.
         :param wait: the answer is empty if nothing changes for so long.
+        :param on_answer: called when the answer begins.
         :raises HistoryLostError: if the keys must be read again, also because the store
             was restored from a backup.
         """
@@ -193,6 +198,7 @@
             accepted=(_GONE,),
             timeout=timeout,
             transfer=self._transfer,
+            on_head=on_answer,
         )
 
     async def compare_and_swap(
@@ -291,6 +297,7 @@
         accepted: tuple[int, ...] = (),
         timeout: timedelta | None = None,
         transfer: TransferLimits | None = None,
+        on_head: Callable[[], None] = lambda: None,
     ) -> Value:
         """Make a call.
 
@@ -309,6 +316,7 @@
                 body=data,
                 headers=headers,
                 transfer=transfer,
+                on_head=on_head,
             )
         except TransportError as error:
             self._metrics.count(f"store.unanswered.{kind}")
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -105,6 +105,7 @@
         is_fresh: bool = False,
         before_send: Callable[[], None] | None = None,
         transfer: TransferLimits | None = None,
+        on_head: Callable[[], None] = lambda: None,
     ) -> HttpAnswer:
         """Send a request and read the whole answer.
 
@@ -117,6 +118,7 @@
             the other side, which leaves the fate of the request unknown.
         :param before_send: called before the first byte leaves; what it raises is
             passed on, and nothing is sent.
+        :param on_head: called when the head of the answer has arrived.
         :raises TransportError: if there is no complete answer; its verdict says
             whether the request may have been acted on.
         """
@@ -132,6 +134,7 @@
             await wait_at_most(timeout, connection.sock.sendall(data))
             with self.memory.hold(address) as hold:
                 await exchange.read_head(deadline - self.clock.monotonic())
+                on_head()
                 left = deadline - self.clock.monotonic()
                 content = await exchange.read_body(
                     hold, left, _MAX_ANSWER_BYTES, transfer
