Pass methods and targets on that the router need not read

Callers got 400 from the front listener, which is final for them, for proper requests: a path whose escapes are not UTF-8 or stand for control characters, an escape that is not one, a query of more than 100 fields, or a method that the list of the HTTP server lacks. The configuration restricts none of these. Routes are found by the path as it was sent, and servers get method and target as they were sent, so nothing needs the decoded path or the query.

The front and inner listeners are relays now: they leave the target undecoded and refuse CONNECT alone. Requests that HTTP/1.1 does not allow, and bodies with two framings, are refused as before. The servers of the orders' interface keep all checks.

--- a/hibiscustiller/ingress/_listeners.py
+++ b/hibiscustiller/ingress/_listeners.py
@@ -49,6 +49,7 @@
             self.request_memory,
             self._clock,
             self._metrics.count,
+            is_relay=name in ("front", "inner"),
         )
         return server
 
--- a/hibiscustiller/wire/_http_requests.py
+++ b/hibiscustiller/wire/_http_requests.py
@@ -51,7 +51,8 @@
 class HttpRequest:
     """One request, its body read in full.
 
-    :param path: path without the query, percent-decoded.
+    :param path: path without the query, percent-decoded; as it was sent if the server
+        is a relay.
     :param headers_by_name: headers by lower-case name; of a repeated one the last.
     :param query: the query as it was sent, still percent-encoded.
     :param target: path and query exactly as they were sent.
@@ -113,7 +114,14 @@
     return size + sum(len(name) + len(value) for name, value in head.headers)
 
 
-def check_head(head: h11.Request, limits: HttpLimits) -> None:
+def check_head(
+    head: h11.Request, limits: HttpLimits, *, is_relay: bool = False
+) -> None:
+    """Check the method, the size and the framing of a request.
+
+    :param is_relay: whether the request is passed on as it was sent.
+    :raises RequestRefusedError: if it is refused.
+    """
     # h11 applies its limit only to a head that arrives in several pieces.
     if measure_head(head) > limits.max_header_bytes:
         raise RequestRefusedError(
@@ -124,7 +132,8 @@
             )
         )
     method = head.method.decode("ascii", "replace")
-    if method not in _METHODS:
+    is_accepted = method != "CONNECT" if is_relay else method in _METHODS
+    if not is_accepted:
         raise _make_bad_request_error(
             f"unknown method {method[:20]!r};"
             f" accepted are {', '.join(sorted(_METHODS))}"
@@ -141,12 +150,25 @@
             raise make_too_large_error(limits.max_body_bytes)
 
 
-def make_request(head: h11.Request, body: bytes) -> HttpRequest:
-    path, query = _split_target(head.target)
+def make_request(
+    head: h11.Request, body: bytes, *, is_relay: bool = False
+) -> HttpRequest:
+    """Make a request of its head and its body.
+
+    :param is_relay: whether the request is passed on as it was sent. The service that
+        receives it decides on the encoding of its target.
+    :raises RequestRefusedError: if the target cannot be decoded.
+    """
+    if is_relay:
+        path, _, query = head.target.decode("ascii").partition("?")
+        query_by_name = _parse_relayed_query(query)
+    else:
+        path, query = _split_target(head.target)
+        query_by_name = _parse_query(query)
     return HttpRequest(
         method=head.method.decode("ascii"),
         path=path,
-        query_by_name=_parse_query(query),
+        query_by_name=query_by_name,
         headers_by_name={
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
@@ -189,6 +211,14 @@
     return {name: values[-1] for name, values in values_by_name.items()}
 
 
+def _parse_relayed_query(query: str) -> dict[str, str]:
+    """Return the fields of a query; none if they cannot be read."""
+    try:
+        return _parse_query(query)
+    except RequestRefusedError:
+        return {}
+
+
 def describe_protocol_error(error: h11.RemoteProtocolError) -> Refusal:
     is_large = error.error_status_hint == 431
     reason = RefusalReason.HEADERS_TOO_LARGE if is_large else RefusalReason.BAD_REQUEST
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -71,6 +71,8 @@
 
     :param address: where it listens; a port of 0 is replaced by the bound port.
     :param memory: bounds the memory of the bodies of all requests.
+    :param is_relay: whether the handler passes requests on as they were sent. Methods
+        and targets are then neither checked nor decoded.
     :param count_event: counts requests that are refused before they are handled, and
         connections that are refused or give way to others.
     """
@@ -82,6 +84,7 @@
     memory: BodyMemory = field(default_factory=BodyMemory)
     clock: Clock = field(default_factory=SystemClock)
     count_event: CountEvent = lambda name: None
+    is_relay: bool = False
     _connections: ConnectionTable = field(default_factory=ConnectionTable)
     _socks_by_connection: dict[OpenConnection, Any] = field(default_factory=dict)
     _refused_count: int = 0
@@ -315,7 +318,14 @@
             responder = Responder(connection, sock, self.limits.write_timeout)
             responder.mark_blocked = mark_blocked
             with self.memory.hold(client) as hold:
-                reader = RequestReader(connection, sock, self.limits, hold, place)
+                reader = RequestReader(
+                    connection,
+                    sock,
+                    self.limits,
+                    hold,
+                    place,
+                    is_relay=self.is_relay,
+                )
                 request = await self._read_or_refuse(reader, responder)
                 if request is None:
                     return
--- a/hibiscustiller/wire/_request_reading.py
+++ b/hibiscustiller/wire/_request_reading.py
@@ -31,6 +31,7 @@
     :param connection: h11's state of the connection.
     :param hold: memory of the head, the body, and what arrives after them.
     :param place: the connection among the others of its server.
+    :param is_relay: whether requests are passed on as they were sent.
     """
 
     def __init__(
@@ -40,7 +41,10 @@
         limits: HttpLimits,
         hold: BodyHold,
         place: OpenConnection,
+        *,
+        is_relay: bool = False,
     ) -> None:
+        self._is_relay = is_relay
         self.connection = connection
         self.sock = sock
         self.hold = hold
@@ -89,7 +93,7 @@
                 hold.resize(head_bytes + body_bytes)
             elif isinstance(event, h11.Request):
                 self.head = head = event
-                check_head(head, self._limits)
+                check_head(head, self._limits, is_relay=self._is_relay)
                 head_bytes = measure_head(head)
                 hold.resize(head_bytes)
                 if _is_chunked(head):
@@ -105,7 +109,7 @@
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 # Requests that were sent ahead are held until this one is answered.
                 hold.resize(head_bytes + body_bytes + self._count_buffered())
-                return make_request(head, hold.finish())
+                return make_request(head, hold.finish(), is_relay=self._is_relay)
             else:
                 return None
             event = connection.next_event()
