Read each request by the limits in force when it begins

A connection that was open when a configuration raised max_header_bytes or max_body_bytes went on with the limits of before: the reader of the next request took them when the connection became idle, and h11 keeps its bound on an incomplete head for as long as a connection is open. Callers got 431 or 413 for requests within the limits, and callers do not repeat these.

The reader takes the limits when the first bytes of a request have arrived, and checks an incomplete head by them itself.

test_raised_limits_hold_for_open_connections failed before the change: the answer to 5,000 bytes of headers was not 200 after the limit was raised to 8,000. It still failed with the bound of h11 alone replaced.

--- a/hibiscustiller/wire/_http_requests.py
+++ b/hibiscustiller/wire/_http_requests.py
@@ -108,12 +108,31 @@
     )
 
 
+def _make_large_headers_error(limits: HttpLimits) -> RequestRefusedError:
+    message = f"line and headers are larger than {limits.max_header_bytes} bytes"
+    return RequestRefusedError(
+        Refusal(RefusalReason.HEADERS_TOO_LARGE, Verdict.NOT_RUN, message)
+    )
+
+
 def measure_head(head: h11.Request) -> int:
     """Return the bytes of the target and the headers."""
     size = len(head.target)
     return size + sum(len(name) + len(value) for name, value in head.headers)
 
 
+def check_incomplete(size: int, limits: HttpLimits) -> None:
+    """Check the size of a head, or of trailers, that have not arrived whole.
+
+    h11's own bound stays the same for as long as a connection is open.
+
+    :param size: bytes that have arrived.
+    :raises RequestRefusedError: if it exceeds the limit.
+    """
+    if size > limits.max_header_bytes:
+        raise _make_large_headers_error(limits)
+
+
 def check_head(
     head: h11.Request, limits: HttpLimits, *, is_relay: bool = False
 ) -> None:
@@ -122,15 +141,8 @@
     :param is_relay: whether the request is passed on as it was sent.
     :raises RequestRefusedError: if it is refused.
     """
-    # h11 applies its limit only to a head that arrives in several pieces.
     if measure_head(head) > limits.max_header_bytes:
-        raise RequestRefusedError(
-            Refusal(
-                RefusalReason.HEADERS_TOO_LARGE,
-                Verdict.NOT_RUN,
-                f"line and headers are larger than {limits.max_header_bytes} bytes",
-            )
-        )
+        raise _make_large_headers_error(limits)
     method = head.method.decode("ascii", "replace")
     is_accepted = method != "CONNECT" if is_relay else method in _METHODS
     if not is_accepted:
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -4,6 +4,7 @@
 
 import errno
 import select
+import sys
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -311,20 +312,14 @@
         def mark_blocked(is_blocked: bool) -> None:
             place.blocked_since = self.clock.monotonic() if is_blocked else None
 
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
-        )
+        # The limits in force at each request apply to it.
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         while True:
             responder = Responder(connection, sock, self.limits.write_timeout)
             responder.mark_blocked = mark_blocked
             with self.memory.hold(client) as hold:
                 reader = RequestReader(
-                    connection,
-                    sock,
-                    self.limits,
-                    hold,
-                    place,
-                    is_relay=self.is_relay,
+                    connection, sock, hold, place, is_relay=self.is_relay
                 )
                 request = await self._read_or_refuse(reader, responder)
                 if request is None:
@@ -388,8 +383,11 @@
         """Read one request; None if the client closed between requests."""
         if reader.needs_data():
             reader.receive(await self._receive_first(reader.sock))
-        begin = self._begin_unfinished
-        request = await wait_at_most(self.limits.read_timeout, reader.read(begin))
+        # They may have changed since the connection became idle.
+        limits = self.limits
+        request = await wait_at_most(
+            limits.read_timeout, reader.read(limits, self._begin_unfinished)
+        )
         if request is not None:
             await self._begin_handled(reader.place)
         return request
--- a/hibiscustiller/wire/_request_reading.py
+++ b/hibiscustiller/wire/_request_reading.py
@@ -14,6 +14,7 @@
     HttpLimits,
     HttpRequest,
     check_head,
+    check_incomplete,
     make_request,
     make_too_large_error,
     measure_head,
@@ -38,7 +39,6 @@
         self,
         connection: h11.Connection,
         sock: Any,
-        limits: HttpLimits,
         hold: BodyHold,
         place: OpenConnection,
         *,
@@ -49,7 +49,7 @@
         self.sock = sock
         self.hold = hold
         self.place = place
-        self._limits = limits
+        self._limits = HttpLimits()
         # The head, once it has been read.
         self.head: h11.Request | None = None
         self._event: Any = None
@@ -66,12 +66,16 @@
         self._event = self.connection.next_event()
 
     async def read(
-        self, begin_unfinished: Callable[[OpenConnection], Awaitable[None]]
+        self,
+        limits: HttpLimits,
+        begin_unfinished: Callable[[OpenConnection], Awaitable[None]],
     ) -> HttpRequest | None:
         """Read the request; None if the client closed before it.
 
+        :param limits: the limits in force when the request begins to arrive.
         :param begin_unfinished: called if the request has not arrived whole.
         """
+        self._limits = limits
         event, connection, hold = self._event, self.connection, self.hold
         head: h11.Request | None = None
         head_bytes = body_bytes = parts = 0
@@ -88,7 +92,9 @@
                         )
                     )
                 # Heads, trailers and the lines of chunks that have not arrived whole.
-                hold.resize(head_bytes + body_bytes + self._count_buffered())
+                buffered_bytes = self._count_buffered()
+                check_incomplete(buffered_bytes, self._limits)
+                hold.resize(head_bytes + body_bytes + buffered_bytes)
                 await self._receive_more()
                 hold.resize(head_bytes + body_bytes)
             elif isinstance(event, h11.Request):
--- a/hibiscustiller/wire/tests/test_http_server.py
+++ b/hibiscustiller/wire/tests/test_http_server.py
@@ -447,6 +447,22 @@
         assert bench.requests == []
 
 
+async def send_in_pieces(sock, data, size=700):
+    for position in range(0, len(data), size):
+        await sock.sendall(data[position : position + size])
+        await curio.sleep(0.02)
+
+
+async def test_raised_limits_hold_for_open_connections():
+    """Guards against 431 by limits that were in force when a connection was opened."""
+    async with Bench() as bench, await bench.connect() as sock:
+        await sock.sendall(GOOD)
+        assert (await sock.recv(65536)).startswith(b"HTTP/1.1 200")
+        bench.server.limits = replace(LIMITS, max_header_bytes=8000)
+        await send_in_pieces(sock, make_head(b"x: " + b"a" * 5000))
+        assert (await sock.recv(65536)).startswith(b"HTTP/1.1 200")
+
+
 async def test_a_drain_answers_connections_that_were_just_accepted():
     """Guards against requests reset at a planned stop that nobody had refused."""
     async with Bench() as bench:
