Refuse by limits that may be outdated only as not run

A router refused with 413 and 431, which are final for the caller, by the default limits of 1 MiB and 16 KiB before it knew any document, where the dispatcher answers 503; and by the limits of its document although a newer one might allow the request.

The front listener now tells whether its limits are known to be the newest ones: never before the first document, and otherwise by Listeners.is_document_current, which the gateway has to set from the currency of its state. If they are not, the refusal is 503 with a time for the next attempt. Limits that are current refuse as before. The limits still bound what is read.

test_limits_that_may_be_outdated_do_not_refuse_for_good and test_a_router_without_a_document_does_not_refuse_large_requests_for_good failed before the change: both got 413.

--- a/hibiscustiller/ingress/_listeners.py
+++ b/hibiscustiller/ingress/_listeners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from hibiscustiller.fleet import ClientLimits, HostSettings
@@ -28,6 +29,8 @@
         self._metrics = metrics
         self._process = derive_process_limits(settings.memory_bytes, settings.max_fds)
         self._client_limits: ClientLimits | None = None
+        # Tells whether the document is known to be the newest one.
+        self.is_document_current: Callable[[], bool] = lambda: True
         self._servers_by_name: dict[str, HttpServer] = {}
         process = self._process
         # Bodies of answers, and of requests.
@@ -51,6 +54,8 @@
             self._metrics.count,
             is_relay=name in ("front", "inner"),
         )
+        if name == "front":
+            server.are_limits_current = self._are_client_limits_current
         return server
 
     def describe(self) -> dict[str, dict[str, int]]:
@@ -80,6 +85,9 @@
         for name, server in self._servers_by_name.items():
             server.limits = self._make_limits(name)
 
+    def _are_client_limits_current(self) -> bool:
+        return self._client_limits is not None and self.is_document_current()
+
     def _make_limits(self, name: str) -> HttpLimits:
         process = self._process
         max_connections = {
--- a/hibiscustiller/ingress/tests/test_requests_not_read.py
+++ b/hibiscustiller/ingress/tests/test_requests_not_read.py
@@ -1,6 +1,7 @@
 """Proper requests that the HTTP server must not refuse before they are dispatched."""
 
 import sys
+from dataclasses import replace
 
 from hibiscustiller.ingress.tests.fixtures import World
 from hibiscustiller.utils._testing import collect_tests
@@ -32,5 +33,42 @@
         assert (await world.request("a:1", method="CONNECT")).status == 400
 
 
+OVERSIZED = (
+    ({"body": b"a" * 2000}, 413),
+    ({"headers": [("x-long", "a" * 20000)]}, 431),
+)
+
+
+def lower_limits(server):
+    server.limits = replace(server.limits, max_body_bytes=1000)
+
+
+async def test_limits_that_may_be_outdated_do_not_refuse_for_good():
+    """Guards against 413 and 431 by a document that may not be the newest one."""
+    async with World() as world:
+        lower_limits(world.gateway.front)
+        for options, status in OVERSIZED:
+            answer = await world.request("/stock/1", **options)
+            assert answer.status == status, answer
+        world.gateway._listeners.is_document_current = lambda: False
+        for options, _ in OVERSIZED:
+            answer = await world.request("/stock/1", **options)
+            assert answer.status == 503, answer
+            assert 0 < float(answer.headers["retry-after"]) <= 1
+            assert answer.headers["x-verdict"] == "not-run"
+
+
+async def test_a_router_without_a_document_does_not_refuse_large_requests_for_good():
+    """Guards against 413 and 431 by default limits, before any document is known."""
+    async with World() as world:
+        listeners = world.gateway._listeners
+        listeners._client_limits = None
+        listeners._apply()
+        lower_limits(world.gateway.front)
+        for options, _ in OVERSIZED:
+            answer = await world.request("/stock/1", **options)
+            assert answer.status == 503, answer
+
+
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/wire/_http_requests.py
+++ b/hibiscustiller/wire/_http_requests.py
@@ -23,6 +23,9 @@
 # The size of a complete head leaves out the separators of its fields, which are not
 # told from the rest before it is complete.
 _INCOMPLETE_FACTOR = 2
+_LIMIT_REASONS = frozenset({RefusalReason.TOO_LARGE, RefusalReason.HEADERS_TOO_LARGE})
+# By then newer limits have usually arrived.
+_OUTDATED_RETRY_AFTER = timedelta(seconds=1)
 _BAD_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
 _MAX_JSON_DEPTH_MESSAGE = "JSON is nested too deeply"
 
@@ -239,3 +242,16 @@
     reason = RefusalReason.HEADERS_TOO_LARGE if is_large else RefusalReason.BAD_REQUEST
     message = f"malformed HTTP request: {error}"
     return Refusal(reason, Verdict.NOT_RUN, message)
+
+
+def refuse_by_outdated_limits(refusal: Refusal) -> Refusal:
+    """Return a refusal by limits that may be outdated.
+
+    The client may repeat the request, while 413 and 431 are final.
+    """
+    if refusal.reason not in _LIMIT_REASONS:
+        return refusal
+    message = f"{refusal.message}, but newer limits may be in force"
+    return Refusal(
+        RefusalReason.OUTDATED, Verdict.NOT_RUN, message, _OUTDATED_RETRY_AFTER
+    )
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -36,6 +36,7 @@
     HttpRequest,
     RequestRefusedError,
     describe_protocol_error,
+    refuse_by_outdated_limits,
 )
 from hibiscustiller.wire._memory import BodyMemory
 from hibiscustiller.wire._request_reading import RECEIVE_BYTES, RequestReader
@@ -74,6 +75,8 @@
     :param memory: bounds the memory of the bodies of all requests.
     :param is_relay: whether the handler passes requests on as they were sent. Methods
         and targets are then neither checked nor decoded.
+    :param are_limits_current: tells whether the limits are known to be the newest ones.
+        Otherwise a request that exceeds them is not refused for good.
     :param count_event: counts requests that are refused before they are handled, and
         connections that are refused or give way to others.
     """
@@ -86,6 +89,7 @@
     clock: Clock = field(default_factory=SystemClock)
     count_event: CountEvent = lambda name: None
     is_relay: bool = False
+    are_limits_current: Callable[[], bool] = lambda: True
     _connections: ConnectionTable = field(default_factory=ConnectionTable)
     _socks_by_connection: dict[OpenConnection, Any] = field(default_factory=dict)
     _refused_count: int = 0
@@ -357,6 +361,8 @@
             if not is_begun and not connection.trailing_data[0]:
                 return None
             refusal = _SLOW_REQUEST
+        if not self.are_limits_current():
+            refusal = refuse_by_outdated_limits(refusal)
         if place.is_ending:
             # The end of what the client sends may look like an error of its own.
             refusal = _NO_PLACE
