--- a/hibiscustiller/wire/_http_requests.py
+++ b/hibiscustiller/wire/_http_requests.py
@@ -20,6 +20,12 @@
 # CONNECT and unknown methods have no meaning for the services behind the router.
 _METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 _MAX_QUERY_FIELDS = 100
+# The size of a complete head leaves out the separators of its fields, which are not
+# told from the rest before it is complete.
+_INCOMPLETE_FACTOR = 2
+_LIMIT_REASONS = frozenset({RefusalReason.TOO_LARGE, RefusalReason.HEADERS_TOO_LARGE})
+# By then newer limits have usually arrived.
+_OUTDATED_RETRY_AFTER = timedelta(seconds=1)
 _BAD_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
 _MAX_JSON_DEPTH_MESSAGE = "JSON is nested too deeply"
 
@@ -51,7 +57,8 @@
 class HttpRequest:
     """One request, its body read in full.
 
-    :param path: path without the query, percent-decoded.
+    :param path: path without the query, percent-decoded; as it was sent if the server
+        is a relay.
     :param headers_by_name: headers by lower-case name; of a repeated one the last.
     :param query: the query as it was sent, still percent-encoded.
     :param target: path and query exactly as they were sent.
@@ -107,24 +114,44 @@
     )
 
 
+def _make_large_headers_error(limits: HttpLimits) -> RequestRefusedError:
+    message = f"line and headers are larger than {limits.max_header_bytes} bytes"
+    return RequestRefusedError(
+        Refusal(RefusalReason.HEADERS_TOO_LARGE, Verdict.NOT_RUN, message)
+    )
+
+
 def measure_head(head: h11.Request) -> int:
     """Return the bytes of the target and the headers."""
     size = len(head.target)
     return size + sum(len(name) + len(value) for name, value in head.headers)
 
 
-def check_head(head: h11.Request, limits: HttpLimits) -> None:
-    # h11 applies its limit only to a head that arrives in several pieces.
+def check_incomplete(size: int, limits: HttpLimits) -> None:
+    """Check the size of a head, or of trailers, that have not arrived whole.
+
+    h11's own bound stays the same for as long as a connection is open.
+
+    :param size: bytes that have arrived.
+    :raises RequestRefusedError: if it exceeds the limit.
+    """
+    if size > limits.max_header_bytes * _INCOMPLETE_FACTOR:
+        raise _make_large_headers_error(limits)
+
+
+def check_head(
+    head: h11.Request, limits: HttpLimits, *, is_relay: bool = False
+) -> None:
+    """Check the method, the size and the framing of a request.
+
+    :param is_relay: whether the request is passed on as it was sent.
+    :raises RequestRefusedError: if it is refused.
+    """
     if measure_head(head) > limits.max_header_bytes:
-        raise RequestRefusedError(
-            Refusal(
-                RefusalReason.HEADERS_TOO_LARGE,
-                Verdict.NOT_RUN,
-                f"line and headers are larger than {limits.max_header_bytes} bytes",
-            )
-        )
+        raise _make_large_headers_error(limits)
     method = head.method.decode("ascii", "replace")
-    if method not in _METHODS:
+    is_accepted = method != "CONNECT" if is_relay else method in _METHODS
+    if not is_accepted:
         raise _make_bad_request_error(
             f"unknown method {method[:20]!r};"
             f" accepted are {', '.join(sorted(_METHODS))}"
@@ -141,12 +168,25 @@
             raise make_too_large_error(limits.max_body_bytes)
 
 
-def make_request(head: h11.Request, body: bytes) -> HttpRequest:
-    path, query = _split_target(head.target)
+def make_request(
+    head: h11.Request, body: bytes, *, is_relay: bool = False
+) -> HttpRequest:
+    """Make a request of its head and its body.
+
+    :param is_relay: whether the request is passed on as it was sent. The service that
+        receives it decides on the encoding of its target.
+    :raises RequestRefusedError: if the target cannot be decoded.
+    """
+    if is_relay:
+        path, _, query = head.target.decode("ascii").partition("?")
+        query_by_name = _parse_relayed_query(query)
+    else:
+        path, query = _split_target(head.target)
+        query_by_name = _parse_query(query)
     return HttpRequest(
         method=head.method.decode("ascii"),
         path=path,
-        query_by_name=_parse_query(query),
+        query_by_name=query_by_name,
         headers_by_name={
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
@@ -189,8 +229,29 @@
     return {name: values[-1] for name, values in values_by_name.items()}
 
 
+def _parse_relayed_query(query: str) -> dict[str, str]:
+    """Return the fields of a query; none if they cannot be read."""
+    try:
+        return _parse_query(query)
+    except RequestRefusedError:
+        return {}
+
+
 def describe_protocol_error(error: h11.RemoteProtocolError) -> Refusal:
     is_large = error.error_status_hint == 431
     reason = RefusalReason.HEADERS_TOO_LARGE if is_large else RefusalReason.BAD_REQUEST
     message = f"malformed HTTP request: {error}"
     return Refusal(reason, Verdict.NOT_RUN, message)
+
+
+def refuse_by_outdated_limits(refusal: Refusal) -> Refusal:
+    """Return a refusal by limits that may be outdated.
+
+    The client may repeat the request, while 413 and 431 are final.
+    """
+    if refusal.reason not in _LIMIT_REASONS:
+        return refusal
+    message = f"{refusal.message}, but newer limits may be in force"
+    return Refusal(
+        RefusalReason.OUTDATED, Verdict.NOT_RUN, message, _OUTDATED_RETRY_AFTER
+    )
--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -4,6 +4,7 @@
 
 import errno
 import select
+import sys
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -35,6 +36,7 @@
     HttpRequest,
     RequestRefusedError,
     describe_protocol_error,
+    refuse_by_outdated_limits,
 )
 from hibiscustiller.wire._memory import BodyMemory
 from hibiscustiller.wire._request_reading import RECEIVE_BYTES, RequestReader
@@ -71,6 +73,10 @@
 
     :param address: where it listens; a port of 0 is replaced by the bound port.
     :param memory: bounds the memory of the bodies of all requests.
+    :param is_relay: whether the handler passes requests on as they were sent. Methods
+        and targets are then neither checked nor decoded.
+    :param are_limits_current: tells whether the limits are known to be the newest ones.
+        Otherwise a request that exceeds them is not refused for good.
     :param count_event: counts requests that are refused before they are handled, and
         connections that are refused or give way to others.
     """
@@ -82,6 +88,8 @@
     memory: BodyMemory = field(default_factory=BodyMemory)
     clock: Clock = field(default_factory=SystemClock)
     count_event: CountEvent = lambda name: None
+    is_relay: bool = False
+    are_limits_current: Callable[[], bool] = lambda: True
     _connections: ConnectionTable = field(default_factory=ConnectionTable)
     _socks_by_connection: dict[OpenConnection, Any] = field(default_factory=dict)
     _refused_count: int = 0
@@ -308,14 +316,15 @@
         def mark_blocked(is_blocked: bool) -> None:
             place.blocked_since = self.clock.monotonic() if is_blocked else None
 
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
-        )
+        # The limits in force at each request apply to it.
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         while True:
             responder = Responder(connection, sock, self.limits.write_timeout)
             responder.mark_blocked = mark_blocked
             with self.memory.hold(client) as hold:
-                reader = RequestReader(connection, sock, self.limits, hold, place)
+                reader = RequestReader(
+                    connection, sock, hold, place, is_relay=self.is_relay
+                )
                 request = await self._read_or_refuse(reader, responder)
                 if request is None:
                     return
@@ -352,6 +361,8 @@
             if not is_begun and not connection.trailing_data[0]:
                 return None
             refusal = _SLOW_REQUEST
+        if not self.are_limits_current():
+            refusal = refuse_by_outdated_limits(refusal)
         if place.is_ending:
             # The end of what the client sends may look like an error of its own.
             refusal = _NO_PLACE
@@ -378,8 +389,11 @@
         """Read one request; None if the client closed between requests."""
         if reader.needs_data():
             reader.receive(await self._receive_first(reader.sock))
-        begin = self._begin_unfinished
-        request = await wait_at_most(self.limits.read_timeout, reader.read(begin))
+        # They may have changed since the connection became idle.
+        limits = self.limits
+        request = await wait_at_most(
+            limits.read_timeout, reader.read(limits, self._begin_unfinished)
+        )
         if request is not None:
             await self._begin_handled(reader.place)
         return request
--- a/hibiscustiller/wire/_request_reading.py
+++ b/hibiscustiller/wire/_request_reading.py
@@ -14,6 +14,7 @@
     HttpLimits,
     HttpRequest,
     check_head,
+    check_incomplete,
     make_request,
     make_too_large_error,
     measure_head,
@@ -31,21 +32,24 @@
     :param connection: h11's state of the connection.
     :param hold: memory of the head, the body, and what arrives after them.
     :param place: the connection among the others of its server.
+    :param is_relay: whether requests are passed on as they were sent.
     """
 
     def __init__(
         self,
         connection: h11.Connection,
         sock: Any,
-        limits: HttpLimits,
         hold: BodyHold,
         place: OpenConnection,
+        *,
+        is_relay: bool = False,
     ) -> None:
+        self._is_relay = is_relay
         self.connection = connection
         self.sock = sock
         self.hold = hold
         self.place = place
-        self._limits = limits
+        self._limits = HttpLimits()
         # The head, once it has been read.
         self.head: h11.Request | None = None
         self._event: Any = None
@@ -62,12 +66,16 @@
         self._event = self.connection.next_event()
 
     async def read(
-        self, begin_unfinished: Callable[[OpenConnection], Awaitable[None]]
+        self,
+        limits: HttpLimits,
+        begin_unfinished: Callable[[OpenConnection], Awaitable[None]],
     ) -> HttpRequest | None:
         """Read the request; None if the client closed before it.
 
+        :param limits: the limits in force when the request begins to arrive.
         :param begin_unfinished: called if the request has not arrived whole.
         """
+        self._limits = limits
         event, connection, hold = self._event, self.connection, self.hold
         head: h11.Request | None = None
         head_bytes = body_bytes = parts = 0
@@ -84,12 +92,14 @@
                         )
                     )
                 # Heads, trailers and the lines of chunks that have not arrived whole.
-                hold.resize(head_bytes + body_bytes + self._count_buffered())
+                buffered_bytes = self._count_buffered()
+                check_incomplete(buffered_bytes, self._limits)
+                hold.resize(head_bytes + body_bytes + buffered_bytes)
                 await self._receive_more()
                 hold.resize(head_bytes + body_bytes)
             elif isinstance(event, h11.Request):
                 self.head = head = event
-                check_head(head, self._limits)
+                check_head(head, self._limits, is_relay=self._is_relay)
                 head_bytes = measure_head(head)
                 hold.resize(head_bytes)
                 if _is_chunked(head):
@@ -105,7 +115,7 @@
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 # Requests that were sent ahead are held until this one is answered.
                 hold.resize(head_bytes + body_bytes + self._count_buffered())
-                return make_request(head, hold.finish())
+                return make_request(head, hold.finish(), is_relay=self._is_relay)
             else:
                 return None
             event = connection.next_event()
