--- a/hibiscustiller/discovery/_currency.py
+++ b/hibiscustiller/discovery/_currency.py
@@ -30,6 +30,11 @@
         """Whether a newer configuration is known to exist."""
         return self.named_version > self.version
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the configuration in force is known to be the newest one."""
+        return self.is_confirmed and not self.is_behind
+
     @property
     def is_confirmed(self) -> bool:
         """Whether all changes that must be in force are."""
--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -334,6 +334,8 @@
             # The entries of servers that leave come the same way.
             min(settings.change_limit, settings.drain),
         )
+        relay = self._store_relay
+        self._listeners.is_document_current = lambda: relay.get_currency().is_current
         self._load_sharing = LoadSharing(
             settings.router_id,
             self._datagrams,
--- a/hibiscustiller/ingress/tests/test_final_refusals.py
+++ b/hibiscustiller/ingress/tests/test_final_refusals.py
@@ -52,6 +52,15 @@
             assert answer.headers["x-verdict"] == "not-run"
 
 
+async def test_a_limit_of_an_outdated_configuration_does_not_refuse_for_good():
+    """Guards against 413 by a configuration known to be outdated."""
+    async with World() as world:
+        body = b"x" * (world.gateway.view.document.limits.max_body_bytes + 1)
+        assert (await world.request("/stock/1", body=body)).status == 413
+        name_next_version(world.gateway)
+        assert (await world.request("/stock/1", body=body)).status == 503
+
+
 async def test_a_request_waits_for_a_newer_configuration_that_is_on_its_way():
     """Guards against refusals while a change is being transferred."""
     async with World() as world:
