Take final refusals of another router for a decline

A router that is cut off from the servers passes requests on that its configuration allows. What the other router's listener refused before its dispatcher saw it (400, 413, 431), and what it refused by another document (401, 404), became the answer to the caller, who does not repeat such a request.

An answer of 300 to 499 that does not bear a server's seal, and is no promise that the request did not run already, counts as declined: another router is asked, and if none answers, the caller gets 503. Sealed answers are passed on as before.

--- a/hibiscustiller/ingress/_router_forwarding.py
+++ b/hibiscustiller/ingress/_router_forwarding.py
@@ -32,7 +32,11 @@
     make_forwarding_fields,
 )
 from hibiscustiller.ingress._health import ServerHealth
-from hibiscustiller.platform import make_router_answer_fields, make_router_fields
+from hibiscustiller.platform import (
+    make_router_answer_fields,
+    make_router_fields,
+    read_answer_facts,
+)
 from hibiscustiller.utils import (
     BackedOff,
     Clock,
@@ -59,6 +63,7 @@
 _DECLINED_BACKOFF = timedelta(seconds=1)
 _RETRY_AFTER = timedelta(milliseconds=500)
 _OK = 200
+_FIRST_FINAL_STATUS = 300
 _FIRST_FAILURE_STATUS = 500
 
 OnProgress = Callable[[int | None, int], None]
@@ -356,7 +361,7 @@
             await opened.add(peer, self._make_request(peer))
 
     def _is_declined(self, exchange: Exchange) -> bool:
-        if is_declined(exchange.fields):
+        if is_declined(exchange.fields) or _is_final_refusal(exchange):
             return True
         # The other router knows nothing of the earlier attempts.
         return self._may_have_run and exchange.status in NOT_RUN_STATUSES
@@ -405,6 +410,19 @@
             await send_to_caller(self._responder.start_fields(exchange.status, fields))
 
 
+def _is_final_refusal(exchange: Exchange) -> bool:
+    """Tell whether a router itself refused a request in a way that is final.
+
+    The configuration of the router that passed the request on allows it. The other one
+    may have another configuration, or lower limits.
+    """
+    status = exchange.status
+    is_final = _FIRST_FINAL_STATUS <= status < _FIRST_FAILURE_STATUS
+    if not is_final or status in NOT_RUN_STATUSES:
+        return False
+    return not read_answer_facts(status, exchange.fields).is_sealed
+
+
 class _OpenExchanges:
     """The routers that a request was passed on to and whose answers have not ended.
 
--- a/hibiscustiller/ingress/tests/test_routers_cut_off.py
+++ b/hibiscustiller/ingress/tests/test_routers_cut_off.py
@@ -290,6 +290,46 @@
         assert set(statuses) == {200}, statuses
 
 
+def lower_inner_limit(gateway):
+    server = gateway._inner_server
+    server.limits = replace(server.limits, max_body_bytes=100)
+
+
+async def test_a_final_refusal_of_another_router_does_not_reach_the_caller():
+    """Guards against DENIED: 404, 413 and the like of a router that was asked in turn.
+
+    What its listener refuses has not reached its dispatcher, which would decline it.
+    """
+    body = b"a" * 500
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        lower_inner_limit(world.others[0])
+        answers = [
+            await world.request("/stock/1", world.cut_gateway, body=body)
+            for _ in range(12)
+        ]
+        assert {answer.status for answer in answers} == {200}, answers
+        lower_inner_limit(world.gateway)
+        answer = await world.request("/stock/1", world.cut_gateway, body=body)
+        assert answer.status == 503, answer
+        assert answer.headers["x-verdict"] == "not-run"
+
+
+async def test_a_route_that_other_routers_lack_is_not_refused_for_good():
+    """Guards against the 404 of another router, which has another document."""
+    async with CutWorld() as world:
+        await world.links.cut(Cut.REFUSED_NEW)
+        await world.keep_busy(world.cut_gateway, 0.3)
+        document = world.cut_gateway.view.document
+        routes = tuple(r for r in document.routes if r.prefix != "/stock/")
+        for gateway in world.sound_gateways:
+            newer = replace(document, version=document.version + 1, routes=routes)
+            gateway.view.apply_document(newer, Revision(1000, 1))
+        answer = await world.request("/stock/1", world.cut_gateway)
+        assert answer.status == 503, answer
+
+
 def set_max_attempts(world, attempts):
     """Put a document with other attempts of its routes in force at all routers."""
     for gateway in world.gateways:
