--- a/hibiscustiller/ingress/_gateway.py
+++ b/hibiscustiller/ingress/_gateway.py
@@ -366,6 +366,7 @@
             self._fleet_watcher,
             router_client,
             clock,
+            self._random_state,
             first_read_delay,
         )
         self._registration = Registration(
