--- a/hibiscustiller/discovery/tests/test_many_routers_start_without_store.py
+++ b/hibiscustiller/discovery/tests/test_many_routers_start_without_store.py
@@ -2,6 +2,7 @@
 
 import random
 import sys
+from contextlib import AsyncExitStack, ExitStack
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -15,10 +16,18 @@
     make_document,
 )
 from hibiscustiller.exceptions import StoreUnavailableError, TransportError
-from hibiscustiller.platform import DOCUMENT_KEY
+from hibiscustiller.platform import DOCUMENT_KEY, NO_REVISION
+from hibiscustiller.settings import Address
 from hibiscustiller.utils import SystemClock, Verdict
 from hibiscustiller.utils._testing import collect_tests, in_simulated_time
-from hibiscustiller.wire import HttpAnswer, TransferDeadline, TransferLimits
+from hibiscustiller.wire import (
+    HttpAnswer,
+    HttpClient,
+    HttpLimits,
+    HttpServer,
+    TransferDeadline,
+    TransferLimits,
+)
 
 SEED_COUNT = 3
 # The limit of a start while the store is available.
@@ -125,6 +134,43 @@
     assert ready == 230, ready
 
 
+async def test_a_busy_seed_names_a_router_that_has_a_snapshot():
+    """Guards against routers that wait for a seed although others have a snapshot."""
+    fleet = Fleet(3)
+    await read_store(fleet.members[0])
+    async with AsyncExitStack() as stack:
+        exchanges, addresses = [], []
+        for member in fleet.members:
+            handler = SimpleNamespace()
+            server = HttpServer(
+                Address("127.0.0.1", 0),
+                lambda *args, handler=handler: handler.exchange.handle(*args),
+                HttpLimits(),
+                "inner",
+            )
+            await server.start()
+            stack.push_async_callback(server.close)
+            client = HttpClient(SystemClock())
+            stack.push_async_callback(client.close)
+            addresses.append(server.address)
+            handler.exchange = SnapshotExchange(
+                addresses[:1],
+                server.address,
+                member.watcher,
+                client,
+                SystemClock(),
+                random.Random(1),
+            )
+            exchanges.append(handler.exchange)
+        await exchanges[1].run()
+        with ExitStack() as transfers:
+            for _ in range(3):
+                transfers.enter_context(exchanges[0]._sender.answer("", NO_REVISION))
+            async with curio.timeout_after(START_LIMIT.total_seconds()):
+                await exchanges[2].run()
+        assert fleet.members[2].watcher.revision == fleet.store.revision
+
+
 @in_simulated_time
 async def test_a_router_of_an_earlier_version_is_sent_a_snapshot():
     """Guards against an upgrade after which some routers cannot start."""
