--- a/hibiscustiller/discovery/_change_transfer.py
+++ b/hibiscustiller/discovery/_change_transfer.py
@@ -85,6 +85,7 @@
     :param get_revision: returns the revision of the present state.
     :param are_close: tells whether two routers are in the same failure domain.
     :param clock: measures how long transfers are open.
+    :param keeps_encoded: whether what was encoded holds for as long as the revision.
     """
 
     def __init__(
@@ -93,7 +94,10 @@
         get_revision: Callable[[], Revision],
         are_close: Callable[[RouterId, RouterId], bool],
         clock: Clock,
+        *,
+        keeps_encoded: bool = True,
     ) -> None:
+        self._max_encoded = _MAX_ENCODED if keeps_encoded else 0
         self._clock = clock
         self._encode_changes = encode_changes
         self._get_revision = get_revision
@@ -139,7 +143,7 @@
             if body is None:
                 return None
             self._encoded[after, to] = body
-            while len(self._encoded) > _MAX_ENCODED:
+            while len(self._encoded) > self._max_encoded:
                 self._encoded.popitem(last=False)
         return body
 
