Find the route of targets in absolute form

A request whose target names scheme and host got 404, although servers must accept this form. test_targets_in_absolute_form_find_their_route fails before with 404.

--- a/hibiscustiller/ingress/_dispatcher.py
+++ b/hibiscustiller/ingress/_dispatcher.py
@@ -334,8 +334,12 @@
 
 
 def _read_path(request: HttpRequest) -> str:
-    """Return the path as it was sent."""
-    return request.target.partition(b"?")[0].decode("latin-1")
+    """Return the path as it was sent, also that of a target in absolute form."""
+    path = request.target.partition(b"?")[0].decode("latin-1")
+    if path.startswith("/"):
+        return path
+    _, _, location = path.partition("://")
+    return "/" + location.partition("/")[2] if location else path
 
 
 _NO_DOCUMENT = Refusal(
--- a/hibiscustiller/ingress/tests/test_requests_not_read.py
+++ b/hibiscustiller/ingress/tests/test_requests_not_read.py
@@ -33,6 +33,14 @@
         assert (await world.request("a:1", method="CONNECT")).status == 400
 
 
+async def test_targets_in_absolute_form_find_their_route():
+    """Guards against 404 for a form that servers must accept."""
+    async with World() as world:
+        answer = await world.request("http://router.example/stock/1?a=1")
+        assert answer.status == 200, answer
+        assert (await world.request("http://router.example")).status == 404
+
+
 OVERSIZED = (
     ({"body": b"a" * 2000}, 413),
     ({"headers": [("x-long", "a" * 20000)]}, 431),
