--- a/hibiscustiller/discovery/_change_transfer.py
+++ b/hibiscustiller/discovery/_change_transfer.py
@@ -20,13 +20,14 @@
 from hibiscustiller.utils import Clock, RouterId, log_event
 from hibiscustiller.wire import TransferLimits
 
-# A third of the link of a small host; slower transfers are given up for another router.
+# A small host sends several times as much while it serves callers. Slower transfers are
+# given up for another router.
 TRANSFER_LIMITS = TransferLimits(timedelta(milliseconds=300), 64_000)
 # More transfers at once would each take longer and delay the first copy that others
 # can pass on. The link of a small host sends so many copies of a large change in a
 # quarter of a second.
 _MAX_OPEN_TRANSFERS = 3
-# Routers that were sent a change and are named to others.
+# Routers that have confirmed a change and are named to others.
 _MAX_KNOWN_RECEIVERS = 64
 # A router is named to so many others, which share its link.
 _MAX_REFERRALS = 3
@@ -66,7 +67,7 @@
 
 @dataclass
 class _Receiver:
-    """A router that was sent changes.
+    """A router that has confirmed changes.
 
     :param revision: the state that it has at least.
     :param referrals: how often it was named to others.
