--- a/hibiscustiller/platform/_kv_store.py
+++ b/hibiscustiller/platform/_kv_store.py
@@ -31,9 +31,9 @@
 _SHAPE_ERRORS = (ValueError, KeyError, TypeError, AttributeError, IndexError)
 # The store ends a waiting watch by itself; its answer gets this much longer.
 _WATCH_SLACK = timedelta(seconds=1)
-# A value of 1 MB, base64 included, may take 11 s. Hundreds of readers that share the
-# store's link get more than twice as much each.
-MIN_BYTES_PER_S = 128_000
+# Hundreds of readers may share the store's link. A read that is slower still makes room
+# for others when it is given up.
+MIN_BYTES_PER_S = 32_000
 # Counts how often the store was restored from a backup.
 _ERA_HEADER = "store-era"
 # Far more restores than a store ever has. An era is part of fences of 64 bits.
