--- a/tools/probe_unframed_streams.py
+++ b/tools/probe_unframed_streams.py
@@ -1,9 +1,9 @@
-"""Kills and stops engines whose streams end with their connection; counts false ends.
+"""Breaks off streams that end with their connection, and counts false ends.
 
-Routers, engines and the store are processes. A stream that reaches its client as
-complete before its last event breaks the rule ORDER. ``python
-tools/probe_unframed_streams.py --seconds 40`` exits with 1 if any did. Run the build
-of the deploy file first.
+Routers, engines and the store are processes. Engines are killed and stopped, or break
+off streams while they run on. A stream that reaches its client as complete before its
+last event breaks the rule ORDER. ``python tools/probe_unframed_streams.py --seconds
+40`` exits with 1 if any did. Run the build of the deploy file first.
 """
 
 from __future__ import annotations
@@ -21,7 +21,8 @@
 
 import deployment as platform  # noqa: E402
 
-EVENT_COUNT = 43
+# The most events that a request allows; its number tells how many of them it has.
+MAX_EVENT_COUNT = 43
 STREAM_PERIOD_S = 0.04
 ENGINE_COUNT = 5
 SETTLING_S = 4.0
@@ -47,6 +48,13 @@
         engine.start()
 
 
+async def break_streams(engines, random_state) -> None:
+    """Let one engine after the other break off its streams and run on."""
+    while True:
+        await asyncio.sleep(PAUSE_S)
+        random_state.choice(engines).signal(signal.SIGUSR1)
+
+
 async def trouble_routers(deployment, random_state) -> None:
     """Stop one router after the other for a while, or kill and start it again."""
     while True:
@@ -71,54 +79,84 @@
         try:
             deployment.start_store()
             await deployment.wait_for_store()
-            await deployment.write_config(platform.make_config())
+            config = platform.make_config()
+            config["routes"][0]["resumable"] = not options.once
+            config["routes"][0]["target_latency_ms"] = options.target_ms
+            await deployment.write_config(config)
+            trouble_words = "/".join(
+                [
+                    options.framing,
+                    options.way or "close",
+                    str(options.silence),
+                    str(options.share),
+                ]
+            )
             engines = [
                 deployment.add_server(
-                    f"i-engine-{n}", "pool", "--engine", "--slots", "96"
+                    f"i-engine-{n}",
+                    "pool",
+                    "--engine",
+                    "--slots",
+                    "96",
+                    "--trouble",
+                    trouble_words,
                 )
                 for n in range(ENGINE_COUNT)
             ]
             deployment.start_routers()
             await deployment.wait_until_ready()
             await asyncio.sleep(SETTLING_S)
-            troubles = [
-                asyncio.create_task(
-                    trouble_engines(
-                        deployment, engines, random_state, options.engine_stops
-                    )
-                )
-            ]
+            trouble = trouble_engines(
+                deployment, engines, random_state, options.engine_stops
+            )
+            if options.way:
+                trouble.close()
+                trouble = break_streams(engines, random_state)
+            troubles = [asyncio.create_task(trouble)]
             if options.router_trouble:
                 troubles.append(
                     asyncio.create_task(trouble_routers(deployment, random_state))
                 )
-            outcomes = await send_streams(deployment, options.seconds)
+            outcomes = await send_streams(deployment, options)
             for task in troubles:
                 task.cancel()
         finally:
             await deployment.close()
-    whole = [o for o in outcomes if o.is_complete and o.status == 200]
-    early = [o for o in whole if o.pieces < EVENT_COUNT]
+    complete = [o for o in outcomes if o.is_complete and o.status == 200]
+    early = [o for o in complete if o.pieces < o.event_count]
+    cut = [o for o in outcomes if o.status == 200 and not o.is_complete]
     print(
-        f"streams: {len(outcomes)}, whole: {len(whole) - len(early)}, ended as"
-        f" complete too early: {len(early)} {[o.pieces for o in early]}"
+        f"streams: {len(outcomes)}, whole: {len(complete) - len(early)},"
+        f" cut: {len(cut)}, ended as complete too early: {len(early)}"
+        f" {[o.pieces for o in early]}"
     )
     return len(early)
 
 
-async def send_streams(deployment, seconds: float) -> list:
+async def send_streams(deployment, options: argparse.Namespace) -> list:
     """Send streams to all routers at a steady rate."""
     tasks = []
-    for number in range(int(seconds / STREAM_PERIOD_S)):
+    for number in range(int(options.seconds / STREAM_PERIOD_S)):
         for ip in deployment.routers_by_ip:
-            stream = platform.send_stream(
-                deployment, ip, f"/quote/{number}", answer_tokens=EVENT_COUNT
-            )
+            stream = send_stream(deployment, ip, number, options)
             tasks.append(asyncio.create_task(stream))
         await asyncio.sleep(STREAM_PERIOD_S)
     return await asyncio.gather(*tasks)
 
 
+async def send_stream(deployment, ip, number, options: argparse.Namespace):
+    """Send one stream, whose answer is shorter than it allows for most numbers."""
+    outcome = await platform.send_stream(
+        deployment,
+        ip,
+        f"/quote/{number}",
+        gap_s=max(2.0, 4 * options.target_ms / 1000),
+        answer_tokens=MAX_EVENT_COUNT,
+    )
+    outcome.event_count = MAX_EVENT_COUNT - number % 5
+    return outcome
+
+
 def main() -> int:
     """Run the probe; 1 if a stream ended too early."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -127,6 +165,24 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--engine-stops", action="store_true")
     parser.add_argument("--router-trouble", action="store_true")
+    parser.add_argument("--once", action="store_true", help="cannot be resumed")
+    parser.add_argument("--target-ms", type=int, default=500)
+    parser.add_argument("--framing", choices=("none", "chunks"), default="none")
+    parser.add_argument(
+        "--way",
+        choices=("close", "reset", "inside", "inside-reset"),
+        default="",
+        help="how engines that run on break off streams, instead of being killed",
+    )
+    parser.add_argument(
+        "--silence", type=float, default=0.0, help="before that, in seconds"
+    )
+    parser.add_argument(
+        "--share",
+        type=float,
+        default=0.0,
+        help="of streams that break off by themselves",
+    )
     return int(asyncio.run(play(parser.parse_args())) > 0)
 
 
