Log on what the end of an answer without framing counts as its end

The logs told only of ends that were not proven. unframed_answer_ended tells of each answer that ended with its connection how much of it there was, how long it had been silent, and whether its process had answered since; stream_attempt tells the framing. Two counters, unframed_ends.proven and unframed_ends.not_proven, count them.

--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -181,6 +181,22 @@
         if presence is not ServerPresence.LISTED:
             self.log("attempt_at_unlisted_server", server=server.id, presence=presence)
 
+    def log_unframed_end(
+        self, server: BackendServer, *, is_proven: bool, **fields: object
+    ) -> None:
+        """Log on what an answer that ended with its connection counts as whole or not.
+
+        :param is_proven: whether the same process has answered since.
+        :param fields: how much of the answer there is.
+        """
+        self.log(
+            "unframed_answer_ended",
+            server=server.id,
+            born=server.born,
+            is_proven=is_proven,
+            **fields,
+        )
+
     def log(self, event: str, **fields: object) -> None:
         """Log an event of this request, with its id, route and age."""
         log_event(
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -532,7 +532,7 @@
         try:
             answer = await self._read_answer(exchange, attempt)
             if not exchange.is_framed:
-                await self._check_end(server)
+                await self._check_end(server, len(answer.body))
             return answer
         except TransportError:
             exchange.discard()
@@ -540,13 +540,21 @@
         finally:
             await exchange.close()
 
-    async def _check_end(self, server: BackendServer) -> None:
+    async def _check_end(self, server: BackendServer, size: int) -> None:
         """Check that an answer without framing is whole.
 
+        :param size: bytes of its body.
         :raises TransportError: if its server may have ended instead.
         """
         ends = self._forwarder.health.answer_ends
-        if not await wait_at_most(self.context.timeout_left, ends.is_proven(server)):
+        is_proven = await wait_at_most(
+            self.context.timeout_left, ends.is_proven(server)
+        )
+        self.context.log_unframed_end(server, is_proven=is_proven, bytes=size)
+        self._forwarder.metrics.count(
+            f"unframed_ends.{'proven' if is_proven else 'not_proven'}"
+        )
+        if not is_proven:
             message = "the end of an answer without framing is not proven"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
 
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -35,7 +35,7 @@
 )
 from hibiscustiller.platform import AnswerFacts
 from hibiscustiller.utils import Metrics, ServerId, Verdict
-from hibiscustiller.wire import BodyHold, Exchange, HttpClient
+from hibiscustiller.wire import BodyHold, Exchange, Framing, HttpClient
 
 _STATUS_OK = 200
 
@@ -191,6 +191,11 @@
         assert self.exchange is not None
         return self.exchange.status == _STATUS_OK and is_event_stream(self.exchange)
 
+    @property
+    def framing(self) -> Framing | None:
+        """What tells where the answer ends; None before its head was read."""
+        return self.exchange.framing if self.exchange and self.has_head else None
+
     async def open(self, on_sent: Callable[[], None]) -> None:
         """Send the request.
 
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -336,6 +336,8 @@
             pipeline=",".join(attempt.pipeline.server_ids),
             events=self._event_count,
             last_event=self._last_event,
+            silent_for=attempt.silent_for,
+            framing=attempt.framing,
             version=self._context.document_version,
         )
 
@@ -462,8 +464,22 @@
         assert attempt.exchange is not None
         if attempt.exchange.is_framed:
             return
-        ends, timeout = self._services.health.answer_ends, self._context.timeout_left
-        if not await wait_at_most(timeout, ends.is_proven(attempt.entry)):
+        context, silent_for = self._context, attempt.silent_for
+        ends = self._services.health.answer_ends
+        is_proven = await wait_at_most(
+            context.timeout_left, ends.is_proven(attempt.entry)
+        )
+        context.log_unframed_end(
+            attempt.entry,
+            is_proven=is_proven,
+            events=self._event_count,
+            max_tokens=context.facts.max_answer_tokens,
+            silent_for=silent_for,
+        )
+        self._services.metrics.count(
+            f"unframed_ends.{'proven' if is_proven else 'not_proven'}"
+        )
+        if not is_proven:
             # The next attempt would meet the same silence there.
             self._search.exclude(attempt.entry.id)
             message = "the end of an answer without framing is not proven"
--- a/hibiscustiller/wire/__init__.py
+++ b/hibiscustiller/wire/__init__.py
@@ -10,6 +10,7 @@
 from hibiscustiller.wire._http_client import (
     AnswerStream,
     Exchange,
+    Framing,
     HttpAnswer,
     HttpClient,
     RawRequest,
@@ -38,6 +39,7 @@
     "Connect",
     "DatagramSocket",
     "Exchange",
+    "Framing",
     "Handler",
     "HttpAnswer",
     "HttpClient",
--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 from typing import Any
 
 import h11
@@ -310,6 +311,14 @@
     body: bytes = b""
 
 
+class Framing(Enum):
+    """What tells where the body of an answer ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 class Exchange:
     """A request that has been sent, and its answer.
 
@@ -346,12 +355,18 @@
         """Whether no other request was sent on the connection before."""
         return not self._connection.is_reused
 
+    @property
+    def framing(self) -> Framing:
+        """What tells where the body ends, by the head, which was read."""
+        names = {name for name, _ in self.fields}
+        if b"transfer-encoding" in names:
+            return Framing.CHUNKS
+        return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
+
     @property
     def is_framed(self) -> bool:
         """Whether the head tells where the body ends, other than by closing."""
-        return any(
-            name in (b"content-length", b"transfer-encoding") for name, _ in self.fields
-        )
+        return self.framing is not Framing.CONNECTION
 
     def discard(self) -> None:
         """Let the connection be closed, since bytes of this request may follow."""
