Reset the connection of a cut answer that has no chunks

What callers saw: an answer to a caller of HTTP/1.0 has no chunks and ends with its connection. One that the router had to cut ended in the same way as a whole one.

Cause: the connection was closed after each answer, cut or not.

Change: a connection whose answer has begun, has not been finished and has no chunks is reset.

Evidence: test_a_cut_stream_resets_the_connection_of_an_http_10_caller failed before and passes now; it also checks that a whole answer ends without a reset.

--- a/hibiscustiller/wire/_http_server.py
+++ b/hibiscustiller/wire/_http_server.py
@@ -41,7 +41,11 @@
 from hibiscustiller.wire._memory import BodyMemory
 from hibiscustiller.wire._request_reading import RECEIVE_BYTES, RequestReader
 from hibiscustiller.wire._responder import Responder
-from hibiscustiller.wire._sockets import is_readable, set_tcp_options
+from hibiscustiller.wire._sockets import (
+    is_readable,
+    reset_on_close,
+    set_tcp_options,
+)
 from hibiscustiller.wire._turns import Turns
 
 _DRAIN_POLL_S = 0.02
@@ -330,7 +334,11 @@
                     return
                 responder.is_head = request.method == "HEAD"
                 responder.should_close = lambda: self._is_ending
-                await self._handle_request(request, responder, sock.fileno())
+                try:
+                    await self._handle_request(request, responder, sock.fileno())
+                finally:
+                    if responder.is_cut_unframed:
+                        reset_on_close(sock)
             self._begin_phase(place, Phase.IDLE)
             if not responder.is_finished or connection.our_state is h11.MUST_CLOSE:
                 return
--- a/hibiscustiller/wire/_responder.py
+++ b/hibiscustiller/wire/_responder.py
@@ -46,6 +46,15 @@
         # Told before and after each wait for the client to take what is sent.
         self.mark_blocked: Callable[[bool], None] = lambda is_blocked: None
 
+    @property
+    def is_cut_unframed(self) -> bool:
+        """Whether the answer has begun, and only its connection tells of its end.
+
+        Closing the connection would tell that it is whole.
+        """
+        is_old = self._connection.their_http_version == b"1.0"
+        return is_old and self.is_started and not self.is_finished
+
     async def send(
         self,
         status: int,
--- a/hibiscustiller/wire/_sockets.py
+++ b/hibiscustiller/wire/_sockets.py
@@ -1,6 +1,7 @@
 """Opening, options and state of TCP sockets."""
 
 import select
+import struct
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
@@ -17,6 +18,8 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _UNACKNOWLEDGED_LIMIT_MS = 3000
+# Lingers for no time.
+_NO_LINGER = struct.pack("ii", 1, 0)
 # Joining large bodies would hold them twice.
 _MAX_JOINED_BYTES = 65536
 
@@ -49,6 +52,11 @@
     sock.setsockopt(tcp, curio.socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_LIMIT_MS)
 
 
+def reset_on_close(sock: Any) -> None:
+    """Let closing a socket reset its connection, which drops what was not sent."""
+    sock.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_LINGER, _NO_LINGER)
+
+
 async def send_parts(sock: Any, parts: list[bytes]) -> None:
     """Send some bytes, in one packet if they are few."""
     if sum(map(len, parts)) <= _MAX_JOINED_BYTES:
