Let another engine tell whether a stream without framing has ended

Cause: an answer without framing counted as whole if the same process answered a question afterwards. That proves that the process runs, not that the answer is whole: evidence about the server stood for evidence about the answer.

Change: the end of such a stream counts if the request allows no further event (Token-Usage), or if another engine, asked with Last-Event-Id, has none. Where none can be asked, the stream is cut, and its caller may resume it, unless all ends that were asked about in the last 10 s were whole. A stream that cannot be resumed, or whose service has a single engine, is cut if its engine was silent for longer than the target gap of the route before the end; nothing tells other ends apart there. The decision is ingress._end_evidence, without I/O.

--- a/hibiscustiller/ingress/_context.py
+++ b/hibiscustiller/ingress/_context.py
@@ -17,6 +17,7 @@
     Organisation,
     ServiceSpec,
 )
+from hibiscustiller.ingress._end_evidence import EndEvidence
 from hibiscustiller.platform import AnswerFacts, RequestFacts, make_server_fields
 from hibiscustiller.settings import Address
 from hibiscustiller.utils import (
@@ -182,18 +183,17 @@
             self.log("attempt_at_unlisted_server", server=server.id, presence=presence)
 
     def log_unframed_end(
-        self, server: BackendServer, *, is_proven: bool, **fields: object
+        self, server: BackendServer, evidence: EndEvidence, **fields: object
     ) -> None:
-        """Log on what an answer that ended with its connection counts as whole or not.
+        """Log on what evidence an answer that ended with its connection is judged.
 
-        :param is_proven: whether the same process has answered since.
         :param fields: how much of the answer there is.
         """
         self.log(
             "unframed_answer_ended",
             server=server.id,
             born=server.born,
-            is_proven=is_proven,
+            evidence=evidence,
             **fields,
         )
 
--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -14,6 +14,7 @@
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._connections import cap_engine_slots
 from hibiscustiller.ingress._crash_history import CrashHistory
+from hibiscustiller.ingress._end_evidence import EndHistory
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._open_attempts import OpenAttempts
 from hibiscustiller.ingress._part_history import PartHistory
@@ -313,6 +314,8 @@
                 self._routers,
                 self._view.get_presence,
                 OpenAttempts(self._clock),
+                lambda: len(self._view.list_servers(service.name)),
+                EndHistory(self._clock),
             )
         )
 
--- a/hibiscustiller/ingress/_pipeline_search.py
+++ b/hibiscustiller/ingress/_pipeline_search.py
@@ -58,6 +58,10 @@
         self._excluded_ids.add(server_id)
         self._entry_limit.discount({server_id})
 
+    def exclude_used(self, server_id: ServerId) -> None:
+        """Exclude a server that counts among those on which the request has run."""
+        self._excluded_ids.add(server_id)
+
     def record_sent(self, entry_id: ServerId) -> None:
         """Record that the request was sent to an engine."""
         self._entry_limit.record_sent(entry_id)
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -28,6 +28,7 @@
     send_refusal,
 )
 from hibiscustiller.ingress._crash_history import CrashHistory
+from hibiscustiller.ingress._end_evidence import EndEvidence
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._open_attempts import OpenAttempts
 from hibiscustiller.ingress._part_history import compute_crash_id
@@ -550,10 +551,9 @@
         is_proven = await wait_at_most(
             self.context.timeout_left, ends.is_proven(server)
         )
-        self.context.log_unframed_end(server, is_proven=is_proven, bytes=size)
-        self._forwarder.metrics.count(
-            f"unframed_ends.{'proven' if is_proven else 'not_proven'}"
-        )
+        evidence = EndEvidence.RUNNING if is_proven else EndEvidence.PROCESS_LOST
+        self.context.log_unframed_end(server, evidence, bytes=size)
+        self._forwarder.metrics.count(f"unframed_ends.{evidence.value}")
         if not is_proven:
             message = "the end of an answer without framing is not proven"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -17,6 +17,7 @@
 from hibiscustiller.ingress._connections import compute_max_idle_connections
 from hibiscustiller.ingress._context import RequestContext, is_event_stream
 from hibiscustiller.ingress._crash_history import CrashHistory
+from hibiscustiller.ingress._end_evidence import EndHistory
 from hibiscustiller.ingress._events import Event, EventSplitter
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._open_attempts import OpenAttempts
@@ -47,7 +48,8 @@
     such an answer that is an error of the server, NOT_RUN an attempt that certainly did
     not run, and BROKEN one that may have run. SUPERSEDED is one that was closed because
     another attempt, or another router, answered first; it may have run. YIELDED is one
-    that was closed because its place was recalled; it ran up to then.
+    that was closed because its place was recalled; it ran up to then. UNCONFIRMED is a
+    stream without framing that its engine has ended, perhaps too early.
     """
 
     FINISHED = "finished"
@@ -57,6 +59,7 @@
     ANSWERED = "answered"
     SUPERSEDED = "superseded"
     YIELDED = "yielded"
+    UNCONFIRMED = "unconfirmed"
 
 
 @dataclass(frozen=True)
@@ -79,6 +82,8 @@
     :param routers: passes requests on while this router reaches no server.
     :param get_presence: tells whether a server still has an entry in the store.
     :param open_attempts: the attempts of all streams of the service.
+    :param count_engines: returns the number of engines of the service.
+    :param end_history: what is known of ends of streams without framing.
     """
 
     client: HttpClient
@@ -97,6 +102,8 @@
     routers: RouterForwarder
     get_presence: Callable[[BackendServer], ServerPresence]
     open_attempts: OpenAttempts
+    count_engines: Callable[[], int]
+    end_history: EndHistory
 
 
 class StreamAttempt:
--- a/hibiscustiller/ingress/_stream_demands.py
+++ b/hibiscustiller/ingress/_stream_demands.py
@@ -39,6 +39,13 @@
     )
 
 
+def count_allowed_events(facts: RequestFacts, spec: EngineSpec) -> int | None:
+    """Return the most events that the answer to a request has; None if not known."""
+    if not facts.max_answer_tokens:
+        return None
+    return -(-facts.max_answer_tokens // spec.stride)
+
+
 def count_expected_events(facts: RequestFacts, spec: EngineSpec) -> float:
     """Return how many more events the answer to a stream's request may have."""
     tokens = facts.max_answer_tokens or spec.mean_answer_tokens
--- a/tools/probe_unframed_streams.py
+++ b/tools/probe_unframed_streams.py
@@ -21,7 +21,7 @@
 
 import deployment as platform  # noqa: E402
 
-# The most events that a request allows; its number tells how many of them it has.
+# The most events that a request allows.
 MAX_EVENT_COUNT = 43
 STREAM_PERIOD_S = 0.04
 ENGINE_COUNT = 5
@@ -89,6 +89,7 @@
                     options.way or "close",
                     str(options.silence),
                     str(options.share),
+                    str(options.spread),
                 ]
             )
             engines = [
@@ -145,7 +146,7 @@
 
 
 async def send_stream(deployment, ip, number, options: argparse.Namespace):
-    """Send one stream, whose answer is shorter than it allows for most numbers."""
+    """Send one stream, whose answer may have fewer events than it allows."""
     outcome = await platform.send_stream(
         deployment,
         ip,
@@ -153,7 +154,7 @@
         gap_s=max(2.0, 4 * options.target_ms / 1000),
         answer_tokens=MAX_EVENT_COUNT,
     )
-    outcome.event_count = MAX_EVENT_COUNT - number % 5
+    outcome.event_count = MAX_EVENT_COUNT - number % options.spread
     return outcome
 
 
@@ -183,6 +184,12 @@
         default=0.0,
         help="of streams that break off by themselves",
     )
+    parser.add_argument(
+        "--spread",
+        type=int,
+        default=1,
+        help="answers have fewer events than allowed, by less than this",
+    )
     return int(asyncio.run(play(parser.parse_args())) > 0)
 
 
--- a/tools/unframed_engine.py
+++ b/tools/unframed_engine.py
@@ -2,7 +2,7 @@
 
 It is the engine of the review's cases, but for the framing of its streams and for the
 ways in which they end early while its process runs on. ``--trouble`` takes them as
-``FRAMING/WAY/SECONDS/SHARE``, such as ``none/close/0/0``:
+``FRAMING/WAY/SECONDS/SHARE/SPREAD``, such as ``none/close/0/0/1``:
 
 - FRAMING: ``none`` or ``chunks``.
 - WAY: what happens at SIGUSR1 to all streams of the engine: ``close`` and ``reset`` end
@@ -10,6 +10,8 @@
 - SECONDS: silence before that.
 - SHARE: of the streams that end so after a random event without a signal, between 0
   and 1.
+- SPREAD: an answer has fewer events than its request allows, by the rest of the number
+  at the end of the target divided by this one.
 """
 
 from __future__ import annotations
@@ -35,11 +37,13 @@
     """Answers streams with neither a length nor chunks, or ends them early."""
 
     def __init__(self, options) -> None:
-        framing, way, seconds, share = (options.trouble or "none/close/0/0").split("/")
+        words = (options.trouble or "none/close/0/0/1").split("/")
+        framing, way, seconds, share, spread = words
         self.is_chunked = framing == "chunks"
         self.way = way
         self.silence_s = float(seconds)
         self.share = float(share)
+        self.spread = int(spread)
         self.break_count = 0
         super().__init__(options)
 
@@ -82,8 +86,7 @@
         try:
             first = int(request.fields.get("last-event-id", -1)) + 1
             count = int(request.fields["token-usage"].split(",")[1])
-            # Some answers are shorter than the request allows.
-            count -= int(request.first[1].rpartition("/")[2]) % 5
+            count -= int(request.first[1].rpartition("/")[2]) % self.spread
             return await self.send_events(writer, first, count)
         finally:
             self.running -= 1
