Take a connection that the kernel gives up for a broken answer

Cause: the kernel reports a connection without acknowledgements with ETIMEDOUT, which Python raises as TimeoutError, the class of the client's own time-outs. A stream is read again after these, every 40 ms. The kernel reports the error once and the end of the connection from then on, so that an answer without framing seemed to end.

Change: a time-out with an error number is an error of the connection.

--- a/hibiscustiller/wire/_http_client.py
+++ b/hibiscustiller/wire/_http_client.py
@@ -490,9 +490,11 @@
                 state.receive_data(data)
                 del data
                 self._turns.count_receive()
-        except TimeoutError:
-            raise
         except (OSError, h11.RemoteProtocolError) as error:
+            # The kernel's own time-out ends the connection; only the others, which have
+            # no number, leave it to be read again.
+            if isinstance(error, TimeoutError) and error.errno is None:
+                raise
             raise TransportError(
                 f"{self._address}: {error}", Verdict.MAY_HAVE_RUN
             ) from error
