Count an end to which the service has no other engine as before

A service whose engines all belong to one pipeline has none that can tell whether events follow. Its streams without framing were cut unless they had all events that they allow.

Only the number of engines was looked at; now those of the stream's own pipeline do not count.

--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -314,7 +314,7 @@
                 self._routers,
                 self._view.get_presence,
                 OpenAttempts(self._clock),
-                lambda: len(self._view.list_servers(service.name)),
+                lambda: self._view.list_servers(service.name),
                 EndHistory(self._clock),
             )
         )
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -82,7 +82,7 @@
     :param routers: passes requests on while this router reaches no server.
     :param get_presence: tells whether a server still has an entry in the store.
     :param open_attempts: the attempts of all streams of the service.
-    :param count_engines: returns the number of engines of the service.
+    :param list_engines: returns the engines of the service that accept new requests.
     :param end_history: what is known of ends of streams without framing.
     """
 
@@ -102,7 +102,7 @@
     routers: RouterForwarder
     get_presence: Callable[[BackendServer], ServerPresence]
     open_attempts: OpenAttempts
-    count_engines: Callable[[], int]
+    list_engines: Callable[[], Collection[BackendServer]]
     end_history: EndHistory
 
 
--- a/hibiscustiller/ingress/_stream_ends.py
+++ b/hibiscustiller/ingress/_stream_ends.py
@@ -165,10 +165,10 @@
 
         An attempt without an event counts for nothing by itself.
         """
-        has_others = self._services.count_engines() > 1
-        return bool(
-            attempt.event_count and self._context.route.is_resumable and has_others
-        )
+        if not attempt.event_count or not self._context.route.is_resumable:
+            return False
+        own_ids = set(attempt.server_ids)
+        return any(s.id not in own_ids for s in self._services.list_engines())
 
     async def _is_running(self, attempt: StreamAttempt) -> bool:
         ends = self._services.health.answer_ends
