--- a/hibiscustiller/ingress/_answer_ends.py
+++ b/hibiscustiller/ingress/_answer_ends.py
@@ -1,9 +1,9 @@
-"""Whether an answer without framing has ended, or its server.
+"""Whether the process of an answer without framing still runs after its end.
 
 The connection of a process that ends closes like that of a complete answer. That a new
 connection is accepted proves nothing, since the kernel accepts it for a process that is
 ending. Only an answer that the same process gives to a question asked afterwards proves
-that the process has not ended, and so that its answer is whole.
+that it has not ended. A process that runs may still have broken the answer off.
 """
 
 from __future__ import annotations
@@ -51,8 +51,8 @@
         self._ask = ask
         self._questions: dict[tuple[ServerId, int], _Question] = {}
 
-    async def is_proven(self, server: BackendServer) -> bool:
-        """Tell whether an answer of a server that has just ended is known to be whole.
+    async def is_running(self, server: BackendServer) -> bool:
+        """Tell whether the process of an answer that has just ended still runs.
 
         :returns: False if the server does not answer, whatever the reason.
         """
--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -577,13 +577,13 @@
         :raises TransportError: if its server may have ended instead.
         """
         ends = self._forwarder.health.answer_ends
-        is_proven = await wait_at_most(
-            self.context.timeout_left, ends.is_proven(server)
+        is_running = await wait_at_most(
+            self.context.timeout_left, ends.is_running(server)
         )
-        evidence = EndEvidence.RUNNING if is_proven else EndEvidence.PROCESS_LOST
+        evidence = EndEvidence.RUNNING if is_running else EndEvidence.PROCESS_LOST
         self.context.log_unframed_end(server, evidence, bytes=size)
         self._forwarder.metrics.count(f"unframed_ends.{evidence.value}")
-        if not is_proven:
+        if not is_running:
             message = "the end of an answer without framing is not proven"
             raise TransportError(message, Verdict.MAY_HAVE_RUN)
 
--- a/hibiscustiller/ingress/_stream_ends.py
+++ b/hibiscustiller/ingress/_stream_ends.py
@@ -174,12 +174,14 @@
         ends = self._services.health.answer_ends
         return bool(
             await wait_at_most(
-                self._context.timeout_left, ends.is_proven(attempt.entry)
+                self._context.timeout_left, ends.is_running(attempt.entry)
             )
         )
 
     def _reject(self, attempt: StreamAttempt, evidence: EndEvidence) -> TransportError:
         # The next attempt would meet the same silence there.
         self._search.exclude(attempt.entry.id)
-        message = f"the end of an answer without framing is not proven: {evidence}"
+        message = (
+            f"the end of an answer without framing is not proven: {evidence.value}"
+        )
         return TransportError(message, Verdict.MAY_HAVE_RUN)
--- a/hibiscustiller/ingress/tests/test_answer_ends.py
+++ b/hibiscustiller/ingress/tests/test_answer_ends.py
@@ -56,9 +56,9 @@
 async def test_a_question_asked_before_the_end_proves_nothing():
     process = Process(True, NO_ANSWER, NO_ANSWER)
     ends = AnswerEnds(SystemClock(), process.ask)
-    first = await curio.spawn(ends.is_proven, SERVER)
+    first = await curio.spawn(ends.is_running, SERVER)
     await wait_for_questions(process, 1)
-    second = await curio.spawn(ends.is_proven, SERVER)
+    second = await curio.spawn(ends.is_running, SERVER)
     for count in (2, 3):
         await process.may_answer.set()
         await wait_for_questions(process, count)
@@ -71,9 +71,9 @@
 async def test_one_question_serves_all_answers_that_ended_before_it():
     process = Process(True, True)
     ends = AnswerEnds(SystemClock(), process.ask)
-    first = await curio.spawn(ends.is_proven, SERVER)
+    first = await curio.spawn(ends.is_running, SERVER)
     await wait_for_questions(process, 1)
-    others = [await curio.spawn(ends.is_proven, SERVER) for _ in range(20)]
+    others = [await curio.spawn(ends.is_running, SERVER) for _ in range(20)]
     await process.may_answer.set()
     await wait_for_questions(process, 2)
     await process.may_answer.set()
@@ -86,7 +86,7 @@
 async def test_a_question_outlives_the_request_that_asked_it():
     process = Process(True)
     ends = AnswerEnds(SystemClock(), process.ask)
-    first = await curio.spawn(ends.is_proven, SERVER)
+    first = await curio.spawn(ends.is_running, SERVER)
     await wait_for_questions(process, 1)
     await first.cancel()
     await process.may_answer.set()
