Do not let two early ends after the same event confirm each other

Cause: the second engine is asked to confirm the end of the first one. If it breaks off its own answer before an event, and has no framing either, it seems to agree.

Evidence: test_two_early_ends_after_the_same_event_are_no_end_of_a_stream failed before and passes now.

--- a/hibiscustiller/ingress/_end_evidence.py
+++ b/hibiscustiller/ingress/_end_evidence.py
@@ -101,12 +101,18 @@
         else:
             self._refuted_at = now
 
+    @property
+    def has_early_ends(self) -> bool:
+        """Whether an end that was asked about lately was not whole."""
+        return self._refuted_at is not None and self._refuted_at >= self._since
+
     @property
     def are_ends_whole(self) -> bool:
         """Whether all ends that were asked about lately were whole, and some were."""
-        since = self._clock.monotonic() - _HISTORY_WINDOW
-        if self._refuted_at is not None and self._refuted_at >= since:
-            return False
-        if len(self._confirmed_at) < _MIN_CONFIRMED_COUNT:
+        if self.has_early_ends or len(self._confirmed_at) < _MIN_CONFIRMED_COUNT:
             return False
-        return self._confirmed_at[0] >= since
+        return self._confirmed_at[0] >= self._since
+
+    @property
+    def _since(self) -> timedelta:
+        return self._clock.monotonic() - _HISTORY_WINDOW
--- a/hibiscustiller/ingress/_stream_ends.py
+++ b/hibiscustiller/ingress/_stream_ends.py
@@ -84,7 +84,10 @@
         if is_framed and attempt.event_count:
             return
         entry_ids = self._entry_ids_by_event.setdefault(last_event, set())
-        is_confirmed = any(key != attempt.entry.id for key in entry_ids)
+        other_count = len(entry_ids - {attempt.entry.id})
+        # While engines break off streams, two may do so after the same event.
+        is_sure = is_framed or other_count > 1 or not self._history.has_early_ends
+        is_confirmed = other_count > 0 and is_sure
         if not is_framed:
             await self._check_unframed(
                 attempt, first_event, last_event, is_confirmed, silent_for
--- a/hibiscustiller/ingress/tests/test_unframed_ends.py
+++ b/hibiscustiller/ingress/tests/test_unframed_ends.py
@@ -148,6 +148,22 @@
                     assert answer.body == make_events(BROKEN_COUNT), answer.body
 
 
+# Guards against two engines that break a stream off after the same event and so seem to
+# agree on its end: the second one sends no event at all.
+async def test_two_early_ends_after_the_same_event_are_no_end_of_a_stream():
+    zones = ("north", "east", "north")
+    async with World(("e0", "e1", "e2"), zones, retry_slack=200.0) as world:
+        async with StreamServer(BROKEN_COUNT) as first, StreamServer(5) as second:
+            await use_engines(world, first, second)
+            # An early end is found, so that others are likely.
+            await world.request("/chat/0")
+            first.event_count = second.event_count = BROKEN_COUNT
+            for number in range(1, 6):
+                answer = await world.request(f"/chat/{number}")
+                is_whole = answer.body == make_events(EVENT_COUNT)
+                assert is_whole or not answer.is_complete, answer
+
+
 async def use_plain_servers(world, *servers):
     """Let servers be the only ones of the plain service."""
     # Until then the view keeps servers whose entries are missing.
