Revert "Ask another server about a repeatable answer without framing"

The review of it showed three regressions: answers that have no body by definition (204) counted as without framing and were asked for twice, another server's 404 replaced a whole 200, and an answer in hand was held beyond its caller's deadline.

--- a/hibiscustiller/ingress/_plain.py
+++ b/hibiscustiller/ingress/_plain.py
@@ -68,16 +68,12 @@
 
 @dataclass
 class _Answer:
-    """A complete answer of a backend server.
-
-    :param is_framed: whether anything but the end of its connection told of its end.
-    """
+    """A complete answer of a backend server."""
 
     status: int
     fields: tuple[Field, ...]
     body: bytes
     facts: AnswerFacts
-    is_framed: bool
 
 
 class PlainForwarder:
@@ -509,33 +505,8 @@
             if not self._has_run:
                 self._last_answer = answer
             return None
-        if answer is not None and self._may_be_cut(answer):
-            return await self._ask_other(answer)
         return answer
 
-    def _may_be_cut(self, answer: _Answer) -> bool:
-        """Tell whether a server that runs on may have broken off an answer.
-
-        Another server can tell only if it may run the request as well.
-        """
-        if answer.is_framed or answer.facts.is_not_run or _is_server_error(answer):
-            return False
-        return self.context.route.is_repeatable
-
-    async def _ask_other(self, answer: _Answer) -> _Answer:
-        """Return another server's answer instead of one that may be broken off.
-
-        :returns: the first answer if no other server answers soon, or none that has an
-            end of its own or more of the same body.
-        """
-        other = None
-        async with curio.ignore_after(self._silence_time.total_seconds()):
-            other = await self._run_next(is_second=True)
-        if other is None or _is_server_error(other) or other.facts.is_not_run:
-            return answer
-        is_longer = other.body.startswith(answer.body)
-        return other if other.is_framed or is_longer else answer
-
     async def _exchange_messages(self, attempt: _PlainAttempt) -> _Answer:
         """Send the request and read the answer.
 
@@ -621,9 +592,7 @@
             forwarder.rate_limits.observe(server, facts.rate_limit, sent_at)
         hold = self._holds.enter_context(forwarder.client.memory.hold(server.address))
         body = await exchange.read_body(hold, context.timeout_left, MAX_BODY_BYTES)
-        answer = _Answer(
-            exchange.status, exchange.fields, body, facts, exchange.is_framed
-        )
+        answer = _Answer(exchange.status, exchange.fields, body, facts)
         if not context.is_refused_by(facts, exchange):
             _check_answer(answer, context)
         return answer
