Count ends without framing only on evidence of the stream itself

Change: what is known of other streams no longer counts. Without framing, two other engines have to agree; one with framing is enough. Engines without layers, and routes that allow one engine, can confirm nothing, so that their streams are not cut for that.

It costs whole streams of a service that frames none of them: where no other engine can be asked for want of retries, they are cut, and their callers may resume them.

--- a/hibiscustiller/ingress/_model_services.py
+++ b/hibiscustiller/ingress/_model_services.py
@@ -14,7 +14,6 @@
 from hibiscustiller.ingress._budget import RetryBudgets
 from hibiscustiller.ingress._connections import cap_engine_slots
 from hibiscustiller.ingress._crash_history import CrashHistory
-from hibiscustiller.ingress._end_evidence import EndHistory
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._open_attempts import OpenAttempts
 from hibiscustiller.ingress._part_history import PartHistory
@@ -315,7 +314,6 @@
                 self._view.get_presence,
                 OpenAttempts(self._clock),
                 lambda: self._view.list_servers(service.name),
-                EndHistory(self._clock),
             )
         )
 
--- a/hibiscustiller/ingress/_stream_attempts.py
+++ b/hibiscustiller/ingress/_stream_attempts.py
@@ -17,7 +17,6 @@
 from hibiscustiller.ingress._connections import compute_max_idle_connections
 from hibiscustiller.ingress._context import RequestContext, is_event_stream
 from hibiscustiller.ingress._crash_history import CrashHistory
-from hibiscustiller.ingress._end_evidence import EndHistory
 from hibiscustiller.ingress._events import Event, EventSplitter
 from hibiscustiller.ingress._health import ServerHealth
 from hibiscustiller.ingress._open_attempts import OpenAttempts
@@ -83,7 +82,6 @@
     :param get_presence: tells whether a server still has an entry in the store.
     :param open_attempts: the attempts of all streams of the service.
     :param list_engines: returns the engines of the service that accept new requests.
-    :param end_history: what is known of ends of streams without framing.
     """
 
     client: HttpClient
@@ -103,7 +101,6 @@
     get_presence: Callable[[BackendServer], ServerPresence]
     open_attempts: OpenAttempts
     list_engines: Callable[[], Collection[BackendServer]]
-    end_history: EndHistory
 
 
 class StreamAttempt:
--- a/hibiscustiller/ingress/_stream_ends.py
+++ b/hibiscustiller/ingress/_stream_ends.py
@@ -35,9 +35,6 @@
         self._services = services
         self._context = context
         self._search = search
-        self._history = services.end_history
-        # The attempt whose end another engine has to confirm.
-        self._unconfirmed: StreamAttempt | None = None
         # Entry servers that ended the stream, by the id of the last event before that.
         self._entry_ids_by_event: dict[int | None, set[ServerId]] = {}
 
@@ -50,20 +47,6 @@
         if not attempt.exchange.is_framed and not await self._is_running(attempt):
             raise self._reject(attempt, EndEvidence.PROCESS_LOST)
 
-    def record_events(self) -> None:
-        """Record that the caller gets further events."""
-        if self._unconfirmed is not None:
-            self._unconfirmed = None
-            self._history.record(is_whole=False)
-
-    def accept_unconfirmed(self) -> bool:
-        """Tell whether an end counts that no other engine can be asked about now."""
-        attempt = self._unconfirmed
-        if attempt is None or not self._history.are_ends_whole:
-            return False
-        self._log(attempt, EndEvidence.USUAL)
-        return True
-
     async def check(
         self,
         attempt: StreamAttempt,
@@ -85,15 +68,12 @@
             return
         entry_ids = self._entry_ids_by_event.setdefault(last_event, set())
         other_count = len(entry_ids - {attempt.entry.id})
-        # While engines break off streams, two may do so after the same event.
-        is_sure = is_framed or other_count > 1 or not self._history.has_early_ends
-        is_confirmed = other_count > 0 and is_sure
+        # Without framing, this engine may have broken off its answer as well.
+        is_confirmed = other_count >= (1 if is_framed else 2)
         if not is_framed:
             await self._check_unframed(
                 attempt, first_event, last_event, is_confirmed, silent_for
             )
-        if is_confirmed and self._unconfirmed is not None:
-            self._history.record(is_whole=True)
         if attempt.event_count or is_confirmed:
             return
         # Either the caller has all events, or this engine is faulty.
@@ -136,7 +116,6 @@
             return
         if evidence is not EndEvidence.UNCONFIRMED:
             raise self._reject(attempt, evidence)
-        self._unconfirmed = attempt
         self._entry_ids_by_event[last_event].add(attempt.entry.id)
         self._search.exclude_used(attempt.entry.id)
         raise UnconfirmedEndError
@@ -168,10 +147,13 @@
 
         An attempt without an event counts for nothing by itself.
         """
-        if not attempt.event_count or not self._context.route.is_resumable:
+        route, own_ids = self._context.route, set(attempt.server_ids)
+        if not attempt.event_count or not route.is_resumable or route.max_attempts < 2:
             return False
-        own_ids = set(attempt.server_ids)
-        return any(s.id not in own_ids for s in self._services.list_engines())
+        return any(
+            engine.layers.width and engine.id not in own_ids
+            for engine in self._services.list_engines()
+        )
 
     async def _is_running(self, attempt: StreamAttempt) -> bool:
         ends = self._services.health.answer_ends
--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -198,28 +198,15 @@
                 continue
             refusal = await self._check_retry_allowed(outcome)
             if refusal is not None:
-                return await self._end_unconfirmed(outcome, refusal)
+                return refusal
             if self._may_forward_to_router:
                 return await self._forward_to_router()
             next_grant = await self._search.find_next(self._compute_max_wait())
             if next_grant is None:
-                refusal = self._make_refusal("no other pipeline is available")
-                return await self._end_unconfirmed(outcome, refusal)
+                return self._make_refusal("no other pipeline is available")
             self._services.metrics.count(f"streams.repeated.{outcome.value}")
             grant = next_grant
 
-    async def _end_unconfirmed(
-        self, outcome: Outcome, refusal: Refusal
-    ) -> Refusal | None:
-        """End a stream for which no other engine is asked.
-
-        :returns: why it could not be completed; None if its end counts as it is.
-        """
-        if outcome is Outcome.UNCONFIRMED and self._ends.accept_unconfirmed():
-            await send_to_caller(self._responder.finish())
-            return None
-        return refusal
-
     def measure(self) -> StreamTiming | None:
         """Return how long the stream took; None if another router completed it."""
         if self._begun_after is None or self._is_answered_elsewhere:
@@ -509,7 +496,6 @@
             self._begun_after = self._context.age
             services.metrics.timing("first_event", self._begun_after)
         await self._start_response(attempt)
-        self._ends.record_events()
         self._event_count += len(events)
         attempt.record_progress(len(events))
         data = b"".join(event.data for event in events)
--- a/hibiscustiller/ingress/tests/test_end_evidence.py
+++ b/hibiscustiller/ingress/tests/test_end_evidence.py
@@ -6,11 +6,9 @@
 
 from hibiscustiller.ingress._end_evidence import (
     EndEvidence,
-    EndHistory,
     UnframedEnd,
     judge_unframed_end,
 )
-from hibiscustiller.utils import ManualClock
 from hibiscustiller.utils._testing import collect_tests
 
 # A stream that another engine can go on with, and whose process runs.
@@ -59,25 +57,5 @@
     assert evidence is EndEvidence.RUNNING and evidence.is_end
 
 
-# Guards against ends that count on old or contradicted evidence.
-def test_ends_are_taken_for_whole_while_all_that_were_asked_about_lately_were():
-    clock = ManualClock()
-    history = EndHistory(clock)
-    for _ in range(3):
-        assert not history.are_ends_whole
-        history.record(is_whole=True)
-    assert history.are_ends_whole
-    history.record(is_whole=False)
-    assert not history.are_ends_whole
-    clock.advance(timedelta(seconds=6))
-    for _ in range(3):
-        history.record(is_whole=True)
-    assert not history.are_ends_whole
-    clock.advance(timedelta(seconds=5))
-    assert history.are_ends_whole
-    clock.advance(timedelta(seconds=6))
-    assert not history.are_ends_whole
-
-
 def load_tests(loader, tests, pattern):
     return collect_tests(sys.modules[__name__])
--- a/hibiscustiller/ingress/tests/test_unframed_ends.py
+++ b/hibiscustiller/ingress/tests/test_unframed_ends.py
@@ -131,35 +131,47 @@
 
 
 # Guards against whole streams that are taken for broken ones: they have fewer events
-# than the request allows, and another engine has none that follow.
-async def test_a_shorter_stream_is_complete_if_another_engine_has_no_more_events():
-    for is_chunked in (True, False):
-        async with World(("e0", "e1"), ("north", "east")) as world:
+# than the request allows, and others agree. Without framing it takes two of them.
+async def test_a_shorter_stream_is_complete_if_other_engines_have_no_more_events():
+    for is_chunked, count in ((True, 2), (False, 3)):
+        names, zones = ("e0", "e1", "e2")[:count], ("north", "east", "north")[:count]
+        async with World(names, zones, retry_slack=200.0) as world:
             async with (
                 StreamServer(BROKEN_COUNT) as first,
                 StreamServer(BROKEN_COUNT, is_chunked=is_chunked) as second,
+                StreamServer(BROKEN_COUNT) as third,
             ):
-                await use_engines(world, first, second)
+                await use_engines(world, first, second, third)
                 for number in range(4):
                     answer = await world.request(f"/chat/{number}")
                     assert answer.is_complete, (is_chunked, answer)
                     assert answer.body == make_events(BROKEN_COUNT), answer.body
 
 
-# Guards against two engines that break a stream off after the same event and so seem to
-# agree on its end: the second one sends no event at all.
+# Guards against two engines that break a stream off after the same event, the second
+# one before it has sent an event, and so seem to agree on its end.
 async def test_two_early_ends_after_the_same_event_are_no_end_of_a_stream():
-    zones = ("north", "east", "north")
-    async with World(("e0", "e1", "e2"), zones, retry_slack=200.0) as world:
-        async with StreamServer(BROKEN_COUNT) as first, StreamServer(5) as second:
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        async with (
+            StreamServer(BROKEN_COUNT, silent_s=0.6) as first,
+            StreamServer(BROKEN_COUNT, silent_s=0.6) as second,
+        ):
             await use_engines(world, first, second)
-            # An early end is found, so that others are likely.
-            await world.request("/chat/0")
-            first.event_count = second.event_count = BROKEN_COUNT
-            for number in range(1, 6):
-                answer = await world.request(f"/chat/{number}")
-                is_whole = answer.body == make_events(EVENT_COUNT)
-                assert is_whole or not answer.is_complete, answer
+            answer = await world.request("/chat/1")
+            assert answer.body == make_events(BROKEN_COUNT), answer.body
+            assert not answer.is_complete, answer
+
+
+# Guards against whole streams that are cut although nothing else can tell of their end:
+# the other engine holds no layers.
+async def test_a_stream_is_complete_if_no_other_engine_can_tell():
+    async with World(("e0", "e1"), ("north", "east")) as world:
+        world.hold_all_layers(world.engines[0])
+        await world.wait_for_pipelines(1)
+        async with StreamServer(BROKEN_COUNT) as server:
+            await use_for_engine(world, "e0", server)
+            answer = await world.request("/chat/1")
+            assert answer.is_complete, answer
 
 
 async def receive_all(sock):
