--- a/hibiscustiller/ingress/_streams.py
+++ b/hibiscustiller/ingress/_streams.py
@@ -436,12 +436,8 @@
         clock = self._context.clock
         last_event_at: timedelta | None = None
         while True:
-            events, self._last_event = self._find_new_events(attempt)
+            events, last_event = self._find_new_events(attempt)
             attempt.events = []
-            if self._first_event is None:
-                self._first_event = next(
-                    (e.id for e in events if e.id is not None), None
-                )
             if events:
                 now = clock.monotonic()
                 if last_event_at is not None:
@@ -449,6 +445,11 @@
                     self._services.selector.record_gap(attempt.pipeline, gap)
                 last_event_at = now
                 await self._end_second()
+                # Another router may have answered until then.
+                self._last_event = last_event
+                if self._first_event is None:
+                    ids = (event.id for event in events if event.id is not None)
+                    self._first_event = next(ids, None)
                 await self._send_events(attempt, events)
             elif attempt.is_at_end:
                 break
