--- a/hibiscustiller/ingress/_end_evidence.py
+++ b/hibiscustiller/ingress/_end_evidence.py
@@ -17,7 +17,7 @@
 class EndEvidence(Enum):
     """What is known of an end.
 
-    EVENT_LIMIT: the request allows no further event. CONFIRMED: another engine has no
+    EVENT_LIMIT: the request allows no further event. CONFIRMED: other engines have no
     further event either. RUNNING: its process runs, and nothing else can tell.
     UNCONFIRMED: its process runs, and another engine can tell whether events follow.
     SILENT: the engine was silent before the end, as one whose pipeline has stalled.
@@ -43,8 +43,8 @@
 
     :param events_left: how many more events the request allows; None if not known.
     :param is_running: whether the same process has answered since.
-    :param is_confirmed: whether other engines have ended the stream after the same
-        event. One of them may break off its answer as well, so that two are needed.
+    :param is_confirmed: whether enough other engines have ended the stream after the
+        same event, see ``StreamEnds.check``.
     :param may_confirm: whether another engine, or the caller by resuming the stream,
         can tell whether events follow.
     :param silent_for: time between the last event and the end.
